--- a/src/bin/stoathead-benchlink/codec.rs
+++ b/src/bin/mintgate-simhost/codec.rs
@@ -1,8 +1,8 @@
 //! The wire's frames and records to and from the library's events and actions.
 
+use mintgate::*;
 use std::fmt;
 use std::io::{self, Read};
-use stoathead::*;
 
 /// What is wrong with the input, and where.
 #[derive(Debug, PartialEq, Eq)]
--- a/src/bin/stoathead-benchlink/main.rs
+++ b/src/bin/mintgate-simhost/main.rs
@@ -5,10 +5,10 @@
 mod settings;
 
 use codec::{Record, Reply, WireError, read_frame, read_records};
+use mintgate::{Action, Balancer, Event, Member};
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, Write};
 use std::process::ExitCode;
-use stoathead::{Action, Balancer, Event, Member};
 
 /// Lists and instances; nothing else is kept between batches.
 #[derive(Default)]
@@ -21,7 +21,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("stoathead-benchlink: {error}");
+            eprintln!("mintgate-simhost: {error}");
             ExitCode::FAILURE
         }
     }
@@ -44,7 +44,7 @@
 }
 
 impl Host {
-    fn take(&mut self, now: stoathead::Time, record: Record, actions: &mut Vec<Action>, reply: &mut Reply) {
+    fn take(&mut self, now: mintgate::Time, record: Record, actions: &mut Vec<Action>, reply: &mut Reply) {
         let (instance, event) = match record {
             Record::Open { instance, seed, settings } => {
                 match settings::read(&settings) {
@@ -58,7 +58,7 @@
             Record::Skipped => return,
             Record::Sync { instance, kind, roster } => {
                 let entries = match kind {
-                    stoathead::ListKind::Failed => Vec::new(),
+                    mintgate::ListKind::Failed => Vec::new(),
                     _ => self.rosters.get(&roster).cloned().unwrap_or_default(),
                 };
                 (instance, Event::Members(kind, entries))
--- a/src/bin/stoathead-benchlink/settings.rs
+++ b/src/bin/mintgate-simhost/settings.rs
@@ -1,7 +1,7 @@
 //! The settings text of the wire, turned into the library's settings.
 
+use mintgate::*;
 use serde::Deserialize;
-use stoathead::*;
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,7 @@
 //! is due.
 //!
 //! ```
-//! use stoathead::*;
+//! use mintgate::*;
 //!
 //! let settings = Settings {
 //!     fleet_size: 2,
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -1,15 +1,15 @@
 //! The wire codec and the binary around it.
 
 #[allow(dead_code)]
-#[path = "../src/bin/stoathead-benchlink/codec.rs"]
+#[path = "../src/bin/mintgate-simhost/codec.rs"]
 mod codec;
-#[path = "../src/bin/stoathead-benchlink/settings.rs"]
+#[path = "../src/bin/mintgate-simhost/settings.rs"]
 mod settings;
 
 use codec::{Record, Reply, read_frame, read_records};
+use mintgate::*;
 use std::io::Write;
 use std::process::{Command, Stdio};
-use stoathead::*;
 
 const SETTINGS: &str = r#"{"fleetSize": 3, "index": 1, "somethingNew": [1],
   "classes": [{"deadlineNs": 6000000000, "effect": "retryable", "objectiveNs": 1200000000}],
@@ -42,7 +42,7 @@
 }
 
 fn run(input: &[u8]) -> (Option<i32>, Vec<u8>, String) {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_stoathead-benchlink"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_mintgate-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A front end driven by hand: plain settings, one call a helper.
 #![allow(dead_code)]
 
-use stoathead::*;
+use mintgate::*;
 
 pub struct Rig {
     pub now: Time,
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use stoathead::*;
+use mintgate::*;
 
 const R: fn(u32) -> RequestId = RequestId;
 
