--- /dev/null
+++ b/src/backend/jsonrpc.rs
@@ -0,0 +1,140 @@
+//! Checkers on Unix sockets: JSON-RPC 2.0, one object a line.
+
+use super::{Codec, Said, Unreadable};
+use crate::core::{Reply, Work};
+use crate::interface::{FunctionId, Span};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::{Value, json};
+
+/// Error codes of a checker; everything else counts as an error after which the call may have run.
+pub mod codes {
+    /// The function is not loaded: it never ran.
+    pub const MISS: i64 = -32010;
+    /// Full: it never ran.
+    pub const FULL: i64 = -32011;
+    /// It was over already: it never ran.
+    pub const EXPIRED: i64 = -32012;
+}
+
+/// See the module's page.
+pub struct CheckerCodec;
+
+fn line(object: &Value) -> Vec<u8> {
+    let mut bytes = object.to_string().into_bytes();
+    bytes.push(b'\n');
+    bytes
+}
+
+fn request(rid: &str, method: &str, params: Value) -> Vec<u8> {
+    line(&json!({"jsonrpc": "2.0", "id": rid, "method": method, "params": params}))
+}
+
+fn notice(method: &str, params: Value) -> Vec<u8> {
+    line(&json!({"jsonrpc": "2.0", "method": method, "params": params}))
+}
+
+impl Codec for CheckerCodec {
+    fn go(&self, work: &Work, left: Span) -> Vec<u8> {
+        let mut params = json!({
+            "class": work.class,
+            "function": format!("{:016x}", work.function.0),
+            "ttl_ms": left.0.div_ceil(1_000_000).max(1),
+            "body": STANDARD.encode(&work.body),
+        });
+        if let Some(key) = &work.key {
+            params["key"] = json!(key);
+        }
+        request(&work.reference, "call", params)
+    }
+
+    fn halt(&self, rid: &str) -> Vec<u8> {
+        notice("cancel", json!({"id": rid}))
+    }
+
+    fn stage(&self, rid: &str, function: FunctionId, copies: u8) -> Vec<u8> {
+        request(rid, "load", json!({"function": format!("{:016x}", function.0), "copies": copies}))
+    }
+
+    fn purge(&self, function: FunctionId) -> Vec<u8> {
+        notice("unload", json!({"function": format!("{:016x}", function.0)}))
+    }
+
+    fn probe(&self, rid: &str) -> Vec<u8> {
+        request(rid, "probe", json!({}))
+    }
+
+    fn read(&self, line: &[u8]) -> Result<Said, Unreadable> {
+        let unread = |cause| Unreadable { rid: None, cause };
+        let parsed: Value = serde_json::from_slice(line).map_err(|_| unread("not JSON"))?;
+        let Value::Object(object) = parsed else { return Err(unread("not an object")) };
+        let Some(Value::String(rid)) = object.get("id") else { return Err(unread("no id of ours")) };
+        let bad = |cause| Unreadable { rid: Some(rid.clone()), cause };
+        if object.get("jsonrpc").and_then(Value::as_str) != Some("2.0") {
+            return Err(bad("not JSON-RPC 2.0"));
+        }
+        let rid = rid.clone();
+        match (object.get("result"), object.get("error")) {
+            (Some(result), None) => {
+                if result.get("load").is_some() {
+                    return Ok(Said::Nothing);
+                }
+                let copies = result.get("copies").and_then(Value::as_u64).map(|n| n as u32);
+                let body = match result.get("body") {
+                    None if copies.is_some() => vec![],
+                    Some(Value::String(text)) => {
+                        STANDARD.decode(text).map_err(|_| bad("body is not base64"))?
+                    }
+                    _ => return Err(bad("no body")),
+                };
+                Ok(Said::Answer { rid, reply: Reply::Ok(body), copies })
+            }
+            (None, Some(error)) => {
+                let reply = match error.get("code").and_then(Value::as_i64) {
+                    Some(codes::MISS) => Reply::Miss,
+                    Some(codes::FULL) => Reply::Full,
+                    Some(codes::EXPIRED) => Reply::Expired,
+                    Some(_) => Reply::Error,
+                    None => return Err(bad("an error without a code")),
+                };
+                let copies = error.pointer("/data/copies").and_then(Value::as_u64).map(|n| n as u32);
+                Ok(Said::Answer { rid, reply, copies })
+            }
+            _ => Err(bad("neither a result nor an error")),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn answers_are_read() {
+        let answer = |reply, copies| Ok(Said::Answer { rid: "a".into(), reply, copies });
+        let bad = |rid: Option<&str>, cause| Err(Unreadable { rid: rid.map(str::to_owned), cause });
+        let cases: Vec<(&str, Result<Said, Unreadable>)> = vec![
+            (r#"{"jsonrpc":"2.0","id":"a","result":{"body":"aGk="}}"#, answer(Reply::Ok(b"hi".into()), None)),
+            (r#"{"jsonrpc":"2.0","id":"a","result":{"copies":2}}"#, answer(Reply::Ok(vec![]), Some(2))),
+            (r#"{"jsonrpc":"2.0","id":"a","result":{"load":{"util":0.5}}}"#, Ok(Said::Nothing)),
+            (r#"{"jsonrpc":"2.0","id":"a","error":{"code":-32010}}"#, answer(Reply::Miss, None)),
+            (
+                r#"{"jsonrpc":"2.0","id":"a","error":{"code":-32011,"data":{"copies":1}}}"#,
+                answer(Reply::Full, Some(1)),
+            ),
+            (r#"{"jsonrpc":"2.0","id":"a","error":{"code":-32012}}"#, answer(Reply::Expired, None)),
+            (r#"{"jsonrpc":"2.0","id":"a","error":{"code":-32601}}"#, answer(Reply::Error, None)),
+            (r#"{"jsonrpc":"2.0","id":"a","error":{}}"#, bad(Some("a"), "an error without a code")),
+            (r#"{"jsonrpc":"2.0","id":"a","result":{}}"#, bad(Some("a"), "no body")),
+            (r#"{"jsonrpc":"2.0","id":"a","result":{"body":"%"}}"#, bad(Some("a"), "body is not base64")),
+            (r#"{"jsonrpc":"2.0","id":"a"}"#, bad(Some("a"), "neither a result nor an error")),
+            (r#"{"id":"a","result":{"body":""}}"#, bad(Some("a"), "not JSON-RPC 2.0")),
+            (r#"{"jsonrpc":"2.0","id":1,"result":{"body":""}}"#, bad(None, "no id of ours")),
+            ("[1]", bad(None, "not an object")),
+            ("{", bad(None, "not JSON")),
+        ];
+        for (text, expected) in cases {
+            assert_eq!(CheckerCodec.read(text.as_bytes()), expected, "{text}");
+        }
+    }
+}
--- /dev/null
+++ b/src/backend/mod.rs
@@ -0,0 +1,361 @@
+//! Back ends: connections to workers, with one codec for node agents and one for JSON-RPC checkers.
+//!
+//! A [`WorkerConnection`] keeps the rule on repeats honest: it writes one command at a time and only once
+//! the one before has gone to the system whole, so that for every attempt it knows how far it had come when
+//! the connection broke; and it asks the core right before the first byte whether the command may still go.
+
+pub mod agent;
+pub mod jsonrpc;
+mod pool;
+
+pub use pool::{Endpoint, Pool};
+
+use crate::core::{AttemptId, Broken, OrderId, Reached, Reply, Standing, Work};
+use crate::interface::{FunctionId, Span, Time};
+use crate::net::{Connection, Flow, Hub, Link};
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+
+/// A command for a worker, waiting for its turn on a connection.
+#[derive(Clone, Debug)]
+pub enum Job {
+    /// Start an attempt.
+    Go {
+        /// Which.
+        attempt: AttemptId,
+        /// What it carries.
+        work: Rc<Work>,
+        /// When its answer is no longer waited for.
+        deadline: Time,
+    },
+    /// Give an attempt up.
+    Halt {
+        /// Which.
+        attempt: AttemptId,
+    },
+    /// Order a load.
+    Stage {
+        /// Which order.
+        order: OrderId,
+        /// What.
+        function: FunctionId,
+        /// How many copies.
+        copies: u8,
+    },
+    /// Unload the idle copies.
+    Purge {
+        /// What.
+        function: FunctionId,
+    },
+}
+
+/// What a worker's line says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Said {
+    /// An answer to a call or, for orders, with the copies that stand.
+    Answer {
+        /// The name under which the command went out.
+        rid: String,
+        /// What it says.
+        reply: Reply,
+        /// Copies that stand, where told.
+        copies: Option<u32>,
+    },
+    /// Something that needs no action.
+    Nothing,
+}
+
+/// A line that cannot be read; with the name it answers, where that much could be read.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Unreadable {
+    /// The name under which the command went out.
+    pub rid: Option<String>,
+    /// What is wrong.
+    pub cause: &'static str,
+}
+
+/// The words of one kind of worker: pure functions from commands to lines and back.
+pub trait Codec {
+    /// The line that starts an attempt; `left` is how long its answer is waited for.
+    fn go(&self, work: &Work, left: Span) -> Vec<u8>;
+    /// The line that gives it up.
+    fn halt(&self, rid: &str) -> Vec<u8>;
+    /// The line that orders a load.
+    fn stage(&self, rid: &str, function: FunctionId, copies: u8) -> Vec<u8>;
+    /// The line that unloads idle copies.
+    fn purge(&self, function: FunctionId) -> Vec<u8>;
+    /// The line that probes under this name.
+    fn probe(&self, rid: &str) -> Vec<u8>;
+    /// Reads a line, without its line feed.
+    fn read(&self, line: &[u8]) -> Result<Said, Unreadable>;
+}
+
+/// Longest line taken from a worker: a body of 16 KiB in base64 with room to spare.
+pub const LINE: usize = 64 << 10;
+/// Open commands, with those that wait, on one connection.
+const QUEUE: usize = 4096;
+/// For how long the name of a given-up attempt is kept from use on its connection.
+const SHADOW: Span = Span::millis(30_000);
+
+#[derive(Clone, Copy, Debug)]
+enum Open {
+    Attempt(AttemptId),
+    Order(OrderId),
+    /// Given up at this time: an answer that still comes belongs to nobody.
+    Shadow(Time),
+}
+
+/// Figures that all connections to workers share.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Attempts at a time.
+    pub multiplex: usize,
+    /// Closed by us after so long without anything open: before the worker does, or a command could cross.
+    pub idle: Span,
+}
+
+/// A connection to a worker.
+pub struct WorkerConnection {
+    codec: Rc<dyn Codec>,
+    limits: Limits,
+    pending: VecDeque<Job>,
+    open: HashMap<String, Open>,
+    names: HashMap<AttemptId, String>,
+    /// The command whose bytes are on their way to the system.
+    writing: Option<Open>,
+    attempts: usize,
+    /// Until when the connection must be up.
+    connect_by: Option<Time>,
+    idle_since: Time,
+    shadows: VecDeque<(Time, String)>,
+}
+
+impl WorkerConnection {
+    /// A connection that is coming up and has failed if it is not up by then.
+    pub fn new(codec: Rc<dyn Codec>, limits: Limits, connect_by: Time) -> WorkerConnection {
+        WorkerConnection {
+            codec,
+            limits,
+            pending: VecDeque::new(),
+            open: HashMap::new(),
+            names: HashMap::new(),
+            writing: None,
+            attempts: 0,
+            connect_by: Some(connect_by),
+            idle_since: connect_by,
+            shadows: VecDeque::new(),
+        }
+    }
+
+    fn order_name(order: OrderId) -> String {
+        format!("load-{}", order.0)
+    }
+
+    /// Writes commands one after another, each once the one before has gone whole.
+    fn pump(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
+        while link.is_up() && link.waiting() == 0 {
+            if let Some(Open::Attempt(attempt)) = self.writing.take() {
+                hub.core.written(hub.now, attempt);
+            }
+            let Some(job) = self.pending.pop_front() else { break };
+            match job {
+                Job::Go { attempt, work, deadline } => {
+                    if !hub.core.may_write(hub.now, attempt) {
+                        self.attempts -= 1;
+                        self.open.remove(&work.reference);
+                        self.names.remove(&attempt);
+                        let broken = Broken { reached: Reached::NotSent, cause: "no longer allowed" };
+                        hub.core.attempt_ended(hub.now, attempt, Err(broken));
+                        continue;
+                    }
+                    link.put(&self.codec.go(&work, deadline - hub.now));
+                    self.writing = Some(Open::Attempt(attempt));
+                }
+                Job::Halt { attempt } => {
+                    if let Some(name) = self.names.remove(&attempt) {
+                        link.put(&self.codec.halt(&name));
+                    }
+                }
+                Job::Stage { order, function, copies } => {
+                    if !hub.core.may_write_order(hub.now, order) {
+                        self.open.remove(&Self::order_name(order));
+                        let broken = Broken { reached: Reached::NotSent, cause: "no longer allowed" };
+                        hub.core.order_ended(hub.now, order, Err(broken));
+                        continue;
+                    }
+                    link.put(&self.codec.stage(&Self::order_name(order), function, copies));
+                    self.writing = Some(Open::Order(order));
+                }
+                Job::Purge { function } => link.put(&self.codec.purge(function)),
+            }
+            match link.flush() {
+                Ok(true) => {}
+                Ok(false) => break,
+                Err(_) => return Flow::Close,
+            }
+        }
+        Flow::Go
+    }
+
+    fn line(&mut self, line: &[u8], hub: &mut Hub) -> Flow {
+        let (rid, reply, copies) = match self.codec.read(line) {
+            Ok(Said::Nothing) => return Flow::Go,
+            Ok(Said::Answer { rid, reply, copies }) => (rid, Ok(reply), copies),
+            Err(Unreadable { rid, cause }) => {
+                hub.core.counters().unreadable += 1;
+                // Without a name it harms nobody else: what it should have answered runs into its deadline.
+                let Some(rid) = rid else { return Flow::Go };
+                (rid, Err(Broken { reached: Reached::Answered, cause }), None)
+            }
+        };
+        // A name that is not open belongs to nobody (any more); a worker may say what it likes.
+        match self.open.remove(&rid) {
+            Some(Open::Attempt(attempt)) => {
+                self.attempts -= 1;
+                self.names.remove(&attempt);
+                hub.core.attempt_ended(hub.now, attempt, reply);
+            }
+            Some(Open::Order(order)) => {
+                let standing = reply.map(|reply| Standing {
+                    status: crate::core::status_of(&reply),
+                    copies: copies.unwrap_or(0),
+                });
+                hub.core.order_ended(hub.now, order, standing);
+            }
+            Some(Open::Shadow(_)) | None => {}
+        }
+        self.idle_since = hub.now;
+        Flow::Go
+    }
+
+    fn drop_shadows(&mut self, now: Time) {
+        while let Some((at, _)) = self.shadows.front().filter(|(at, _)| *at + SHADOW < now) {
+            let at = *at;
+            let Some((_, rid)) = self.shadows.pop_front() else { return };
+            if matches!(self.open.get(&rid), Some(Open::Shadow(since)) if *since == at) {
+                self.open.remove(&rid);
+            }
+        }
+    }
+}
+
+impl Connection for WorkerConnection {
+    fn opened(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
+        self.connect_by = None;
+        self.idle_since = hub.now;
+        hub.core.counters().opened += 1;
+        self.pump(link, hub)
+    }
+
+    fn received(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
+        let mut from = 0;
+        while let Some(end) = link.inbox[from..].iter().position(|b| *b == b'\n') {
+            let line = link.inbox[from..from + end].to_vec();
+            from += end + 1;
+            if self.line(&line, hub) == Flow::Close {
+                return Flow::Close;
+            }
+        }
+        link.used(from);
+        if link.inbox.len() > LINE || link.ended {
+            return Flow::Close;
+        }
+        self.pump(link, hub)
+    }
+
+    fn flushed(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
+        self.pump(link, hub)
+    }
+
+    fn due(&mut self, _link: &mut Link, hub: &mut Hub) -> Flow {
+        self.drop_shadows(hub.now);
+        let late = self.connect_by.is_some_and(|by| by <= hub.now);
+        let idle = self.idle() && self.idle_since + self.limits.idle <= hub.now;
+        if late || idle { Flow::Close } else { Flow::Go }
+    }
+
+    fn deadline(&self) -> Option<Time> {
+        let idle = self.idle().then_some(self.idle_since + self.limits.idle);
+        let shadow = self.shadows.front().map(|(at, _)| *at + SHADOW + Span(1));
+        self.connect_by.or(idle.into_iter().chain(shadow).min())
+    }
+
+    fn closed(&mut self, link: &Link, hub: &mut Hub) {
+        let up = self.connect_by.is_none();
+        let waiting: Vec<(bool, Open)> = self
+            .pending
+            .drain(..)
+            .filter_map(|job| match job {
+                Job::Go { attempt, .. } => Some((false, Open::Attempt(attempt))),
+                Job::Stage { order, .. } => Some((false, Open::Order(order))),
+                Job::Halt { .. } | Job::Purge { .. } => None,
+            })
+            .collect();
+        let half = self.writing.take();
+        let mut ends: Vec<(Open, Reached)> =
+            waiting.iter().map(|(_, open)| (*open, Reached::NotSent)).collect();
+        let is = |a: &Open, b: &Open| match (a, b) {
+            (Open::Attempt(a), Open::Attempt(b)) => a == b,
+            (Open::Order(a), Open::Order(b)) => a == b,
+            _ => false,
+        };
+        for open in self.open.values() {
+            if waiting.iter().any(|(_, other)| is(open, other)) || matches!(open, Open::Shadow(_)) {
+                continue;
+            }
+            // Bytes that never left our buffer: the line at the worker has no end, so it cannot have run.
+            let partly = half.as_ref().is_some_and(|half| is(half, open)) && link.waiting() > 0;
+            ends.push((*open, if partly { Reached::PartlyWritten } else { Reached::Out }));
+        }
+        let cause = if up { "connection ended" } else { "no connection" };
+        for (open, reached) in ends {
+            let broken = Broken { reached, cause };
+            match open {
+                Open::Attempt(attempt) => hub.core.attempt_ended(hub.now, attempt, Err(broken)),
+                Open::Order(order) => hub.core.order_ended(hub.now, order, Err(broken)),
+                Open::Shadow(_) => {}
+            }
+        }
+    }
+
+    fn job(&mut self, job: Job, link: &mut Link, hub: &mut Hub) -> Flow {
+        match &job {
+            Job::Go { attempt, work, .. } => {
+                self.attempts += 1;
+                self.open.insert(work.reference.clone(), Open::Attempt(*attempt));
+                self.names.insert(*attempt, work.reference.clone());
+            }
+            Job::Stage { order, .. } => {
+                self.open.insert(Self::order_name(*order), Open::Order(*order));
+            }
+            Job::Halt { attempt } => {
+                let Some(name) = self.names.get(attempt).cloned() else { return Flow::Go };
+                self.attempts -= 1;
+                // Still in line here: it never goes out, and neither does the word to stop it.
+                let waits = |job: &Job| matches!(job, Job::Go { attempt: a, .. } if a == attempt);
+                if let Some(place) = self.pending.iter().position(waits) {
+                    self.pending.remove(place);
+                    self.open.remove(&name);
+                    self.names.remove(attempt);
+                    return Flow::Go;
+                }
+                self.open.insert(name.clone(), Open::Shadow(hub.now));
+                self.shadows.push_back((hub.now, name));
+            }
+            Job::Purge { .. } => {}
+        }
+        self.idle_since = hub.now;
+        self.pending.push_back(job);
+        self.pump(link, hub)
+    }
+
+    fn accepts(&self, reference: Option<&str>) -> bool {
+        let free = reference.is_none_or(|name| !self.open.contains_key(name));
+        free && self.attempts < self.limits.multiplex && self.open.len() + self.pending.len() < QUEUE
+    }
+
+    fn idle(&self) -> bool {
+        let used = self.open.values().any(|open| !matches!(open, Open::Shadow(_)));
+        self.connect_by.is_none() && self.pending.is_empty() && self.writing.is_none() && !used
+    }
+}
--- a/src/bin/mintgate-simhost/main.rs
+++ b/src/bin/mintgate-simhost/main.rs
@@ -2,10 +2,9 @@
 #![forbid(unsafe_code)]
 
 mod codec;
-mod settings;
 
 use codec::{Record, Reply, WireError, read_frame, read_records};
-use mintgate::{Action, Balancer, Event, Member};
+use mintgate::{Action, Balancer, Event, Member, settings};
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, Write};
 use std::process::ExitCode;
--- /dev/null
+++ b/src/bus.rs
@@ -0,0 +1,209 @@
+//! The event bus: a pure codec, and the connection that follows the list of workers.
+
+use crate::interface::*;
+use crate::net::{Connection, Flow, Hub, Link};
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::rc::Rc;
+
+/// Largest frame taken: some 38,000 workers.
+pub const FRAME: usize = 1 << 20;
+/// Without even an empty frame for this long the bus is held to be dead; it sends one each second.
+pub const SILENCE: Span = Span::millis(3_500);
+/// First pause before a new connection, and how often it doubles.
+pub const BACKOFF: (Span, u32) = (Span::millis(100), 4);
+
+/// A worker as the bus tells of it.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// What the module is told.
+    pub member: Member,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// A numbered event.
+#[derive(Clone, Debug)]
+pub struct News {
+    /// Its number.
+    pub offset: u64,
+    /// The whole list, or changes.
+    pub kind: ListKind,
+    /// The lines.
+    pub entries: Vec<Entry>,
+}
+
+/// Reads the first frame of a buffer with the bytes it took; no news where it is empty, `Ok(None)` where it
+/// is not whole yet.
+pub fn read_frame(bytes: &[u8]) -> Result<Option<(Option<News>, usize)>, &'static str> {
+    let Some(head) = bytes.first_chunk::<4>() else { return Ok(None) };
+    let length = u32::from_be_bytes(*head) as usize;
+    if !(9..=FRAME).contains(&length) {
+        return Err("length out of range");
+    }
+    let Some(rest) = bytes.get(4..4 + length) else { return Ok(None) };
+    let offset = u64::from_be_bytes(rest[..8].try_into().map_err(|_| "cut short")?);
+    let kind = match rest[8] {
+        0 => return Ok(Some((None, 4 + length))),
+        1 => ListKind::Full,
+        2 => ListKind::Delta,
+        _ => return Err("unknown kind"),
+    };
+    let (records, left) = rest[9..].as_chunks::<27>();
+    if !left.is_empty() {
+        return Err("a record is cut short");
+    }
+    let entries = records.iter().map(read_record).collect::<Result<_, _>>()?;
+    Ok(Some((Some(News { offset, kind, entries }), 4 + length)))
+}
+
+fn read_record(r: &[u8; 27]) -> Result<Entry, &'static str> {
+    let word = |at: usize| u32::from_be_bytes([r[at], r[at + 1], r[at + 2], r[at + 3]]);
+    let state = match r[10] {
+        0 => State::Ready,
+        1 => State::Draining,
+        2 => State::Gone,
+        _ => return Err("unknown state"),
+    };
+    let started = u64::from(word(19)) << 32 | u64::from(word(23));
+    let member = Member {
+        worker: WorkerId(u64::from(word(0))),
+        zone: ZoneId(r[11]),
+        cell: CellId(u16::from_be_bytes([r[13], r[14]])),
+        state,
+        weight: f64::from(word(15)) / 1000.0,
+        started: started_at(started),
+        kind: KindId(r[12]),
+    };
+    let port = u16::from_be_bytes([r[8], r[9]]);
+    Ok(Entry { member, address: SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::from_bits(word(4)), port)) })
+}
+
+/// A Unix millisecond of a start; 0 means long ago.
+pub fn started_at(unix_ms: u64) -> Option<Time> {
+    (unix_ms > 0).then(|| Time(unix_ms.saturating_mul(1_000_000)))
+}
+
+/// What the bus connection leaves for the daemon.
+#[derive(Default)]
+pub struct Inbox {
+    /// News in order, not yet acted on.
+    pub news: VecDeque<News>,
+    /// The last event's number; a new connection goes on from here.
+    pub offset: u64,
+    /// No connection stands or is coming up.
+    pub down: bool,
+    /// Connections in a row that ended without a frame.
+    pub failures: u32,
+}
+
+/// A connection to the bus.
+pub struct BusConnection {
+    inbox: Rc<RefCell<Inbox>>,
+    silent_at: Time,
+}
+
+impl BusConnection {
+    /// A connection that is coming up at `now`.
+    pub fn new(inbox: Rc<RefCell<Inbox>>, now: Time) -> BusConnection {
+        BusConnection { inbox, silent_at: now + SILENCE }
+    }
+}
+
+impl Connection for BusConnection {
+    fn opened(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
+        self.silent_at = hub.now + SILENCE;
+        link.put(&self.inbox.borrow().offset.to_be_bytes());
+        Flow::Go
+    }
+
+    fn received(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
+        let mut inbox = self.inbox.borrow_mut();
+        let mut from = 0;
+        loop {
+            match read_frame(&link.inbox[from..]) {
+                Ok(None) => break,
+                Ok(Some((news, size))) => {
+                    from += size;
+                    self.silent_at = hub.now + SILENCE;
+                    inbox.failures = 0;
+                    // Told twice after a new connection: the list moves forward only.
+                    if let Some(news) = news.filter(|news| news.offset > inbox.offset) {
+                        inbox.offset = news.offset;
+                        inbox.news.push_back(news);
+                    }
+                }
+                Err(why) => {
+                    hub.core.counters().unreadable += 1;
+                    eprintln!("mintgate: bus unreadable why=\"{why}\"");
+                    return Flow::Close;
+                }
+            }
+        }
+        link.used(from);
+        if link.ended { Flow::Close } else { Flow::Go }
+    }
+
+    fn due(&mut self, _link: &mut Link, hub: &mut Hub) -> Flow {
+        if self.silent_at <= hub.now {
+            eprintln!("mintgate: bus silent");
+            return Flow::Close;
+        }
+        Flow::Go
+    }
+
+    fn deadline(&self) -> Option<Time> {
+        Some(self.silent_at)
+    }
+
+    fn closed(&mut self, _link: &Link, _hub: &mut Hub) {
+        let mut inbox = self.inbox.borrow_mut();
+        inbox.down = true;
+        inbox.failures += 1;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn record(state: u8) -> Vec<u8> {
+        let mut r =
+            vec![0x00, 0xc4, 0x1f, 0x7a, 10, 1, 0, 9, 0x27, 0x60, state, 2, 1, 0, 2, 0, 0, 0x0f, 0xa0];
+        r.extend(5u64.to_be_bytes());
+        r
+    }
+
+    fn frame(kind: u8, payload: &[u8]) -> Vec<u8> {
+        [&(9 + payload.len() as u32).to_be_bytes()[..], &41u64.to_be_bytes(), &[kind], payload].concat()
+    }
+
+    #[test]
+    fn frames_are_read() {
+        let bytes = frame(2, &record(1));
+        for cut in 0..bytes.len() {
+            assert!(matches!(read_frame(&bytes[..cut]), Ok(None)), "{cut}");
+        }
+        let (news, size) = read_frame(&bytes).unwrap().unwrap();
+        let news = news.unwrap();
+        assert_eq!((size, news.offset, news.kind), (bytes.len(), 41, ListKind::Delta));
+        let entry = &news.entries[0];
+        let member = Member {
+            worker: WorkerId(0x00c4_1f7a),
+            zone: ZoneId(2),
+            cell: CellId(2),
+            state: State::Draining,
+            weight: 4.0,
+            started: Some(Time(5_000_000)),
+            kind: KindId(1),
+        };
+        assert_eq!((entry.member, entry.address), (member, "10.1.0.9:10080".parse().unwrap()));
+        let empty = frame(0, &[]);
+        assert!(matches!(read_frame(&empty), Ok(Some((None, 13)))));
+        let odd = [frame(3, &[]), frame(1, &record(3)), frame(1, &record(0)[..26]), vec![0; 8], vec![255; 8]];
+        for bytes in odd {
+            assert!(read_frame(&bytes).is_err(), "{bytes:?}");
+        }
+    }
+}
--- /dev/null
+++ b/src/core/counters.rs
@@ -0,0 +1,95 @@
+//! What the scheduler counts: taken in, sent, answered.
+
+use crate::interface::Status;
+use std::fmt;
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $name:ident,)*) => {
+        /// Running totals since the start.
+        #[derive(Clone, Debug, Default, PartialEq, Eq)]
+        pub struct Counters {
+            $($(#[$doc])* pub $name: u64,)*
+        }
+
+        impl fmt::Display for Counters {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str("counters")?;
+                $(write!(f, " {}={}", stringify!($name), self.$name)?;)*
+                Ok(())
+            }
+        }
+    };
+}
+
+counters! {
+    /// Calls taken.
+    taken,
+    /// Final answers 'served'.
+    served,
+    /// Final answers 'refused'.
+    refused,
+    /// Final answers 'failed'.
+    failed,
+    /// Calls refused by their front, untaken: too many open on the connection.
+    turned_away_refused,
+    /// Calls failed by their front, untaken: fields that cannot be used.
+    turned_away_failed,
+    /// Calls that their clients withdrew, or left by closing.
+    withdrawn,
+    /// Attempts written whole to a worker.
+    sent,
+    /// Attempts that ended well.
+    ok,
+    /// Attempts answered with an error.
+    error,
+    /// Attempts turned away unseen.
+    full,
+    /// Attempts that ran out of time.
+    timeout,
+    /// Attempts whose connection never came up, or that were never written whole.
+    connect_failed,
+    /// Attempts whose connection broke after they were out.
+    reset,
+    /// Attempts called off.
+    cancelled,
+    /// Attempts that were over before they ran.
+    moot,
+    /// Attempts that found the function missing.
+    miss,
+    /// Orders to load that were written.
+    orders,
+    /// Orders to load held back by the ration when they were about to be written.
+    orders_rationed,
+    /// Pieces of news of the list of workers.
+    list_events,
+    /// Connections accepted from clients.
+    accepted,
+    /// Connections opened to workers.
+    opened,
+    /// Client connections ended for malformed input.
+    malformed,
+    /// Lines of workers or of the event bus that could not be read.
+    unreadable,
+    /// Panics caught at a connection.
+    panics,
+    /// VRRP advertisements dropped as malformed.
+    vrrp_dropped,
+}
+
+impl Counters {
+    /// Counts the end of an attempt.
+    pub fn end(&mut self, status: Status) {
+        let counter = match status {
+            Status::Ok => &mut self.ok,
+            Status::Error => &mut self.error,
+            Status::Full => &mut self.full,
+            Status::Timeout => &mut self.timeout,
+            Status::ConnectFailed => &mut self.connect_failed,
+            Status::Reset => &mut self.reset,
+            Status::Cancelled => &mut self.cancelled,
+            Status::Moot => &mut self.moot,
+            Status::Miss => &mut self.miss,
+        };
+        *counter += 1;
+    }
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,665 @@
+//! The scheduler round the decision module, without sockets or a clock of its own.
+//!
+//! Fronts hand in calls, back ends report how attempts and orders end, and the adapter round it carries out
+//! the [`Command`]s. Every method takes `now`. The core alone sees to it that each taken call has exactly
+//! one final answer, whatever the front or the back end.
+
+mod counters;
+
+pub use counters::Counters;
+
+use crate::brain::Balancer;
+use crate::interface::*;
+use crate::settings::Site;
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::rc::Rc;
+
+/// Bytes of bodies held for open calls; beyond them calls are refused, for memory is bounded.
+const BODIES: usize = 32 << 20;
+/// Functions remembered as called; beyond them memory starts anew, which only holds orders back.
+const CALLED: usize = 1 << 17;
+/// Taken off what remains of the drain rule's grace when bytes are written: the way to the worker.
+const DRAIN_MARGIN: Span = Span::millis(200);
+/// A keyed repeat must be written this long before its group forgets.
+const KEY_MARGIN: Span = Span::millis(50);
+
+/// A call's place at its front: a connection and a number of the front's choosing there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Owner {
+    /// The connection, never used twice.
+    pub connection: u64,
+    /// The call on it.
+    pub stream: u64,
+}
+
+/// A call as a front has read it.
+#[derive(Clone, Debug)]
+pub struct Incoming {
+    /// Where the answer goes.
+    pub owner: Owner,
+    /// The client's name for this try; workers see it unchanged.
+    pub reference: String,
+    /// Name of the class.
+    pub class: String,
+    /// The function called.
+    pub function: FunctionId,
+    /// Idempotency key, in keyed classes.
+    pub key: Option<String>,
+    /// Memory of one copy, in MB.
+    pub memory_mb: f64,
+    /// Calls that one copy runs at a time.
+    pub lanes: f64,
+    /// Usual time of a load, where told.
+    pub load_time: Option<Span>,
+    /// When the client gives up.
+    pub deadline: Time,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// What every attempt of a call carries to a worker.
+#[derive(Debug)]
+pub struct Work {
+    /// The client's name for the try.
+    pub reference: String,
+    /// Name of the class.
+    pub class: String,
+    /// The function.
+    pub function: FunctionId,
+    /// Idempotency key.
+    pub key: Option<String>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// One attempt of one call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptId {
+    /// The call.
+    pub request: RequestId,
+    /// Which of its attempts, from 0.
+    pub number: u16,
+}
+
+/// One order to load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct OrderId(pub u64);
+
+/// How far an attempt or an order had come when it broke. This alone decides whether a repeat is safe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reached {
+    /// No byte was handed to the system.
+    NotSent,
+    /// Some bytes, not all: what arrives cannot be read, so it never ran.
+    PartlyWritten,
+    /// All of it: it may have run.
+    Out,
+    /// An answer came that could not be used.
+    Answered,
+}
+
+/// An attempt or order that ended without a usable answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Broken {
+    /// How far it had come.
+    pub reached: Reached,
+    /// What broke, for the log.
+    pub cause: &'static str,
+}
+
+/// What a worker said of an attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// Done, with its body.
+    Ok(Vec<u8>),
+    /// The function is not loaded there.
+    Miss,
+    /// Turned away unseen.
+    Full,
+    /// It failed and may have run.
+    Error,
+    /// The request was over before it ran.
+    Expired,
+}
+
+/// What a worker said of an order to load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Standing {
+    /// How it ended.
+    pub status: Status,
+    /// Copies that stand.
+    pub copies: u32,
+}
+
+/// How a call ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// With a worker's body.
+    Served(Vec<u8>),
+    /// Not done; trying again is harmless after the cooldown.
+    Refused {
+        /// How long to stay away.
+        cooldown: Span,
+    },
+    /// Failed, promising nothing.
+    Failed,
+}
+
+/// The one final answer of a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// How it ended.
+    pub verdict: Verdict,
+    /// It ended because its time was up.
+    pub expired: bool,
+}
+
+/// What the adapter is to do, in this order.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// Give a call its final answer.
+    Answer {
+        /// Where to.
+        owner: Owner,
+        /// What.
+        answer: Answer,
+    },
+    /// Start an attempt.
+    Send {
+        /// Which.
+        attempt: AttemptId,
+        /// Where to.
+        worker: WorkerId,
+        /// What it carries.
+        work: Rc<Work>,
+        /// When its answer is no longer waited for.
+        deadline: Time,
+    },
+    /// Give an attempt up.
+    Halt {
+        /// Which.
+        attempt: AttemptId,
+        /// Where it went.
+        worker: WorkerId,
+    },
+    /// Order a load.
+    Stage {
+        /// Which order.
+        order: OrderId,
+        /// Where.
+        worker: WorkerId,
+        /// What.
+        function: FunctionId,
+        /// How many copies are to stand.
+        copies: u8,
+    },
+    /// Unload the idle copies.
+    Purge {
+        /// Where.
+        worker: WorkerId,
+        /// What.
+        function: FunctionId,
+    },
+}
+
+struct Taken {
+    owner: Owner,
+    work: Rc<Work>,
+    effect: Effect,
+    deadline: Time,
+    attempts: u16,
+    /// When the first attempt that may have run was written.
+    first_out: Option<Time>,
+}
+
+struct Attempt {
+    worker: WorkerId,
+    decided: Time,
+    deadline: Time,
+    written: Option<Time>,
+}
+
+struct Order {
+    worker: WorkerId,
+    function: FunctionId,
+    copies: u8,
+    decided: Time,
+}
+
+/// What the list has told of a worker, kept after it has gone.
+#[derive(Default)]
+struct Told {
+    /// Since when it may have nothing new.
+    closed: Option<Time>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Wake,
+    Attempt(AttemptId),
+    Order(OrderId),
+}
+
+/// The scheduler. See the module's page.
+///
+/// ```
+/// use mintgate::core::{Command, Core, Incoming, Owner, Reply, Verdict};
+/// use mintgate::{FunctionId, ListKind, Member, Time, WorkerId};
+///
+/// let site = mintgate::settings::read_site(br#"{"fleetSize": 1, "index": 0,
+///   "classes": [{"name": "check", "deadlineNs": 3000000000, "effect": "retryable",
+///                "objectiveNs": 1000000000}],
+///   "bounds": {"mostTries": 3},
+///   "contract": {"coldFrom": 0.2, "coldNs": 9000000000, "fallMultiple": 3, "fallNs": 2000000000},
+///   "familyInfo": {"keepNs": 9000000000, "notLoaded": "load", "loadSpanNs": 0}}"#).unwrap();
+/// let mut core = Core::new(site, 7);
+/// core.members(Time(0), ListKind::Full, vec![Member { worker: WorkerId(1), ..Member::default() }]);
+/// let owner = Owner { connection: 1, stream: 1 };
+/// core.call(Time(0), Incoming {
+///     owner, reference: "9b1f03aa5c7e2d41".into(), class: "check".into(), function: FunctionId(9), key: None,
+///     memory_mb: 400.0, lanes: 2.0, load_time: None, deadline: Time(3_000_000_000), body: vec![],
+/// });
+/// let Some(Command::Send { attempt, .. }) = core.next_command() else { panic!("it is sent") };
+/// core.written(Time(1), attempt);
+/// core.attempt_ended(Time(2), attempt, Ok(Reply::Ok(b"4 of 5".to_vec())));
+/// let Some(Command::Answer { answer, .. }) = core.next_command() else { panic!("it is answered") };
+/// assert_eq!(answer.verdict, Verdict::Served(b"4 of 5".to_vec()));
+/// ```
+pub struct Core {
+    site: Site,
+    balancer: Balancer,
+    next_request: u32,
+    next_order: u64,
+    requests: BTreeMap<RequestId, Taken>,
+    owners: HashMap<Owner, RequestId>,
+    attempts: BTreeMap<AttemptId, Attempt>,
+    orders: BTreeMap<OrderId, Order>,
+    told: BTreeMap<WorkerId, Told>,
+    due: BTreeSet<(Time, Due)>,
+    commands: VecDeque<Command>,
+    backlog: VecDeque<Event>,
+    /// Calls taken and orders written inside the ration's window.
+    taken: VecDeque<Time>,
+    ordered: VecDeque<Time>,
+    called: BTreeSet<FunctionId>,
+    bodies: usize,
+    counters: Counters,
+}
+
+impl Core {
+    /// A scheduler that knows nothing but its settings. The seed decides all ties.
+    pub fn new(site: Site, seed: u64) -> Core {
+        Core {
+            balancer: Balancer::new(site.settings.clone(), seed),
+            site,
+            next_request: 0,
+            next_order: 0,
+            requests: BTreeMap::new(),
+            owners: HashMap::new(),
+            attempts: BTreeMap::new(),
+            orders: BTreeMap::new(),
+            told: BTreeMap::new(),
+            due: BTreeSet::new(),
+            commands: VecDeque::new(),
+            backlog: VecDeque::new(),
+            taken: VecDeque::new(),
+            ordered: VecDeque::new(),
+            called: BTreeSet::new(),
+            bodies: 0,
+            counters: Counters::default(),
+        }
+    }
+
+    /// The site's settings.
+    pub fn site(&self) -> &Site {
+        &self.site
+    }
+
+    /// What has been counted so far.
+    pub fn counters(&mut self) -> &mut Counters {
+        &mut self.counters
+    }
+
+    /// Calls that are owed an answer.
+    pub fn owed(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// The next thing to do.
+    pub fn next_command(&mut self) -> Option<Command> {
+        self.commands.pop_front()
+    }
+
+    /// When [`Core::wake`] is to be called next.
+    pub fn next_due(&self) -> Option<Time> {
+        self.due.first().map(|(at, _)| *at)
+    }
+
+    // ---- Events in
+
+    /// News of the list of workers.
+    pub fn members(&mut self, now: Time, kind: ListKind, members: Vec<Member>) {
+        if matches!(kind, ListKind::Full | ListKind::Cached) {
+            let listed: BTreeSet<WorkerId> = members.iter().map(|m| m.worker).collect();
+            for (_, told) in self.told.iter_mut().filter(|(worker, _)| !listed.contains(worker)) {
+                told.closed.get_or_insert(now);
+            }
+        }
+        for member in &members {
+            let told = self.told.entry(member.worker).or_default();
+            match member.state {
+                State::Ready => told.closed = None,
+                State::Draining | State::Gone => drop(told.closed.get_or_insert(now)),
+            }
+        }
+        self.counters.list_events += 1;
+        self.step(now, Event::Members(kind, members));
+    }
+
+    /// A call has come in whole. From here on one final answer is owed.
+    pub fn call(&mut self, now: Time, call: Incoming) {
+        self.counters.taken += 1;
+        self.taken.push_back(now);
+        let class = self.site.classes.iter().position(|name| *name == call.class);
+        let Some(class) = class else { return self.answer(call.owner, Verdict::Failed, false) };
+        let full = self.requests.len() >= self.site.max_open || self.bodies + call.body.len() > BODIES;
+        if full || call.deadline <= now || self.owners.contains_key(&call.owner) {
+            let cooldown = self.advice();
+            return self.answer(call.owner, Verdict::Refused { cooldown }, call.deadline <= now);
+        }
+        let id = RequestId(self.next_request);
+        self.next_request = self.next_request.wrapping_add(1);
+        if self.called.len() >= CALLED {
+            self.called.clear();
+        }
+        self.called.insert(call.function);
+        self.bodies += call.body.len();
+        let work = Rc::new(Work {
+            reference: call.reference,
+            class: call.class,
+            function: call.function,
+            key: call.key,
+            body: call.body,
+        });
+        let effect = self.site.settings.classes[class].effect;
+        let (owner, deadline) = (call.owner, call.deadline);
+        self.requests.insert(id, Taken { owner, work, effect, deadline, attempts: 0, first_out: None });
+        self.owners.insert(owner, id);
+        self.step(
+            now,
+            Event::Call(Call {
+                id,
+                function: call.function,
+                class: ClassId(class as u16),
+                tenant: TenantId(0),
+                remaining: deadline - now,
+                memory_mb: call.memory_mb,
+                lanes: call.lanes,
+                load_time: call.load_time,
+            }),
+        );
+    }
+
+    /// Nobody waits for this call any more.
+    pub fn withdraw(&mut self, now: Time, owner: Owner) {
+        let Some(id) = self.owners.get(&owner).copied() else { return };
+        self.counters.withdrawn += 1;
+        self.forget(id);
+        self.step(now, Event::ClientGone(id));
+    }
+
+    /// An attempt has been handed to the system whole.
+    pub fn written(&mut self, now: Time, attempt: AttemptId) {
+        let Some(entry) = self.attempts.get_mut(&attempt) else { return };
+        entry.written = Some(now);
+        self.counters.sent += 1;
+        if let Some(taken) = self.requests.get_mut(&attempt.request) {
+            taken.first_out.get_or_insert(now);
+        }
+    }
+
+    /// An attempt has ended at its worker, or broke on the way.
+    pub fn attempt_ended(&mut self, now: Time, id: AttemptId, end: Result<Reply, Broken>) {
+        let Some(attempt) = self.attempts.get(&id) else { return };
+        let (written, mut body) = (attempt.written, None);
+        let status = match end {
+            Ok(reply) => {
+                let status = status_of(&reply);
+                if let Reply::Ok(bytes) = reply {
+                    body = Some(bytes);
+                }
+                status
+            }
+            Err(broken) => match broken.reached {
+                Reached::NotSent | Reached::PartlyWritten => Status::ConnectFailed,
+                Reached::Out => Status::Reset,
+                Reached::Answered => Status::Error,
+            },
+        };
+        self.counters.end(status);
+        if let Some(taken) = self.requests.get_mut(&id.request)
+            && status.never_ran()
+            && taken.first_out == written
+        {
+            taken.first_out = None;
+        }
+        if let Some(bytes) = body
+            && let Some(owner) = self.forget(id.request)
+        {
+            self.answer(owner, Verdict::Served(bytes), false);
+        }
+        self.end_attempt(now, id, status);
+        self.settle(now);
+    }
+
+    /// An order to load has ended at its worker, or broke on the way.
+    pub fn order_ended(&mut self, now: Time, id: OrderId, end: Result<Standing, Broken>) {
+        let standing = end.unwrap_or_else(|broken| {
+            let status = match broken.reached {
+                Reached::NotSent | Reached::PartlyWritten => Status::ConnectFailed,
+                Reached::Out => Status::Reset,
+                Reached::Answered => Status::Error,
+            };
+            Standing { status, copies: 0 }
+        });
+        self.end_order(now, id, standing);
+        self.settle(now);
+    }
+
+    /// The time told by [`Core::next_due`] has come.
+    pub fn wake(&mut self, now: Time) {
+        while let Some(&(at, due)) = self.due.first().filter(|(at, _)| *at <= now) {
+            self.due.remove(&(at, due));
+            match due {
+                Due::Wake => self.backlog.push_back(Event::Wake),
+                Due::Attempt(id) => {
+                    let Some(attempt) = self.attempts.get(&id) else { continue };
+                    self.commands.push_back(Command::Halt { attempt: id, worker: attempt.worker });
+                    self.counters.end(Status::Timeout);
+                    self.end_attempt(now, id, Status::Timeout);
+                }
+                Due::Order(id) => self.end_order(now, id, Standing { status: Status::Timeout, copies: 0 }),
+            }
+        }
+        self.settle(now);
+    }
+
+    /// How long a client is told to stay away where the module has not said.
+    pub fn advice(&self) -> Span {
+        self.site.settings.limits.retry_after.unwrap_or(Span(0))
+    }
+
+    /// Counts a call that its front has answered by itself because it could not be taken.
+    pub fn turned_away(&mut self, verdict: &Verdict) {
+        match verdict {
+            Verdict::Refused { .. } => self.counters.turned_away_refused += 1,
+            _ => self.counters.turned_away_failed += 1,
+        }
+    }
+
+    // ---- Gates that are asked when bytes are about to be written
+
+    /// Whether an attempt may still go out: it may have waited for its connection while its request ended,
+    /// its worker began to drain or its key's window passed.
+    pub fn may_write(&self, now: Time, id: AttemptId) -> bool {
+        let Some(attempt) = self.attempts.get(&id).filter(|a| now < a.deadline) else { return false };
+        let Some(taken) = self.requests.get(&id.request) else { return false };
+        let in_window = match (taken.effect, taken.first_out) {
+            (_, None) | (Effect::Safe, _) => true,
+            (Effect::Unsafe, Some(_)) => false,
+            (Effect::Keyed { window, .. }, Some(first)) => now + KEY_MARGIN < first + window,
+        };
+        in_window && self.open_to_work(now, attempt.worker)
+    }
+
+    /// Whether an order may still go out, and counts it as gone out if so. The ration is looked at here
+    /// too: orders that queued behind a slow connection must not bunch up in one window.
+    pub fn may_write_order(&mut self, now: Time, id: OrderId) -> bool {
+        let Some(order) = self.orders.get(&id) else { return false };
+        if order.copies == 0 {
+            return true;
+        }
+        if !self.open_to_work(now, order.worker) || !self.called.contains(&order.function) {
+            return false;
+        }
+        if let Some(ration) = self.site.settings.rules.ration {
+            let since = now - ration.span;
+            self.ordered.retain(|at| *at >= since);
+            self.taken.retain(|at| *at > since);
+            let room = ration.free + ration.share * self.taken.len() as f64;
+            if self.ordered.len() as f64 + 1.0 > room {
+                self.counters.orders_rationed += 1;
+                return false;
+            }
+        }
+        self.ordered.push_back(now);
+        self.counters.orders += 1;
+        true
+    }
+
+    fn open_to_work(&self, now: Time, worker: WorkerId) -> bool {
+        // The module sends nothing to a worker that drains; what was decided just before may still go out
+        // within the settled grace, never after it.
+        let grace = self.site.drain_grace.0.saturating_sub(DRAIN_MARGIN.0);
+        let told = self.told.get(&worker);
+        told.is_some_and(|told| told.closed.is_none_or(|at| now < at + Span(grace)))
+    }
+
+    // ---- Inside
+
+    fn step(&mut self, now: Time, event: Event) {
+        self.backlog.push_back(event);
+        self.settle(now);
+    }
+
+    /// Gives the module what waits for it and carries out what it decides, until nothing waits.
+    fn settle(&mut self, now: Time) {
+        let mut actions = Vec::new();
+        while let Some(event) = self.backlog.pop_front() {
+            self.balancer.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(now, action);
+            }
+        }
+        let Some(ration) = self.site.settings.rules.ration else { return self.taken.clear() };
+        while self.taken.front().is_some_and(|at| *at + ration.span < now) {
+            self.taken.pop_front();
+        }
+    }
+
+    fn carry_out(&mut self, now: Time, action: Action) {
+        match action {
+            Action::Send { id, worker, timeout } => {
+                let Some(taken) = self.requests.get_mut(&id) else { return };
+                let attempt = AttemptId { request: id, number: taken.attempts };
+                taken.attempts += 1;
+                let deadline = (now + timeout).min(taken.deadline);
+                let work = taken.work.clone();
+                self.attempts.insert(attempt, Attempt { worker, decided: now, deadline, written: None });
+                self.due.insert((deadline, Due::Attempt(attempt)));
+                self.commands.push_back(Command::Send { attempt, worker, work, deadline });
+            }
+            Action::Cancel { id, attempt } => {
+                let id = AttemptId { request: id, number: attempt };
+                let Some(attempt) = self.attempts.get(&id) else { return };
+                self.commands.push_back(Command::Halt { attempt: id, worker: attempt.worker });
+                self.counters.end(Status::Cancelled);
+                self.end_attempt(now, id, Status::Cancelled);
+            }
+            Action::Refuse { id, wait } => self.conclude(now, id, Verdict::Refused { cooldown: wait }),
+            Action::Fail { id } => self.conclude(now, id, Verdict::Failed),
+            Action::Load { worker, function, copies } => {
+                let order = OrderId(self.next_order);
+                self.next_order += 1;
+                self.orders.insert(order, Order { worker, function, copies, decided: now });
+                self.due.insert((now + self.site.load_wait, Due::Order(order)));
+                self.commands.push_back(Command::Stage { order, worker, function, copies });
+            }
+            Action::Unload { worker, function } => {
+                self.commands.push_back(Command::Purge { worker, function });
+            }
+            Action::Wake { after } => drop(self.due.insert((now + after, Due::Wake))),
+            // The list is pushed on sockets.
+            Action::Subscribe => {}
+        }
+    }
+
+    fn conclude(&mut self, now: Time, id: RequestId, verdict: Verdict) {
+        let Some(taken) = self.requests.get(&id) else { return };
+        let expired = now + self.site.settings.tick >= taken.deadline;
+        let owner = taken.owner;
+        self.forget(id);
+        self.answer(owner, verdict, expired);
+    }
+
+    fn answer(&mut self, owner: Owner, verdict: Verdict, expired: bool) {
+        match &verdict {
+            Verdict::Served(_) => self.counters.served += 1,
+            Verdict::Refused { .. } => self.counters.refused += 1,
+            Verdict::Failed => self.counters.failed += 1,
+        }
+        self.commands.push_back(Command::Answer { owner, answer: Answer { verdict, expired } });
+    }
+
+    fn forget(&mut self, id: RequestId) -> Option<Owner> {
+        let taken = self.requests.remove(&id)?;
+        self.bodies -= taken.work.body.len();
+        self.owners.remove(&taken.owner);
+        Some(taken.owner)
+    }
+
+    fn end_attempt(&mut self, now: Time, id: AttemptId, status: Status) {
+        let Some(attempt) = self.attempts.remove(&id) else { return };
+        self.due.remove(&(attempt.deadline, Due::Attempt(id)));
+        let finished = !self.requests.contains_key(&id.request);
+        self.backlog.push_back(Event::Outcome(Outcome {
+            id: id.request,
+            attempt: id.number,
+            status,
+            latency: now - attempt.decided,
+            finished,
+            copy: CopyNote::Untold,
+            company: 0,
+            report: vec![],
+        }));
+    }
+
+    fn end_order(&mut self, now: Time, id: OrderId, standing: Standing) {
+        let Some(order) = self.orders.remove(&id) else { return };
+        self.due.remove(&(order.decided + self.site.load_wait, Due::Order(id)));
+        let (worker, function) = (order.worker, order.function);
+        let (copies, status, latency) = (standing.copies, standing.status, now - order.decided);
+        self.backlog.push_back(Event::Loaded(Loaded { worker, function, copies, status, latency }));
+    }
+}
+
+/// What a worker's word means to the module.
+pub(crate) fn status_of(reply: &Reply) -> Status {
+    match reply {
+        Reply::Ok(_) => Status::Ok,
+        Reply::Miss => Status::Miss,
+        Reply::Full => Status::Full,
+        Reply::Error => Status::Error,
+        Reply::Expired => Status::Moot,
+    }
+}
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,250 @@
+//! The daemon: the core with its fronts, back ends, bus, clock and signals round it.
+
+use crate::backend::{self, Pool};
+use crate::bus::{self, BusConnection, Inbox, News};
+use crate::config::Config;
+use crate::core::{Command, Core};
+use crate::front::frames::{self, FrameConnection};
+use crate::interface::{ListKind, Span, State, Time};
+use crate::net::{Reactor, Signal, SystemClock};
+use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::io;
+use std::os::unix::net::UnixStream;
+use std::rc::Rc;
+
+/// After SIGTERM clients still come for a while; nothing ends before this.
+const PART: Span = Span::millis(1_200);
+/// When connections that came after SIGTERM are told that they are to leave.
+const LATE_LEAVE: Span = Span::millis(750);
+/// How long answers may wait to be written before the end.
+const LAST_WRITE: Span = Span::millis(500);
+/// Descriptors kept for the poll, the listeners, the pipes, the bus and the standard streams.
+const RESERVED: usize = 32;
+
+struct Daemon {
+    core: Core,
+    reactor: Reactor,
+    pool: Pool,
+    config: Config,
+    inbox: Rc<RefCell<Inbox>>,
+    bus_again: Option<Time>,
+    frames: usize,
+    /// The pipes of the signals: to end, and to print counters.
+    pipes: (usize, usize),
+    /// Since when the daemon is on its way out.
+    ending: Option<Time>,
+    told_late: bool,
+}
+
+/// Serves until a signal ends it.
+pub fn run(config: Config) -> io::Result<()> {
+    Daemon::new(config)?.serve()
+}
+
+impl Daemon {
+    fn new(config: Config) -> io::Result<Daemon> {
+        let mut reactor = Reactor::new(SystemClock::new())?;
+        let end = signal_pipe(&[SIGTERM, SIGINT])?;
+        let print = signal_pipe(&[SIGUSR1])?;
+        let pipes = (reactor.watch(end)?, reactor.watch(print)?);
+        let frames = reactor.listen(config.listen)?;
+        let core = Core::new(config.site.clone(), config.seed);
+        let site = &config.site;
+        // Closed before the worker's own limit, or a command could cross its close.
+        let limits = backend::Limits { multiplex: site.multiplex, idle: site.idle_close.times(0.8) };
+        // The platform allows connects 50 ms more than the simulator does.
+        let connect = Span(site.connect_limit.0 + Span::millis(50).0);
+        let budget = config.sockets.saturating_sub(RESERVED);
+        let pool = Pool::new(limits, connect, budget);
+        let inbox = Rc::new(RefCell::new(Inbox { down: true, ..Inbox::default() }));
+        let bus_again = Some(reactor.now());
+        Ok(Daemon {
+            core,
+            reactor,
+            pool,
+            config,
+            inbox,
+            bus_again,
+            frames,
+            pipes,
+            ending: None,
+            told_late: false,
+        })
+    }
+
+    fn serve(&mut self) -> io::Result<()> {
+        for news in std::mem::take(&mut self.config.known) {
+            let mut inbox = self.inbox.borrow_mut();
+            inbox.offset = inbox.offset.max(news.offset);
+            inbox.news.push_back(news);
+        }
+        self.settle();
+        self.reactor.ready = true;
+        let at = self.config.listen;
+        eprintln!(
+            "mintgate: serving name={} listen={at} offset={}",
+            self.config.name,
+            self.inbox.borrow().offset
+        );
+        loop {
+            let until = self.core.next_due().into_iter().chain(self.bus_again).chain(self.next_step()).min();
+            for signal in self.reactor.turn(until, &mut self.core)? {
+                match signal {
+                    Signal::Client(listener) => self.accept(listener),
+                    Signal::Pipe(pipe) if pipe == self.pipes.0 => self.begin_end(),
+                    Signal::Pipe(pipe) if pipe == self.pipes.1 => {
+                        eprintln!("mintgate: {}", self.core.counters())
+                    }
+                    Signal::Pipe(_) => {}
+                }
+            }
+            self.settle();
+            if self.ended() {
+                eprintln!("mintgate: {}", self.core.counters());
+                eprintln!("mintgate: ended name={}", self.config.name);
+                return Ok(());
+            }
+        }
+    }
+
+    /// Acts on everything that waits, until nothing does.
+    fn settle(&mut self) {
+        let now = self.reactor.now();
+        self.follow_bus(now);
+        if self.core.next_due().is_some_and(|at| at <= now) {
+            self.core.wake(now);
+        }
+        while let Some(command) = self.core.next_command() {
+            match command {
+                Command::Answer { owner, answer } => {
+                    self.reactor.with(owner.connection, &mut self.core, |connection, link, hub| {
+                        connection.answer(owner.stream, &answer, link, hub)
+                    });
+                }
+                command => self.pool.command(command, &mut self.reactor, &mut self.core),
+            }
+        }
+    }
+
+    fn accept(&mut self, listener: usize) {
+        loop {
+            // Clients hold a third of the descriptors at most; what workers need is kept free.
+            let room = self.reactor.count() < self.config.sockets.saturating_sub(RESERVED);
+            match self.reactor.accept(listener) {
+                Ok(Some(stream)) if room || self.reactor.shed_idle(&mut self.core) => {
+                    let now = self.reactor.now();
+                    let connection = Box::new(FrameConnection::new(now));
+                    debug_assert_eq!(listener, self.frames);
+                    self.reactor.add(stream, connection, true, frames::LIMITS, &mut self.core);
+                }
+                Ok(Some(_)) => eprintln!("mintgate: accept dropped why=\"no descriptors left\""),
+                Ok(None) => return,
+                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(e) => {
+                    eprintln!("mintgate: accept failed why=\"{e}\"");
+                    return;
+                }
+            }
+        }
+    }
+
+    // ---- The bus
+
+    fn follow_bus(&mut self, now: Time) {
+        loop {
+            let Some(news) = self.inbox.borrow_mut().news.pop_front() else { break };
+            self.learn(now, news);
+        }
+        let Some(address) = self.config.bus else { return self.bus_again = None };
+        if std::mem::take(&mut self.inbox.borrow_mut().down) {
+            let failures = self.inbox.borrow().failures;
+            let pause = match failures {
+                0 => Span(0),
+                n => Span(bus::BACKOFF.0.0 << (n - 1).min(bus::BACKOFF.1)),
+            };
+            self.bus_again = Some(now + pause);
+        }
+        if self.bus_again.is_none_or(|at| at > now) {
+            return;
+        }
+        self.bus_again = None;
+        let connection = Box::new(BusConnection::new(self.inbox.clone(), now));
+        let stream = self.reactor.connect(address);
+        let up = stream.ok().and_then(|stream| {
+            self.reactor.add(stream, connection, false, (bus::FRAME + 4, 4096), &mut self.core)
+        });
+        if up.is_none() {
+            let mut inbox = self.inbox.borrow_mut();
+            (inbox.down, inbox.failures) = (false, inbox.failures + 1);
+            let pause = Span(bus::BACKOFF.0.0 << inbox.failures.min(bus::BACKOFF.1));
+            self.bus_again = Some(now + pause);
+        }
+    }
+
+    fn learn(&mut self, now: Time, news: News) {
+        if news.kind == ListKind::Full {
+            let listed: BTreeSet<_> = news.entries.iter().map(|entry| entry.member.worker).collect();
+            self.pool.retain(|worker| listed.contains(&worker));
+        }
+        for entry in &news.entries {
+            match entry.member.state {
+                State::Gone => self.pool.remove(entry.member.worker),
+                _ => self.pool.place(
+                    entry.member.worker,
+                    backend::Endpoint::Agent(entry.address),
+                    entry.member.started,
+                ),
+            }
+        }
+        self.core.members(now, news.kind, news.entries.into_iter().map(|entry| entry.member).collect());
+    }
+
+    // ---- The end
+
+    /// SIGTERM: no longer ready, clients are asked to leave, but what still comes is taken and answered.
+    fn begin_end(&mut self) {
+        if self.ending.is_some() {
+            return;
+        }
+        eprintln!("mintgate: ending name={} owed={}", self.config.name, self.core.owed());
+        self.ending = Some(self.reactor.now());
+        self.reactor.ready = false;
+        self.leave_all();
+    }
+
+    fn leave_all(&mut self) {
+        for id in self.reactor.ids() {
+            self.reactor.with(id, &mut self.core, |connection, link, hub| connection.leave(link, hub));
+        }
+    }
+
+    fn next_step(&self) -> Option<Time> {
+        let since = self.ending?;
+        let now = self.reactor.now();
+        let steps = [since + LATE_LEAVE, since + PART, since + PART + LAST_WRITE];
+        steps.into_iter().find(|at| *at > now)
+    }
+
+    fn ended(&mut self) -> bool {
+        let Some(since) = self.ending else { return false };
+        let now = self.reactor.now();
+        if now >= since + LATE_LEAVE && !self.told_late {
+            self.told_late = true;
+            self.leave_all();
+        }
+        let written = !self.reactor.unwritten() || now >= since + PART + LAST_WRITE;
+        now >= since + PART && self.core.owed() == 0 && written
+    }
+}
+
+/// The reading end of a pipe that gets a byte for each of these signals.
+fn signal_pipe(signals: &[i32]) -> io::Result<UnixStream> {
+    let (read, write) = UnixStream::pair()?;
+    write.set_nonblocking(true)?;
+    for signal in signals {
+        signal_hook::low_level::pipe::register(*signal, write.try_clone()?)?;
+    }
+    Ok(read)
+}
--- /dev/null
+++ b/src/front/frames.rs
@@ -0,0 +1,448 @@
+//! The platform's front: binary frames over TCP. A pure codec, and the connection object over it.
+
+use super::{BODY, IDLE, LINGER, OPEN, OUTBOX, TRANSIT, read_function};
+use crate::core::{Answer, Incoming, Owner, Verdict};
+use crate::interface::{FunctionId, Span, Time};
+use crate::net::{Connection, Flow, Hub, Link};
+use std::collections::BTreeSet;
+
+/// Largest length field.
+pub const FRAME: usize = 262_144;
+/// Buffers of a client's connection: a whole frame, and output that waits.
+pub const LIMITS: (usize, usize) = (FRAME + 4, OUTBOX);
+
+/// Types of frames.
+pub mod kinds {
+    /// A request.
+    pub const REQUEST: u8 = 0;
+    /// An answer.
+    pub const ANSWER: u8 = 1;
+    /// Nobody waits any more.
+    pub const CANCEL: u8 = 2;
+    /// Is the scheduler ready?
+    pub const READY: u8 = 6;
+    /// The answer to that.
+    pub const READINESS: u8 = 7;
+    /// No new request on this connection.
+    pub const LEAVE: u8 = 9;
+}
+
+/// Codes of answers.
+pub mod codes {
+    /// Served, or ready.
+    pub const SERVED: u8 = 79;
+    /// Refused, or not ready.
+    pub const REFUSED: u8 = 66;
+    /// Failed.
+    pub const FAILED: u8 = 69;
+}
+
+/// A frame in its buffer.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Frame<'a> {
+    /// Its type.
+    pub kind: u8,
+    /// Its stream.
+    pub stream: u32,
+    /// The rest.
+    pub payload: &'a [u8],
+}
+
+/// Reads the first frame of a buffer with the bytes it took; `Ok(None)` where it is not whole yet.
+pub fn read_frame(bytes: &[u8]) -> Result<Option<(Frame<'_>, usize)>, &'static str> {
+    let Some(head) = bytes.first_chunk::<4>() else { return Ok(None) };
+    let length = u32::from_be_bytes(*head) as usize;
+    if !(5..=FRAME).contains(&length) {
+        return Err("length out of range");
+    }
+    let Some(rest) = bytes.get(4..4 + length) else { return Ok(None) };
+    let stream = u32::from_be_bytes([rest[1], rest[2], rest[3], rest[4]]);
+    Ok(Some((Frame { kind: rest[0], stream, payload: &rest[5..] }, 4 + length)))
+}
+
+/// Appends a frame.
+pub fn put_frame(kind: u8, stream: u32, payload: &[&[u8]], out: &mut Vec<u8>) {
+    let length = 5 + payload.iter().map(|part| part.len()).sum::<usize>();
+    out.extend((length as u32).to_be_bytes());
+    out.push(kind);
+    out.extend(stream.to_be_bytes());
+    payload.iter().for_each(|part| out.extend(*part));
+}
+
+/// Fields as they stand, and what follows them.
+pub type Fields<'a> = (Vec<(&'a str, &'a str)>, &'a [u8]);
+
+/// Reads fields.
+pub fn read_fields(mut bytes: &[u8]) -> Result<Fields<'_>, &'static str> {
+    fn take<'a>(bytes: &mut &'a [u8], count: usize) -> Result<&'a [u8], &'static str> {
+        let (part, rest) = bytes.split_at_checked(count).ok_or("fields cut short")?;
+        *bytes = rest;
+        Ok(part)
+    }
+    let text = |part| std::str::from_utf8(part).map_err(|_| "a field is not text");
+    let count = take(&mut bytes, 1)?[0];
+    let mut fields = Vec::with_capacity(usize::from(count));
+    for _ in 0..count {
+        let size = usize::from(take(&mut bytes, 1)?[0]);
+        let name = text(take(&mut bytes, size)?)?;
+        let size = take(&mut bytes, 2)?;
+        let value = text(take(&mut bytes, usize::from(u16::from_be_bytes([size[0], size[1]])))?)?;
+        fields.push((name, value));
+    }
+    Ok((fields, bytes))
+}
+
+/// Writes fields.
+pub fn fields(list: &[(&str, &str)]) -> Vec<u8> {
+    let mut out = vec![list.len() as u8];
+    for (name, value) in list {
+        out.push(name.len() as u8);
+        out.extend(name.as_bytes());
+        out.extend((value.len() as u16).to_be_bytes());
+        out.extend(value.as_bytes());
+    }
+    out
+}
+
+/// Why a request's payload makes no call.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Odd {
+    /// The frame itself cannot be read: the connection ends.
+    Malformed(&'static str),
+    /// It can be read but not be used: this request has failed.
+    Unusable(&'static str),
+}
+
+/// Reads a request.
+pub fn read_request(payload: &[u8], owner: Owner, now: Time) -> Result<Incoming, Odd> {
+    let (list, body) = read_fields(payload).map_err(Odd::Malformed)?;
+    let field = |name: &str| list.iter().find(|(n, _)| *n == name).map(|(_, value)| *value);
+    let need = |name: &str, why| field(name).ok_or(Odd::Unusable(why));
+    let class = need("service", "no service")?;
+    let reference = need("ref", "no ref")?;
+    if read_function(reference).is_none() {
+        return Err(Odd::Unusable("ref is not 16 hex digits"));
+    }
+    let function = read_function(need("lookup", "no lookup")?);
+    let function = FunctionId(function.ok_or(Odd::Unusable("lookup is not 16 hex digits"))?);
+    let allow = need("allow", "no allow")?.parse::<u64>().map_err(|_| Odd::Unusable("allow is no number"))?;
+    if body.len() > BODY {
+        return Err(Odd::Unusable("body too large"));
+    }
+    let (mut memory_mb, mut lanes, mut load_time) = (0.0, 1.0, None);
+    for part in field("spec").unwrap_or("").split(';').filter(|part| !part.is_empty()) {
+        let (name, value) = part.split_once(':').ok_or(Odd::Unusable("odd spec"))?;
+        let value: f64 = value.parse().map_err(|_| Odd::Unusable("odd spec"))?;
+        if !value.is_finite() || value < 0.0 {
+            return Err(Odd::Unusable("odd spec"));
+        }
+        match name {
+            "memory_mb" => memory_mb = value,
+            "lanes" => lanes = value,
+            "load_ms" => load_time = Some(Span((value * 1e6) as u64)).filter(|span| span.0 > 0),
+            _ => {}
+        }
+    }
+    let deadline = now + Span((allow.min(3_600_000) * 1_000_000).saturating_sub(TRANSIT.0));
+    Ok(Incoming {
+        owner,
+        reference: reference.to_owned(),
+        class: class.to_owned(),
+        function,
+        key: field("replay").map(str::to_owned),
+        memory_mb,
+        lanes,
+        load_time,
+        deadline,
+        body: body.to_vec(),
+    })
+}
+
+/// Writes an answer.
+pub fn put_answer(stream: u32, verdict: &Verdict, out: &mut Vec<u8>) {
+    match verdict {
+        Verdict::Served(body) => put_frame(kinds::ANSWER, stream, &[&[codes::SERVED, 0], body], out),
+        Verdict::Refused { cooldown } if cooldown.0 == 0 => {
+            put_frame(kinds::ANSWER, stream, &[&[codes::REFUSED, 0]], out);
+        }
+        Verdict::Refused { cooldown } => {
+            let ms = cooldown.0.div_ceil(1_000_000).to_string();
+            let list = fields(&[("cooldown", &ms)]);
+            put_frame(kinds::ANSWER, stream, &[&[codes::REFUSED], &list], out);
+        }
+        Verdict::Failed => put_frame(kinds::ANSWER, stream, &[&[codes::FAILED, 0]], out),
+    }
+}
+
+/// Stream numbers that have been used, with a floor below which all have.
+#[derive(Default)]
+struct Seen {
+    floor: u32,
+    above: BTreeSet<u32>,
+}
+
+impl Seen {
+    /// Notes a number; false if it is not new.
+    fn new_stream(&mut self, stream: u32) -> bool {
+        if stream <= self.floor || !self.above.insert(stream) {
+            return false;
+        }
+        while self.above.remove(&(self.floor + 1)) {
+            self.floor += 1;
+        }
+        // Numbers need not come in order, but gaps are not remembered for ever.
+        if self.above.len() > 4096
+            && let Some(first) = self.above.pop_first()
+        {
+            self.floor = first;
+        }
+        true
+    }
+}
+
+/// A client's connection.
+pub struct FrameConnection {
+    open: BTreeSet<u32>,
+    seen: Seen,
+    last: Time,
+    leaving: bool,
+    /// Ends by then even if the client does not read.
+    finish_by: Option<Time>,
+}
+
+impl FrameConnection {
+    /// A connection that has just been accepted.
+    pub fn new(now: Time) -> FrameConnection {
+        let (open, seen) = (BTreeSet::new(), Seen::default());
+        FrameConnection { open, seen, last: now, leaving: false, finish_by: None }
+    }
+
+    fn frame(&mut self, frame: &Frame, link: &mut Link, hub: &mut Hub) -> Result<(), &'static str> {
+        match frame.kind {
+            kinds::REQUEST => {
+                if frame.stream == 0 || !self.seen.new_stream(frame.stream) {
+                    return Err("stream is not new");
+                }
+                let owner = Owner { connection: link.id(), stream: u64::from(frame.stream) };
+                let call = match read_request(frame.payload, owner, hub.now) {
+                    Err(Odd::Malformed(why)) => return Err(why),
+                    other => other,
+                };
+                let verdict = match call {
+                    Ok(_) if self.open.len() >= OPEN => Verdict::Refused { cooldown: hub.core.advice() },
+                    Ok(call) => {
+                        self.open.insert(frame.stream);
+                        hub.core.call(hub.now, call);
+                        return Ok(());
+                    }
+                    Err(_) => Verdict::Failed,
+                };
+                hub.core.turned_away(&verdict);
+                let mut bytes = Vec::new();
+                put_answer(frame.stream, &verdict, &mut bytes);
+                link.put(&bytes);
+            }
+            kinds::CANCEL => {
+                if self.open.remove(&frame.stream) {
+                    let owner = Owner { connection: link.id(), stream: u64::from(frame.stream) };
+                    hub.core.withdraw(hub.now, owner);
+                }
+            }
+            kinds::READY => {
+                read_fields(frame.payload)?;
+                let code = if hub.ready { codes::SERVED } else { codes::REFUSED };
+                let mut bytes = Vec::new();
+                put_frame(kinds::READINESS, frame.stream, &[&[code, 0]], &mut bytes);
+                link.put(&bytes);
+            }
+            _ => return Err("unknown type"),
+        }
+        Ok(())
+    }
+
+    /// Tells the client what is wrong; the connection ends once that has gone out.
+    fn malformed(&mut self, why: &str, link: &mut Link, hub: &mut Hub) -> Flow {
+        hub.core.counters().malformed += 1;
+        eprintln!("mintgate: malformed front=frames connection={} why=\"{why}\"", link.id());
+        let mut bytes = Vec::new();
+        put_answer(0, &Verdict::Failed, &mut bytes);
+        link.put(&bytes);
+        self.finish_by = Some(hub.now + LINGER);
+        Flow::Finish
+    }
+}
+
+impl Connection for FrameConnection {
+    fn opened(&mut self, _link: &mut Link, hub: &mut Hub) -> Flow {
+        hub.core.counters().accepted += 1;
+        Flow::Go
+    }
+
+    fn received(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
+        self.last = hub.now;
+        let bytes = std::mem::take(&mut link.inbox);
+        let mut from = 0;
+        let error = loop {
+            match read_frame(&bytes[from..]) {
+                Ok(None) => break None,
+                Ok(Some((frame, size))) => {
+                    from += size;
+                    if let Err(why) = self.frame(&frame, link, hub) {
+                        break Some(why);
+                    }
+                }
+                Err(why) => break Some(why),
+            }
+        };
+        link.inbox = bytes;
+        link.used(from);
+        match error {
+            Some(why) => self.malformed(why, link, hub),
+            // A client that closes waits for nothing more.
+            None if link.ended => Flow::Close,
+            None => Flow::Go,
+        }
+    }
+
+    fn due(&mut self, _link: &mut Link, hub: &mut Hub) -> Flow {
+        let idle = self.open.is_empty() && self.last + IDLE <= hub.now;
+        let over = self.finish_by.is_some_and(|by| by <= hub.now);
+        if idle || over { Flow::Close } else { Flow::Go }
+    }
+
+    fn deadline(&self) -> Option<Time> {
+        let idle = self.open.is_empty().then_some(self.last + IDLE);
+        self.finish_by.into_iter().chain(idle).min()
+    }
+
+    fn closed(&mut self, link: &Link, hub: &mut Hub) {
+        for stream in std::mem::take(&mut self.open) {
+            hub.core.withdraw(hub.now, Owner { connection: link.id(), stream: u64::from(stream) });
+        }
+    }
+
+    fn answer(&mut self, stream: u64, answer: &Answer, link: &mut Link, hub: &mut Hub) -> Flow {
+        let stream = stream as u32;
+        // Whoever withdrew is owed nothing.
+        if self.open.remove(&stream) {
+            let mut bytes = Vec::new();
+            put_answer(stream, &answer.verdict, &mut bytes);
+            link.put(&bytes);
+            self.last = hub.now;
+        }
+        Flow::Go
+    }
+
+    fn leave(&mut self, link: &mut Link, _hub: &mut Hub) -> Flow {
+        if !self.leaving {
+            self.leaving = true;
+            let mut bytes = Vec::new();
+            put_frame(kinds::LEAVE, 0, &[], &mut bytes);
+            link.put(&bytes);
+        }
+        Flow::Go
+    }
+
+    fn idle(&self) -> bool {
+        self.open.is_empty() && self.finish_by.is_none()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const OWNER: Owner = Owner { connection: 1, stream: 1 };
+
+    #[test]
+    fn frames_are_read_whole_or_not_at_all() {
+        let mut whole = Vec::new();
+        put_frame(2, 7, &[], &mut whole);
+        put_frame(0, 8, &[b"xyz"], &mut whole);
+        for cut in 0..9 {
+            assert_eq!(read_frame(&whole[..cut]), Ok(None), "{cut}");
+        }
+        let (first, size) = read_frame(&whole).unwrap().unwrap();
+        assert_eq!((first, size), (Frame { kind: 2, stream: 7, payload: b"" }, 9));
+        let (second, _) = read_frame(&whole[size..]).unwrap().unwrap();
+        assert_eq!(second, Frame { kind: 0, stream: 8, payload: b"xyz" });
+        for length in [0u32, 4, 262_145, u32::MAX] {
+            assert!(read_frame(&length.to_be_bytes()).is_err(), "{length}");
+        }
+        assert_eq!(read_frame(&262_144u32.to_be_bytes()), Ok(None));
+    }
+
+    #[test]
+    fn requests_are_read() {
+        let good = [
+            ("service", "call"),
+            ("ref", "9b1f03aa5c7e2d41"),
+            ("allow", "1500"),
+            ("lookup", "7f3a9c21e0b4d655"),
+            ("spec", "memory_mb:512;lanes:2;load_ms:640"),
+        ];
+        let call = read_request(&[fields(&good), b"body".to_vec()].concat(), OWNER, Time(0)).unwrap();
+        assert_eq!((call.memory_mb, call.lanes, call.load_time), (512.0, 2.0, Some(Span::millis(640))));
+        assert_eq!((call.deadline, call.body), (Time(1_495_000_000), b"body".to_vec()));
+        assert_eq!((call.function, call.key), (FunctionId(0x7f3a_9c21_e0b4_d655), None));
+        let cases = [
+            ("service", None),
+            ("ref", None),
+            ("ref", Some("xyz")),
+            ("ref", Some("9b1f03aa5c7e2d4g")),
+            ("allow", None),
+            ("allow", Some("-1")),
+            ("allow", Some("soon")),
+            ("lookup", None),
+            ("lookup", Some("+f3a9c21e0b4d655")),
+            ("lookup", Some("7f3a9c21e0b4d6551")),
+            ("spec", Some("lanes")),
+            ("spec", Some("lanes:NaN")),
+            ("spec", Some("memory_mb:-1")),
+        ];
+        for (name, value) in cases {
+            let list: Vec<_> =
+                good.iter().copied().filter(|(n, _)| *n != name).chain(value.map(|v| (name, v))).collect();
+            let got = read_request(&fields(&list), OWNER, Time(0));
+            assert!(matches!(got, Err(Odd::Unusable(_))), "{name} {value:?}: {got:?}");
+        }
+        let large = [fields(&good), vec![0; BODY + 1]].concat();
+        assert_eq!(read_request(&large, OWNER, Time(0)).unwrap_err(), Odd::Unusable("body too large"));
+        let whole = fields(&good);
+        for cut in 0..whole.len() {
+            let got = read_request(&whole[..cut], OWNER, Time(0));
+            assert_eq!(got.unwrap_err(), Odd::Malformed("fields cut short"), "{cut}");
+        }
+        let got = read_request(&[1, 1, 0xff, 0, 0], OWNER, Time(0));
+        assert_eq!(got.unwrap_err(), Odd::Malformed("a field is not text"));
+    }
+
+    #[test]
+    fn answers_are_written() {
+        let cases: Vec<(Verdict, Vec<u8>)> = vec![
+            (Verdict::Served(b"ok".to_vec()), vec![79, 0, b'o', b'k']),
+            (Verdict::Refused { cooldown: Span(0) }, vec![66, 0]),
+            (
+                Verdict::Refused { cooldown: Span(1_000_001) },
+                [&[66][..], &fields(&[("cooldown", "2")])].concat(),
+            ),
+            (Verdict::Failed, vec![69, 0]),
+        ];
+        for (verdict, payload) in cases {
+            let mut bytes = Vec::new();
+            put_answer(5, &verdict, &mut bytes);
+            let (frame, size) = read_frame(&bytes).unwrap().unwrap();
+            assert_eq!((frame.kind, frame.stream, frame.payload), (1, 5, &payload[..]), "{verdict:?}");
+            assert_eq!(size, bytes.len());
+        }
+    }
+
+    #[test]
+    fn a_stream_number_is_new_once() {
+        let mut seen = Seen::default();
+        let got: Vec<bool> =
+            [1, 3, 2, 3, 1, 4, u32::MAX, u32::MAX].iter().map(|n| seen.new_stream(*n)).collect();
+        assert_eq!(got, [true, true, true, false, false, true, true, false]);
+        assert_eq!(seen.floor, 4);
+    }
+}
--- /dev/null
+++ b/src/front/mod.rs
@@ -0,0 +1,24 @@
+//! Fronts: what clients speak. Each turns bytes into [`crate::core::Incoming`] calls and answers into bytes.
+
+pub mod frames;
+
+use crate::interface::Span;
+
+/// Calls open at a time on one connection.
+pub const OPEN: usize = 32;
+/// Largest body of a call.
+pub const BODY: usize = 16 << 10;
+/// Time that an answer takes back to its client; deadlines inside are earlier by it.
+pub const TRANSIT: Span = Span::millis(5);
+/// A connection on which nothing is open and nothing comes is closed after this.
+pub const IDLE: Span = Span::millis(60_000);
+/// Output that may wait for a client before no more is read from it.
+pub const OUTBOX: usize = 256 << 10;
+/// How long a client that has been told the connection ends may take to read the rest.
+pub const LINGER: Span = Span::millis(2_000);
+
+/// A function's 16 hex digits.
+pub fn read_function(text: &str) -> Option<u64> {
+    let hex = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
+    hex.then(|| u64::from_str_radix(text, 16).ok()).flatten()
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -269,7 +269,7 @@
 }
 
 /// A line of the list of workers.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Member {
     /// Which worker.
     pub worker: WorkerId,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -64,8 +64,16 @@
 //! ```
 #![forbid(unsafe_code)]
 
+pub mod backend;
 mod brain;
+pub mod bus;
+pub mod config;
+pub mod core;
+pub mod daemon;
+pub mod front;
 mod interface;
+pub mod net;
+pub mod settings;
 
 pub use brain::Balancer;
 pub use interface::*;
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,199 @@
+//! Sockets: the clock, buffered links over TCP or Unix streams, and the reactor that calls connections back.
+
+mod reactor;
+
+pub use reactor::{Connection, Flow, Hub, Reactor, Signal};
+
+use crate::interface::{Span, Time};
+use mio::event::Source;
+use mio::net::{TcpStream, UnixStream};
+use mio::{Interest, Registry, Token};
+use std::io::{self, Read, Write};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// Unix time at the start plus monotonic time since, so that a set clock moves no deadline.
+#[derive(Clone, Copy, Debug)]
+pub struct SystemClock {
+    base: Time,
+    start: Instant,
+}
+
+impl SystemClock {
+    /// A clock that starts at the system's present time.
+    pub fn new() -> SystemClock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        SystemClock { base: Time(unix.as_nanos() as u64), start: Instant::now() }
+    }
+
+    /// The present time.
+    pub fn now(&self) -> Time {
+        self.base + Span(self.start.elapsed().as_nanos() as u64)
+    }
+}
+
+impl Default for SystemClock {
+    fn default() -> SystemClock {
+        SystemClock::new()
+    }
+}
+
+/// A stream of either kind.
+#[derive(Debug)]
+pub enum Stream {
+    /// Over TCP.
+    Tcp(TcpStream),
+    /// Over a Unix socket.
+    Unix(UnixStream),
+}
+
+impl Stream {
+    fn source(&mut self) -> &mut dyn Source {
+        match self {
+            Stream::Tcp(stream) => stream,
+            Stream::Unix(stream) => stream,
+        }
+    }
+
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        match self {
+            Stream::Tcp(stream) => stream.read(buffer),
+            Stream::Unix(stream) => stream.read(buffer),
+        }
+    }
+
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        match self {
+            Stream::Tcp(stream) => stream.write(bytes),
+            Stream::Unix(stream) => stream.write(bytes),
+        }
+    }
+
+    /// Whether a connect has come through; an error says that it never will.
+    fn connected(&mut self) -> io::Result<bool> {
+        let (error, peer) = match self {
+            Stream::Tcp(stream) => (stream.take_error()?, stream.peer_addr().map(drop)),
+            Stream::Unix(stream) => (stream.take_error()?, stream.peer_addr().map(drop)),
+        };
+        match (error, peer) {
+            (Some(error), _) => Err(error),
+            (None, Ok(())) => Ok(true),
+            (None, Err(e)) if e.kind() == io::ErrorKind::NotConnected => Ok(false),
+            (None, Err(e)) => Err(e),
+        }
+    }
+}
+
+/// Bytes taken from a socket at a time.
+const CHUNK: usize = 64 << 10;
+
+/// A stream with its two buffers. Input beyond `inbox_limit` and output that nobody reads hold reading back.
+#[derive(Debug)]
+pub struct Link {
+    stream: Stream,
+    token: Token,
+    interest: Option<Interest>,
+    /// Read and not yet used.
+    pub inbox: Vec<u8>,
+    outbox: Vec<u8>,
+    sent: usize,
+    up: bool,
+    /// The other side has closed its half.
+    pub ended: bool,
+    inbox_limit: usize,
+    outbox_limit: usize,
+}
+
+impl Link {
+    fn new(stream: Stream, token: Token, up: bool, limits: (usize, usize)) -> Link {
+        let (inbox_limit, outbox_limit) = limits;
+        let (inbox, outbox) = (Vec::new(), Vec::new());
+        let (interest, sent, ended) = (None, 0, false);
+        Link { stream, token, interest, inbox, outbox, sent, up, ended, inbox_limit, outbox_limit }
+    }
+
+    /// The connection's own number.
+    pub fn id(&self) -> u64 {
+        self.token.0 as u64
+    }
+
+    /// Whether the connection stands.
+    pub fn is_up(&self) -> bool {
+        self.up
+    }
+
+    /// Bytes that wait to be written.
+    pub fn waiting(&self) -> usize {
+        self.outbox.len() - self.sent
+    }
+
+    /// Puts bytes in line to be written.
+    pub fn put(&mut self, bytes: &[u8]) {
+        self.outbox.extend_from_slice(bytes);
+    }
+
+    /// Drops the first bytes of the input, which have been used.
+    pub fn used(&mut self, count: usize) {
+        self.inbox.drain(..count);
+    }
+
+    /// Whether input is held back until the other side reads what it is owed.
+    pub fn held_back(&self) -> bool {
+        self.waiting() > self.outbox_limit || self.inbox.len() > self.inbox_limit
+    }
+
+    /// Writes what the system takes; true once nothing waits.
+    pub fn flush(&mut self) -> io::Result<bool> {
+        while self.up && self.sent < self.outbox.len() {
+            match self.stream.write(&self.outbox[self.sent..]) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(n) => self.sent += n,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        if self.sent == self.outbox.len() {
+            self.outbox.clear();
+            self.sent = 0;
+            if self.outbox.capacity() > CHUNK {
+                self.outbox.shrink_to(4096);
+            }
+        }
+        Ok(self.waiting() == 0 && self.up)
+    }
+
+    /// Reads what there is, up to the limit; true if the socket has no more for now.
+    fn fill(&mut self) -> io::Result<bool> {
+        let mut chunk = [0u8; CHUNK];
+        loop {
+            if self.held_back() || self.ended {
+                return Ok(self.ended);
+            }
+            match self.stream.read(&mut chunk) {
+                Ok(0) => self.ended = true,
+                Ok(n) => self.inbox.extend_from_slice(&chunk[..n]),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(true),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
+    /// Tells the system what is waited for now.
+    fn register(&mut self, registry: &Registry) -> io::Result<()> {
+        let wanted = match (self.up, self.waiting() > 0) {
+            (false, _) => Interest::WRITABLE,
+            (true, true) => Interest::READABLE | Interest::WRITABLE,
+            (true, false) => Interest::READABLE,
+        };
+        if self.interest == Some(wanted) {
+            return Ok(());
+        }
+        let (token, first) = (self.token, self.interest.is_none());
+        self.interest = Some(wanted);
+        match first {
+            true => registry.register(self.stream.source(), token, wanted),
+            false => registry.reregister(self.stream.source(), token, wanted),
+        }
+    }
+}
--- /dev/null
+++ b/src/net/reactor.rs
@@ -0,0 +1,416 @@
+//! The reactor: one poll, all connections, their timers. Connections are objects that it calls back.
+
+use super::{Link, Stream, SystemClock};
+use crate::core::{Answer, Core};
+use crate::interface::{Span, Time};
+use mio::net::{TcpListener, TcpStream, UnixListener, UnixStream};
+use mio::{Events, Interest, Poll, Token};
+use std::collections::{BTreeSet, HashMap};
+use std::io;
+use std::net::SocketAddr;
+use std::os::unix::net::UnixStream as StdUnixStream;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::path::Path;
+use std::time::Duration;
+
+/// Whether a connection goes on after a callback.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Flow {
+    /// It does.
+    Go,
+    /// Nothing more is read; it ends once what is owed has been written.
+    Finish,
+    /// It ends now.
+    Close,
+}
+
+/// What a callback may use.
+pub struct Hub<'a> {
+    /// The scheduler.
+    pub core: &'a mut Core,
+    /// The present time.
+    pub now: Time,
+    /// Whether new calls are taken.
+    pub ready: bool,
+}
+
+/// A connection as an object: the reactor calls it back with what happens to it.
+pub trait Connection {
+    /// The connection stands.
+    fn opened(&mut self, link: &mut Link, hub: &mut Hub) -> Flow;
+    /// There is new input in the link, or the other side has ended its half.
+    fn received(&mut self, link: &mut Link, hub: &mut Hub) -> Flow;
+    /// Everything put in line has been handed to the system.
+    fn flushed(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
+        Flow::Go
+    }
+    /// The time told by [`Connection::deadline`] has come.
+    fn due(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
+        Flow::Go
+    }
+    /// When to be called back; asked after every callback.
+    fn deadline(&self) -> Option<Time> {
+        None
+    }
+    /// The connection has ended, by whichever side. Called once.
+    fn closed(&mut self, link: &Link, hub: &mut Hub);
+    /// The final answer of a call that came in here.
+    fn answer(&mut self, _stream: u64, _answer: &Answer, _link: &mut Link, _hub: &mut Hub) -> Flow {
+        Flow::Go
+    }
+    /// A job for the worker at the other end.
+    fn job(&mut self, _job: crate::backend::Job, _link: &mut Link, _hub: &mut Hub) -> Flow {
+        Flow::Go
+    }
+    /// Whether a job could be given now: its reference is not open here and there is room.
+    fn accepts(&self, _reference: Option<&str>) -> bool {
+        false
+    }
+    /// No new call is wanted here any more.
+    fn leave(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
+        Flow::Go
+    }
+    /// Nothing is open here, so that it may be closed to make room.
+    fn idle(&self) -> bool {
+        false
+    }
+}
+
+/// What woke the reactor beside connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// A client has come in at the listener of this number.
+    Client(usize),
+    /// The pipe of this number has something.
+    Pipe(usize),
+}
+
+struct Entry {
+    link: Link,
+    connection: Box<dyn Connection>,
+    due: Option<Time>,
+    finishing: bool,
+}
+
+enum Listener {
+    Tcp(TcpListener),
+    Unix(UnixListener),
+}
+
+const PIPES: usize = 1 << 8;
+const FIRST: usize = 1 << 10;
+
+/// See the module's page.
+pub struct Reactor {
+    poll: Poll,
+    events: Events,
+    clock: SystemClock,
+    listeners: Vec<Listener>,
+    pipes: Vec<mio::net::UnixStream>,
+    sockets: Vec<mio::net::UdpSocket>,
+    entries: HashMap<Token, Entry>,
+    next: usize,
+    timers: BTreeSet<(Time, Token)>,
+    /// Callbacks are handed this; false while the scheduler is not ready.
+    pub ready: bool,
+}
+
+impl Reactor {
+    /// A reactor without connections.
+    pub fn new(clock: SystemClock) -> io::Result<Reactor> {
+        Ok(Reactor {
+            poll: Poll::new()?,
+            events: Events::with_capacity(1024),
+            clock,
+            listeners: vec![],
+            pipes: vec![],
+            sockets: vec![],
+            entries: HashMap::new(),
+            next: FIRST,
+            timers: BTreeSet::new(),
+            ready: false,
+        })
+    }
+
+    /// The present time.
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Connections that stand or are coming up.
+    pub fn count(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Listens on a TCP address; the listener's number.
+    pub fn listen(&mut self, at: SocketAddr) -> io::Result<usize> {
+        self.add_listener(Listener::Tcp(TcpListener::bind(at)?))
+    }
+
+    /// Listens on a Unix socket that has been made; the listener's number.
+    pub fn listen_unix(&mut self, listener: std::os::unix::net::UnixListener) -> io::Result<usize> {
+        listener.set_nonblocking(true)?;
+        self.add_listener(Listener::Unix(UnixListener::from_std(listener)))
+    }
+
+    fn add_listener(&mut self, mut listener: Listener) -> io::Result<usize> {
+        let number = self.listeners.len();
+        let registry = self.poll.registry();
+        match &mut listener {
+            Listener::Tcp(l) => registry.register(l, Token(number), Interest::READABLE)?,
+            Listener::Unix(l) => registry.register(l, Token(number), Interest::READABLE)?,
+        }
+        self.listeners.push(listener);
+        Ok(number)
+    }
+
+    /// Watches the reading end of a pipe; its number.
+    pub fn watch(&mut self, pipe: StdUnixStream) -> io::Result<usize> {
+        pipe.set_nonblocking(true)?;
+        let mut pipe = UnixStream::from_std(pipe);
+        let number = self.pipes.len() + self.sockets.len();
+        self.poll.registry().register(&mut pipe, Token(PIPES + number), Interest::READABLE)?;
+        self.pipes.push(pipe);
+        Ok(number)
+    }
+
+    /// Takes the next client of a listener, if one waits.
+    pub fn accept(&mut self, listener: usize) -> io::Result<Option<Stream>> {
+        let taken = match &self.listeners[listener] {
+            Listener::Tcp(l) => l.accept().map(|(stream, _)| {
+                let _ = stream.set_nodelay(true);
+                Stream::Tcp(stream)
+            }),
+            Listener::Unix(l) => l.accept().map(|(stream, _)| Stream::Unix(stream)),
+        };
+        match taken {
+            Ok(stream) => Ok(Some(stream)),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(None),
+            Err(e) => Err(e),
+        }
+    }
+
+    /// Begins a TCP connection.
+    pub fn connect(&self, to: SocketAddr) -> io::Result<Stream> {
+        let stream = TcpStream::connect(to)?;
+        let _ = stream.set_nodelay(true);
+        Ok(Stream::Tcp(stream))
+    }
+
+    /// Begins a connection to a Unix socket.
+    pub fn connect_unix(&self, to: &Path) -> io::Result<Stream> {
+        UnixStream::connect(to).map(Stream::Unix)
+    }
+
+    /// Adds a connection; `up` if it stands already. Its id, or none where it broke at once.
+    pub fn add(
+        &mut self,
+        stream: Stream,
+        connection: Box<dyn Connection>,
+        up: bool,
+        limits: (usize, usize),
+        core: &mut Core,
+    ) -> Option<u64> {
+        let token = Token(self.next);
+        self.next += 1;
+        let link = Link::new(stream, token, up, limits);
+        self.entries.insert(token, Entry { link, connection, due: None, finishing: false });
+        self.call(token, core, |entry, hub| match entry.link.up {
+            true => entry.connection.opened(&mut entry.link, hub),
+            false => Flow::Go,
+        });
+        self.entries.contains_key(&token).then_some(token.0 as u64)
+    }
+
+    /// Calls a connection back, with panics caught: they end this connection alone.
+    fn call(&mut self, token: Token, core: &mut Core, what: impl FnOnce(&mut Entry, &mut Hub) -> Flow) {
+        let (now, ready) = (self.clock.now(), self.ready);
+        let Some(entry) = self.entries.get_mut(&token) else { return };
+        let hub = &mut Hub { core, now, ready };
+        let flow = catch_unwind(AssertUnwindSafe(|| {
+            let mut flow = what(entry, hub);
+            // What was put in line goes out at once; a connection may put more whenever all has gone.
+            while flow != Flow::Close && entry.link.up && entry.link.waiting() > 0 {
+                match entry.link.flush() {
+                    Ok(true) => flow = flow.and(entry.connection.flushed(&mut entry.link, hub)),
+                    Ok(false) => break,
+                    Err(_) => flow = Flow::Close,
+                }
+            }
+            flow
+        }));
+        let flow = flow.unwrap_or_else(|_| {
+            hub.core.counters().panics += 1;
+            eprintln!("mintgate: panic connection={} closed", token.0);
+            Flow::Close
+        });
+        entry.finishing |= flow == Flow::Finish;
+        let done = flow == Flow::Close || entry.finishing && entry.link.waiting() == 0;
+        if done || entry.link.register(self.poll.registry()).is_err() {
+            return self.close(token, hub.core);
+        }
+        let due = entry.connection.deadline();
+        if due != entry.due {
+            if let Some(at) = entry.due.take() {
+                self.timers.remove(&(at, token));
+            }
+            if let Some(at) = due {
+                self.timers.insert((at, token));
+            }
+            entry.due = due;
+        }
+    }
+
+    fn close(&mut self, token: Token, core: &mut Core) {
+        let Some(mut entry) = self.entries.remove(&token) else { return };
+        if let Some(at) = entry.due {
+            self.timers.remove(&(at, token));
+        }
+        let hub = &mut Hub { core, now: self.clock.now(), ready: self.ready };
+        let closed = catch_unwind(AssertUnwindSafe(|| entry.connection.closed(&entry.link, hub)));
+        if closed.is_err() {
+            hub.core.counters().panics += 1;
+        }
+        let _ = self.poll.registry().deregister(entry.link.stream.source());
+    }
+
+    /// Ends a connection from outside.
+    pub fn end(&mut self, id: u64, core: &mut Core) {
+        self.close(Token(id as usize), core);
+    }
+
+    /// Gives a connection something to do; false if it has gone.
+    pub fn with(
+        &mut self,
+        id: u64,
+        core: &mut Core,
+        what: impl FnOnce(&mut dyn Connection, &mut Link, &mut Hub) -> Flow,
+    ) -> bool {
+        let token = Token(id as usize);
+        let there = self.entries.contains_key(&token);
+        self.call(token, core, |entry, hub| what(entry.connection.as_mut(), &mut entry.link, hub));
+        there
+    }
+
+    /// Looks at a connection.
+    pub fn look<T>(&self, id: u64, at: impl FnOnce(&dyn Connection) -> T) -> Option<T> {
+        self.entries.get(&Token(id as usize)).map(|entry| at(entry.connection.as_ref()))
+    }
+
+    /// All connections.
+    pub fn ids(&self) -> Vec<u64> {
+        self.entries.keys().map(|token| token.0 as u64).collect()
+    }
+
+    /// Whether any connection still has something to write.
+    pub fn unwritten(&self) -> bool {
+        self.entries.values().any(|entry| entry.link.up && entry.link.waiting() > 0)
+    }
+
+    /// Waits until something happens or `until` comes, calls connections back, and returns the rest.
+    pub fn turn(&mut self, until: Option<Time>, core: &mut Core) -> io::Result<Vec<Signal>> {
+        let due = self.timers.first().map(|(at, _)| *at).into_iter().chain(until).min();
+        // Rounded up, so that a timer is not asked for a little early again and again.
+        let rest = due.map(|at| Duration::from_nanos((at - self.clock.now()).0 + 50_000));
+        match self.poll.poll(&mut self.events, rest) {
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => return Ok(vec![]),
+            other => other?,
+        }
+        let mut signals = Vec::new();
+        let ready: Vec<_> = self
+            .events
+            .iter()
+            .map(|e| (e.token(), e.is_readable() || e.is_read_closed() || e.is_error()))
+            .collect();
+        for (token, readable) in ready {
+            match token.0 {
+                number if number < PIPES => signals.push(Signal::Client(number)),
+                number if number < FIRST => {
+                    self.empty(number - PIPES);
+                    signals.push(Signal::Pipe(number - PIPES));
+                }
+                _ => self.happened(token, readable, core),
+            }
+        }
+        let now = self.clock.now();
+        while let Some(&(at, token)) = self.timers.first().filter(|(at, _)| *at <= now) {
+            self.timers.remove(&(at, token));
+            if let Some(entry) = self.entries.get_mut(&token) {
+                entry.due = None;
+            }
+            self.call(token, core, |entry, hub| entry.connection.due(&mut entry.link, hub));
+        }
+        Ok(signals)
+    }
+
+    fn empty(&mut self, pipe: usize) {
+        let mut bytes = [0; 64];
+        while let Some(pipe) = self.pipes.get_mut(pipe)
+            && matches!(io::Read::read(pipe, &mut bytes), Ok(n) if n > 0)
+        {}
+    }
+
+    fn happened(&mut self, token: Token, readable: bool, core: &mut Core) {
+        self.call(token, core, |entry, hub| {
+            let Entry { link, connection, finishing, .. } = entry;
+            if !link.up {
+                match link.stream.connected() {
+                    Ok(true) => link.up = true,
+                    Ok(false) => return Flow::Go,
+                    Err(_) => return Flow::Close,
+                }
+                let flow = connection.opened(link, hub);
+                if flow != Flow::Go {
+                    return flow;
+                }
+            }
+            let mut flow = Flow::Go;
+            if link.waiting() > 0 {
+                match link.flush() {
+                    Ok(true) => flow = connection.flushed(link, hub),
+                    Ok(false) => {}
+                    Err(_) => return Flow::Close,
+                }
+            }
+            if !readable || *finishing {
+                return flow;
+            }
+            // Edge-triggered: read until the socket has no more, in turns with the connection's own work.
+            loop {
+                let held = link.inbox.len();
+                let all = match link.fill() {
+                    Ok(all) => all,
+                    Err(_) => return Flow::Close,
+                };
+                if link.inbox.len() > held || link.ended {
+                    flow = flow.and(connection.received(link, hub));
+                }
+                if all || flow != Flow::Go || link.held_back() {
+                    return flow;
+                }
+            }
+        });
+    }
+
+    /// Closes the connection that has nothing open, if there is one.
+    pub fn shed_idle(&mut self, core: &mut Core) -> bool {
+        let idle = self.entries.iter().find(|(_, entry)| entry.connection.idle()).map(|(token, _)| *token);
+        idle.map(|token| self.close(token, core)).is_some()
+    }
+
+    /// A span as the reactor's own absolute time.
+    pub fn after(&self, span: Span) -> Time {
+        self.now() + span
+    }
+}
+
+impl Flow {
+    /// The stricter of the two.
+    pub fn and(self, other: Flow) -> Flow {
+        match (self, other) {
+            (Flow::Close, _) | (_, Flow::Close) => Flow::Close,
+            (Flow::Finish, _) | (_, Flow::Finish) => Flow::Finish,
+            _ => Flow::Go,
+        }
+    }
+}
--- a/src/bin/mintgate-simhost/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,6 @@
 //! The settings text of the wire, turned into the library's settings.
 
-use mintgate::*;
+use crate::interface::*;
 use serde::Deserialize;
 
 #[derive(Deserialize)]
@@ -27,11 +27,42 @@
     discovery: String,
     #[serde(default)]
     weight_source: String,
+    #[serde(default)]
+    zones: Vec<String>,
+    #[serde(default)]
+    kinds: Vec<String>,
+}
+
+/// What sockets need of a site's settings, beside what the module is told.
+#[derive(Clone, Debug)]
+pub struct Site {
+    /// What the module is told.
+    pub settings: Settings,
+    /// Names of the classes, in their order.
+    pub classes: Vec<String>,
+    /// Names of the zones, in their order.
+    pub zones: Vec<String>,
+    /// Names of the machine kinds, in their order.
+    pub kinds: Vec<String>,
+    /// Attempts that one connection to a worker carries at a time.
+    pub multiplex: usize,
+    /// Open requests beyond which new ones are refused.
+    pub max_open: usize,
+    /// A worker closes a connection that has been idle for so long.
+    pub idle_close: Span,
+    /// A connection that is not up within this time has failed.
+    pub connect_limit: Span,
+    /// An order to load that has no answer within this time is lost.
+    pub load_wait: Span,
+    /// A worker told to drain or gone sees nothing new later than this.
+    pub drain_grace: Span,
 }
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct ClassText {
+    #[serde(default)]
+    name: String,
     objective_ns: u64,
     deadline_ns: u64,
     effect: String,
@@ -56,6 +87,12 @@
     cold_ns: u64,
     fall_multiple: f64,
     fall_ns: u64,
+    #[serde(default = "default_drain_grace")]
+    drain_grace_ns: u64,
+}
+
+fn default_drain_grace() -> u64 {
+    2_000_000_000
 }
 
 #[derive(Deserialize)]
@@ -68,6 +105,34 @@
     retry_after: bool,
     #[serde(default)]
     max_retry_after_ns: u64,
+    #[serde(default = "default_multiplex")]
+    multiplex: usize,
+    #[serde(default = "default_max_open")]
+    max_open: usize,
+    #[serde(default = "default_idle_close")]
+    idle_close_ns: u64,
+    #[serde(default = "default_connect")]
+    connect_timeout_ns: u64,
+}
+
+fn default_multiplex() -> usize {
+    32
+}
+
+fn default_max_open() -> usize {
+    4096
+}
+
+fn default_idle_close() -> u64 {
+    15_000_000_000
+}
+
+fn default_connect() -> u64 {
+    250_000_000
+}
+
+fn default_load_wait() -> u64 {
+    10_000_000_000
 }
 
 #[derive(Deserialize)]
@@ -88,6 +153,8 @@
     price_of_idle: f64,
     #[serde(default)]
     says_company: bool,
+    #[serde(default = "default_load_wait")]
+    load_wait_ns: u64,
 }
 
 #[derive(Deserialize, Default)]
@@ -107,7 +174,33 @@
 
 /// Reads the settings; the error names what is missing or odd.
 pub fn read(text: &[u8]) -> Result<Settings, String> {
+    read_site(text).map(|site| site.settings)
+}
+
+/// Reads the settings with what sockets need of them.
+pub fn read_site(text: &[u8]) -> Result<Site, String> {
     let text: Text = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
+    let names = text.classes.iter().map(|class| class.name.clone()).collect();
+    let (zones, kinds) = (text.zones.clone(), text.kinds.clone());
+    let (multiplex, max_open) = (text.bounds.multiplex.max(1), text.bounds.max_open);
+    let (idle_close, connect_limit) = (Span(text.bounds.idle_close_ns), Span(text.bounds.connect_timeout_ns));
+    let load_wait = Span(text.family_info.load_wait_ns);
+    let drain_grace = Span(text.contract.drain_grace_ns);
+    Ok(Site {
+        settings: read_text(text)?,
+        classes: names,
+        zones,
+        kinds,
+        multiplex,
+        max_open,
+        idle_close,
+        connect_limit,
+        load_wait,
+        drain_grace,
+    })
+}
+
+fn read_text(text: Text) -> Result<Settings, String> {
     let classes = text.classes.iter().enumerate().map(|(n, class)| read_class(n, class));
     let info = text.family_info;
     let (contract, bounds) = (text.contract, text.bounds);
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -3,8 +3,6 @@
 #[allow(dead_code)]
 #[path = "../src/bin/mintgate-simhost/codec.rs"]
 mod codec;
-#[path = "../src/bin/mintgate-simhost/settings.rs"]
-mod settings;
 
 use codec::{Record, Reply, read_frame, read_records};
 use mintgate::*;
