Answer given-up calls at once, with a cooldown that says when to come back

Seen: the inherited module kept a call that found no room placed again every 40 ms until 2 ms before its end (hold_back in src/brain.rs: only a crowd over half the workers gave it up) and a keyed call past its window likewise; every refusal said "wait 0" (give_up). Checked: the other ways into a pause (send's gate, waiting for a load order) lead back to place and so to hold_back; max attempts and time-outs already ended at once. Ruled out: calls with an attempt out, which are waited for, not held. Changed: hold_back gives up past 0.4 of the call's time and once no repeat is allowed; give_up names a cooldown, never above what the site lets clients honour.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -67,6 +67,10 @@
 const WORTHY: f64 = 1.5;
 /// Part of the aim that a call may wait here for room: with its work and a queue it would then end late.
 const QUEUE_PART: f64 = 0.2;
+/// Part of a call's whole time after which one that has found no room yet is given up.
+const HOPE: f64 = 0.4;
+/// How long a client whose call was given up is asked to stay away: what a crowd takes to thin out.
+const COOLDOWN: Span = Span::millis(250);
 /// Weight in the copies wanted of each call beyond the first that a new one finds at a copy (one at a time is
 /// a fair part of a worker's cores), and what a ranking leaves of them when no call came in the window.
 const CROWD: (f64, f64) = (0.2, 0.95);
@@ -455,7 +459,13 @@
     fn hold_back(&mut self, id: RequestId, out: &mut Actions) {
         self.look_for_room();
         let Some(request) = self.requests.get(&id) else { return };
-        if self.crowding > CROWDED && self.now > request.came + request.aim.times(QUEUE_PART) {
+        let crowded = self.crowding > CROWDED && self.now > request.came + request.aim.times(QUEUE_PART);
+        let effect = self.settings.classes[request.class].effect;
+        let closed = matches!((request.ran, effect), (Some(ran), Effect::Keyed { window, .. })
+            if self.now + KEY_MARGIN >= ran.since + window);
+        // Past this part of its time, or once no repeat is allowed any more, there is no hope left: the
+        // client is told so now, not near its deadline.
+        if crowded || closed || self.now > request.came + (request.end - request.came).times(HOPE) {
             return self.give_up(id, out);
         }
         self.later(id, RETRY);
@@ -652,7 +662,9 @@
             Effect::Keyed { group, .. } => !may_have_run || group == Group::All,
             Effect::Unsafe => !may_have_run,
         };
-        out.push(if harmless { Action::Refuse { id, wait: Span(0) } } else { Action::Fail { id } });
+        // The client is told when to come back rather than kept waiting here.
+        let wait = self.settings.limits.retry_after.map_or(Span(0), |most| most.min(COOLDOWN));
+        out.push(if harmless { Action::Refuse { id, wait } } else { Action::Fail { id } });
     }
 
     // ---- Answers: belief and health
