--- a/src/config.rs
+++ b/src/config.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 /// The platform's configuration.
 #[derive(Clone, Debug)]
@@ -135,3 +136,104 @@
     };
     Ok(Entry { member, address: target.endpoint })
 }
+
+// ---- The operator's file
+
+/// What an operator has set up beside the platform: the second front, checkers of the same host, VRRP.
+#[derive(Clone, Debug, Deserialize, Default)]
+#[serde(deny_unknown_fields, default)]
+pub struct Operator {
+    /// The JSON-RPC front; off where absent.
+    pub jsonrpc: Option<JsonRpc>,
+    /// Checkers on Unix sockets of this host.
+    pub checkers: Vec<Checker>,
+}
+
+/// The JSON-RPC front.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct JsonRpc {
+    /// Where clients connect.
+    pub socket: PathBuf,
+    /// Who may: the socket file's mode, as octal digits.
+    #[serde(default = "default_mode", deserialize_with = "read_mode")]
+    pub mode: u32,
+    /// Connections at a time.
+    #[serde(default = "default_clients")]
+    pub max_clients: usize,
+    /// Longest line.
+    #[serde(default = "default_line")]
+    pub max_line: usize,
+}
+
+/// A checker that speaks JSON-RPC.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Checker {
+    /// Its name: `s-` and 8 hex digits, as the bus names workers.
+    pub id: String,
+    /// Where it listens.
+    pub socket: PathBuf,
+    /// Its zone, by name.
+    #[serde(default)]
+    pub zone: String,
+    /// Its machine kind, by name.
+    #[serde(default)]
+    pub kind: String,
+    /// Relative size.
+    #[serde(default = "one")]
+    pub weight: f64,
+}
+
+fn default_mode() -> u32 {
+    0o660
+}
+
+fn default_clients() -> usize {
+    64
+}
+
+fn default_line() -> usize {
+    crate::front::jsonrpc::LINE
+}
+
+fn read_mode<'de, D: serde::Deserializer<'de>>(from: D) -> Result<u32, D::Error> {
+    let text = String::deserialize(from)?;
+    let mode = u32::from_str_radix(&text, 8).ok().filter(|mode| *mode <= 0o777);
+    mode.ok_or_else(|| serde::de::Error::custom(format!("mode '{text}' is not octal digits up to 777")))
+}
+
+/// Reads an operator's file; the error names what is missing or odd.
+pub fn read_operator(text: &str) -> Result<Operator, String> {
+    let operator: Operator = toml::from_str(text).map_err(|e| format!("operator's file: {e}"))?;
+    if let Some(front) = &operator.jsonrpc
+        && !(1024..=1 << 20).contains(&front.max_line)
+    {
+        return Err("operator's file: jsonrpc.max_line is not between 1024 and 1048576".to_owned());
+    }
+    let mut names = std::collections::BTreeSet::new();
+    for checker in &operator.checkers {
+        if read_worker(&checker.id).is_none_or(|id| !names.insert(id)) {
+            return Err(format!("operator's file: checker id '{}' is odd or stands twice", checker.id));
+        }
+    }
+    Ok(operator)
+}
+
+impl Operator {
+    /// The checkers as lines of the list of workers.
+    pub fn members(&self, site: &Site) -> Vec<(Member, PathBuf)> {
+        let place = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(0) as u8;
+        let line = |checker: &Checker| {
+            let member = Member {
+                worker: read_worker(&checker.id)?,
+                zone: ZoneId(place(&site.zones, &checker.zone)),
+                kind: KindId(place(&site.kinds, &checker.kind)),
+                weight: checker.weight,
+                ..Member::default()
+            };
+            Some((member, checker.socket.clone()))
+        };
+        self.checkers.iter().filter_map(line).collect()
+    }
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -2,11 +2,13 @@
 
 use crate::backend::{self, Pool};
 use crate::bus::{self, BusConnection, Inbox, News};
-use crate::config::Config;
+use crate::config::{Config, Operator};
 use crate::core::{Command, Core};
 use crate::front::frames::{self, FrameConnection};
-use crate::interface::{ListKind, Span, State, Time};
-use crate::net::{Reactor, Signal, SystemClock};
+use crate::front::jsonrpc::RpcConnection;
+use crate::front::socket::{self, SocketFile};
+use crate::interface::{ListKind, Member, Span, State, Time};
+use crate::net::{Reactor, Signal, Stream, SystemClock};
 use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -28,9 +30,14 @@
     reactor: Reactor,
     pool: Pool,
     config: Config,
+    operator: Operator,
+    /// Workers of the operator's file: the bus tells nothing of them.
+    fixed: Vec<Member>,
     inbox: Rc<RefCell<Inbox>>,
     bus_again: Option<Time>,
-    frames: usize,
+    /// The listener of the second front, and its file.
+    rpc: Option<(usize, SocketFile)>,
+    rpc_clients: BTreeSet<u64>,
     /// The pipes of the signals: to end, and to print counters.
     pipes: (usize, usize),
     /// Since when the daemon is on its way out.
@@ -39,17 +46,24 @@
 }
 
 /// Serves until a signal ends it.
-pub fn run(config: Config) -> io::Result<()> {
-    Daemon::new(config)?.serve()
+pub fn run(config: Config, operator: Operator) -> io::Result<()> {
+    Daemon::new(config, operator)?.serve()
 }
 
 impl Daemon {
-    fn new(config: Config) -> io::Result<Daemon> {
+    fn new(config: Config, operator: Operator) -> io::Result<Daemon> {
         let mut reactor = Reactor::new(SystemClock::new())?;
         let end = signal_pipe(&[SIGTERM, SIGINT])?;
         let print = signal_pipe(&[SIGUSR1])?;
         let pipes = (reactor.watch(end)?, reactor.watch(print)?);
-        let frames = reactor.listen(config.listen)?;
+        reactor.listen(config.listen)?;
+        let rpc = match &operator.jsonrpc {
+            None => None,
+            Some(front) => {
+                let (listener, file) = socket::bind(&front.socket, front.mode)?;
+                Some((reactor.listen_unix(listener)?, file))
+            }
+        };
         let core = Core::new(config.site.clone(), config.seed);
         let site = &config.site;
         // Closed before the worker's own limit, or a command could cross its close.
@@ -57,7 +71,12 @@
         // The platform allows connects 50 ms more than the simulator does.
         let connect = Span(site.connect_limit.0 + Span::millis(50).0);
         let budget = config.sockets.saturating_sub(RESERVED);
-        let pool = Pool::new(limits, connect, budget);
+        let mut pool = Pool::new(limits, connect, budget);
+        let mut fixed = Vec::new();
+        for (member, path) in operator.members(site) {
+            pool.place(member.worker, backend::Endpoint::Checker(path), None);
+            fixed.push(member);
+        }
         let inbox = Rc::new(RefCell::new(Inbox { down: true, ..Inbox::default() }));
         let bus_again = Some(reactor.now());
         Ok(Daemon {
@@ -67,7 +86,10 @@
             config,
             inbox,
             bus_again,
-            frames,
+            operator,
+            fixed,
+            rpc,
+            rpc_clients: BTreeSet::new(),
             pipes,
             ending: None,
             told_late: false,
@@ -75,6 +97,10 @@
     }
 
     fn serve(&mut self) -> io::Result<()> {
+        if !self.fixed.is_empty() {
+            let now = self.reactor.now();
+            self.core.members(now, ListKind::Full, self.fixed.clone());
+        }
         for news in std::mem::take(&mut self.config.known) {
             let mut inbox = self.inbox.borrow_mut();
             inbox.offset = inbox.offset.max(news.offset);
@@ -135,8 +161,11 @@
             match self.reactor.accept(listener) {
                 Ok(Some(stream)) if room || self.reactor.shed_idle(&mut self.core) => {
                     let now = self.reactor.now();
+                    if self.rpc.as_ref().is_some_and(|(number, _)| *number == listener) {
+                        self.accept_rpc(now, stream);
+                        continue;
+                    }
                     let connection = Box::new(FrameConnection::new(now));
-                    debug_assert_eq!(listener, self.frames);
                     self.reactor.add(stream, connection, true, frames::LIMITS, &mut self.core);
                 }
                 Ok(Some(_)) => eprintln!("mintgate: accept dropped why=\"no descriptors left\""),
@@ -150,6 +179,18 @@
         }
     }
 
+    fn accept_rpc(&mut self, now: Time, stream: Stream) {
+        let Some(front) = &self.operator.jsonrpc else { return };
+        let reactor = &mut self.reactor;
+        self.rpc_clients.retain(|id| reactor.look(*id, |_| ()).is_some());
+        if self.rpc_clients.len() >= front.max_clients {
+            return eprintln!("mintgate: accept dropped why=\"max_clients\"");
+        }
+        let connection = Box::new(RpcConnection::new(now, front.max_line));
+        let limits = RpcConnection::limits(front.max_line);
+        self.rpc_clients.extend(reactor.add(stream, connection, true, limits, &mut self.core));
+    }
+
     // ---- The bus
 
     fn follow_bus(&mut self, now: Time) {
@@ -186,7 +227,8 @@
     fn learn(&mut self, now: Time, news: News) {
         if news.kind == ListKind::Full {
             let listed: BTreeSet<_> = news.entries.iter().map(|entry| entry.member.worker).collect();
-            self.pool.retain(|worker| listed.contains(&worker));
+            let fixed: BTreeSet<_> = self.fixed.iter().map(|member| member.worker).collect();
+            self.pool.retain(|worker| listed.contains(&worker) || fixed.contains(&worker));
         }
         for entry in &news.entries {
             match entry.member.state {
@@ -198,7 +240,11 @@
                 ),
             }
         }
-        self.core.members(now, news.kind, news.entries.into_iter().map(|entry| entry.member).collect());
+        let mut members: Vec<Member> = news.entries.into_iter().map(|entry| entry.member).collect();
+        if news.kind == ListKind::Full {
+            members.extend(&self.fixed);
+        }
+        self.core.members(now, news.kind, members);
     }
 
     // ---- The end
--- /dev/null
+++ b/src/front/jsonrpc.rs
@@ -0,0 +1,554 @@
+//! The second front: JSON-RPC 2.0 over Unix sockets, one object or batch a line.
+//!
+//! | method | params | result |
+//! | --- | --- | --- |
+//! | `call` | `class`, `function`, `allow_ms`; optional `ref`, `key`, `memory_mb`, `lanes`, `load_ms`, `body` | `{"body": BASE64}` |
+//! | `cancel` | `id` of a call on this connection; a notification | none; the call ends with [`codes::CANCELLED`] |
+//! | `ready` | none | `{"ready": BOOL}` |
+//!
+//! A `call` notification is not taken: nobody could be told how it ended. A client that closes, or closes the
+//! half it writes on, waits for nothing more: its calls are withdrawn.
+
+use super::{BODY, IDLE, LINGER, OPEN, OUTBOX, TRANSIT, read_function};
+use crate::core::{Answer, Incoming, Owner, Verdict};
+use crate::interface::{FunctionId, Span, Time};
+use crate::net::{Connection, Flow, Hub, Link};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::{Map, Value, json};
+use std::collections::BTreeMap;
+
+/// Error codes: the standard's, then this front's own.
+pub mod codes {
+    /// The line is not JSON.
+    pub const PARSE: i64 = -32700;
+    /// It is JSON, but no request.
+    pub const INVALID_REQUEST: i64 = -32600;
+    /// There is no such method.
+    pub const NO_METHOD: i64 = -32601;
+    /// The params cannot be used.
+    pub const INVALID_PARAMS: i64 = -32602;
+    /// Not done, and a new try is harmless after `data.cooldown_ms`.
+    pub const REFUSED: i64 = -32001;
+    /// Failed; nothing is promised.
+    pub const FAILED: i64 = -32002;
+    /// The call's time is up; `data.outcome` is `refused` (a new try is harmless) or `failed`.
+    pub const EXPIRED: i64 = -32003;
+    /// The client has withdrawn the call.
+    pub const CANCELLED: i64 = -32004;
+}
+
+/// Requests in one batch.
+pub const BATCH: usize = 64;
+/// Longest line where the operator has set no other limit.
+pub const LINE: usize = 64 << 10;
+
+/// One request of a line.
+#[derive(Debug, PartialEq)]
+pub enum Request {
+    /// It is answered at once with this.
+    Reply(Value),
+    /// Needs nothing, not even an answer.
+    Nothing,
+    /// A call with its id.
+    Call(Value, Box<Params>),
+    /// The call of this id is withdrawn.
+    Cancel(Value),
+    /// Whether the scheduler is ready.
+    Ready(Value),
+}
+
+/// What a call asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Params {
+    class: String,
+    function: FunctionId,
+    allow_ms: u64,
+    reference: Option<String>,
+    key: Option<String>,
+    memory_mb: f64,
+    lanes: f64,
+    load_ms: f64,
+    body: Vec<u8>,
+}
+
+/// What a line holds.
+#[derive(Debug, PartialEq)]
+pub enum Line {
+    /// One request.
+    One(Request),
+    /// A batch, answered by one line.
+    Batch(Vec<Request>),
+}
+
+fn error(id: &Value, code: i64, message: &str, data: Option<Value>) -> Value {
+    let mut error = json!({"code": code, "message": message});
+    if let Some(data) = data {
+        error["data"] = data;
+    }
+    json!({"jsonrpc": "2.0", "id": id, "error": error})
+}
+
+fn result(id: &Value, result: Value) -> Value {
+    json!({"jsonrpc": "2.0", "id": id, "result": result})
+}
+
+/// Reads a line.
+pub fn read_line(line: &[u8]) -> Line {
+    let invalid = |why| Line::One(Request::Reply(error(&Value::Null, codes::INVALID_REQUEST, why, None)));
+    match serde_json::from_slice(line) {
+        Err(_) => Line::One(Request::Reply(error(&Value::Null, codes::PARSE, "not JSON", None))),
+        Ok(Value::Array(list)) if list.is_empty() => invalid("an empty batch"),
+        Ok(Value::Array(list)) if list.len() > BATCH => invalid("too large a batch"),
+        Ok(Value::Array(list)) => Line::Batch(list.into_iter().map(read_request).collect()),
+        Ok(value) => Line::One(read_request(value)),
+    }
+}
+
+fn read_request(value: Value) -> Request {
+    let invalid = |id: &Value, why| Request::Reply(error(id, codes::INVALID_REQUEST, why, None));
+    let Value::Object(mut object) = value else { return invalid(&Value::Null, "not an object") };
+    let id = object.remove("id");
+    if matches!(id, Some(Value::Array(_) | Value::Object(_) | Value::Bool(_))) {
+        return invalid(&Value::Null, "id is neither text, a number nor null");
+    }
+    let shown = id.clone().unwrap_or_default();
+    if object.get("jsonrpc").and_then(Value::as_str) != Some("2.0") {
+        return invalid(&shown, "not JSON-RPC 2.0");
+    }
+    let Some(method) = object.get("method").and_then(Value::as_str) else {
+        return invalid(&shown, "no method");
+    };
+    let params = match object.get("params") {
+        None => Ok(Map::new()),
+        Some(Value::Object(params)) => Ok(params.clone()),
+        Some(Value::Array(_)) => Err("params are by name here"),
+        Some(_) => return invalid(&shown, "params are neither an object nor an array"),
+    };
+    match (method, id, params) {
+        // Nobody could be told how a call without an id has ended; an odd notification is not answered.
+        ("cancel", None, Ok(params)) => {
+            params.get("id").map_or(Request::Nothing, |id| Request::Cancel(id.clone()))
+        }
+        (_, None, _) => Request::Nothing,
+        ("cancel", Some(id), _) => invalid(&id, "cancel is a notification"),
+        ("ready", Some(id), _) => Request::Ready(id),
+        ("call", Some(id), params) => match params.and_then(|params| read_params(&params)) {
+            Ok(params) => Request::Call(id, Box::new(params)),
+            Err(why) => Request::Reply(error(&id, codes::INVALID_PARAMS, why, None)),
+        },
+        (_, Some(id), _) => Request::Reply(error(&id, codes::NO_METHOD, "no such method", None)),
+    }
+}
+
+fn read_params(params: &Map<String, Value>) -> Result<Params, &'static str> {
+    let text = |name: &str, why| match params.get(name) {
+        None => Ok(None),
+        Some(Value::String(text)) => Ok(Some(text.clone())),
+        Some(_) => Err(why),
+    };
+    let figure = |name: &str, usual: f64, why| match params.get(name).map(Value::as_f64) {
+        None => Ok(usual),
+        Some(Some(figure)) if figure.is_finite() && figure >= 0.0 => Ok(figure),
+        Some(_) => Err(why),
+    };
+    let function = text("function", "function is not text")?.ok_or("no function")?;
+    let reference = text("ref", "ref is not text")?;
+    if reference.as_deref().is_some_and(|text| read_function(text).is_none()) {
+        return Err("ref is not 16 hex digits");
+    }
+    let body = STANDARD.decode(text("body", "body is not text")?.unwrap_or_default());
+    let body = body.map_err(|_| "body is not base64")?;
+    if body.len() > BODY {
+        return Err("body too large");
+    }
+    Ok(Params {
+        class: text("class", "class is not text")?.ok_or("no class")?,
+        function: FunctionId(read_function(&function).ok_or("function is not 16 hex digits")?),
+        allow_ms: params.get("allow_ms").and_then(Value::as_u64).ok_or("allow_ms is no whole number")?,
+        reference,
+        key: text("key", "key is not text")?,
+        memory_mb: figure("memory_mb", 0.0, "odd memory_mb")?,
+        lanes: figure("lanes", 1.0, "odd lanes")?,
+        load_ms: figure("load_ms", 0.0, "odd load_ms")?,
+        body,
+    })
+}
+
+/// The response that tells a call's final answer.
+pub fn response(id: &Value, answer: &Answer) -> Value {
+    match &answer.verdict {
+        Verdict::Served(body) => result(id, json!({"body": STANDARD.encode(body)})),
+        Verdict::Refused { cooldown } => {
+            let wait = cooldown.0.div_ceil(1_000_000);
+            match answer.expired {
+                true => {
+                    let data = json!({"outcome": "refused", "cooldown_ms": wait});
+                    error(id, codes::EXPIRED, "deadline passed", Some(data))
+                }
+                false => error(id, codes::REFUSED, "refused", Some(json!({"cooldown_ms": wait}))),
+            }
+        }
+        Verdict::Failed if answer.expired => {
+            error(id, codes::EXPIRED, "deadline passed", Some(json!({"outcome": "failed"})))
+        }
+        Verdict::Failed => error(id, codes::FAILED, "failed", None),
+    }
+}
+
+struct Open {
+    id: Value,
+    /// The batch whose one reply this answer belongs to.
+    batch: Option<u64>,
+}
+
+struct Batch {
+    owed: usize,
+    replies: Vec<Value>,
+}
+
+/// A client's connection.
+pub struct RpcConnection {
+    open: BTreeMap<u64, Open>,
+    batches: BTreeMap<u64, Batch>,
+    next: u64,
+    line_limit: usize,
+    /// The rest of a line that was too long is passed over.
+    skipping: bool,
+    last: Time,
+    finish_by: Option<Time>,
+}
+
+impl RpcConnection {
+    /// A connection that has just been accepted, with the operator's limit on lines.
+    pub fn new(now: Time, line_limit: usize) -> RpcConnection {
+        RpcConnection {
+            open: BTreeMap::new(),
+            batches: BTreeMap::new(),
+            next: 1,
+            line_limit,
+            skipping: false,
+            last: now,
+            finish_by: None,
+        }
+    }
+
+    /// Buffers of such a connection.
+    pub fn limits(line_limit: usize) -> (usize, usize) {
+        (line_limit + 1, OUTBOX)
+    }
+
+    fn say(&mut self, batch: Option<u64>, reply: Value, link: &mut Link) {
+        let Some(number) = batch else { return put(link, &reply) };
+        let Some(entry) = self.batches.get_mut(&number) else { return };
+        entry.replies.push(reply);
+        self.answered(number, link);
+    }
+
+    /// One fewer owed in a batch; its reply goes out once all have come.
+    fn answered(&mut self, number: u64, link: &mut Link) {
+        let Some(batch) = self.batches.get_mut(&number) else { return };
+        batch.owed -= 1;
+        if batch.owed == 0
+            && let Some(batch) = self.batches.remove(&number)
+            && !batch.replies.is_empty()
+        {
+            put(link, &Value::Array(batch.replies));
+        }
+    }
+
+    fn line(&mut self, line: &[u8], link: &mut Link, hub: &mut Hub) {
+        if line.iter().all(u8::is_ascii_whitespace) {
+            return;
+        }
+        match read_line(line) {
+            Line::One(request) => self.request(request, None, link, hub),
+            Line::Batch(requests) => {
+                let number = self.next;
+                self.next += 1;
+                // One more is owed until all have been read: answers may come while they are.
+                let owed = 1 + requests.iter().filter(|r| has_reply(r)).count();
+                self.batches.insert(number, Batch { owed, replies: vec![] });
+                for request in requests {
+                    self.request(request, Some(number), link, hub);
+                }
+                self.answered(number, link);
+            }
+        }
+    }
+
+    fn request(&mut self, request: Request, batch: Option<u64>, link: &mut Link, hub: &mut Hub) {
+        match request {
+            Request::Nothing => {}
+            Request::Reply(reply) => {
+                hub.core.counters().malformed += 1;
+                self.say(batch, reply, link);
+            }
+            Request::Ready(id) => {
+                let ready = hub.ready && hub.active;
+                self.say(batch, result(&id, json!({"ready": ready})), link);
+            }
+            Request::Cancel(id) => {
+                let Some(stream) = self.open.iter().find(|(_, open)| open.id == id).map(|(s, _)| *s) else {
+                    return;
+                };
+                hub.core.withdraw(hub.now, Owner { connection: link.id(), stream });
+                if let Some(open) = self.open.remove(&stream) {
+                    self.say(open.batch, error(&open.id, codes::CANCELLED, "cancelled", None), link);
+                }
+            }
+            Request::Call(id, params) => self.call(id, *params, batch, link, hub),
+        }
+    }
+
+    fn call(&mut self, id: Value, params: Params, batch: Option<u64>, link: &mut Link, hub: &mut Hub) {
+        // Two open calls of one id could not be told apart, neither by the client nor by a cancel.
+        if self.open.values().any(|open| open.id == id) {
+            return self.say(batch, error(&id, codes::INVALID_REQUEST, "id is in use", None), link);
+        }
+        if self.open.len() >= OPEN || !hub.active {
+            let verdict = Verdict::Refused { cooldown: hub.core.advice() };
+            hub.core.turned_away(&verdict);
+            return self.say(batch, response(&id, &Answer { verdict, expired: false }), link);
+        }
+        let stream = self.next;
+        self.next += 1;
+        let owner = Owner { connection: link.id(), stream };
+        self.open.insert(stream, Open { id, batch });
+        let allow = params.allow_ms.min(3_600_000) * 1_000_000;
+        let made = || format!("{:08x}{:08x}", owner.connection as u32, stream as u32);
+        hub.core.call(
+            hub.now,
+            Incoming {
+                owner,
+                reference: params.reference.unwrap_or_else(made),
+                class: params.class,
+                function: params.function,
+                key: params.key,
+                memory_mb: params.memory_mb,
+                lanes: params.lanes,
+                load_time: Some(Span((params.load_ms * 1e6) as u64)).filter(|span| span.0 > 0),
+                deadline: hub.now + Span(allow.saturating_sub(TRANSIT.0)),
+                body: params.body,
+            },
+        );
+    }
+
+    fn lines(&mut self, link: &mut Link, hub: &mut Hub) {
+        // A client that does not read its answers is not read from either: see `flushed`.
+        while link.waiting() <= OUTBOX {
+            let Some(end) = link.inbox.iter().position(|b| *b == b'\n') else { break };
+            let line: Vec<u8> = link.inbox.drain(..=end).collect();
+            if std::mem::take(&mut self.skipping) {
+                continue;
+            }
+            match end <= self.line_limit {
+                true => self.line(&line[..end], link, hub),
+                false => self.too_long(link, hub),
+            }
+        }
+        if link.inbox.len() > self.line_limit && !link.inbox.contains(&b'\n') {
+            link.inbox.clear();
+            if !std::mem::replace(&mut self.skipping, true) {
+                self.too_long(link, hub);
+            }
+        }
+    }
+
+    fn too_long(&mut self, link: &mut Link, hub: &mut Hub) {
+        hub.core.counters().malformed += 1;
+        put(link, &error(&Value::Null, codes::INVALID_REQUEST, "line too long", None));
+    }
+}
+
+fn has_reply(request: &Request) -> bool {
+    !matches!(request, Request::Nothing | Request::Cancel(_))
+}
+
+fn put(link: &mut Link, reply: &Value) {
+    let mut bytes = reply.to_string().into_bytes();
+    bytes.push(b'\n');
+    link.put(&bytes);
+}
+
+impl Connection for RpcConnection {
+    fn opened(&mut self, _link: &mut Link, hub: &mut Hub) -> Flow {
+        hub.core.counters().accepted += 1;
+        Flow::Go
+    }
+
+    fn received(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
+        self.last = hub.now;
+        self.lines(link, hub);
+        if !link.ended {
+            return Flow::Go;
+        }
+        if link.inbox.iter().all(u8::is_ascii_whitespace) || link.inbox.contains(&b'\n') {
+            return Flow::Close;
+        }
+        // A line cut short by the end: said, in case the client still reads.
+        hub.core.counters().malformed += 1;
+        put(link, &error(&Value::Null, codes::PARSE, "the line has no end", None));
+        self.finish_by = Some(hub.now + LINGER);
+        Flow::Finish
+    }
+
+    fn flushed(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
+        self.lines(link, hub);
+        Flow::Go
+    }
+
+    fn due(&mut self, _link: &mut Link, hub: &mut Hub) -> Flow {
+        let idle = self.open.is_empty() && self.last + IDLE <= hub.now;
+        let over = self.finish_by.is_some_and(|by| by <= hub.now);
+        if idle || over { Flow::Close } else { Flow::Go }
+    }
+
+    fn deadline(&self) -> Option<Time> {
+        let idle = self.open.is_empty().then_some(self.last + IDLE);
+        self.finish_by.into_iter().chain(idle).min()
+    }
+
+    fn closed(&mut self, link: &Link, hub: &mut Hub) {
+        for stream in std::mem::take(&mut self.open).into_keys() {
+            hub.core.withdraw(hub.now, Owner { connection: link.id(), stream });
+        }
+    }
+
+    fn answer(&mut self, stream: u64, answer: &Answer, link: &mut Link, hub: &mut Hub) -> Flow {
+        if let Some(open) = self.open.remove(&stream) {
+            self.last = hub.now;
+            self.say(open.batch, response(&open.id, answer), link);
+        }
+        Flow::Go
+    }
+
+    fn idle(&self) -> bool {
+        self.open.is_empty() && self.finish_by.is_none()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn code(line: &Line) -> Option<i64> {
+        match line {
+            Line::One(Request::Reply(reply)) => reply["error"]["code"].as_i64(),
+            _ => None,
+        }
+    }
+
+    #[test]
+    fn bad_lines_get_their_codes_and_ids() {
+        let call = r#"{"jsonrpc":"2.0","id":1,"method":"call","params":"#;
+        let cases = [
+            ("{".to_owned(), codes::PARSE, "null"),
+            ("\u{0}".to_owned(), codes::PARSE, "null"),
+            ("[]".to_owned(), codes::INVALID_REQUEST, "null"),
+            (format!("[{}1]", "1,".repeat(BATCH)), codes::INVALID_REQUEST, "null"),
+            ("7".to_owned(), codes::INVALID_REQUEST, "null"),
+            (r#"{"id":"a","method":"call"}"#.to_owned(), codes::INVALID_REQUEST, "\"a\""),
+            (r#"{"jsonrpc":"2.0","id":"a"}"#.to_owned(), codes::INVALID_REQUEST, "\"a\""),
+            (r#"{"jsonrpc":"2.0","id":[],"method":"call"}"#.to_owned(), codes::INVALID_REQUEST, "null"),
+            (
+                r#"{"jsonrpc":"2.0","id":5,"method":"call","params":5}"#.to_owned(),
+                codes::INVALID_REQUEST,
+                "5",
+            ),
+            (r#"{"jsonrpc":"2.0","id":1.5,"method":"sing"}"#.to_owned(), codes::NO_METHOD, "1.5"),
+            (r#"{"jsonrpc":"2.0","id":null,"method":"call"}"#.to_owned(), codes::INVALID_PARAMS, "null"),
+            (
+                r#"{"jsonrpc":"2.0","id":2,"method":"cancel","params":{"id":1}}"#.to_owned(),
+                codes::INVALID_REQUEST,
+                "2",
+            ),
+            (format!("{call}[1]}}"), codes::INVALID_PARAMS, "1"),
+            (format!(r#"{call}{{"class":"c","function":"7f","allow_ms":1}}}}"#), codes::INVALID_PARAMS, "1"),
+            (format!(r#"{call}{{"class":"c","function":"7f3a9c21e0b4d655"}}}}"#), codes::INVALID_PARAMS, "1"),
+            (
+                format!(r#"{call}{{"class":"c","function":"7f3a9c21e0b4d655","allow_ms":-1}}}}"#),
+                codes::INVALID_PARAMS,
+                "1",
+            ),
+            (
+                format!(r#"{call}{{"class":"c","function":"7f3a9c21e0b4d655","allow_ms":9,"body":"%"}}}}"#),
+                codes::INVALID_PARAMS,
+                "1",
+            ),
+            (
+                format!(r#"{call}{{"class":"c","function":"7f3a9c21e0b4d655","allow_ms":9,"ref":"x"}}}}"#),
+                codes::INVALID_PARAMS,
+                "1",
+            ),
+            (
+                format!(
+                    r#"{call}{{"class":"c","function":"7f3a9c21e0b4d655","allow_ms":9,"lanes":1e999}}}}"#
+                ),
+                codes::INVALID_PARAMS,
+                "1",
+            ),
+        ];
+        for (text, expected, id) in cases {
+            let line = read_line(text.as_bytes());
+            assert_eq!(code(&line), Some(expected), "{text}");
+            let Line::One(Request::Reply(reply)) = line else { panic!("{text}") };
+            assert_eq!(reply["id"].to_string(), id, "{text}");
+        }
+    }
+
+    #[test]
+    fn good_lines_are_read() {
+        let text = r#"{"jsonrpc":"2.0","id":"a","method":"call","params":{"class":"c","function":"7f3a9c21e0b4d655","allow_ms":1500,"key":"k","lanes":2,"body":"aGk="}}"#;
+        let Line::One(Request::Call(id, params)) = read_line(text.as_bytes()) else { panic!("a call") };
+        assert_eq!((id, params.allow_ms, params.lanes), (json!("a"), 1500, 2.0));
+        assert_eq!((params.key.as_deref(), &params.body[..]), (Some("k"), &b"hi"[..]));
+        let cases = [
+            (r#"{"jsonrpc":"2.0","method":"cancel","params":{"id":7}}"#, Request::Cancel(json!(7))),
+            (r#"{"jsonrpc":"2.0","method":"cancel"}"#, Request::Nothing),
+            (r#"{"jsonrpc":"2.0","method":"call","params":{}}"#, Request::Nothing),
+            (r#"{"jsonrpc":"2.0","method":"sing"}"#, Request::Nothing),
+            (r#"{"jsonrpc":"2.0","id":0,"method":"ready"}"#, Request::Ready(json!(0))),
+        ];
+        for (text, expected) in cases {
+            assert_eq!(read_line(text.as_bytes()), Line::One(expected), "{text}");
+        }
+        let batch = format!("[{},1]", cases_text());
+        let Line::Batch(requests) = read_line(batch.as_bytes()) else { panic!("a batch") };
+        assert_eq!((requests.len(), has_reply(&requests[0]), has_reply(&requests[1])), (2, false, true));
+    }
+
+    fn cases_text() -> &'static str {
+        r#"{"jsonrpc":"2.0","method":"cancel","params":{"id":7}}"#
+    }
+
+    #[test]
+    fn answers_are_worded() {
+        let refused = Verdict::Refused { cooldown: Span::millis(250) };
+        let cases = [
+            (Verdict::Served(b"hi".to_vec()), false, json!({"result": {"body": "aGk="}})),
+            (
+                refused.clone(),
+                false,
+                json!({"error": {"code": -32001, "message": "refused", "data": {"cooldown_ms": 250}}}),
+            ),
+            (
+                refused,
+                true,
+                json!({"error": {"code": -32003, "message": "deadline passed",
+                "data": {"outcome": "refused", "cooldown_ms": 250}}}),
+            ),
+            (Verdict::Failed, false, json!({"error": {"code": -32002, "message": "failed"}})),
+            (
+                Verdict::Failed,
+                true,
+                json!({"error": {"code": -32003, "message": "deadline passed", "data": {"outcome": "failed"}}}),
+            ),
+        ];
+        for (verdict, expired, mut expected) in cases {
+            expected["jsonrpc"] = json!("2.0");
+            expected["id"] = json!("7");
+            assert_eq!(response(&json!("7"), &Answer { verdict, expired }), expected);
+        }
+    }
+}
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,6 +1,8 @@
 //! Fronts: what clients speak. Each turns bytes into [`crate::core::Incoming`] calls and answers into bytes.
 
 pub mod frames;
+pub mod jsonrpc;
+pub mod socket;
 
 use crate::interface::Span;
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -101,6 +101,8 @@
     pub ended: bool,
     inbox_limit: usize,
     outbox_limit: usize,
+    /// Reading stopped short of what the socket had: it must be asked anew.
+    held: bool,
 }
 
 impl Link {
@@ -108,7 +110,8 @@
         let (inbox_limit, outbox_limit) = limits;
         let (inbox, outbox) = (Vec::new(), Vec::new());
         let (interest, sent, ended) = (None, 0, false);
-        Link { stream, token, interest, inbox, outbox, sent, up, ended, inbox_limit, outbox_limit }
+        let held = false;
+        Link { stream, token, interest, inbox, outbox, sent, up, ended, inbox_limit, outbox_limit, held }
     }
 
     /// The connection's own number.
@@ -166,8 +169,12 @@
     fn fill(&mut self) -> io::Result<bool> {
         let mut chunk = [0u8; CHUNK];
         loop {
-            if self.held_back() || self.ended {
-                return Ok(self.ended);
+            if self.ended {
+                return Ok(true);
+            }
+            if self.held_back() {
+                self.held = true;
+                return Ok(false);
             }
             match self.stream.read(&mut chunk) {
                 Ok(0) => self.ended = true,
@@ -186,9 +193,12 @@
             (true, true) => Interest::READABLE | Interest::WRITABLE,
             (true, false) => Interest::READABLE,
         };
-        if self.interest == Some(wanted) {
+        // Events come once a change. Input that was left in the socket is only told of again if asked for.
+        let again = self.held && !self.held_back();
+        if self.interest == Some(wanted) && !again {
             return Ok(());
         }
+        self.held &= !again;
         let (token, first) = (self.token, self.interest.is_none());
         self.interest = Some(wanted);
         match first {
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -32,6 +32,8 @@
     pub now: Time,
     /// Whether new calls are taken.
     pub ready: bool,
+    /// Whether this daemon takes new calls on fronts of its host; see [`crate::vrrp`].
+    pub active: bool,
 }
 
 /// A connection as an object: the reactor calls it back with what happens to it.
@@ -113,6 +115,8 @@
     timers: BTreeSet<(Time, Token)>,
     /// Callbacks are handed this; false while the scheduler is not ready.
     pub ready: bool,
+    /// Callbacks are handed this too; false while another daemon is the active one.
+    pub active: bool,
 }
 
 impl Reactor {
@@ -129,6 +133,7 @@
             next: FIRST,
             timers: BTreeSet::new(),
             ready: false,
+            active: true,
         })
     }
 
@@ -224,9 +229,9 @@
 
     /// Calls a connection back, with panics caught: they end this connection alone.
     fn call(&mut self, token: Token, core: &mut Core, what: impl FnOnce(&mut Entry, &mut Hub) -> Flow) {
-        let (now, ready) = (self.clock.now(), self.ready);
+        let (now, ready, active) = (self.clock.now(), self.ready, self.active);
         let Some(entry) = self.entries.get_mut(&token) else { return };
-        let hub = &mut Hub { core, now, ready };
+        let hub = &mut Hub { core, now, ready, active };
         let flow = catch_unwind(AssertUnwindSafe(|| {
             let mut flow = what(entry, hub);
             // What was put in line goes out at once; a connection may put more whenever all has gone.
@@ -266,7 +271,7 @@
         if let Some(at) = entry.due {
             self.timers.remove(&(at, token));
         }
-        let hub = &mut Hub { core, now: self.clock.now(), ready: self.ready };
+        let hub = &mut Hub { core, now: self.clock.now(), ready: self.ready, active: self.active };
         let closed = catch_unwind(AssertUnwindSafe(|| entry.connection.closed(&entry.link, hub)));
         if closed.is_err() {
             hub.core.counters().panics += 1;
