--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -663,3 +663,143 @@
         Reply::Expired => Status::Moot,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MS: fn(u64) -> Time = |ms| Time(1_000_000_000_000 + ms * 1_000_000);
+    const FUNCTION: FunctionId = FunctionId(9);
+
+    fn core() -> Core {
+        let site = crate::settings::read_site(
+            br#"{"fleetSize": 1, "index": 0, "tickNs": 2000000, "classes": [
+                {"name": "safe", "deadlineNs": 3000000000, "effect": "retryable", "objectiveNs": 1000000000},
+                {"name": "keyed", "deadlineNs": 3000000000, "effect": "dedup", "group": "all",
+                 "repeatWindowNs": 1000000000, "objectiveNs": 1000000000},
+                {"name": "unsafe", "deadlineNs": 3000000000, "effect": "fragile", "objectiveNs": 1000000000}],
+              "bounds": {"mostTries": 9, "mayCancel": true},
+              "contract": {"coldFrom": 0.2, "coldNs": 9000000000, "fallMultiple": 3, "fallNs": 2000000000},
+              "familyInfo": {"keepNs": 9000000000, "notLoaded": "load", "mayOrder": true,
+                "loadSpanNs": 5000000000, "loadsAnyway": 3, "loadPart": 0.3}}"#,
+        );
+        let mut core = Core::new(site.unwrap(), 7);
+        let member = |n| Member { worker: WorkerId(n), weight: 1.0, ..Member::default() };
+        core.members(MS(0), ListKind::Full, vec![member(1), member(2)]);
+        core
+    }
+
+    fn call(core: &mut Core, stream: u64, class: &str) -> Vec<Command> {
+        let owner = Owner { connection: 1, stream };
+        let (reference, class) = (format!("{stream:016x}"), class.to_owned());
+        core.call(
+            MS(0),
+            Incoming {
+                owner,
+                reference,
+                class,
+                function: FUNCTION,
+                key: None,
+                memory_mb: 100.0,
+                lanes: 2.0,
+                load_time: None,
+                deadline: MS(3000),
+                body: vec![],
+            },
+        );
+        std::iter::from_fn(|| core.next_command()).collect()
+    }
+
+    fn sent(commands: &[Command]) -> (AttemptId, WorkerId) {
+        let send = commands.iter().find_map(|command| match command {
+            Command::Send { attempt, worker, .. } => Some((*attempt, *worker)),
+            _ => None,
+        });
+        send.expect("it is sent")
+    }
+
+    fn load(core: &mut Core, now: Time) -> OrderId {
+        core.carry_out(now, Action::Load { worker: WorkerId(1), function: FUNCTION, copies: 1 });
+        match core.next_command() {
+            Some(Command::Stage { order, .. }) => order,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// A send that waited for its connection while the drain's grace passed must not go out.
+    #[test]
+    fn what_queued_is_held_back_after_a_drain() {
+        let mut core = core();
+        let (attempt, worker) = sent(&call(&mut core, 1, "safe"));
+        let order = load(&mut core, MS(0));
+        let draining = |worker| Member { worker, state: State::Draining, ..Member::default() };
+        core.members(MS(10), ListKind::Delta, vec![draining(worker), draining(WorkerId(1))]);
+        assert!(core.may_write(MS(11), attempt));
+        assert!(!core.may_write(MS(1950), attempt));
+        assert!(!core.may_write_order(MS(1950), order));
+        core.members(MS(1960), ListKind::Full, vec![]);
+        assert!(!core.may_write(MS(1960), attempt), "absent from the whole list is gone");
+    }
+
+    /// Orders that waited behind a slow connection must not bunch up beyond the ration.
+    #[test]
+    fn the_ration_holds_when_orders_are_written() {
+        let mut core = core();
+        for stream in 0..10 {
+            call(&mut core, stream, "safe");
+        }
+        let orders: Vec<OrderId> = (0..9).map(|_| load(&mut core, MS(0))).collect();
+        let written = orders.iter().filter(|order| core.may_write_order(MS(1), **order)).count();
+        assert_eq!(written, 6, "3 and 30% of 10");
+        let late = load(&mut core, MS(5002));
+        assert!(core.may_write_order(MS(5002), late), "the window has moved on");
+    }
+
+    #[test]
+    fn only_functions_that_were_called_are_loaded() {
+        let mut core = core();
+        let order = load(&mut core, MS(0));
+        assert!(!core.may_write_order(MS(0), order));
+    }
+
+    /// The window counts from the first attempt that may have run, not from the latest.
+    #[test]
+    fn repeats_that_queued_keep_to_their_class() {
+        let broken = |reached| Err(Broken { reached, cause: "test" });
+        let cases = [
+            ("keyed", Reached::Out, MS(900), true),
+            ("keyed", Reached::Out, MS(960), false),
+            ("keyed", Reached::PartlyWritten, MS(2000), true),
+            ("safe", Reached::Out, MS(2000), true),
+            ("unsafe", Reached::PartlyWritten, MS(2000), true),
+        ];
+        for (class, reached, at, allowed) in cases {
+            let mut core = core();
+            let (first, _) = sent(&call(&mut core, 1, class));
+            core.written(MS(1), first);
+            core.attempt_ended(MS(2), first, broken(reached));
+            let commands: Vec<_> = std::iter::from_fn(|| core.next_command()).collect();
+            assert_eq!(core.may_write(at, sent(&commands).0), allowed, "{class} {reached:?}");
+        }
+    }
+
+    #[test]
+    fn a_call_has_one_answer_whatever_still_comes() {
+        let mut core = core();
+        let (first, worker) = sent(&call(&mut core, 1, "safe"));
+        core.written(MS(1), first);
+        core.wake(MS(2999));
+        let answers = |core: &mut Core| {
+            std::iter::from_fn(|| core.next_command()).filter(|c| matches!(c, Command::Answer { .. })).count()
+        };
+        assert_eq!(answers(&mut core), 1, "at its end");
+        core.attempt_ended(MS(3000), first, Ok(Reply::Ok(vec![])));
+        core.members(MS(3000), ListKind::Delta, vec![Member { worker, ..Member::default() }]);
+        core.wake(MS(9000));
+        assert_eq!((answers(&mut core), core.owed()), (0, 0));
+        let commands = call(&mut core, 2, "no such class");
+        assert!(
+            matches!(&commands[..], [Command::Answer { answer, .. }] if answer.verdict == Verdict::Failed)
+        );
+    }
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -51,12 +51,12 @@
 }
 
 impl Daemon {
-    fn new(config: Config, operator: Operator) -> io::Result<Daemon> {
+    fn new(mut config: Config, operator: Operator) -> io::Result<Daemon> {
         let mut reactor = Reactor::new(SystemClock::new())?;
         let end = signal_pipe(&[SIGTERM, SIGINT])?;
         let print = signal_pipe(&[SIGUSR1])?;
         let pipes = (reactor.watch(end)?, reactor.watch(print)?);
-        reactor.listen(config.listen)?;
+        config.listen = reactor.listen(config.listen)?;
         let rpc = match &operator.jsonrpc {
             None => None,
             Some(front) => {
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -147,9 +147,12 @@
         self.entries.len()
     }
 
-    /// Listens on a TCP address; the listener's number.
-    pub fn listen(&mut self, at: SocketAddr) -> io::Result<usize> {
-        self.add_listener(Listener::Tcp(TcpListener::bind(at)?))
+    /// Listens on a TCP address; the address, with its port where any would do.
+    pub fn listen(&mut self, at: SocketAddr) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind(at)?;
+        let at = listener.local_addr()?;
+        self.add_listener(Listener::Tcp(listener))?;
+        Ok(at)
     }
 
     /// Listens on a Unix socket that has been made; the listener's number.
--- /dev/null
+++ b/tests/jsonrpc.rs
@@ -0,0 +1,329 @@
+//! The second front on real sockets: clients and checkers that speak JSON-RPC.
+
+mod rig;
+
+use rig::*;
+use serde_json::{Value, json};
+use std::io::Write;
+use std::os::unix::fs::PermissionsExt;
+use std::os::unix::net::UnixListener;
+use std::path::PathBuf;
+
+const REF: &str = "9b1f03aa5c7e2d41";
+
+fn operator(folder: &Folder) -> String {
+    format!("[jsonrpc]\nsocket = {:?}\nmax_line = 40000\n", folder.at("calls.sock"))
+}
+
+fn start(workers: &[&Worker]) -> Daemon {
+    Daemon::with(workers, settings(), None, operator)
+}
+
+fn connect(daemon: &Daemon) -> Rpc {
+    Rpc::connect(&daemon.folder.at("calls.sock"))
+}
+
+#[test]
+fn calls_are_served_and_ids_keep_their_types() {
+    let worker = Worker::agent();
+    let daemon = start(&[&worker]);
+    worker.serve(echo);
+    let mut client = connect(&daemon);
+    for id in [
+        json!("7"),
+        json!(7),
+        json!(-1.5),
+        Value::Null,
+        serde_json::from_str("18446744073709551617").unwrap(),
+    ] {
+        client.send(&rpc_call(&id, "practice-check", REF, 2900, "aGk=").to_string());
+        assert_eq!(client.next(), json!({"jsonrpc": "2.0", "id": id, "result": {"body": "aGk="}}));
+    }
+    client.send(r#"{"jsonrpc":"2.0","id":1,"method":"ready"}"#);
+    assert_eq!(client.next()["result"], json!({"ready": true}));
+}
+
+#[test]
+fn a_batch_has_one_reply_and_notifications_none() {
+    let worker = Worker::agent();
+    let daemon = start(&[&worker]);
+    let lines = worker.serve(echo);
+    let mut client = connect(&daemon);
+    let mut silent = rpc_call(&Value::Null, "practice-check", REF, 2900, "");
+    silent.as_object_mut().unwrap().remove("id");
+    client.send(&silent.to_string());
+    client.send(&json!([silent, silent]).to_string());
+    let batch = json!([
+        rpc_call(&json!(1), "practice-check", REF, 2900, "YQ=="),
+        silent,
+        5,
+        rpc_call(&json!("b"), "practice-check", "00000000000000aa", 2900, "Yg==")
+    ]);
+    client.send(&batch.to_string());
+    let reply = client.next();
+    let mut ids: Vec<String> = reply.as_array().unwrap().iter().map(|r| r["id"].to_string()).collect();
+    ids.sort();
+    assert_eq!(ids, ["\"b\"", "1", "null"]);
+    assert_eq!(tally(&lines)["go"], 2, "a call that nobody could be answered about is not taken");
+}
+
+#[test]
+fn a_bad_frame_gets_its_error_and_the_others_go_on() {
+    let worker = Worker::agent();
+    let daemon = start(&[&worker]);
+    worker.serve(echo);
+    let (mut client, mut other) = (connect(&daemon), connect(&daemon));
+    let long = format!("\"{}\"", "x".repeat(300_000));
+    for (line, code) in [("{\"jsonrpc\"", -32700), ("[]", -32600), (long.as_str(), -32600), ("3", -32600)] {
+        client.send(line);
+        let reply = client.next();
+        assert_eq!((&reply["error"]["code"], &reply["id"]), (&json!(code), &Value::Null));
+    }
+    for client in [&mut client, &mut other] {
+        client.send(&rpc_call(&json!(1), "practice-check", REF, 2900, "aGk=").to_string());
+        assert_eq!(client.next()["result"]["body"], "aGk=");
+    }
+    let mut cut = connect(&daemon);
+    cut.0.get_mut().write_all(b"{\"jsonrpc\":\"2.0\",").unwrap();
+    cut.0.get_mut().shutdown(std::net::Shutdown::Write).unwrap();
+    assert_eq!(cut.next()["error"]["code"], -32700, "the line has no end");
+}
+
+/// A client that does not read must neither grow the daemon nor stall once it reads again.
+#[test]
+fn output_that_nobody_reads_holds_input_back_until_somebody_does() {
+    let worker = Worker::agent();
+    let daemon = start(&[&worker]);
+    let client = connect(&daemon);
+    let mut write = client.0.get_ref().try_clone().unwrap();
+    let count = 40_000;
+    let writer = std::thread::spawn(move || {
+        for n in 0..count {
+            write
+                .write_all(format!("{{\"jsonrpc\":\"2.0\",\"id\":{n},\"method\":\"sing\"}}\n").as_bytes())
+                .unwrap();
+        }
+    });
+    let mut client = client;
+    daemon.wait_counter("malformed", 1000);
+    for n in 0..count {
+        assert_eq!(client.next()["id"], json!(n));
+    }
+    writer.join().unwrap();
+}
+
+#[test]
+fn refusals_failures_and_deadlines_have_their_codes() {
+    let worker = Worker::agent();
+    let daemon = start(&[&worker]);
+    let mut client = connect(&daemon);
+    client.send(&rpc_call(&json!(1), "no-such-class", REF, 2900, "").to_string());
+    assert_eq!(client.next()["error"]["code"], -32002);
+    client.send(&rpc_call(&json!(2), "practice-check", REF, 2900, "").to_string());
+    for _ in 0..3 {
+        worker.next().answer("503", "");
+    }
+    let error = client.next()["error"].clone();
+    assert_eq!((&error["code"], &error["data"]["cooldown_ms"]), (&json!(-32001), &json!(250)));
+    client.send(&rpc_call(&json!(3), "practice-check", REF, 1000, "").to_string());
+    assert_eq!(worker.next().word(), "go");
+    let error = client.next()["error"].clone();
+    assert_eq!((&error["code"], &error["data"]["outcome"]), (&json!(-32003), &json!("refused")));
+    assert_eq!(worker.next().word(), "halt");
+}
+
+#[test]
+fn a_client_that_cancels_or_closes_leaks_nothing() {
+    let worker = Worker::agent();
+    let daemon = start(&[&worker]);
+    let mut client = connect(&daemon);
+    client.send(&rpc_call(&json!(1), "practice-check", REF, 2900, "").to_string());
+    let mut heard = worker.next();
+    client.send(r#"{"jsonrpc":"2.0","method":"cancel","params":{"id":"1"}}"#);
+    client.send(r#"{"jsonrpc":"2.0","method":"cancel","params":{"id":1}}"#);
+    assert_eq!(client.next()["error"]["code"], -32004);
+    heard.answer("200", "");
+    client.send(&rpc_call(&json!(1), "practice-check", "00000000000000aa", 2900, "").to_string());
+    worker.next();
+    drop(client);
+    daemon.wait_counter("withdrawn", 2);
+    assert_eq!((daemon.counter("taken"), daemon.counter("served"), daemon.counter("panics")), (2, 0, 0));
+    let mut again = connect(&daemon);
+    again.send(r#"{"jsonrpc":"2.0","id":1,"method":"ready"}"#);
+    assert_eq!(again.next()["result"]["ready"], true);
+}
+
+#[test]
+fn checkers_on_unix_sockets_serve_both_fronts_under_the_same_rules() {
+    let folder = Folder::new();
+    let checker = Worker::checker(&folder.at("checker.sock"));
+    let path: PathBuf = folder.at("checker.sock");
+    let daemon = Daemon::with(&[], settings(), None, |folder| {
+        format!("{}[[checkers]]\nid = \"s-0000c001\"\nsocket = {path:?}\n", operator(folder))
+    });
+    let mut client = connect(&daemon);
+    client.send(&rpc_call(&json!(1), "credit-submit", REF, 2900, "aGk=").to_string());
+    let mut heard = checker.next();
+    assert_eq!((heard.word(), heard.name().as_str()), ("go", REF));
+    assert_eq!(heard.line["params"]["key"], "5c0f6e1a2b3d4c59a8b7c6d5e4f30211");
+    heard.answer("500", "");
+    checker.next().answer("200", "YQ==");
+    assert_eq!(client.next()["result"]["body"], "YQ==");
+    let mut frames = Frames::connect(&daemon);
+    frames.send(&frame(0, 1, &call("practice-check", "00000000000000aa", 2900, b"")));
+    checker.next().answer("200", "Yg==");
+    assert_eq!(frames.next(), Some((1, 1, vec![79, 0, b'b'])));
+    frames.send(&frame(0, 2, &call("practice-check", "00000000000000bb", 1000, b"")));
+    checker.next();
+    let (_, _, payload) = frames.next().unwrap();
+    assert_eq!(payload[0], 66);
+    assert_eq!(checker.next().word(), "halt");
+}
+
+/// `credit-submit` is not resent beyond its key's window, by this front either.
+#[test]
+fn a_keyed_call_outside_its_window_is_sent_once() {
+    let worker = Worker::agent();
+    let mut settings = settings();
+    settings["classes"][1]["repeatWindowNs"] = json!(1);
+    let daemon = Daemon::with(&[&worker], settings, None, operator);
+    let mut client = connect(&daemon);
+    client.send(&rpc_call(&json!(1), "credit-submit", REF, 2900, "").to_string());
+    worker.next().end();
+    assert_eq!(client.next()["error"]["code"], -32001);
+    client.send(r#"{"jsonrpc":"2.0","id":2,"method":"ready"}"#);
+    assert_eq!((client.next()["id"].clone(), worker.quiet()), (json!(2), true));
+}
+
+#[test]
+fn stale_sockets_are_replaced_and_others_left_alone() {
+    let worker = Worker::agent();
+    let folder = Folder::new();
+    let path = folder.at("calls.sock");
+    let fail = |path: &PathBuf| {
+        let text = format!("[jsonrpc]\nsocket = {path:?}\n");
+        std::fs::write(folder.at("operator.toml"), text).unwrap();
+        let config = json!({"listen": "127.0.0.1:0", "settings": settings()});
+        std::fs::write(folder.at("config.json"), config.to_string()).unwrap();
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_mintgate"));
+        command.env("GW_CONFIG", folder.at("config.json")).arg("--operator").arg(folder.at("operator.toml"));
+        !command.stderr(std::process::Stdio::null()).status().unwrap().success()
+    };
+    std::fs::write(&path, "precious").unwrap();
+    assert!(fail(&path), "no socket");
+    assert_eq!(std::fs::read_to_string(&path).unwrap(), "precious");
+    std::fs::remove_file(&path).unwrap();
+    let live = UnixListener::bind(&path).unwrap();
+    assert!(fail(&path), "somebody listens");
+    drop(live);
+    let mut daemon = Daemon::with(&[&worker], settings(), None, |_| {
+        format!("[jsonrpc]\nsocket = {path:?}\nmode = \"600\"\n")
+    });
+    assert_eq!(std::fs::metadata(&path).unwrap().permissions().mode() & 0o777, 0o600);
+    Rpc::connect(&path);
+    daemon.signal("TERM");
+    daemon.child.wait().unwrap();
+    assert!(!path.exists(), "taken away at the end");
+}
+
+/// Identical calls over both framings: the same outcomes and the same number of orders to load.
+#[test]
+fn both_framings_have_the_same_outcomes_and_orders() {
+    fn outcome(payload: &[u8]) -> (u8, Vec<u8>) {
+        (payload[0], if payload[0] == 79 { payload[2..].to_vec() } else { vec![] })
+    }
+    // What becomes of a call hangs on its body alone.
+    let how = |heard: &Heard| match heard.word() {
+        "go" => match heard.line["content"].as_str().unwrap() {
+            "ZnVsbA==" => Some(("503", String::new())),
+            "ZXJyb3I=" => Some(("500", String::new())),
+            "c2lsZW5jZQ==" => None,
+            body => Some(("200", body.to_owned())),
+        },
+        _ => echo(heard),
+    };
+    let calls: Vec<(&str, &str)> = (0..160)
+        .map(|n| {
+            let class = if n % 3 == 0 { "credit-submit" } else { "practice-check" };
+            let body = match n % 40 {
+                7 => "ZnVsbA==",
+                17 => "ZXJyb3I=",
+                27 if n < 40 => "c2lsZW5jZQ==",
+                _ => "aGk=",
+            };
+            (class, body)
+        })
+        .collect();
+    let allow = |body: &str| if body == "c2lsZW5jZQ==" { 700 } else { 2900 };
+    let mut seen = Vec::new();
+    for framing in ["frames", "jsonrpc"] {
+        let workers = [Worker::agent(), Worker::agent()];
+        // No function fits into gold: its holds come by the clock, and a slow machine would see more of them.
+        let mut settings = settings();
+        settings["familyInfo"]["memoryMbByKind"] = json!([1000.0]);
+        let daemon = Daemon::with(&[&workers[0], &workers[1]], settings, None, operator);
+        let lines: Vec<Lines> = workers.into_iter().map(|worker| worker.serve(how)).collect();
+        let mut outcomes = Vec::new();
+        let mut frames = Frames::connect(&daemon);
+        let mut rpc = connect(&daemon);
+        // A burst that nobody answers fills the lanes of the first copy: a load is ordered elsewhere.
+        for n in 1000..1012 {
+            let reference = format!("{n:016x}");
+            match framing {
+                "frames" => frames.send(&frame(0, n, &call("practice-check", &reference, 1500, b"silence"))),
+                _ => rpc.send(
+                    &rpc_call(&json!(n), "practice-check", &reference, 1500, "c2lsZW5jZQ==").to_string(),
+                ),
+            }
+        }
+        for _ in 0..12 {
+            let refused = match framing {
+                "frames" => frames.next().unwrap().2[0] == 66,
+                _ => rpc.next()["error"]["data"]["outcome"] == "refused",
+            };
+            assert!(refused);
+        }
+        for (n, (class, body)) in calls.iter().enumerate() {
+            let reference = format!("{n:016x}");
+            let outcome = match framing {
+                "frames" => {
+                    let bytes = match *body {
+                        "ZnVsbA==" => "full",
+                        "ZXJyb3I=" => "error",
+                        "c2lsZW5jZQ==" => "silence",
+                        _ => "hi",
+                    };
+                    frames.send(&frame(
+                        0,
+                        n as u32 + 1,
+                        &call(class, &reference, allow(body), bytes.as_bytes()),
+                    ));
+                    outcome(&frames.next().unwrap().2)
+                }
+                _ => {
+                    rpc.send(&rpc_call(&json!(n), class, &reference, allow(body), body).to_string());
+                    let reply = rpc.next();
+                    match (
+                        &reply["result"]["body"],
+                        &reply["error"]["code"],
+                        &reply["error"]["data"]["outcome"],
+                    ) {
+                        (Value::String(body), _, _) if body == "aGk=" => (79, b"hi".to_vec()),
+                        (_, code, outcome) if *code == -32001 || outcome == "refused" => (66, vec![]),
+                        _ => (69, vec![]),
+                    }
+                }
+            };
+            outcomes.push(outcome);
+        }
+        let mut words = std::collections::BTreeMap::new();
+        for (word, count) in lines.iter().flat_map(tally) {
+            *words.entry(word).or_insert(0) += count;
+        }
+        seen.push((outcomes, words));
+    }
+    assert_eq!(seen[0], seen[1]);
+    assert_eq!(seen[0].1["stage"], 1, "{:?}", seen[0].1);
+    let refused = seen[0].0.iter().filter(|(code, _)| *code == 66).count();
+    assert_eq!(refused, 4 + 4 + 1, "full, error and silence");
+}
--- /dev/null
+++ b/tests/sockets.rs
@@ -0,0 +1,290 @@
+//! The rules on real sockets: the daemon between stand-in workers, a stand-in bus and clients.
+
+mod rig;
+
+use rig::*;
+use serde_json::json;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+
+const REF: &str = "9b1f03aa5c7e2d41";
+
+/// Nothing more has come for the client before the answer to this.
+fn only_ready(client: &mut Frames, code: u8) {
+    client.send(&frame(6, 99, &[0]));
+    assert_eq!(client.next(), Some((7, 99, vec![code, 0])), "no second answer");
+}
+
+#[test]
+fn a_call_is_served_with_the_workers_body_however_its_bytes_come() {
+    let worker = Worker::agent();
+    let daemon = Daemon::start(&[&worker]);
+    let lines = worker.serve(echo);
+    let mut client = Frames::connect(&daemon);
+    let body: Vec<u8> = (0..=255).collect();
+    for byte in frame(0, 1, &call("practice-check", REF, 2000, &body)) {
+        client.send(&[byte]);
+    }
+    assert_eq!(client.next(), Some((1, 1, [&[79, 0][..], &body].concat())));
+    let joined: Vec<u8> =
+        (2..10).flat_map(|n| frame(0, n, &call("practice-check", REF, 2000, &[n as u8]))).collect();
+    client.send(&joined);
+    let mut answers: Vec<_> = (2..10).map(|_| client.next().unwrap()).collect();
+    answers.sort();
+    assert_eq!(answers, (2..10).map(|n| (1, n, vec![79, 0, n as u8])).collect::<Vec<_>>());
+    let first = lines.0.lock().unwrap()[0].clone();
+    assert_eq!((&first["rid"], &first["attrs"]["lane"]), (&json!(REF), &json!("practice-check")));
+    assert_eq!(first["attrs"]["dedupe"], "5c0f6e1a2b3d4c59a8b7c6d5e4f30211");
+}
+
+#[test]
+fn malformed_input_ends_its_connection_and_no_other() {
+    let worker = Worker::agent();
+    let daemon = Daemon::start(&[&worker]);
+    worker.serve(echo);
+    let mut other = Frames::connect(&daemon);
+    let good = frame(0, 1, &call("practice-check", REF, 2000, b"x"));
+    let cases: Vec<(&str, Vec<u8>)> = vec![
+        ("length 0", vec![0; 4]),
+        ("length above the limit", vec![0, 4, 0, 1]),
+        ("unknown type", frame(3, 1, &[])),
+        ("stream 0", frame(0, 0, &call("practice-check", REF, 2000, b""))),
+        ("fields cut short", frame(0, 1, &[5, 1])),
+        ("fields that are no text", frame(0, 1, &[1, 1, 0xff, 0, 0])),
+        ("a stream used before", [good.clone(), good.clone()].concat()),
+    ];
+    for (what, bytes) in cases {
+        let mut client = Frames::connect(&daemon);
+        client.send(&bytes);
+        let frames: Vec<_> = std::iter::from_fn(|| client.next()).collect();
+        assert_eq!(frames.last(), Some(&(1, 0, vec![69, 0])), "{what}");
+    }
+    other.send(&good);
+    assert_eq!(other.next(), Some((1, 1, vec![79, 0, b'x'])));
+    assert_eq!(daemon.counter("panics"), 0);
+}
+
+#[test]
+fn a_call_that_cannot_be_used_has_failed_and_its_connection_goes_on() {
+    let worker = Worker::agent();
+    let daemon = Daemon::start(&[&worker]);
+    worker.serve(echo);
+    let mut client = Frames::connect(&daemon);
+    let cases = [
+        call("no-such-class", REF, 2000, b""),
+        call("practice-check", "not hex", 2000, b""),
+        request(&[("service", "practice-check"), ("ref", REF), ("allow", "9"), ("lookup", "zz")], b""),
+        call("practice-check", REF, 2000, &[0; 16 * 1024 + 1]),
+    ];
+    for (n, payload) in cases.iter().enumerate() {
+        client.send(&frame(0, n as u32 + 1, payload));
+        assert_eq!(client.next(), Some((1, n as u32 + 1, vec![69, 0])), "case {n}");
+    }
+    client.send(&frame(0, 9, &call("practice-check", REF, 2000, b"x")));
+    assert_eq!(client.next(), Some((1, 9, vec![79, 0, b'x'])));
+}
+
+#[test]
+fn a_refused_connection_proves_that_nothing_ran() {
+    // An address that no other test binds, so that nobody takes the port over.
+    let gone = TcpListener::bind("127.0.0.77:0").unwrap();
+    let mut dead = Worker::agent();
+    dead.at = At::Tcp(gone.local_addr().unwrap());
+    drop(gone);
+    let worker = Worker::agent();
+    let daemon = Daemon::start(&[&dead, &worker]);
+    worker.serve(echo);
+    let mut client = Frames::connect(&daemon);
+    for n in 1..20 {
+        client.send(&frame(0, n, &call("credit-submit", &format!("{n:016x}"), 2900, b"x")));
+        assert_eq!(client.next(), Some((1, n, vec![79, 0, b'x'])), "sent on to the other worker");
+    }
+}
+
+/// A reset after the write proves nothing: outside its key's window the call must not go out again.
+#[test]
+fn a_keyed_call_is_sent_again_only_inside_its_window() {
+    for (window, expected) in [(6_000_000_000u64, 3), (1, 1)] {
+        let worker = Worker::agent();
+        let mut settings = settings();
+        settings["classes"][1]["repeatWindowNs"] = json!(window);
+        let daemon = Daemon::with(&[&worker], settings, None, |_| String::new());
+        let mut client = Frames::connect(&daemon);
+        client.send(&frame(0, 1, &call("credit-submit", REF, 2900, b"")));
+        let mut keys = Vec::new();
+        for _ in 0..expected {
+            let heard = worker.next();
+            keys.push(heard.line["attrs"]["dedupe"].clone());
+            heard.end();
+        }
+        let (kind, stream, payload) = client.next().unwrap();
+        assert_eq!(
+            (kind, stream, payload[0]),
+            (1, 1, 66),
+            "all workers drop a repeat, so a refusal is harmless"
+        );
+        only_ready(&mut client, 79);
+        assert!(worker.quiet(), "window {window}");
+        assert!(keys.iter().all(|key| key == "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"));
+    }
+}
+
+#[test]
+fn two_open_attempts_of_one_name_do_not_share_a_connection() {
+    let worker = Worker::agent();
+    let daemon = Daemon::start(&[&worker]);
+    let mut client = Frames::connect(&daemon);
+    client.send(&frame(0, 1, &call("practice-check", REF, 2900, b"a")));
+    client.send(&frame(0, 2, &call("practice-check", REF, 2900, b"b")));
+    let (mut one, mut two) = (worker.next(), worker.next());
+    assert_ne!(one.connection, two.connection);
+    two.answer("200", "Yg==");
+    assert_eq!(client.next(), Some((1, 2, vec![79, 0, b'b'])));
+    one.answer("200", "YQ==");
+    assert_eq!(client.next(), Some((1, 1, vec![79, 0, b'a'])));
+}
+
+/// The late answer of a call that was given up must not be taken for the answer of a newer one.
+#[test]
+fn a_late_answer_belongs_to_nobody() {
+    let worker = Worker::agent();
+    let daemon = Daemon::start(&[&worker]);
+    let mut client = Frames::connect(&daemon);
+    client.send(&frame(0, 1, &call("practice-check", REF, 1000, b"a")));
+    let mut old = worker.next();
+    let (kind, stream, payload) = client.next().unwrap();
+    assert_eq!((kind, stream, payload[0]), (1, 1, 66), "refused at its deadline: safe to repeat");
+    assert_eq!(worker.next().word(), "halt");
+    client.send(&frame(0, 2, &call("practice-check", REF, 2900, b"b")));
+    let mut new = worker.next();
+    assert_ne!(old.connection, new.connection);
+    old.answer("200", "b2xk");
+    new.answer("200", "bmV3");
+    assert_eq!(client.next(), Some((1, 2, b"\x4f\0new".to_vec())));
+    only_ready(&mut client, 79);
+}
+
+#[test]
+fn a_withdrawn_call_and_a_closed_client_are_owed_nothing() {
+    let worker = Worker::agent();
+    let daemon = Daemon::start(&[&worker]);
+    let mut client = Frames::connect(&daemon);
+    client.send(&frame(0, 1, &call("practice-check", REF, 2900, b"")));
+    let mut heard = worker.next();
+    client.send(&frame(2, 1, &[]));
+    only_ready(&mut client, 79);
+    heard.answer("200", "");
+    only_ready(&mut client, 79);
+    let mut leaving = Frames::connect(&daemon);
+    leaving.send(&frame(0, 1, &call("practice-check", "00000000000000aa", 2900, b"")));
+    worker.next();
+    drop(leaving);
+    daemon.wait_counter("withdrawn", 2);
+    assert_eq!((daemon.counter("taken"), daemon.counter("served")), (2, 0));
+}
+
+#[test]
+fn what_a_worker_says_amiss_harms_only_its_own_call() {
+    let worker = Worker::agent();
+    let daemon = Daemon::start(&[&worker]);
+    let mut client = Frames::connect(&daemon);
+    let odd = [json!(7), json!({"verb": "200"}), json!({"verb": "200", "rid": "nobody"}), json!([])];
+    for (n, line) in odd.into_iter().enumerate() {
+        let (n, name) = (n as u32 + 1, format!("{n:016x}"));
+        client.send(&frame(0, n, &call("practice-check", &name, 2900, b"")));
+        let mut heard = worker.next();
+        heard.say(line);
+        heard.answer("200", "eA==");
+        assert_eq!(client.next(), Some((1, n, vec![79, 0, b'x'])));
+        heard.answer("200", "eQ==");
+    }
+    only_ready(&mut client, 79);
+}
+
+/// A bus that the test plays by hand.
+struct Bus(TcpListener);
+
+impl Bus {
+    fn new() -> Bus {
+        Bus(TcpListener::bind("127.0.0.1:0").unwrap())
+    }
+
+    /// The next connection and the offset from which it wants to go on.
+    fn accept(&self) -> (TcpStream, u64) {
+        let (mut stream, _) = self.0.accept().unwrap();
+        let mut offset = [0; 8];
+        stream.read_exact(&mut offset).unwrap();
+        (stream, u64::from_be_bytes(offset))
+    }
+}
+
+fn event(offset: u64, id: u32, worker: &Worker, state: u8) -> Vec<u8> {
+    let mut record = id.to_be_bytes().to_vec();
+    record.extend([127, 0, 0, 1]);
+    record.extend(worker.address().port().to_be_bytes());
+    record.extend([state, 0, 0, 0, 0]);
+    record.extend(4000u32.to_be_bytes());
+    record.extend(0u64.to_be_bytes());
+    [&(9 + record.len() as u32).to_be_bytes()[..], &offset.to_be_bytes(), &[2], &record].concat()
+}
+
+#[test]
+fn a_worker_told_to_drain_or_gone_sees_nothing_new_and_the_bus_goes_on_where_it_was() {
+    let (first, second, bus) = (Worker::agent(), Worker::agent(), Bus::new());
+    let daemon = Daemon::with(&[&first], settings(), Some(bus.0.local_addr().unwrap()), |_| String::new());
+    let (mut feed, offset) = bus.accept();
+    assert_eq!(offset, 1);
+    let told = [event(2, 2, &second, 0), event(3, 1, &first, 1)].concat();
+    let (half, rest) = told.split_at(30);
+    feed.write_all(half).unwrap();
+    feed.write_all(rest).unwrap();
+    daemon.wait_counter("list_events", 3);
+    drop(feed);
+    let (mut feed, offset) = bus.accept();
+    assert_eq!(offset, 3, "from the last event");
+    feed.write_all(&[event(3, 1, &first, 0), vec![0, 0, 0, 1]].concat()).unwrap();
+    let (_feed, offset) = bus.accept();
+    assert_eq!(offset, 3, "an old event says nothing new, and a bad frame ends the connection");
+    let lines = second.serve(echo);
+    let mut client = Frames::connect(&daemon);
+    for n in 1..20 {
+        client.send(&frame(0, n, &call("practice-check", &format!("{n:016x}"), 2900, b"x")));
+        assert_eq!(client.next(), Some((1, n, vec![79, 0, b'x'])));
+    }
+    assert!(first.quiet(), "nothing new to the draining worker");
+    assert_eq!(tally(&lines)["go"], 19);
+}
+
+#[test]
+fn at_sigterm_what_still_comes_is_answered() {
+    let worker = Worker::agent();
+    let mut daemon = Daemon::start(&[&worker]);
+    let mut client = Frames::connect(&daemon);
+    only_ready(&mut client, 79);
+    client.send(&frame(0, 1, &call("practice-check", REF, 2900, b"")));
+    let mut heard = worker.next();
+    daemon.signal("TERM");
+    assert_eq!(client.next(), Some((9, 0, vec![])));
+    only_ready(&mut client, 66);
+    let mut late = Frames::connect(&daemon);
+    late.send(&frame(0, 1, &call("practice-check", "00000000000000aa", 2900, b"")));
+    worker.next().answer("200", "eA==");
+    assert_eq!(late.next(), Some((1, 1, vec![79, 0, b'x'])));
+    heard.answer("200", "eQ==");
+    assert_eq!(client.next(), Some((1, 1, vec![79, 0, b'y'])));
+    assert!(daemon.child.wait().unwrap().success());
+    assert!(daemon.wait_log("ended").contains(" served=2 "));
+}
+
+#[test]
+fn more_clients_than_descriptors_do_not_stop_service() {
+    let worker = Worker::agent();
+    let daemon = Daemon::start(&[&worker]);
+    worker.serve(echo);
+    let _idle: Vec<_> = (0..300).map(|_| TcpStream::connect(daemon.listen).unwrap()).collect();
+    let mut client = Frames::connect(&daemon);
+    client.send(&frame(0, 1, &call("practice-check", REF, 2900, b"x")));
+    assert_eq!(client.next(), Some((1, 1, vec![79, 0, b'x'])));
+    let held = std::fs::read_dir(format!("/proc/{}/fd", daemon.child.id())).unwrap().count();
+    assert!(held <= 256, "{held} descriptors");
+}
