Add VRRP: of several daemons the active one takes new calls on the second front

RFC 9568's state machine is pure (src/vrrp/mod.rs) and tested as one table of states and events; version 3 advertisements (src/vrrp/packet.rs) go over UDP between loopback peers of the operator's file. Off on the platform.

--- a/src/config.rs
+++ b/src/config.rs
@@ -5,7 +5,7 @@
 use crate::settings::{Site, read_site};
 use serde::Deserialize;
 use serde_json::Value;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 
 /// The platform's configuration.
@@ -147,6 +147,38 @@
     pub jsonrpc: Option<JsonRpc>,
     /// Checkers on Unix sockets of this host.
     pub checkers: Vec<Checker>,
+    /// Which daemon takes new calls on the JSON-RPC front; without it, this one does.
+    pub vrrp: Option<Vrrp>,
+}
+
+/// The virtual router that this daemon belongs to.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Vrrp {
+    /// Its number, 1 to 255.
+    pub vrid: u8,
+    /// This daemon's priority: 1 to 254, or 255 for the owner.
+    pub priority: u8,
+    /// Time between advertisements, in centiseconds: 1 to 4095.
+    #[serde(default = "default_interval")]
+    pub interval_cs: u16,
+    /// Whether it takes over from an active one of lower priority.
+    #[serde(default = "default_preempt")]
+    pub preempt: bool,
+    /// Where this daemon hears advertisements, on a loopback address.
+    pub bind: SocketAddr,
+    /// Where the other daemons do.
+    pub peers: Vec<SocketAddr>,
+    /// The virtual router's address, named in advertisements.
+    pub address: Ipv4Addr,
+}
+
+fn default_interval() -> u16 {
+    100
+}
+
+fn default_preempt() -> bool {
+    true
 }
 
 /// The JSON-RPC front.
@@ -211,6 +243,15 @@
     {
         return Err("operator's file: jsonrpc.max_line is not between 1024 and 1048576".to_owned());
     }
+    if let Some(vrrp) = &operator.vrrp {
+        let bounds = (1..=crate::vrrp::packet::INTERVAL).contains(&vrrp.interval_cs);
+        if vrrp.vrid == 0 || vrrp.priority == 0 || !bounds {
+            return Err("operator's file: vrrp.vrid, priority and interval_cs start from 1".to_owned());
+        }
+        if !vrrp.peers.iter().chain([&vrrp.bind]).all(|address| address.ip().is_loopback()) {
+            return Err("operator's file: vrrp.bind and peers are loopback addresses".to_owned());
+        }
+    }
     let mut names = std::collections::BTreeSet::new();
     for checker in &operator.checkers {
         if read_worker(&checker.id).is_none_or(|id| !names.insert(id)) {
@@ -237,3 +278,80 @@
         self.checkers.iter().filter_map(line).collect()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_operators_file_is_read_and_its_oddities_named() {
+        let whole = include_str!("../deploy/jsonrpc.toml").replace("# [", "[").replace("# id", "id");
+        let commented = [
+            "socket",
+            "zone",
+            "kind",
+            "weight",
+            "vrid",
+            "priority",
+            "interval_cs",
+            "preempt",
+            "bind",
+            "peers",
+            "address",
+        ];
+        let whole = commented
+            .iter()
+            .fold(whole, |text, key| text.replace(&format!("# {key} ="), &format!("{key} =")));
+        let operator = read_operator(&whole).unwrap();
+        assert_eq!(operator.jsonrpc.unwrap().mode, 0o660);
+        assert_eq!((operator.checkers.len(), operator.vrrp.unwrap().vrid), (1, 7));
+        assert!(read_operator("").unwrap().jsonrpc.is_none(), "off where nothing is said");
+        let cases = [
+            ("[jsonrpc]", "socket"),
+            ("[jsonrpc]\nsocket = \"s\"\nmode = \"999\"", "octal"),
+            ("[jsonrpc]\nsocket = \"s\"\nmax_line = 1", "max_line"),
+            ("[jsonrpc]\nsocket = \"s\"\nmax_lines = 1", "max_lines"),
+            ("[[checkers]]\nid = \"c1\"\nsocket = \"s\"", "checker id 'c1'"),
+            (
+                "[vrrp]\nvrid = 0\npriority = 1\nbind = \"127.0.0.1:1\"\npeers = []\naddress = \"127.0.0.9\"",
+                "start from 1",
+            ),
+            (
+                "[vrrp]\nvrid = 1\npriority = 1\nbind = \"10.0.0.1:1\"\npeers = []\naddress = \"127.0.0.9\"",
+                "loopback",
+            ),
+        ];
+        for (text, word) in cases {
+            let error = read_operator(text).unwrap_err();
+            assert!(error.contains(word), "{text}: {error}");
+        }
+    }
+
+    #[test]
+    fn the_configuration_is_read_and_its_oddities_named() {
+        let good = r#"{"name":"n3","listen":"10.0.0.4:10080","seed":"8c1f30d27a5be964","bus":"10.2.0.1:8500",
+            "limits":{"cores":1.0,"memory_mb":2048,"sockets":4096},"known":{"offset":41,"batch":[{"offset":41,"topology":
+            {"rev":7,"all":true,"targets":[{"uid":"s-00c41f7a","endpoint":"10.1.0.9:10080","az":"b","model":"std",
+            "pod_group":2,"state":"SERVING","capacity_hint":4,"boot_ms":5}]}}]},"settings":{"fleetSize":1,"index":0,
+            "zones":["a","b"],"kinds":["std"],"classes":[],"bounds":{"mostTries":3},"contract":{"coldFrom":0.2,
+            "coldNs":1,"fallMultiple":3,"fallNs":1},"familyInfo":{"keepNs":1,"notLoaded":"load","loadSpanNs":0}}}"#;
+        let config = read(good.as_bytes()).unwrap();
+        let member = config.known[0].entries[0].member;
+        assert_eq!((config.seed, config.sockets, config.known[0].offset), (0x8c1f_30d2_7a5b_e964, 4096, 41));
+        assert_eq!(
+            (member.worker, member.zone, member.started),
+            (WorkerId(0xc4_1f7a), ZoneId(1), Some(Time(5_000_000)))
+        );
+        let cases = [
+            ("10.0.0.4:10080", "here", "socket address"),
+            ("s-00c41f7a", "s-1", "uid is 's-1'"),
+            ("SERVING", "SINGING", "state is 'SINGING'"),
+            ("settings", "sittings", "settings"),
+            ("}]}}]", "", "column"),
+        ];
+        for (from, to, word) in cases {
+            let error = read(good.replace(from, to).as_bytes()).unwrap_err();
+            assert!(error.contains(word), "{from}: {error}");
+        }
+    }
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -2,13 +2,15 @@
 
 use crate::backend::{self, Pool};
 use crate::bus::{self, BusConnection, Inbox, News};
-use crate::config::{Config, Operator};
+use crate::config::{self, Config, Operator};
 use crate::core::{Command, Core};
 use crate::front::frames::{self, FrameConnection};
 use crate::front::jsonrpc::RpcConnection;
 use crate::front::socket::{self, SocketFile};
 use crate::interface::{ListKind, Member, Span, State, Time};
 use crate::net::{Reactor, Signal, Stream, SystemClock};
+use crate::vrrp::packet::{Advertisement, LARGEST};
+use crate::vrrp::{self, Event};
 use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -25,6 +27,31 @@
 /// Descriptors kept for the poll, the listeners, the pipes, the bus and the standard streams.
 const RESERVED: usize = 32;
 
+/// The virtual router that decides whether this daemon takes new calls on the second front.
+struct Router {
+    machine: vrrp::Machine,
+    setting: config::Vrrp,
+    socket: usize,
+}
+
+impl Router {
+    fn new(setting: &config::Vrrp, reactor: &mut Reactor) -> io::Result<Router> {
+        let (socket, own) = reactor.hear(setting.bind)?;
+        let machine = vrrp::Machine::new(vrrp::Setting {
+            priority: setting.priority,
+            interval: Span::millis(u64::from(setting.interval_cs) * 10),
+            preempt: setting.preempt,
+            own,
+        });
+        Ok(Router { machine, setting: setting.clone(), socket })
+    }
+
+    fn advertisement(&self, priority: u8) -> Vec<u8> {
+        let (vrid, interval) = (self.setting.vrid, self.setting.interval_cs);
+        Advertisement { vrid, priority, interval, addresses: vec![self.setting.address] }.write()
+    }
+}
+
 struct Daemon {
     core: Core,
     reactor: Reactor,
@@ -38,6 +65,7 @@
     /// The listener of the second front, and its file.
     rpc: Option<(usize, SocketFile)>,
     rpc_clients: BTreeSet<u64>,
+    router: Option<Router>,
     /// The pipes of the signals: to end, and to print counters.
     pipes: (usize, usize),
     /// Since when the daemon is on its way out.
@@ -64,6 +92,11 @@
                 Some((reactor.listen_unix(listener)?, file))
             }
         };
+        let router = match &operator.vrrp {
+            None => None,
+            Some(setting) => Some(Router::new(setting, &mut reactor)?),
+        };
+        reactor.active = router.is_none();
         let core = Core::new(config.site.clone(), config.seed);
         let site = &config.site;
         // Closed before the worker's own limit, or a command could cross its close.
@@ -90,6 +123,7 @@
             fixed,
             rpc,
             rpc_clients: BTreeSet::new(),
+            router,
             pipes,
             ending: None,
             told_late: false,
@@ -108,6 +142,7 @@
         }
         self.settle();
         self.reactor.ready = true;
+        self.vrrp(Event::Startup);
         let at = self.config.listen;
         eprintln!(
             "mintgate: serving name={} listen={at} offset={}",
@@ -115,7 +150,9 @@
             self.inbox.borrow().offset
         );
         loop {
-            let until = self.core.next_due().into_iter().chain(self.bus_again).chain(self.next_step()).min();
+            let router = self.router.as_ref().and_then(|router| router.machine.due());
+            let until = self.core.next_due().into_iter().chain(self.bus_again);
+            let until = until.chain(self.next_step()).chain(router).min();
             for signal in self.reactor.turn(until, &mut self.core)? {
                 match signal {
                     Signal::Client(listener) => self.accept(listener),
@@ -124,8 +161,10 @@
                         eprintln!("mintgate: {}", self.core.counters())
                     }
                     Signal::Pipe(_) => {}
+                    Signal::Datagram(socket) => self.hear(socket),
                 }
             }
+            self.vrrp(Event::Timer);
             self.settle();
             if self.ended() {
                 eprintln!("mintgate: {}", self.core.counters());
@@ -247,6 +286,46 @@
         self.core.members(now, news.kind, members);
     }
 
+    // ---- VRRP
+
+    fn vrrp(&mut self, event: Event) {
+        let Some(router) = &mut self.router else { return };
+        let (now, before) = (self.reactor.now(), router.machine.state());
+        if let Some(advertise) = router.machine.handle(now, event) {
+            let message = router.advertisement(advertise.priority);
+            for peer in &router.setting.peers {
+                self.reactor.send_datagram(router.socket, &message, *peer);
+            }
+        }
+        let state = router.machine.state();
+        self.reactor.active = state == vrrp::State::Active;
+        if state != before {
+            eprintln!("mintgate: vrrp vrid={} state={state:?} was={before:?}", router.setting.vrid);
+        }
+    }
+
+    fn hear(&mut self, socket: usize) {
+        let mut bytes = [0; LARGEST + 1];
+        while let Some((size, from)) = self.reactor.datagram(socket, &mut bytes) {
+            let Some(router) = &self.router else { return };
+            let read = match router.setting.peers.contains(&from) {
+                true => Advertisement::read(&bytes[..size]),
+                false => Err("not from a peer"),
+            };
+            match read {
+                Ok(message) if message.vrid == router.setting.vrid => {
+                    let (priority, interval) = (message.priority, message.span());
+                    self.vrrp(Event::Advertisement { priority, interval, from });
+                }
+                Ok(_) => self.core.counters().vrrp_dropped += 1,
+                Err(why) => {
+                    self.core.counters().vrrp_dropped += 1;
+                    eprintln!("mintgate: vrrp dropped from={from} why=\"{why}\"");
+                }
+            }
+        }
+    }
+
     // ---- The end
 
     /// SIGTERM: no longer ready, clients are asked to leave, but what still comes is taken and answered.
@@ -257,6 +336,7 @@
         eprintln!("mintgate: ending name={} owed={}", self.config.name, self.core.owed());
         self.ending = Some(self.reactor.now());
         self.reactor.ready = false;
+        self.vrrp(Event::Shutdown);
         self.leave_all();
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -74,6 +74,7 @@
 mod interface;
 pub mod net;
 pub mod settings;
+pub mod vrrp;
 
 pub use brain::Balancer;
 pub use interface::*;
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -85,6 +85,8 @@
     Client(usize),
     /// The pipe of this number has something.
     Pipe(usize),
+    /// The UDP socket of this number has something.
+    Datagram(usize),
 }
 
 struct Entry {
@@ -100,6 +102,7 @@
 }
 
 const PIPES: usize = 1 << 8;
+const SOCKETS: usize = 1 << 9;
 const FIRST: usize = 1 << 10;
 
 /// See the module's page.
@@ -176,12 +179,40 @@
     pub fn watch(&mut self, pipe: StdUnixStream) -> io::Result<usize> {
         pipe.set_nonblocking(true)?;
         let mut pipe = UnixStream::from_std(pipe);
-        let number = self.pipes.len() + self.sockets.len();
+        let number = self.pipes.len();
         self.poll.registry().register(&mut pipe, Token(PIPES + number), Interest::READABLE)?;
         self.pipes.push(pipe);
         Ok(number)
     }
 
+    /// Hears datagrams at an address; the socket's number, and the address with its port.
+    pub fn hear(&mut self, at: SocketAddr) -> io::Result<(usize, SocketAddr)> {
+        let mut socket = mio::net::UdpSocket::bind(at)?;
+        let (number, at) = (self.sockets.len(), socket.local_addr()?);
+        self.poll.registry().register(&mut socket, Token(SOCKETS + number), Interest::READABLE)?;
+        self.sockets.push(socket);
+        Ok((number, at))
+    }
+
+    /// The next datagram of a socket, with its sender and size, if there is one.
+    pub fn datagram(&self, socket: usize, into: &mut [u8]) -> Option<(usize, SocketAddr)> {
+        loop {
+            match self.sockets[socket].recv_from(into) {
+                Ok(taken) => return Some(taken),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return None,
+                // A peer that is down shows as an error of the socket; what else waits is still there.
+                Err(e)
+                    if matches!(e.kind(), io::ErrorKind::ConnectionRefused | io::ErrorKind::Interrupted) => {}
+                Err(_) => return None,
+            }
+        }
+    }
+
+    /// Sends a datagram; what the system does not take is lost, as datagrams may be.
+    pub fn send_datagram(&self, socket: usize, bytes: &[u8], to: SocketAddr) {
+        let _ = self.sockets[socket].send_to(bytes, to);
+    }
+
     /// Takes the next client of a listener, if one waits.
     pub fn accept(&mut self, listener: usize) -> io::Result<Option<Stream>> {
         let taken = match &self.listeners[listener] {
@@ -333,6 +364,9 @@
         for (token, readable) in ready {
             match token.0 {
                 number if number < PIPES => signals.push(Signal::Client(number)),
+                number if (SOCKETS..FIRST).contains(&number) => {
+                    signals.push(Signal::Datagram(number - SOCKETS))
+                }
                 number if number < FIRST => {
                     self.empty(number - PIPES);
                     signals.push(Signal::Pipe(number - PIPES));
--- /dev/null
+++ b/src/vrrp/mod.rs
@@ -0,0 +1,228 @@
+//! VRRP (RFC 9568): which of several daemons takes new calls on the fronts of its host.
+//!
+//! [`Machine`] is the protocol's state machine without I/O; [`packet`] is version 3's advertisement. The
+//! daemon carries advertisements over UDP between peers that the operator names, in place of IP multicast:
+//! a datagram from anyone else is dropped, which stands for the protocol's check of the TTL.
+
+pub mod packet;
+
+use crate::interface::{Span, Time};
+use std::net::SocketAddr;
+
+/// States of a virtual router.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// Not started, or shut down.
+    Initialize,
+    /// Watches the active one.
+    Backup,
+    /// Takes new calls.
+    Active,
+}
+
+/// What a virtual router is set to.
+#[derive(Clone, Debug)]
+pub struct Setting {
+    /// 1 to 254; 255 is the owner of the address, always active while it runs.
+    pub priority: u8,
+    /// Time between advertisements of this one while it is active.
+    pub interval: Span,
+    /// Whether it takes over from an active one of lower priority.
+    pub preempt: bool,
+    /// Its own address: between equal priorities the higher address wins.
+    pub own: SocketAddr,
+}
+
+/// What happens to the machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// The daemon serves.
+    Startup,
+    /// The daemon is about to end.
+    Shutdown,
+    /// The time of [`Machine::due`] has come.
+    Timer,
+    /// A valid advertisement of this virtual router has come.
+    Advertisement {
+        /// Its sender's priority; 0 says that the sender stops.
+        priority: u8,
+        /// Its sender's time between advertisements.
+        interval: Span,
+        /// Its sender.
+        from: SocketAddr,
+    },
+}
+
+/// An advertisement to send to all peers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Advertise {
+    /// With this priority.
+    pub priority: u8,
+}
+
+/// The state machine of one virtual router.
+#[derive(Clone, Debug)]
+pub struct Machine {
+    setting: Setting,
+    state: State,
+    /// Adver_Timer while active, Active_Down_Timer while in backup.
+    timer: Option<Time>,
+    /// Active_Adver_Interval: as the active one tells it.
+    active_interval: Span,
+}
+
+impl Machine {
+    /// A machine in Initialize.
+    pub fn new(setting: Setting) -> Machine {
+        let active_interval = setting.interval;
+        Machine { setting, state: State::Initialize, timer: None, active_interval }
+    }
+
+    /// Its state.
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// When [`Event::Timer`] is to be given.
+    pub fn due(&self) -> Option<Time> {
+        self.timer
+    }
+
+    /// Skew_Time: the higher the priority, the sooner a backup steps in.
+    fn skew(&self) -> Span {
+        Span((256 - u64::from(self.setting.priority)) * self.active_interval.0 / 256)
+    }
+
+    /// Active_Down_Interval: three advertisements missed, and the skew.
+    fn active_down(&self) -> Span {
+        Span(3 * self.active_interval.0 + self.skew().0)
+    }
+
+    /// Takes in what has happened; says whether an advertisement is to be sent.
+    pub fn handle(&mut self, now: Time, event: Event) -> Option<Advertise> {
+        match (self.state, event) {
+            (State::Initialize, Event::Startup) => match self.setting.priority {
+                255 => self.rise(now),
+                _ => {
+                    self.active_interval = self.setting.interval;
+                    self.watch(now)
+                }
+            },
+            (State::Initialize, _) => None,
+            (State::Backup, Event::Shutdown) => self.stop(),
+            (State::Active, Event::Shutdown) => {
+                self.stop();
+                Some(Advertise { priority: 0 })
+            }
+            (State::Backup, Event::Timer) if self.timer.is_some_and(|at| at <= now) => self.rise(now),
+            (State::Active, Event::Timer) if self.timer.is_some_and(|at| at <= now) => self.advertise(now),
+            (_, Event::Timer | Event::Startup) => None,
+            // The owner of the address heeds nobody.
+            (_, Event::Advertisement { .. }) if self.setting.priority == 255 => None,
+            (State::Backup, Event::Advertisement { priority: 0, .. }) => {
+                self.timer = Some(now + self.skew());
+                None
+            }
+            (State::Backup, Event::Advertisement { priority, interval, .. }) => {
+                if self.setting.preempt && priority < self.setting.priority {
+                    return None;
+                }
+                self.active_interval = interval;
+                self.watch(now)
+            }
+            (State::Active, Event::Advertisement { priority: 0, .. }) => self.advertise(now),
+            (State::Active, Event::Advertisement { priority, interval, from }) => {
+                if (priority, from) > (self.setting.priority, self.setting.own) {
+                    self.active_interval = interval;
+                    return self.watch(now);
+                }
+                // Tells the other one at once that this one is active.
+                self.advertise(now)
+            }
+        }
+    }
+
+    fn rise(&mut self, now: Time) -> Option<Advertise> {
+        self.state = State::Active;
+        self.advertise(now)
+    }
+
+    fn advertise(&mut self, now: Time) -> Option<Advertise> {
+        self.timer = Some(now + self.setting.interval);
+        Some(Advertise { priority: self.setting.priority })
+    }
+
+    fn watch(&mut self, now: Time) -> Option<Advertise> {
+        self.state = State::Backup;
+        self.timer = Some(now + self.active_down());
+        None
+    }
+
+    fn stop(&mut self) -> Option<Advertise> {
+        (self.state, self.timer) = (State::Initialize, None);
+        None
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MS: fn(u64) -> Time = |ms| Time(ms * 1_000_000);
+
+    fn machine(priority: u8, preempt: bool) -> Machine {
+        let own = "127.0.0.5:9112".parse().unwrap();
+        Machine::new(Setting { priority, interval: Span::millis(1000), preempt, own })
+    }
+
+    fn heard(priority: u8, interval_ms: u64, last: u8) -> Event {
+        let from = SocketAddr::from(([127, 0, 0, last], 9112));
+        Event::Advertisement { priority, interval: Span::millis(interval_ms), from }
+    }
+
+    /// From a state, an event at 10 s leads to a state, its timer and perhaps an advertisement.
+    #[test]
+    fn every_event_in_every_state() {
+        use State::*;
+        // Priority 128 skews by half an interval.
+        let cases = [
+            (Initialize, 128, true, Event::Startup, Backup, Some(13_500), None),
+            (Initialize, 255, true, Event::Startup, Active, Some(11_000), Some(255)),
+            (Initialize, 128, true, heard(200, 1000, 9), Initialize, None, None),
+            (Initialize, 128, true, Event::Timer, Initialize, None, None),
+            (Initialize, 128, true, Event::Shutdown, Initialize, None, None),
+            (Backup, 128, true, Event::Timer, Active, Some(11_000), Some(128)),
+            (Backup, 128, true, Event::Shutdown, Initialize, None, None),
+            (Backup, 128, true, heard(0, 1000, 9), Backup, Some(10_500), None),
+            (Backup, 128, true, heard(128, 1000, 9), Backup, Some(13_500), None),
+            (Backup, 128, true, heard(200, 2000, 9), Backup, Some(17_000), None),
+            (Backup, 128, true, heard(100, 2000, 9), Backup, Some(10_000), None),
+            (Backup, 128, false, heard(100, 2000, 9), Backup, Some(17_000), None),
+            (Active, 128, true, Event::Timer, Active, Some(11_000), Some(128)),
+            (Active, 128, true, Event::Shutdown, Initialize, None, Some(0)),
+            (Active, 128, true, heard(0, 1000, 9), Active, Some(11_000), Some(128)),
+            (Active, 128, true, heard(200, 2000, 1), Backup, Some(17_000), None),
+            (Active, 128, true, heard(128, 1000, 9), Backup, Some(13_500), None),
+            (Active, 128, true, heard(128, 1000, 1), Active, Some(11_000), Some(128)),
+            (Active, 128, true, heard(100, 1000, 9), Active, Some(11_000), Some(128)),
+            (Active, 255, true, heard(255, 1000, 9), Active, Some(10_000), None),
+        ];
+        for (from, priority, preempt, event, to, timer, sent) in cases {
+            let mut machine = machine(priority, preempt);
+            machine.state = from;
+            machine.timer = (from != Initialize).then_some(MS(10_000));
+            let out = machine.handle(MS(10_000), event);
+            let got = (machine.state(), machine.due(), out.map(|advertise| advertise.priority));
+            assert_eq!(got, (to, timer.map(MS), sent), "{from:?} {priority} {preempt} {event:?}");
+        }
+    }
+
+    #[test]
+    fn a_timer_that_was_set_anew_does_not_fire_early() {
+        let mut machine = machine(128, true);
+        machine.handle(MS(0), Event::Startup);
+        machine.handle(MS(3000), heard(200, 1000, 9));
+        assert_eq!(machine.handle(MS(3500), Event::Timer), None);
+        assert_eq!(machine.state(), State::Backup);
+    }
+}
--- /dev/null
+++ b/src/vrrp/packet.rs
@@ -0,0 +1,116 @@
+//! Version 3's advertisement, as bytes.
+
+use crate::interface::Span;
+use std::net::Ipv4Addr;
+
+/// Largest datagram that can hold one: 255 addresses.
+pub const LARGEST: usize = 8 + 4 * 255;
+/// Longest interval, in centiseconds: 12 bits.
+pub const INTERVAL: u16 = 0x0fff;
+
+/// An advertisement.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Advertisement {
+    /// Which virtual router.
+    pub vrid: u8,
+    /// The sender's priority; 0 where it stops.
+    pub priority: u8,
+    /// Max Advertise Interval, in centiseconds.
+    pub interval: u16,
+    /// The addresses of the virtual router.
+    pub addresses: Vec<Ipv4Addr>,
+}
+
+impl Advertisement {
+    /// The interval as a span.
+    pub fn span(&self) -> Span {
+        Span::millis(u64::from(self.interval) * 10)
+    }
+
+    /// The message as it is sent.
+    pub fn write(&self) -> Vec<u8> {
+        let [high, low] = (self.interval & INTERVAL).to_be_bytes();
+        let mut bytes = vec![0x31, self.vrid, self.priority, self.addresses.len() as u8, high, low, 0, 0];
+        self.addresses.iter().for_each(|address| bytes.extend(address.octets()));
+        let sum = checksum(&bytes).to_be_bytes();
+        bytes[6..8].copy_from_slice(&sum);
+        bytes
+    }
+
+    /// Reads a message; the error says why it is to be dropped.
+    pub fn read(bytes: &[u8]) -> Result<Advertisement, &'static str> {
+        let Some((head, rest)) = bytes.split_first_chunk::<8>() else { return Err("cut short") };
+        if head[0] >> 4 != 3 {
+            return Err("not version 3");
+        }
+        if head[0] & 0x0f != 1 {
+            return Err("not an advertisement");
+        }
+        let (addresses, odd) = rest.as_chunks::<4>();
+        if !odd.is_empty() || addresses.len() != usize::from(head[3]) {
+            return Err("length and count differ");
+        }
+        if addresses.is_empty() {
+            return Err("no address");
+        }
+        if checksum(bytes) != 0 {
+            return Err("checksum");
+        }
+        let interval = u16::from_be_bytes([head[4], head[5]]) & INTERVAL;
+        if head[1] == 0 || interval == 0 {
+            return Err("a field is zero");
+        }
+        let addresses = addresses.iter().map(|octets| Ipv4Addr::from(*octets)).collect();
+        Ok(Advertisement { vrid: head[1], priority: head[2], interval, addresses })
+    }
+}
+
+/// The Internet checksum over the message alone, as is done over IPv4; 0 over a message that holds its own.
+fn checksum(bytes: &[u8]) -> u16 {
+    let words = bytes.chunks(2).map(|pair| u32::from(pair[0]) << 8 | u32::from(*pair.get(1).unwrap_or(&0)));
+    let mut sum: u32 = words.sum();
+    while sum > 0xffff {
+        sum = (sum & 0xffff) + (sum >> 16);
+    }
+    !(sum as u16)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn messages_are_read_as_written_and_odd_ones_dropped() {
+        let addresses = vec![Ipv4Addr::new(127, 0, 0, 100)];
+        let good = Advertisement { vrid: 7, priority: 100, interval: 100, addresses };
+        let bytes = good.write();
+        // 0x3107 + 0x6401 + 0x0064 + 0x7f00 + 0x0064 = 0x114d0, folded 0x14d1, inverted 0xeb2e.
+        assert_eq!(bytes, [0x31, 7, 100, 1, 0, 100, 0xeb, 0x2e, 127, 0, 0, 100]);
+        assert_eq!(Advertisement::read(&bytes), Ok(good.clone()));
+        let sealed = |change: fn(&mut Vec<u8>)| {
+            let mut bytes = bytes.clone();
+            change(&mut bytes);
+            bytes[6..8].fill(0);
+            let sum = checksum(&bytes).to_be_bytes();
+            bytes[6..8].copy_from_slice(&sum);
+            bytes
+        };
+        let cases = [
+            (vec![], "cut short"),
+            (bytes[..7].to_vec(), "cut short"),
+            (bytes[..11].to_vec(), "length and count differ"),
+            (sealed(|b| b[0] = 0x21), "not version 3"),
+            (sealed(|b| b[0] = 0x32), "not an advertisement"),
+            (sealed(|b| b[3] = 2), "length and count differ"),
+            (sealed(|b| b[1] = 0), "a field is zero"),
+            (sealed(|b| (b[4], b[5]) = (0xf0, 0)), "a field is zero"),
+            (sealed(|b| (b[3], _) = (0, b.truncate(8))), "no address"),
+            ([&bytes[..2], &[101], &bytes[3..]].concat(), "checksum"),
+        ];
+        for (bytes, why) in cases {
+            assert_eq!(Advertisement::read(&bytes), Err(why), "{bytes:?}");
+        }
+        let reserved = sealed(|b| b[4] |= 0xf0);
+        assert_eq!(Advertisement::read(&reserved), Ok(good), "reserved bits are not looked at");
+    }
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -279,10 +279,15 @@
 
     /// Waits for a word in the log.
     pub fn wait_log(&self, word: &str) -> String {
+        self.wait_log_times(word, 1)
+    }
+
+    /// Waits for a word to have come up so often.
+    pub fn wait_log_times(&self, word: &str, times: usize) -> String {
         let start = Instant::now();
         loop {
             let log = self.log.lock().unwrap().clone();
-            if log.contains(word) {
+            if log.matches(word).count() >= times {
                 return log;
             }
             assert!(start.elapsed() < LONG, "no '{word}' in the log:\n{log}");
