Probe workers that have gone silent and move their calls

Seen: a worker that is cut off breaks no connection. A call sent there ended only by its own deadline (src/core/mod.rs, Due::Attempt), and the module took the time-out for slowness (learn in src/brain.rs), so it went on sending there: a stand-in worker that never answers lost each of its calls. Checked: resets and refused connections are heard at once and were handled. The bus names such a machine only after 7 to 13 s by the site file. Ruled out: a shorter time-out for attempts, for a slow load looks the same from outside. Changed: a worker silent for 0.8 s with calls out is probed; two probes without an answer make it lost and its calls are called off and placed elsewhere as their class allows. A connection on which a probe went unanswered takes nothing new.

--- a/src/backend/agent.rs
+++ b/src/backend/agent.rs
@@ -81,7 +81,9 @@
             "503" => Reply::Full,
             "500" => Reply::Error,
             "504" => Reply::Expired,
-            "alive" | "dead" => return Ok(Said::Nothing),
+            "alive" => return Ok(Said::Alive { rid }),
+            // It answers, but its process takes no work.
+            "dead" => Reply::Error,
             _ => return Err(bad("unknown verb")),
         };
         let copies = parsed.attrs.get("replicas").and_then(word).and_then(|text| text.parse().ok());
@@ -105,7 +107,8 @@
             (r#"{"verb":"404","rid":"a"}"#, answer("a", Reply::Miss, None)),
             (r#"{"verb":"500","rid":"a","attrs":null}"#, answer("a", Reply::Error, None)),
             (r#"{"verb":"504","rid":"a"}"#, answer("a", Reply::Expired, None)),
-            (r#"{"verb":"alive","rid":"p","attrs":{"rep":"util:0.5"}}"#, Ok(Said::Nothing)),
+            (r#"{"verb":"alive","rid":"p","attrs":{"rep":"util:0.5"}}"#, Ok(Said::Alive { rid: "p".into() })),
+            (r#"{"verb":"dead","rid":"p"}"#, answer("p", Reply::Error, None)),
             (r#"{"verb":"200","rid":"a","content":"%"}"#, bad(Some("a"), "content is not base64")),
             (r#"{"verb":"207","rid":"a"}"#, bad(Some("a"), "unknown verb")),
             (r#"{"verb":null,"rid":"a"}"#, bad(Some("a"), "no verb")),
--- a/src/backend/jsonrpc.rs
+++ b/src/backend/jsonrpc.rs
@@ -77,7 +77,7 @@
         match (object.get("result"), object.get("error")) {
             (Some(result), None) => {
                 if result.get("load").is_some() {
-                    return Ok(Said::Nothing);
+                    return Ok(Said::Alive { rid });
                 }
                 let copies = result.get("copies").and_then(Value::as_u64).map(|n| n as u32);
                 let body = match result.get("body") {
@@ -116,7 +116,10 @@
         let cases: Vec<(&str, Result<Said, Unreadable>)> = vec![
             (r#"{"jsonrpc":"2.0","id":"a","result":{"body":"aGk="}}"#, answer(Reply::Ok(b"hi".into()), None)),
             (r#"{"jsonrpc":"2.0","id":"a","result":{"copies":2}}"#, answer(Reply::Ok(vec![]), Some(2))),
-            (r#"{"jsonrpc":"2.0","id":"a","result":{"load":{"util":0.5}}}"#, Ok(Said::Nothing)),
+            (
+                r#"{"jsonrpc":"2.0","id":"a","result":{"load":{"util":0.5}}}"#,
+                Ok(Said::Alive { rid: "a".into() }),
+            ),
             (r#"{"jsonrpc":"2.0","id":"a","error":{"code":-32010}}"#, answer(Reply::Miss, None)),
             (
                 r#"{"jsonrpc":"2.0","id":"a","error":{"code":-32011,"data":{"copies":1}}}"#,
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -10,7 +10,7 @@
 
 pub use pool::{Endpoint, Pool};
 
-use crate::core::{AttemptId, Broken, OrderId, Reached, Reply, Standing, Work};
+use crate::core::{AttemptId, Broken, OrderId, ProbeId, Reached, Reply, Standing, Work};
 use crate::interface::{FunctionId, Span, Time};
 use crate::net::{Connection, Flow, Hub, Link};
 use std::collections::{HashMap, VecDeque};
@@ -42,6 +42,13 @@
         /// How many copies.
         copies: u8,
     },
+    /// Ask whether the worker lives.
+    Probe {
+        /// Which probe.
+        probe: ProbeId,
+        /// When its answer is no longer waited for.
+        deadline: Time,
+    },
     /// Unload the idle copies.
     Purge {
         /// What.
@@ -61,8 +68,11 @@
         /// Copies that stand, where told.
         copies: Option<u32>,
     },
-    /// Something that needs no action.
-    Nothing,
+    /// The answer to a probe.
+    Alive {
+        /// The name under which the probe went out.
+        rid: String,
+    },
 }
 
 /// A line that cannot be read; with the name it answers, where that much could be read.
@@ -101,6 +111,7 @@
 enum Open {
     Attempt(AttemptId),
     Order(OrderId),
+    Probe(ProbeId),
     /// Given up at this time: an answer that still comes belongs to nobody.
     Shadow(Time),
 }
@@ -128,6 +139,11 @@
     connect_by: Option<Time>,
     idle_since: Time,
     shadows: VecDeque<(Time, String)>,
+    /// When the probe that is out here has failed.
+    probe_by: Option<(Time, ProbeId)>,
+    /// A probe got no answer and nothing has come since. A connection through a cut stays up and silent, and
+    /// goes on slowly when the cut ends: new work takes a new one, whose refusal proves that nothing ran.
+    silent: bool,
 }
 
 impl WorkerConnection {
@@ -144,6 +160,8 @@
             connect_by: Some(connect_by),
             idle_since: connect_by,
             shadows: VecDeque::new(),
+            probe_by: None,
+            silent: false,
         }
     }
 
@@ -151,6 +169,10 @@
         format!("load-{}", order.0)
     }
 
+    fn probe_name(probe: ProbeId) -> String {
+        format!("probe-{}", probe.0)
+    }
+
     /// Writes commands one after another, each once the one before has gone whole.
     fn pump(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
         while link.is_up() && link.waiting() == 0 {
@@ -186,6 +208,7 @@
                     link.put(&self.codec.stage(&Self::order_name(order), function, copies));
                     self.writing = Some(Open::Order(order));
                 }
+                Job::Probe { probe, .. } => link.put(&self.codec.probe(&Self::probe_name(probe))),
                 Job::Purge { function } => link.put(&self.codec.purge(function)),
             }
             match link.flush() {
@@ -198,8 +221,17 @@
     }
 
     fn line(&mut self, line: &[u8], hub: &mut Hub) -> Flow {
+        self.silent = false;
         let (rid, reply, copies) = match self.codec.read(line) {
-            Ok(Said::Nothing) => return Flow::Go,
+            Ok(Said::Alive { rid }) => {
+                if let Some(Open::Probe(probe)) = self.open.get(&rid) {
+                    let probe = *probe;
+                    self.open.remove(&rid);
+                    self.probe_by = None;
+                    hub.core.probe_ended(hub.now, probe, Ok(()));
+                }
+                return Flow::Go;
+            }
             Ok(Said::Answer { rid, reply, copies }) => (rid, Ok(reply), copies),
             Err(Unreadable { rid, cause }) => {
                 hub.core.counters().unreadable += 1;
@@ -222,6 +254,12 @@
                 });
                 hub.core.order_ended(hub.now, order, standing);
             }
+            // An answer, but not that it lives.
+            Some(Open::Probe(probe)) => {
+                self.probe_by = None;
+                let broken = Broken { reached: Reached::Answered, cause: "not alive" };
+                hub.core.probe_ended(hub.now, probe, Err(broken));
+            }
             Some(Open::Shadow(_)) | None => {}
         }
         self.idle_since = hub.now;
@@ -269,6 +307,12 @@
 
     fn due(&mut self, _link: &mut Link, hub: &mut Hub) -> Flow {
         self.drop_shadows(hub.now);
+        if let Some((_, probe)) = self.probe_by.take_if(|(by, _)| *by <= hub.now) {
+            self.silent = true;
+            self.open.remove(&Self::probe_name(probe));
+            let broken = Broken { reached: Reached::Out, cause: "no answer" };
+            hub.core.probe_ended(hub.now, probe, Err(broken));
+        }
         let late = self.connect_by.is_some_and(|by| by <= hub.now);
         let idle = self.idle() && self.idle_since + self.limits.idle <= hub.now;
         if late || idle { Flow::Close } else { Flow::Go }
@@ -277,7 +321,8 @@
     fn deadline(&self) -> Option<Time> {
         let idle = self.idle().then_some(self.idle_since + self.limits.idle);
         let shadow = self.shadows.front().map(|(at, _)| *at + SHADOW + Span(1));
-        self.connect_by.or(idle.into_iter().chain(shadow).min())
+        let probe = self.probe_by.map(|(by, _)| by);
+        self.connect_by.into_iter().chain(probe).min().or(idle.into_iter().chain(shadow).min())
     }
 
     fn closed(&mut self, link: &Link, hub: &mut Hub) {
@@ -288,6 +333,7 @@
             .filter_map(|job| match job {
                 Job::Go { attempt, .. } => Some((false, Open::Attempt(attempt))),
                 Job::Stage { order, .. } => Some((false, Open::Order(order))),
+                Job::Probe { probe, .. } => Some((false, Open::Probe(probe))),
                 Job::Halt { .. } | Job::Purge { .. } => None,
             })
             .collect();
@@ -297,6 +343,7 @@
         let is = |a: &Open, b: &Open| match (a, b) {
             (Open::Attempt(a), Open::Attempt(b)) => a == b,
             (Open::Order(a), Open::Order(b)) => a == b,
+            (Open::Probe(a), Open::Probe(b)) => a == b,
             _ => false,
         };
         for open in self.open.values() {
@@ -313,6 +360,7 @@
             match open {
                 Open::Attempt(attempt) => hub.core.attempt_ended(hub.now, attempt, Err(broken)),
                 Open::Order(order) => hub.core.order_ended(hub.now, order, Err(broken)),
+                Open::Probe(probe) => hub.core.probe_ended(hub.now, probe, Err(broken)),
                 Open::Shadow(_) => {}
             }
         }
@@ -342,6 +390,10 @@
                 self.open.insert(name.clone(), Open::Shadow(hub.now));
                 self.shadows.push_back((hub.now, name));
             }
+            Job::Probe { probe, deadline } => {
+                self.open.insert(Self::probe_name(*probe), Open::Probe(*probe));
+                self.probe_by = Some((*deadline, *probe));
+            }
             Job::Purge { .. } => {}
         }
         self.idle_since = hub.now;
@@ -351,7 +403,9 @@
 
     fn accepts(&self, reference: Option<&str>) -> bool {
         let free = reference.is_none_or(|name| !self.open.contains_key(name));
-        free && self.attempts < self.limits.multiplex && self.open.len() + self.pending.len() < QUEUE
+        free && !self.silent
+            && self.attempts < self.limits.multiplex
+            && self.open.len() + self.pending.len() < QUEUE
     }
 
     fn idle(&self) -> bool {
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -103,6 +103,15 @@
                     }
                 }
             }
+            Command::Probe { probe, worker, deadline } => {
+                match self.connection(worker, None, reactor, core) {
+                    Some(connection) => give(connection, Job::Probe { probe, deadline }, reactor, core),
+                    None => {
+                        let broken = Broken { reached: Reached::NotSent, cause: "no connection" };
+                        core.probe_ended(reactor.now(), probe, Err(broken));
+                    }
+                }
+            }
             Command::Purge { worker, function } => {
                 if let Some(connection) = self.connection(worker, None, reactor, core) {
                     give(connection, Job::Purge { function }, reactor, core);
--- a/src/bin/mintgate-simhost/codec.rs
+++ b/src/bin/mintgate-simhost/codec.rs
@@ -199,7 +199,7 @@
         }
         return Ok(Record::Roster { number, entries });
     }
-    if !matches!(code, 1..=3 | 5..=7 | 10 | 11) {
+    if !matches!(code, 1..=3 | 5..=8 | 10 | 11) {
         return Ok(Record::Skipped);
     }
     let instance = r.u16()?;
@@ -225,6 +225,11 @@
         5 => Event::Outcome(read_outcome(r)?),
         6 => Event::ClientGone(RequestId(r.u32()?)),
         7 => Event::Wake,
+        8 => {
+            r.u64()?;
+            let status = r.status()?;
+            Event::Probed(r.worker()?, status)
+        }
         10 => return Ok(Record::Kill { instance }),
         _ => {
             let copies = u32::from(r.u8()?);
@@ -342,6 +347,7 @@
             Action::Unload { worker, function } => {
                 self.record(11, instance, &[&worker_bytes(worker), &function.0.to_be_bytes()]);
             }
+            Action::Probe { worker } => self.record(6, instance, &[&worker_bytes(worker)]),
             Action::Wake { after } => {
                 self.record(13, instance, &[&after.0.to_be_bytes(), &[0; 4]]);
             }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -35,6 +35,9 @@
 const LOAD_PATIENCE: Span = Span::millis(3000);
 /// Pause before a call that found no way is placed again.
 const RETRY: Span = Span::millis(40);
+/// A worker that has said nothing for this long while calls of ours are out is probed; and how many probes in
+/// a row without an answer make it lost: one may wait behind work.
+const SUSPECT: (Span, u32) = (Span::millis(800), 2);
 /// First pause after a failed load or lost worker, and how often it doubles with further failures.
 const BACKOFF: (Span, u32) = (Span::millis(400), 4);
 /// A worker that turned a call away is left alone this long; cuts of a limit lie as far apart.
@@ -163,6 +166,10 @@
     strain: f64,
     limit: f64,
     cut_at: Time,
+    /// When it last said anything, whether a probe is out, and how many in a row it has not answered.
+    heard: Time,
+    probed: bool,
+    unanswered: u32,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -237,6 +244,7 @@
             Event::Outcome(outcome) => self.outcome(outcome, out),
             Event::ClientGone(id) => drop(self.requests.remove(&id)),
             Event::Loaded(loaded) => self.loaded(loaded, out),
+            Event::Probed(worker, status) => self.probed(worker, status, out),
             Event::Wake => self.armed = None,
         }
         while let Some(&(at, due)) = self.due.first().filter(|(at, _)| *at <= self.now) {
@@ -711,6 +719,9 @@
         if attempt.place.since < w.born {
             return;
         }
+        if matches!(outcome.status, Status::Ok | Status::Error | Status::Full | Status::Miss) {
+            (w.heard, w.unanswered) = (now, 0);
+        }
         w.in_flight = w.in_flight.saturating_sub(1);
         w.report(&self.settings.gauges, outcome, now);
         let pair = w.pairs.entry(attempt.function).or_default();
@@ -762,9 +773,61 @@
         }
     }
 
+    /// Probes workers that are silent though calls of ours are out: a machine that is cut off breaks no
+    /// connection, and each call sent there would be lost until its deadline.
+    fn suspect(&mut self, out: &mut Actions) {
+        if !self.settings.limits.may_probe || !self.settings.limits.may_cancel {
+            return;
+        }
+        let now = self.now;
+        for attempt in self.attempts.values() {
+            let Some(w) = self.workers.get_mut(&attempt.worker) else { continue };
+            let since = attempt.place.since.max(w.heard);
+            if !w.probed && attempt.place.since >= w.born && now - since >= SUSPECT.0 {
+                w.probed = true;
+                out.push(Action::Probe { worker: attempt.worker });
+            }
+        }
+    }
+
+    /// A worker that answers no probe is lost: what is out there is called off and placed elsewhere, as far
+    /// as its class allows that it may have run.
+    fn probed(&mut self, worker: WorkerId, status: Status, out: &mut Actions) {
+        let now = self.now;
+        let Some(w) = self.workers.get_mut(&worker) else { return };
+        w.probed = false;
+        if status == Status::Ok {
+            (w.heard, w.unanswered) = (now, 0);
+            return;
+        }
+        w.unanswered += 1;
+        if w.unanswered < SUSPECT.1 {
+            return;
+        }
+        (w.heard, w.unanswered) = (now, 0);
+        w.lost(now);
+        for ((id, number), attempt) in self.attempts.iter().filter(|(_, a)| a.worker == worker) {
+            let Some(request) = self.requests.get(id).filter(|r| r.out == Some(*number)) else { continue };
+            let ran = request.ran.unwrap_or(attempt.place).since;
+            let again = match self.settings.classes[request.class].effect {
+                Effect::Safe => true,
+                Effect::Keyed { window, .. } => now + KEY_MARGIN < ran + window,
+                Effect::Unsafe => false,
+            };
+            if again && request.attempts < self.settings.limits.max_attempts {
+                out.push(Action::Cancel { id: *id, attempt: *number });
+            }
+        }
+    }
+
     fn loaded(&mut self, loaded: Loaded, out: &mut Actions) {
         let (now, keep) = (self.now, self.settings.loading.keep);
         let key = loaded.function;
+        if let Some(w) = self.workers.get_mut(&loaded.worker)
+            && matches!(loaded.status, Status::Ok | Status::Full | Status::Error)
+        {
+            (w.heard, w.unanswered) = (now, 0);
+        }
         if let Some(w) = self.workers.get_mut(&loaded.worker)
             && let Some(pair) = w.pairs.get_mut(&key).filter(|p| p.ordered.is_some())
         {
@@ -794,6 +857,7 @@
         self.due.insert((self.now + HOLD_PACE, Due::Holds));
         self.prune();
         self.rerank();
+        self.suspect(out);
         let fleet = u64::from(self.settings.fleet_size.max(1));
         let lead = self.settings.loading.keep.times(RENEW_AT);
         let gold: Vec<_> = self.functions.iter().filter(|(_, f)| f.gold).map(|(id, _)| *id).collect();
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -60,6 +60,10 @@
     orders,
     /// Orders to load held back by the ration when they were about to be written.
     orders_rationed,
+    /// Probes of workers that had gone silent.
+    probes,
+    /// Those that were not answered in time.
+    probes_unanswered,
     /// Pieces of news of the list of workers.
     list_events,
     /// Connections accepted from clients.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -16,6 +16,8 @@
 
 /// Bytes of bodies held for open calls; beyond them calls are refused, for memory is bounded.
 const BODIES: usize = 32 << 20;
+/// A probe that is not answered by then has failed: the simulator's limit and what sockets are allowed more.
+const PROBE_LIMIT: Span = Span::millis(300);
 /// Functions remembered as called; beyond them memory starts anew, which only holds orders back.
 const CALLED: usize = 1 << 17;
 /// Taken off what remains of the drain rule's grace when bytes are written: the way to the worker.
@@ -85,6 +87,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct OrderId(pub u64);
 
+/// One probe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ProbeId(pub u64);
+
 /// How far an attempt or an order had come when it broke. This alone decides whether a repeat is safe.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reached {
@@ -193,6 +199,15 @@
         /// How many copies are to stand.
         copies: u8,
     },
+    /// Ask whether a worker lives.
+    Probe {
+        /// Which probe.
+        probe: ProbeId,
+        /// Where.
+        worker: WorkerId,
+        /// When its answer is no longer waited for.
+        deadline: Time,
+    },
     /// Unload the idle copies.
     Purge {
         /// Where.
@@ -238,6 +253,7 @@
     Wake,
     Attempt(AttemptId),
     Order(OrderId),
+    Probe(ProbeId),
 }
 
 /// The scheduler. See the module's page.
@@ -274,6 +290,7 @@
     owners: HashMap<Owner, RequestId>,
     attempts: BTreeMap<AttemptId, Attempt>,
     orders: BTreeMap<OrderId, Order>,
+    probes: BTreeMap<ProbeId, (WorkerId, Time)>,
     told: BTreeMap<WorkerId, Told>,
     due: BTreeSet<(Time, Due)>,
     commands: VecDeque<Command>,
@@ -298,6 +315,7 @@
             owners: HashMap::new(),
             attempts: BTreeMap::new(),
             orders: BTreeMap::new(),
+            probes: BTreeMap::new(),
             told: BTreeMap::new(),
             due: BTreeSet::new(),
             commands: VecDeque::new(),
@@ -466,6 +484,13 @@
         self.settle(now);
     }
 
+    /// A probe has been answered, or broke on the way.
+    pub fn probe_ended(&mut self, now: Time, id: ProbeId, end: Result<(), Broken>) {
+        let status = end.map_or(Status::Reset, |()| Status::Ok);
+        self.end_probe(id, status);
+        self.settle(now);
+    }
+
     /// The time told by [`Core::next_due`] has come.
     pub fn wake(&mut self, now: Time) {
         while let Some(&(at, due)) = self.due.first().filter(|(at, _)| *at <= now) {
@@ -478,6 +503,7 @@
                     self.counters.end(Status::Timeout);
                     self.end_attempt(now, id, Status::Timeout);
                 }
+                Due::Probe(id) => self.end_probe(id, Status::Timeout),
                 Due::Order(id) => self.end_order(now, id, Standing { status: Status::Timeout, copies: 0 }),
             }
         }
@@ -595,6 +621,15 @@
                 self.due.insert((now + self.site.load_wait, Due::Order(order)));
                 self.commands.push_back(Command::Stage { order, worker, function, copies });
             }
+            Action::Probe { worker } => {
+                let probe = ProbeId(self.next_order);
+                self.next_order += 1;
+                let deadline = now + PROBE_LIMIT;
+                self.probes.insert(probe, (worker, deadline));
+                self.due.insert((deadline, Due::Probe(probe)));
+                self.counters.probes += 1;
+                self.commands.push_back(Command::Probe { probe, worker, deadline });
+            }
             Action::Unload { worker, function } => {
                 self.commands.push_back(Command::Purge { worker, function });
             }
@@ -644,6 +679,15 @@
         }));
     }
 
+    fn end_probe(&mut self, id: ProbeId, status: Status) {
+        let Some((worker, deadline)) = self.probes.remove(&id) else { return };
+        self.due.remove(&(deadline, Due::Probe(id)));
+        if status != Status::Ok {
+            self.counters.probes_unanswered += 1;
+        }
+        self.backlog.push_back(Event::Probed(worker, status));
+    }
+
     fn end_order(&mut self, now: Time, id: OrderId, standing: Standing) {
         let Some(order) = self.orders.remove(&id) else { return };
         self.due.remove(&(order.decided + self.site.load_wait, Due::Order(id)));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -154,6 +154,8 @@
     pub max_attempts: u16,
     /// Attempts may be called off.
     pub may_cancel: bool,
+    /// Workers may be probed.
+    pub may_probe: bool,
     /// Load orders and unload orders may be given.
     pub may_order: bool,
     /// Longest advice to a client to stay away; absent where none is passed on.
@@ -415,6 +417,8 @@
     ClientGone(RequestId),
     /// An order to load has ended.
     Loaded(Loaded),
+    /// A probe has ended: [`Status::Ok`] if the worker answered it.
+    Probed(WorkerId, Status),
     /// A time asked for by [`Action::Wake`] has come.
     Wake,
 }
@@ -466,6 +470,11 @@
         /// What.
         function: FunctionId,
     },
+    /// Ask whether a worker lives.
+    Probe {
+        /// Which.
+        worker: WorkerId,
+    },
     /// Send [`Event::Wake`] after this time.
     Wake {
         /// How long from now.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,7 +28,7 @@
 //!         fall_span: Span::millis(2_000),
 //!         ration: None,
 //!     },
-//!     limits: Limits { max_attempts: 5, may_cancel: true, may_order: true, retry_after: None },
+//!     limits: Limits { max_attempts: 5, may_cancel: true, may_probe: true, may_order: true, retry_after: None },
 //!     loading: Loading { keep: Span::millis(8_000), on_miss: OnMiss::Load, memory_mb: vec![16_000.0] },
 //!     prices: Prices::default(),
 //!     gauges: vec![],
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -102,6 +102,8 @@
     #[serde(default)]
     may_cancel: bool,
     #[serde(default)]
+    probes: bool,
+    #[serde(default)]
     retry_after: bool,
     #[serde(default)]
     max_retry_after_ns: u64,
@@ -226,6 +228,7 @@
         limits: Limits {
             max_attempts: bounds.most_tries,
             may_cancel: bounds.may_cancel,
+            may_probe: bounds.probes,
             may_order: info.may_order,
             retry_after: bounds.retry_after.then_some(Span(bounds.max_retry_after_ns)),
         },
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -60,7 +60,9 @@
          01 0000 00 0a9011f2 1f6c 3fc00000 000000016b969d00 00";
     let answer = "05 0000001a 0003 5d3a91c4 0000 0a124a07 1f43 00 00000000011a49a0 01 19 00";
     let sync = "02 00000009 0003 00000029 02 0000";
-    let bytes = frame(9, &[hex(roster), hex(sync), hex(ACCEPT), hex(answer), hex("63 00000001 ff")]);
+    let probed = "08 0000001e 0003 0000000000155cc0 04 0a9011f2 1f6c 03 3f1eb8523ecccccd3fa00000";
+    let records = [hex(roster), hex(sync), hex(ACCEPT), hex(answer), hex("63 00000001 ff"), hex(probed)];
+    let bytes = frame(9, &records);
     let frame = read_frame(&mut &bytes[..]).unwrap().unwrap();
     let records = read_records(&frame).unwrap();
     let Record::Roster { number: 0, entries } = &records[0] else { panic!() };
@@ -74,6 +76,8 @@
     let Record::Event { event: Event::Outcome(outcome), .. } = &records[3] else { panic!() };
     assert_eq!((outcome.copy, outcome.company, outcome.finished), (CopyNote::Stood, 3, true));
     assert!(matches!(records[4], Record::Skipped));
+    let Record::Event { event: Event::Probed(worker, status), .. } = records[5] else { panic!() };
+    assert_eq!((worker, status), (WorkerId(0x0a90_11f2_1f6c), Status::Timeout));
 }
 
 #[test]
@@ -86,12 +90,14 @@
     reply.action(3, &Action::Unload { worker, function });
     reply.action(3, &Action::Cancel { id, attempt: 0 });
     reply.action(3, &Action::Refuse { id: RequestId(0x0e6f_2b19), wait: Span(250_000_000) });
-    let expected = "00000005 00000077 \
+    reply.action(3, &Action::Probe { worker });
+    let expected = "00000006 00000077 \
          01 00000014 0003 5d3a91c4 0000000004c4b400 0a124a07 1f43 \
          05 00000011 0003 0a124a07 1f43 01 0000007c55d20a01 \
          0b 00000010 0003 0a124a07 1f43 0000007c55d20a01 \
          04 00000008 0003 5d3a91c4 0000 \
-         09 0000000e 0003 0e6f2b19 000000000ee6b280";
+         09 0000000e 0003 0e6f2b19 000000000ee6b280 \
+         06 00000008 0003 0a124a07 1f43";
     let mut expected = hex(expected);
     let length = (expected.len() - 8) as u32;
     expected[4..8].copy_from_slice(&length.to_be_bytes());
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -405,3 +405,34 @@
     // A quarter of 600 calls would go there; about a tenth of those is let in.
     assert!((5..=40).contains(&to_cold), "{to_cold}");
 }
+
+/// A machine that is cut off breaks no connection: its calls were lost until their deadlines.
+#[test]
+fn a_silent_worker_is_probed_and_its_calls_are_placed_elsewhere() {
+    let probes = |actions: &[Action]| actions.iter().filter(|a| matches!(a, Action::Probe { .. })).count();
+    for (class, moves) in [(0, true), (2, false)] {
+        let mut rig = Rig::new(settings(OnMiss::Load), 4);
+        let home = sends(&rig.give(Event::Call(call(1, 7, class))))[0];
+        assert_eq!(probes(&rig.pass(Span::millis(700))), 0);
+        assert_eq!(probes(&rig.pass(Span::millis(400))), 1, "one at a time");
+        assert!(
+            rig.give(Event::Probed(home, Status::Timeout))
+                .iter()
+                .all(|a| !matches!(a, Action::Cancel { .. }))
+        );
+        assert_eq!(probes(&rig.pass(Span::millis(300))), 1);
+        let actions = rig.give(Event::Probed(home, Status::ConnectFailed));
+        assert_eq!(actions.contains(&Action::Cancel { id: R(1), attempt: 0 }), moves, "class {class}");
+        if moves {
+            let next = sends(&rig.outcome(R(1), 0, Status::Cancelled));
+            assert!(next.len() == 1 && next[0] != home, "{next:?}");
+        }
+        let other = sends(&rig.give(Event::Call(call(2, 7, 0))))[0];
+        assert_ne!(other, home, "nothing new goes there for now");
+    }
+    let mut rig = Rig::new(settings(OnMiss::Load), 4);
+    let home = sends(&rig.give(Event::Call(call(1, 7, 0))))[0];
+    rig.pass(Span::millis(1100));
+    rig.give(Event::Probed(home, Status::Ok));
+    assert_eq!(probes(&rig.pass(Span::millis(700))), 0, "it lives and is only slow");
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -151,6 +151,12 @@
         self.heard.recv_timeout(LONG).expect("the worker hears something")
     }
 
+    /// A line, if one has come.
+    pub fn poll(&self) -> Option<Heard> {
+        thread::sleep(Duration::from_millis(1));
+        self.heard.try_recv().ok()
+    }
+
     pub fn address(&self) -> SocketAddr {
         let At::Tcp(address) = self.at else { panic!("an agent") };
         address
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -129,6 +129,34 @@
     }
 }
 
+/// A machine that is cut off says nothing: its calls must not wait there for their deadlines.
+#[test]
+fn calls_at_a_silent_worker_are_moved_and_its_late_words_do_no_harm() {
+    let workers = [Worker::agent(), Worker::agent()];
+    let mut settings = settings();
+    settings["bounds"]["probes"] = json!(true);
+    let daemon = Daemon::with(&[&workers[0], &workers[1]], settings, None, |_| String::new());
+    let mut client = Frames::connect(&daemon);
+    client.send(&frame(0, 1, &call("credit-submit", REF, 60_000, b"")));
+    // Which of the two it is, the hash says.
+    let (mut heard, other) = loop {
+        let taken = |worker: &Worker| worker.poll();
+        if let Some(heard) = taken(&workers[0]) {
+            break (heard, &workers[1]);
+        }
+        if let Some(heard) = taken(&workers[1]) {
+            break (heard, &workers[0]);
+        }
+    };
+    let mut again = other.next();
+    assert_eq!((again.word(), again.name().as_str()), ("go", REF));
+    heard.answer("200", "b2xk");
+    again.answer("200", "bmV3");
+    assert_eq!(client.next(), Some((1, 1, b"\x4f\0new".to_vec())));
+    only_ready(&mut client, 79);
+    assert!(daemon.counter("probes_unanswered") >= 2);
+}
+
 #[test]
 fn two_open_attempts_of_one_name_do_not_share_a_connection() {
     let worker = Worker::agent();
