--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -34,6 +34,8 @@
     turned_away_refused,
     /// Calls failed by their front, untaken: fields that cannot be used.
     turned_away_failed,
+    /// Calls that the core had to fail because the module had not ended them.
+    overdue,
     /// Calls that their clients withdrew, or left by closing.
     withdrawn,
     /// Attempts written whole to a worker.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -18,6 +18,9 @@
 const BODIES: usize = 32 << 20;
 /// A probe that is not answered by then has failed: the simulator's limit and what sockets are allowed more.
 const PROBE_LIMIT: Span = Span::millis(300);
+/// So long after its deadline a call that the module has not ended is failed by the core: the one answer is
+/// owed whatever the module does, and clients allow 50 ms more than their deadline.
+const BACKSTOP: Span = Span::millis(20);
 /// Functions remembered as called; beyond them memory starts anew, which only holds orders back.
 const CALLED: usize = 1 << 17;
 /// Taken off what remains of the drain rule's grace when bytes are written: the way to the worker.
@@ -251,6 +254,7 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Wake,
+    Call(RequestId),
     Attempt(AttemptId),
     Order(OrderId),
     Probe(ProbeId),
@@ -403,6 +407,7 @@
         let (owner, deadline) = (call.owner, call.deadline);
         self.requests.insert(id, Taken { owner, work, effect, deadline, attempts: 0, first_out: None });
         self.owners.insert(owner, id);
+        self.due.insert((deadline + BACKSTOP, Due::Call(id)));
         self.step(
             now,
             Event::Call(Call {
@@ -497,6 +502,14 @@
             self.due.remove(&(at, due));
             match due {
                 Due::Wake => self.backlog.push_back(Event::Wake),
+                Due::Call(id) => {
+                    self.settle(now);
+                    if self.requests.contains_key(&id) {
+                        self.counters.overdue += 1;
+                        self.conclude(now, id, Verdict::Failed);
+                        self.backlog.push_back(Event::ClientGone(id));
+                    }
+                }
                 Due::Attempt(id) => {
                     let Some(attempt) = self.attempts.get(&id) else { continue };
                     self.commands.push_back(Command::Halt { attempt: id, worker: attempt.worker });
@@ -659,6 +672,7 @@
     fn forget(&mut self, id: RequestId) -> Option<Owner> {
         let taken = self.requests.remove(&id)?;
         self.bodies -= taken.work.body.len();
+        self.due.remove(&(taken.deadline + BACKSTOP, Due::Call(id)));
         self.owners.remove(&taken.owner);
         Some(taken.owner)
     }
@@ -827,6 +841,21 @@
         }
     }
 
+    /// Nothing that goes wrong in the module may leave a call without an answer.
+    #[test]
+    fn a_call_that_the_module_has_lost_is_failed_after_its_deadline() {
+        let mut core = core();
+        call(&mut core, 1, "safe");
+        core.balancer = Balancer::new(core.site.settings.clone(), 1);
+        core.wake(MS(3019));
+        assert_eq!(core.owed(), 1);
+        core.wake(MS(3021));
+        let answers =
+            |c: &Command| matches!(c, Command::Answer { answer, .. } if answer.verdict == Verdict::Failed);
+        assert_eq!(std::iter::from_fn(|| core.next_command()).filter(answers).count(), 1);
+        assert_eq!((core.owed(), core.counters().overdue), (0, 1));
+    }
+
     #[test]
     fn a_call_has_one_answer_whatever_still_comes() {
         let mut core = core();
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -16,6 +16,7 @@
 use std::collections::BTreeSet;
 use std::io;
 use std::os::unix::net::UnixStream;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
 
 /// After SIGTERM clients still come for a while; nothing ends before this.
@@ -179,7 +180,12 @@
         let now = self.reactor.now();
         self.follow_bus(now);
         if self.core.next_due().is_some_and(|at| at <= now) {
-            self.core.wake(now);
+            // There is no connection to end here. What the panic leaves undone runs into its deadlines.
+            let woken = catch_unwind(AssertUnwindSafe(|| self.core.wake(now)));
+            if woken.is_err() {
+                self.core.counters().panics += 1;
+                eprintln!("mintgate: panic timer");
+            }
         }
         while let Some(command) = self.core.next_command() {
             match command {
@@ -196,7 +202,8 @@
     fn accept(&mut self, listener: usize) {
         loop {
             // Clients hold a third of the descriptors at most; what workers need is kept free.
-            let room = self.reactor.count() < self.config.sockets.saturating_sub(RESERVED);
+            let budget = self.config.sockets.saturating_sub(RESERVED);
+            let room = self.reactor.count() < budget - budget / 8;
             match self.reactor.accept(listener) {
                 Ok(Some(stream)) if room || self.reactor.shed_idle(&mut self.core) => {
                     let now = self.reactor.now();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,6 +9,7 @@
 use mio::net::{TcpStream, UnixStream};
 use mio::{Interest, Registry, Token};
 use std::io::{self, Read, Write};
+use std::net::Shutdown;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 /// Unix time at the start plus monotonic time since, so that a set clock moves no deadline.
@@ -68,6 +69,14 @@
         }
     }
 
+    /// Says that nothing more is written.
+    fn shut(&self) {
+        let _ = match self {
+            Stream::Tcp(stream) => stream.shutdown(Shutdown::Write),
+            Stream::Unix(stream) => stream.shutdown(Shutdown::Write),
+        };
+    }
+
     /// Whether a connect has come through; an error says that it never will.
     fn connected(&mut self) -> io::Result<bool> {
         let (error, peer) = match self {
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -94,6 +94,7 @@
     connection: Box<dyn Connection>,
     due: Option<Time>,
     finishing: bool,
+    shut: bool,
 }
 
 enum Listener {
@@ -253,7 +254,7 @@
         let token = Token(self.next);
         self.next += 1;
         let link = Link::new(stream, token, up, limits);
-        self.entries.insert(token, Entry { link, connection, due: None, finishing: false });
+        self.entries.insert(token, Entry { link, connection, due: None, finishing: false, shut: false });
         self.call(token, core, |entry, hub| match entry.link.up {
             true => entry.connection.opened(&mut entry.link, hub),
             false => Flow::Go,
@@ -284,7 +285,12 @@
             Flow::Close
         });
         entry.finishing |= flow == Flow::Finish;
-        let done = flow == Flow::Close || entry.finishing && entry.link.waiting() == 0;
+        // Closed with input unread, the system would throw away what the other side has not read yet: this
+        // half is shut, and the rest waits for the other side's end or the connection's own deadline.
+        if entry.finishing && entry.link.waiting() == 0 && !std::mem::replace(&mut entry.shut, true) {
+            entry.link.stream.shut();
+        }
+        let done = flow == Flow::Close || entry.shut && entry.link.ended;
         if done || entry.link.register(self.poll.registry()).is_err() {
             return self.close(token, hub.core);
         }
@@ -414,7 +420,7 @@
                     Err(_) => return Flow::Close,
                 }
             }
-            if !readable || *finishing {
+            if !readable {
                 return flow;
             }
             // Edge-triggered: read until the socket has no more, in turns with the connection's own work.
@@ -424,7 +430,9 @@
                     Ok(all) => all,
                     Err(_) => return Flow::Close,
                 };
-                if link.inbox.len() > held || link.ended {
+                if *finishing {
+                    link.inbox.clear();
+                } else if link.inbox.len() > held || link.ended {
                     flow = flow.and(connection.received(link, hub));
                 }
                 if all || flow != Flow::Go || link.held_back() {
@@ -456,3 +464,53 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::{Read, Write};
+
+    /// Echoes, and panics at an `!`.
+    struct Fragile;
+
+    impl Connection for Fragile {
+        fn opened(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
+            Flow::Go
+        }
+        fn received(&mut self, link: &mut Link, _hub: &mut Hub) -> Flow {
+            let bytes = std::mem::take(&mut link.inbox);
+            assert!(!bytes.contains(&b'!'), "as the test wants");
+            link.put(&bytes);
+            Flow::Go
+        }
+        fn closed(&mut self, _link: &Link, _hub: &mut Hub) {}
+    }
+
+    #[test]
+    fn a_panic_ends_its_connection_and_no_other() {
+        let site = br#"{"fleetSize": 1, "index": 0, "classes": [], "bounds": {"mostTries": 1},
+            "contract": {"coldFrom": 1, "coldNs": 1, "fallMultiple": 1, "fallNs": 1},
+            "familyInfo": {"keepNs": 1, "notLoaded": "load", "loadSpanNs": 0}}"#;
+        let mut core = Core::new(crate::settings::read_site(site).unwrap(), 1);
+        let mut reactor = Reactor::new(SystemClock::new()).unwrap();
+        let mut add = |core: &mut Core| {
+            let (near, far) = StdUnixStream::pair().unwrap();
+            near.set_nonblocking(true).unwrap();
+            let stream = Stream::Unix(UnixStream::from_std(near));
+            reactor.add(stream, Box::new(Fragile), true, (100, 100), core).unwrap();
+            far
+        };
+        let (mut first, mut second) = (add(&mut core), add(&mut core));
+        first.write_all(b"!").unwrap();
+        second.write_all(b"x").unwrap();
+        while core.counters().panics == 0 || reactor.count() > 1 {
+            reactor.turn(None, &mut core).unwrap();
+        }
+        let mut byte = [0];
+        assert_eq!(first.read(&mut byte).unwrap(), 0, "ended");
+        let soon = Some(reactor.after(Span::millis(100)));
+        reactor.turn(soon, &mut core).unwrap();
+        second.read_exact(&mut byte).unwrap();
+        assert_eq!((byte, core.counters().panics), ([b'x'], 1));
+    }
+}
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -283,6 +283,18 @@
     assert_eq!(tally(&lines)["go"], 19);
 }
 
+/// A bus that is cut off keeps its connection up and silent; empty frames show that it lives.
+#[test]
+fn a_silent_bus_is_replaced() {
+    let (worker, bus) = (Worker::agent(), Bus::new());
+    let daemon = Daemon::with(&[&worker], settings(), Some(bus.0.local_addr().unwrap()), |_| String::new());
+    let (mut feed, _) = bus.accept();
+    feed.write_all(&[&[0, 0, 0, 9][..], &[0; 9]].concat()).unwrap();
+    let (_other, offset) = bus.accept();
+    assert_eq!(offset, 1);
+    daemon.wait_log("bus silent");
+}
+
 #[test]
 fn at_sigterm_what_still_comes_is_answered() {
     let worker = Worker::agent();
