Add a client that embeds the scheduler, and test what checkers hear

client::Client is the core with its back ends in the caller's own thread: the product is a plug-in for an RPC library, and so far only the daemon joined the two. Its page holds a whole path against a checker, which runs as a test. Checkers are now also tested with orders to load and probes, and both codecs with every command they word.

--- a/src/backend/agent.rs
+++ b/src/backend/agent.rs
@@ -122,6 +122,22 @@
         }
     }
 
+    #[test]
+    fn the_other_commands_are_worded() {
+        let cases = [
+            (AgentCodec.halt("a"), json!({"verb": "halt", "rid": "a"})),
+            (
+                AgentCodec.stage("t", FunctionId(0x7f), 2),
+                json!({"verb": "stage", "rid": "t", "attrs": {"name": "000000000000007f", "replicas": 2}}),
+            ),
+            (AgentCodec.purge(FunctionId(0x7f)), json!({"verb": "purge", "rid": "000000000000007f"})),
+            (AgentCodec.probe("p"), json!({"verb": "stat", "rid": "p"})),
+        ];
+        for (line, expected) in cases {
+            assert_eq!(serde_json::from_slice::<Value>(&line).unwrap(), expected);
+        }
+    }
+
     #[test]
     fn a_call_passes_on_its_fields_unchanged() {
         let work = Work {
--- a/src/backend/jsonrpc.rs
+++ b/src/backend/jsonrpc.rs
@@ -109,6 +109,31 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn commands_are_worded() {
+        let (reference, class, key) = ("9b1f".to_owned(), "c".to_owned(), Some("k".to_owned()));
+        let work = Work { reference, class, function: FunctionId(0x7f), key, body: b"hi".to_vec() };
+        let name = "000000000000007f";
+        let params = json!({"class": "c", "function": name, "ttl_ms": 2, "body": "aGk=", "key": "k"});
+        let cases = [
+            (
+                CheckerCodec.go(&work, Span(1_000_001)),
+                json!({"id": "9b1f", "method": "call", "params": params}),
+            ),
+            (CheckerCodec.halt("9b1f"), json!({"method": "cancel", "params": {"id": "9b1f"}})),
+            (
+                CheckerCodec.stage("t", FunctionId(0x7f), 2),
+                json!({"id": "t", "method": "load", "params": {"function": name, "copies": 2}}),
+            ),
+            (CheckerCodec.purge(FunctionId(0x7f)), json!({"method": "unload", "params": {"function": name}})),
+            (CheckerCodec.probe("p"), json!({"id": "p", "method": "probe", "params": {}})),
+        ];
+        for (line, mut expected) in cases {
+            expected["jsonrpc"] = json!("2.0");
+            assert_eq!(serde_json::from_slice::<Value>(&line).unwrap(), expected);
+        }
+    }
+
     #[test]
     fn answers_are_read() {
         let answer = |reply, copies| Ok(Said::Answer { rid: "a".into(), reply, copies });
--- /dev/null
+++ b/src/client.rs
@@ -0,0 +1,171 @@
+//! The plug-in for an RPC client: the scheduler and its back ends in the caller's own thread, without the daemon.
+//!
+//! ```
+//! use mintgate::backend::Endpoint;
+//! use mintgate::client::{Client, Outgoing};
+//! use mintgate::core::Verdict;
+//! use mintgate::{FunctionId, Member, Span, WorkerId, settings};
+//! use std::io::{BufRead, BufReader, Write};
+//!
+//! # let folder = std::env::temp_dir().join(format!("mintgate-doc-{}", std::process::id()));
+//! # std::fs::create_dir(&folder)?;
+//! # let path = folder.join("checker.sock");
+//! // A checker that answers each call with one body.
+//! let listener = std::os::unix::net::UnixListener::bind(&path)?;
+//! std::thread::spawn(move || {
+//!     let (mut stream, _) = listener.accept().unwrap();
+//!     for line in BufReader::new(stream.try_clone().unwrap()).lines() {
+//!         let call: serde_json::Value = serde_json::from_str(&line.unwrap()).unwrap();
+//!         let answer = serde_json::json!({"jsonrpc": "2.0", "id": call["id"], "result": {"body": "NCBvZiA1"}});
+//!         stream.write_all(format!("{answer}\n").as_bytes()).unwrap();
+//!     }
+//! });
+//!
+//! let site = settings::read_site(br#"{"fleetSize": 1, "index": 0,
+//!   "classes": [{"name": "check", "deadlineNs": 3000000000, "effect": "retryable",
+//!                "objectiveNs": 1000000000}],
+//!   "bounds": {"mostTries": 3},
+//!   "contract": {"coldFrom": 0.2, "coldNs": 9000000000, "fallMultiple": 3, "fallNs": 2000000000},
+//!   "familyInfo": {"keepNs": 9000000000, "notLoaded": "load", "loadSpanNs": 0}}"#).unwrap();
+//! let mut client = Client::new(site, 7)?;
+//! let worker = Member { worker: WorkerId(1), weight: 1.0, ..Member::default() };
+//! client.workers(vec![(worker, Endpoint::Checker(path))]);
+//!
+//! let deadline = client.now() + Span::millis(3000);
+//! let call = client.call(Outgoing::new("check", FunctionId(9), deadline, b"my exercise".to_vec()));
+//! let (answered, answer) = loop {
+//!     if let Some(answer) = client.turn(deadline)?.pop() {
+//!         break answer;
+//!     }
+//! };
+//! assert_eq!((answered, answer.verdict), (call, Verdict::Served(b"4 of 5".to_vec())));
+//! # std::fs::remove_dir_all(&folder)?;
+//! # Ok::<(), std::io::Error>(())
+//! ```
+
+use crate::backend::{Endpoint, Limits, Pool};
+use crate::core::{Answer, Command, Core, Counters, Incoming, Owner};
+use crate::interface::{FunctionId, ListKind, Member, Span, State, Time};
+use crate::net::{Reactor, SystemClock};
+use crate::settings::Site;
+use std::io;
+
+/// Connections that an embedded scheduler opens at most.
+const CONNECTIONS: usize = 256;
+
+/// A call of the embedding client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
+/// What a client asks for.
+#[derive(Clone, Debug)]
+pub struct Outgoing {
+    /// Name of the class.
+    pub class: String,
+    /// The function called.
+    pub function: FunctionId,
+    /// Idempotency key, in keyed classes: the same for all tries of one request.
+    pub key: Option<String>,
+    /// Memory of one loaded copy, in MB.
+    pub memory_mb: f64,
+    /// Calls that one copy runs at a time.
+    pub lanes: f64,
+    /// Usual time of a load.
+    pub load_time: Option<Span>,
+    /// When the answer is no longer of use.
+    pub deadline: Time,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Outgoing {
+    /// A call without a key, of a function of which nothing more is known.
+    pub fn new(class: &str, function: FunctionId, deadline: Time, body: Vec<u8>) -> Outgoing {
+        let (class, key, load_time) = (class.to_owned(), None, None);
+        Outgoing { class, function, key, memory_mb: 0.0, lanes: 1.0, load_time, deadline, body }
+    }
+}
+
+/// A scheduler inside its client. See the module's page.
+pub struct Client {
+    core: Core,
+    reactor: Reactor,
+    pool: Pool,
+    next: u64,
+    /// Makes names of calls unlike those of other clients of the same workers.
+    salt: u32,
+    answers: Vec<(CallId, Answer)>,
+}
+
+impl Client {
+    /// A scheduler without workers. The seed decides ties, and is to differ between clients.
+    pub fn new(site: Site, seed: u64) -> io::Result<Client> {
+        let reactor = Reactor::new(SystemClock::new())?;
+        let limits = Limits { multiplex: site.multiplex, idle: site.idle_close.times(0.8) };
+        let pool = Pool::new(limits, site.connect_limit, CONNECTIONS);
+        let salt = (seed ^ seed >> 32) as u32 ^ std::process::id();
+        Ok(Client { core: Core::new(site, seed), reactor, pool, next: 0, salt, answers: vec![] })
+    }
+
+    /// The present time, of which deadlines are points.
+    pub fn now(&self) -> Time {
+        self.reactor.now()
+    }
+
+    /// The whole list of workers, whenever it has changed. A worker absent from it is gone.
+    pub fn workers(&mut self, list: Vec<(Member, Endpoint)>) {
+        let listed = |worker| list.iter().any(|(m, _)| m.worker == worker && m.state != State::Gone);
+        self.pool.retain(listed);
+        for (member, endpoint) in list.iter().filter(|(m, _)| m.state != State::Gone) {
+            self.pool.place(member.worker, endpoint.clone(), member.started);
+        }
+        let members = list.into_iter().map(|(member, _)| member).collect();
+        self.core.members(self.reactor.now(), ListKind::Full, members);
+        self.carry_out();
+    }
+
+    /// Takes a call. [`Client::turn`] gives its one answer, unless it is cancelled before.
+    pub fn call(&mut self, call: Outgoing) -> CallId {
+        self.next += 1;
+        let Outgoing { class, function, key, memory_mb, lanes, load_time, deadline, body } = call;
+        let reference = format!("{:08x}{:08x}", self.salt, self.next as u32);
+        let owner = Owner { connection: 0, stream: self.next };
+        let call =
+            Incoming { owner, reference, class, function, key, memory_mb, lanes, load_time, deadline, body };
+        self.core.call(self.reactor.now(), call);
+        self.carry_out();
+        CallId(self.next)
+    }
+
+    /// Nobody waits for this call any more: no answer comes, and workers are told where that helps.
+    pub fn cancel(&mut self, call: CallId) {
+        self.core.withdraw(self.reactor.now(), Owner { connection: 0, stream: call.0 });
+        self.answers.retain(|(id, _)| *id != call);
+        self.carry_out();
+    }
+
+    /// Works until something has happened or `until` has come; the calls that have ended.
+    pub fn turn(&mut self, until: Time) -> io::Result<Vec<(CallId, Answer)>> {
+        if self.answers.is_empty() {
+            let due = self.core.next_due().into_iter().chain([until]).min();
+            self.reactor.turn(due, &mut self.core)?;
+            self.carry_out();
+        }
+        Ok(std::mem::take(&mut self.answers))
+    }
+
+    /// What has been counted so far.
+    pub fn counters(&mut self) -> &Counters {
+        self.core.counters()
+    }
+
+    fn carry_out(&mut self) {
+        self.core.wake(self.reactor.now());
+        while let Some(command) = self.core.next_command() {
+            match command {
+                Command::Answer { owner, answer } => self.answers.push((CallId(owner.stream), answer)),
+                command => self.pool.command(command, &mut self.reactor, &mut self.core),
+            }
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,9 @@
-//! Decisions of a front end that sends calls to workers which load programs on demand.
+//! A scheduler of calls to workers which load programs on demand.
+//!
+//! An RPC client that wants the scheduler inside itself starts at [`client`]. [`core`] is the scheduler without
+//! sockets or a clock, [`backend`] and [`front`] are what workers and clients speak, [`daemon`] is the program.
+//!
+//! # The decisions
 //!
 //! [`Balancer`] is a state machine without clock, I/O or threads: feed it events with the time at which
 //! they happened, carry out the actions that it appends, and call it again when a wake that it asked for
@@ -67,6 +72,7 @@
 pub mod backend;
 mod brain;
 pub mod bus;
+pub mod client;
 pub mod config;
 pub mod core;
 pub mod daemon;
--- a/tests/jsonrpc.rs
+++ b/tests/jsonrpc.rs
@@ -180,6 +180,49 @@
     assert_eq!(checker.next().word(), "halt");
 }
 
+#[test]
+fn checkers_are_probed_when_silent_and_ordered_to_load() {
+    let folder = Folder::new();
+    let paths = [folder.at("one.sock"), folder.at("two.sock")];
+    let checkers = [Worker::checker(&paths[0]), Worker::checker(&paths[1])];
+    let mut settings = settings();
+    settings["bounds"]["probes"] = json!(true);
+    let daemon = Daemon::with(&[], settings, None, |folder| {
+        let checker = |n: usize| format!("[[checkers]]\nid = \"s-0000c00{n}\"\nsocket = {:?}\n", paths[n]);
+        format!("{}{}{}", operator(folder), checker(0), checker(1))
+    });
+    let mut client = connect(&daemon);
+    for n in 0..12 {
+        client.send(&rpc_call(&json!(n), "practice-check", &format!("{n:016x}"), 60_000, "").to_string());
+    }
+    // The home holds its calls and hears a probe; the other one hears an order to load.
+    let (mut home, mut probed, mut loaded) = (Vec::new(), 0, 0);
+    let start = std::time::Instant::now();
+    while probed == 0 || loaded == 0 || home.len() < 12 {
+        assert!(start.elapsed() < LONG, "{probed} probes, {loaded} orders, {} calls", home.len());
+        for mut heard in checkers.iter().filter_map(Worker::poll) {
+            match heard.word() {
+                "go" => home.push(heard),
+                "probe" => {
+                    probed += 1;
+                    heard.say(
+                        json!({"jsonrpc": "2.0", "id": heard.name(), "result": {"load": {"util": 0.5}}}),
+                    );
+                }
+                "stage" => {
+                    loaded += 1;
+                    heard.answer("200", "");
+                }
+                other => panic!("{other}"),
+            }
+        }
+    }
+    home.iter_mut().for_each(|heard| heard.answer("200", "eA=="));
+    for _ in 0..12 {
+        assert_eq!(client.next()["result"]["body"], "eA==");
+    }
+}
+
 /// `credit-submit` is not resent beyond its key's window, by this front either.
 #[test]
 fn a_keyed_call_outside_its_window_is_sent_once() {
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -139,7 +139,9 @@
     let mut client = Frames::connect(&daemon);
     client.send(&frame(0, 1, &call("credit-submit", REF, 60_000, b"")));
     // Which of the two it is, the hash says.
+    let start = std::time::Instant::now();
     let (mut heard, other) = loop {
+        assert!(start.elapsed() < LONG, "nobody hears the call");
         let taken = |worker: &Worker| worker.poll();
         if let Some(heard) = taken(&workers[0]) {
             break (heard, &workers[1]);
