--- a/src/backend/agent.rs
+++ b/src/backend/agent.rs
@@ -2,7 +2,7 @@
 
 use super::{Codec, Said, Unreadable};
 use crate::core::{Reply, Work};
-use crate::interface::{FunctionId, Span};
+use crate::interface::{FunctionId, Time};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use serde::Deserialize;
@@ -38,8 +38,8 @@
 }
 
 impl Codec for AgentCodec {
-    fn go(&self, work: &Work, left: Span) -> Vec<u8> {
-        let ttl = left.0.div_ceil(1_000_000).max(1);
+    fn go(&self, work: &Work, now: Time, deadline: Time) -> Vec<u8> {
+        let ttl = super::left_ms(now, deadline);
         let name = format!("{:016x}", work.function.0);
         let mut attrs = json!({"lane": work.class, "name": name, "ttl": ttl});
         if let Some(key) = &work.key {
@@ -147,7 +147,7 @@
             key: Some("5c0f".into()),
             body: vec![0, 255],
         };
-        let line = AgentCodec.go(&work, Span(1_500_000_001));
+        let line = AgentCodec.go(&work, Time(5), Time(1_500_000_006));
         let expected = json!({"verb": "go", "rid": "9b1f03aa5c7e2d41", "content": "AP8=",
             "attrs": {"lane": "credit-submit", "name": "000000000000007f", "ttl": 1501, "dedupe": "5c0f"}});
         assert_eq!(line.last(), Some(&b'\n'));
--- a/src/backend/jsonrpc.rs
+++ b/src/backend/jsonrpc.rs
@@ -2,7 +2,7 @@
 
 use super::{Codec, Said, Unreadable};
 use crate::core::{Reply, Work};
-use crate::interface::{FunctionId, Span};
+use crate::interface::{FunctionId, Time};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use serde_json::{Value, json};
@@ -35,11 +35,11 @@
 }
 
 impl Codec for CheckerCodec {
-    fn go(&self, work: &Work, left: Span) -> Vec<u8> {
+    fn go(&self, work: &Work, now: Time, deadline: Time) -> Vec<u8> {
         let mut params = json!({
             "class": work.class,
             "function": format!("{:016x}", work.function.0),
-            "ttl_ms": left.0.div_ceil(1_000_000).max(1),
+            "ttl_ms": super::left_ms(now, deadline),
             "body": STANDARD.encode(&work.body),
         });
         if let Some(key) = &work.key {
@@ -117,7 +117,7 @@
         let params = json!({"class": "c", "function": name, "ttl_ms": 2, "body": "aGk=", "key": "k"});
         let cases = [
             (
-                CheckerCodec.go(&work, Span(1_000_001)),
+                CheckerCodec.go(&work, Time(5), Time(1_000_006)),
                 json!({"id": "9b1f", "method": "call", "params": params}),
             ),
             (CheckerCodec.halt("9b1f"), json!({"method": "cancel", "params": {"id": "9b1f"}})),
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -86,8 +86,8 @@
 
 /// The words of one kind of worker: pure functions from commands to lines and back.
 pub trait Codec {
-    /// The line that starts an attempt; `left` is how long its answer is waited for.
-    fn go(&self, work: &Work, left: Span) -> Vec<u8>;
+    /// The line that starts an attempt at `now`, whose answer is waited for until the deadline.
+    fn go(&self, work: &Work, now: Time, deadline: Time) -> Vec<u8>;
     /// The line that gives it up.
     fn halt(&self, rid: &str) -> Vec<u8>;
     /// The line that orders a load.
@@ -100,6 +100,11 @@
     fn read(&self, line: &[u8]) -> Result<Said, Unreadable>;
 }
 
+/// What remains until a deadline in whole milliseconds, as the wires tell it; never 0, which could mean none.
+fn left_ms(now: Time, deadline: Time) -> u64 {
+    (deadline - now).0.div_ceil(1_000_000).max(1)
+}
+
 /// Longest line taken from a worker: a body of 16 KiB in base64 with room to spare.
 pub const LINE: usize = 64 << 10;
 /// Open commands, with those that wait, on one connection.
@@ -190,7 +195,7 @@
                         hub.core.attempt_ended(hub.now, attempt, Err(broken));
                         continue;
                     }
-                    link.put(&self.codec.go(&work, deadline - hub.now));
+                    link.put(&self.codec.go(&work, hub.now, deadline));
                     self.writing = Some(Open::Attempt(attempt));
                 }
                 Job::Halt { attempt } => {
