Write nothing queued once a drain is known, and be without the bus for less long

The gate on queued sends let them out for 1.8 s after the drain was heard (Core::open_to_work), which is too long where it was heard late. Nothing goes out now once it is known. A silent bus is replaced after 2.5 s instead of 3.5 s, and the pause before a new connection grows to 0.4 s instead of 1.6 s (src/bus.rs). Ruled out: that the module itself sends on: it drops a draining worker at once. What the core remembers of the list is now the list, so that it cannot grow.

--- a/src/bus.rs
+++ b/src/bus.rs
@@ -10,9 +10,10 @@
 /// Largest frame taken: some 38,000 workers.
 pub const FRAME: usize = 1 << 20;
 /// Without even an empty frame for this long the bus is held to be dead; it sends one each second.
-pub const SILENCE: Span = Span::millis(3_500);
-/// First pause before a new connection, and how often it doubles.
-pub const BACKOFF: (Span, u32) = (Span::millis(100), 4);
+pub const SILENCE: Span = Span::millis(2_500);
+/// First pause before a new connection, and how often it doubles: what the bus has to tell counts as told
+/// whether or not it was heard, so a scheduler is never long without it.
+pub const BACKOFF: (Span, u32) = (Span::millis(100), 2);
 
 /// A worker as the bus tells of it.
 #[derive(Clone, Debug)]
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -23,8 +23,6 @@
 const BACKSTOP: Span = Span::millis(20);
 /// Functions remembered as called; beyond them memory starts anew, which only holds orders back.
 const CALLED: usize = 1 << 17;
-/// Taken off what remains of the drain rule's grace when bytes are written: the way to the worker.
-const DRAIN_MARGIN: Span = Span::millis(200);
 /// A keyed repeat must be written this long before its group forgets.
 const KEY_MARGIN: Span = Span::millis(50);
 
@@ -244,13 +242,6 @@
     decided: Time,
 }
 
-/// What the list has told of a worker, kept after it has gone.
-#[derive(Default)]
-struct Told {
-    /// Since when it may have nothing new.
-    closed: Option<Time>,
-}
-
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Wake,
@@ -295,7 +286,8 @@
     attempts: BTreeMap<AttemptId, Attempt>,
     orders: BTreeMap<OrderId, Order>,
     probes: BTreeMap<ProbeId, (WorkerId, Time)>,
-    told: BTreeMap<WorkerId, Told>,
+    /// What the list tells of each worker on it.
+    told: BTreeMap<WorkerId, State>,
     due: BTreeSet<(Time, Due)>,
     commands: VecDeque<Command>,
     backlog: VecDeque<Event>,
@@ -363,15 +355,12 @@
     pub fn members(&mut self, now: Time, kind: ListKind, members: Vec<Member>) {
         if matches!(kind, ListKind::Full | ListKind::Cached) {
             let listed: BTreeSet<WorkerId> = members.iter().map(|m| m.worker).collect();
-            for (_, told) in self.told.iter_mut().filter(|(worker, _)| !listed.contains(worker)) {
-                told.closed.get_or_insert(now);
-            }
+            self.told.retain(|worker, _| listed.contains(worker));
         }
         for member in &members {
-            let told = self.told.entry(member.worker).or_default();
             match member.state {
-                State::Ready => told.closed = None,
-                State::Draining | State::Gone => drop(told.closed.get_or_insert(now)),
+                State::Gone => drop(self.told.remove(&member.worker)),
+                state => drop(self.told.insert(member.worker, state)),
             }
         }
         self.counters.list_events += 1;
@@ -548,7 +537,7 @@
             (Effect::Unsafe, Some(_)) => false,
             (Effect::Keyed { window, .. }, Some(first)) => now + KEY_MARGIN < first + window,
         };
-        in_window && self.open_to_work(now, attempt.worker)
+        in_window && self.open_to_work(attempt.worker)
     }
 
     /// Whether an order may still go out, and counts it as gone out if so. The ration is looked at here
@@ -558,7 +547,7 @@
         if order.copies == 0 {
             return true;
         }
-        if !self.open_to_work(now, order.worker) || !self.called.contains(&order.function) {
+        if !self.open_to_work(order.worker) || !self.called.contains(&order.function) {
             return false;
         }
         if let Some(ration) = self.site.settings.rules.ration {
@@ -576,12 +565,10 @@
         true
     }
 
-    fn open_to_work(&self, now: Time, worker: WorkerId) -> bool {
-        // The module sends nothing to a worker that drains; what was decided just before may still go out
-        // within the settled grace, never after it.
-        let grace = self.site.drain_grace.0.saturating_sub(DRAIN_MARGIN.0);
-        let told = self.told.get(&worker);
-        told.is_some_and(|told| told.closed.is_none_or(|at| now < at + Span(grace)))
+    /// An event of the bus counts as told from the moment it is in the bus, which may be long before it was
+    /// heard here. So nothing that still waits is written once a drain is known, whatever grace there is.
+    fn open_to_work(&self, worker: WorkerId) -> bool {
+        self.told.get(&worker) == Some(&State::Ready)
     }
 
     // ---- Inside
@@ -784,19 +771,21 @@
         }
     }
 
-    /// A send that waited for its connection while the drain's grace passed must not go out.
+    /// A send that waited for its connection while its worker began to drain must not go out.
     #[test]
     fn what_queued_is_held_back_after_a_drain() {
         let mut core = core();
         let (attempt, worker) = sent(&call(&mut core, 1, "safe"));
         let order = load(&mut core, MS(0));
         let draining = |worker| Member { worker, state: State::Draining, ..Member::default() };
+        assert!(core.may_write(MS(9), attempt));
         core.members(MS(10), ListKind::Delta, vec![draining(worker), draining(WorkerId(1))]);
-        assert!(core.may_write(MS(11), attempt));
-        assert!(!core.may_write(MS(1950), attempt));
-        assert!(!core.may_write_order(MS(1950), order));
-        core.members(MS(1960), ListKind::Full, vec![]);
-        assert!(!core.may_write(MS(1960), attempt), "absent from the whole list is gone");
+        assert!(!core.may_write(MS(11), attempt));
+        assert!(!core.may_write_order(MS(11), order));
+        core.members(MS(12), ListKind::Delta, vec![Member { worker, ..Member::default() }]);
+        assert!(core.may_write(MS(12), attempt));
+        core.members(MS(13), ListKind::Full, vec![]);
+        assert!(!core.may_write(MS(13), attempt), "absent from the whole list is gone");
     }
 
     /// Orders that waited behind a slow connection must not bunch up beyond the ration.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -54,8 +54,6 @@
     pub connect_limit: Span,
     /// An order to load that has no answer within this time is lost.
     pub load_wait: Span,
-    /// A worker told to drain or gone sees nothing new later than this.
-    pub drain_grace: Span,
 }
 
 #[derive(Deserialize)]
@@ -87,12 +85,6 @@
     cold_ns: u64,
     fall_multiple: f64,
     fall_ns: u64,
-    #[serde(default = "default_drain_grace")]
-    drain_grace_ns: u64,
-}
-
-fn default_drain_grace() -> u64 {
-    2_000_000_000
 }
 
 #[derive(Deserialize)]
@@ -187,7 +179,6 @@
     let (multiplex, max_open) = (text.bounds.multiplex.max(1), text.bounds.max_open);
     let (idle_close, connect_limit) = (Span(text.bounds.idle_close_ns), Span(text.bounds.connect_timeout_ns));
     let load_wait = Span(text.family_info.load_wait_ns);
-    let drain_grace = Span(text.contract.drain_grace_ns);
     Ok(Site {
         settings: read_text(text)?,
         classes: names,
@@ -198,7 +189,6 @@
         idle_close,
         connect_limit,
         load_wait,
-        drain_grace,
     })
 }
 
