Read the files anew on SIGHUP and move to the bus that they name

Checked: the exit code is the signal's default action; src/daemon.rs registered SIGTERM, SIGINT and SIGUSR1 alone. Ruled out: a panic (no line of one in the logs).

Now both files are read whole, checked and then used. Classes keep their places for calls under way (Site::replaced_by). The old bus connection is dropped and the new address asked from the last event on. The second front's socket and the checkers follow the operator's file, tested on both fronts.

--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// New limits. Connections that stand keep the ones they came up with.
+    pub fn configure(&mut self, limits: Limits, connect_limit: Span, budget: usize) {
+        (self.limits, self.connect_limit, self.budget) = (limits, connect_limit, budget);
+    }
+
     /// The list says where a worker is. A new process has none of the old one's connections: what is open on
     /// them ends by itself, and nothing new goes out there.
     pub fn place(&mut self, worker: WorkerId, endpoint: Endpoint, started: Option<Time>) {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -230,6 +230,13 @@
         }
     }
 
+    /// New settings. Classes keep their places; new ones come after them.
+    pub fn configure(&mut self, settings: Settings) {
+        let more = settings.classes.iter().skip(self.usual.len()).map(|class| class.aim.secs() / 4.0);
+        self.usual.extend(more);
+        self.settings = settings;
+    }
+
     /// Takes in what happened at `now` and appends what is to be done about it.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
--- a/src/config.rs
+++ b/src/config.rs
@@ -8,6 +8,32 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 
+/// The files that say all of this. They are read at the start, and anew on SIGHUP.
+#[derive(Clone, Debug)]
+pub struct Sources {
+    /// The platform's configuration.
+    pub config: PathBuf,
+    /// The operator's file, if there is one.
+    pub operator: Option<PathBuf>,
+}
+
+impl Sources {
+    /// Reads both files whole; nothing of them is used unless all of both can be.
+    pub fn read(&self) -> Result<(Config, Operator), String> {
+        let operator = match &self.operator {
+            None => Operator::default(),
+            Some(path) => {
+                let text = std::fs::read_to_string(path)
+                    .map_err(|e| format!("operator's file: cannot read {}: {e}", path.display()))?;
+                read_operator(&text)?
+            }
+        };
+        let text = std::fs::read(&self.config)
+            .map_err(|e| format!("configuration: cannot read {}: {e}", self.config.display()))?;
+        Ok((read(&text)?, operator))
+    }
+}
+
 /// The platform's configuration.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -152,7 +178,7 @@
 }
 
 /// The virtual router that this daemon belongs to.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Vrrp {
     /// Its number, 1 to 255.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -329,6 +329,13 @@
         &self.site
     }
 
+    /// A new configuration: calls under way go on as they were taken, by the new figures.
+    pub fn replace_site(&mut self, now: Time, site: Site) {
+        self.site = self.site.replaced_by(site);
+        self.balancer.configure(self.site.settings.clone());
+        self.settle(now);
+    }
+
     /// What has been counted so far.
     pub fn counters(&mut self) -> &mut Counters {
         &mut self.counters
@@ -371,7 +378,7 @@
     pub fn call(&mut self, now: Time, call: Incoming) {
         self.counters.taken += 1;
         self.taken.push_back(now);
-        let class = self.site.classes.iter().position(|name| *name == call.class);
+        let class = self.site.class(&call.class);
         let Some(class) = class else { return self.answer(call.owner, Verdict::Failed, false) };
         let full = self.requests.len() >= self.site.max_open || self.bodies + call.body.len() > BODIES;
         if full || call.deadline <= now || self.owners.contains_key(&call.owner) {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use crate::backend::{self, Pool};
 use crate::bus::{self, BusConnection, Inbox, News};
-use crate::config::{self, Config, Operator};
+use crate::config::{self, Config, Operator, Sources};
 use crate::core::{Command, Core};
 use crate::front::frames::{self, FrameConnection};
 use crate::front::jsonrpc::RpcConnection;
@@ -11,7 +11,7 @@
 use crate::net::{Reactor, Signal, Stream, SystemClock};
 use crate::vrrp::packet::{Advertisement, LARGEST};
 use crate::vrrp::{self, Event};
-use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::io;
@@ -54,6 +54,7 @@
 }
 
 struct Daemon {
+    sources: Sources,
     core: Core,
     reactor: Reactor,
     pool: Pool,
@@ -63,28 +64,31 @@
     fixed: Vec<Member>,
     inbox: Rc<RefCell<Inbox>>,
     bus_again: Option<Time>,
+    /// The connection to the bus, while there is one.
+    bus_id: Option<u64>,
     /// The listener of the second front, and its file.
     rpc: Option<(usize, SocketFile)>,
     rpc_clients: BTreeSet<u64>,
     router: Option<Router>,
-    /// The pipes of the signals: to end, and to print counters.
-    pipes: (usize, usize),
+    /// The pipes of the signals: to end, to print counters, and to read the files anew.
+    pipes: (usize, usize, usize),
     /// Since when the daemon is on its way out.
     ending: Option<Time>,
     told_late: bool,
 }
 
 /// Serves until a signal ends it.
-pub fn run(config: Config, operator: Operator) -> io::Result<()> {
-    Daemon::new(config, operator)?.serve()
+pub fn run(config: Config, operator: Operator, sources: Sources) -> io::Result<()> {
+    Daemon::new(config, operator, sources)?.serve()
 }
 
 impl Daemon {
-    fn new(mut config: Config, operator: Operator) -> io::Result<Daemon> {
+    fn new(mut config: Config, operator: Operator, sources: Sources) -> io::Result<Daemon> {
         let mut reactor = Reactor::new(SystemClock::new())?;
         let end = signal_pipe(&[SIGTERM, SIGINT])?;
         let print = signal_pipe(&[SIGUSR1])?;
-        let pipes = (reactor.watch(end)?, reactor.watch(print)?);
+        let reload = signal_pipe(&[SIGHUP])?;
+        let pipes = (reactor.watch(end)?, reactor.watch(print)?, reactor.watch(reload)?);
         config.listen = reactor.listen(config.listen)?;
         let rpc = match &operator.jsonrpc {
             None => None,
@@ -99,27 +103,24 @@
         };
         reactor.active = router.is_none();
         let core = Core::new(config.site.clone(), config.seed);
-        let site = &config.site;
-        // Closed before the worker's own limit, or a command could cross its close.
-        let limits = backend::Limits { multiplex: site.multiplex, idle: site.idle_close.times(0.8) };
-        // The platform allows connects 50 ms more than the simulator does.
-        let connect = Span(site.connect_limit.0 + Span::millis(50).0);
-        let budget = config.sockets.saturating_sub(RESERVED);
+        let (limits, connect, budget) = worker_limits(&config);
         let mut pool = Pool::new(limits, connect, budget);
         let mut fixed = Vec::new();
-        for (member, path) in operator.members(site) {
+        for (member, path) in operator.members(&config.site) {
             pool.place(member.worker, backend::Endpoint::Checker(path), None);
             fixed.push(member);
         }
         let inbox = Rc::new(RefCell::new(Inbox { down: true, ..Inbox::default() }));
         let bus_again = Some(reactor.now());
         Ok(Daemon {
+            sources,
             core,
             reactor,
             pool,
             config,
             inbox,
             bus_again,
+            bus_id: None,
             operator,
             fixed,
             rpc,
@@ -161,7 +162,7 @@
                     Signal::Pipe(pipe) if pipe == self.pipes.1 => {
                         eprintln!("mintgate: {}", self.core.counters())
                     }
-                    Signal::Pipe(_) => {}
+                    Signal::Pipe(_) => self.reload(),
                     Signal::Datagram(socket) => self.hear(socket),
                 }
             }
@@ -257,6 +258,7 @@
             return;
         }
         self.bus_again = None;
+        self.bus_id = None;
         let connection = Box::new(BusConnection::new(self.inbox.clone(), now));
         let stream = self.reactor.connect(address);
         let up = stream.ok().and_then(|stream| {
@@ -268,6 +270,7 @@
             let pause = Span(bus::BACKOFF.0.0 << inbox.failures.min(bus::BACKOFF.1));
             self.bus_again = Some(now + pause);
         }
+        self.bus_id = up;
     }
 
     fn learn(&mut self, now: Time, news: News) {
@@ -293,6 +296,106 @@
         self.core.members(now, news.kind, members);
     }
 
+    // ---- New configurations
+
+    /// SIGHUP: both files are read whole and checked before anything of them is used; where one is bad, all
+    /// stays as it was. Calls under way go on, and so do connections.
+    fn reload(&mut self) {
+        let (mut config, operator) = match self.sources.read() {
+            Ok(read) => read,
+            Err(why) => return eprintln!("mintgate: reload refused why=\"{why}\""),
+        };
+        if let Err(why) = self.reload_fronts(&operator) {
+            return eprintln!("mintgate: reload refused why=\"{why}\"");
+        }
+        let now = self.reactor.now();
+        // What can only be had at a start stays as it is, and is said.
+        let fixed = [
+            ("listen", config.listen.port() != 0 && config.listen != self.config.listen),
+            ("name", config.name != self.config.name),
+            ("zones", config.site.zones != self.config.site.zones),
+            ("kinds", config.site.kinds != self.config.site.kinds),
+            ("vrrp", operator.vrrp != self.operator.vrrp),
+        ];
+        for (what, _) in fixed.iter().filter(|(_, differs)| *differs) {
+            eprintln!("mintgate: reload kept what={what}");
+        }
+        (config.listen, config.name) = (self.config.listen, self.config.name.clone());
+        config.site.zones.clone_from(&self.config.site.zones);
+        config.site.kinds.clone_from(&self.config.site.kinds);
+        let vrrp = self.operator.vrrp.take();
+        self.operator = Operator { vrrp, ..operator };
+        let known = std::mem::take(&mut config.known);
+        let moved = config.bus != self.config.bus;
+        self.config = config;
+        self.core.replace_site(now, self.config.site.clone());
+        let (limits, connect, budget) = worker_limits(&self.config);
+        self.pool.configure(limits, connect, budget);
+        self.replace_checkers(now);
+        // The bus's numbers go on. What the file knows is of use where it follows on what is known here.
+        self.follow_bus(now);
+        for news in known {
+            let mut inbox = self.inbox.borrow_mut();
+            let follows = news.kind == ListKind::Full || news.offset == inbox.offset + 1;
+            if news.offset > inbox.offset && follows {
+                inbox.offset = news.offset;
+                inbox.news.push_back(news);
+            }
+        }
+        if moved {
+            self.move_bus(now);
+        }
+        eprintln!("mintgate: reloaded offset={}", self.inbox.borrow().offset);
+    }
+
+    /// The bus has another address: the old one tells nothing more. The new one is asked at once, from the
+    /// last event on, and the old connection's end is none of the new one's.
+    fn move_bus(&mut self, now: Time) {
+        let (offset, news) = {
+            let mut old = self.inbox.borrow_mut();
+            (old.offset, std::mem::take(&mut old.news))
+        };
+        self.inbox = Rc::new(RefCell::new(Inbox { news, offset, down: true, failures: 0 }));
+        if let Some(id) = self.bus_id.take() {
+            self.reactor.end(id, &mut self.core);
+        }
+        self.bus_again = Some(now);
+    }
+
+    /// The second front's part of the operator's file. Its socket moves if the file names another; clients
+    /// that are connected stay. Where the new socket cannot be had nothing has changed.
+    fn reload_fronts(&mut self, operator: &Operator) -> io::Result<()> {
+        let path = |operator: &Operator| operator.jsonrpc.as_ref().map(|front| front.socket.clone());
+        let same = path(operator) == path(&self.operator);
+        let new = match (&operator.jsonrpc, &self.rpc) {
+            (Some(front), Some((_, file))) if same => return file.set_mode(front.mode),
+            (None, _) => None,
+            (Some(front), _) => {
+                let (listener, file) = socket::bind(&front.socket, front.mode)?;
+                Some((self.reactor.listen_unix(listener)?, file))
+            }
+        };
+        if let Some((listener, _)) = std::mem::replace(&mut self.rpc, new) {
+            self.reactor.unlisten(listener);
+        }
+        Ok(())
+    }
+
+    fn replace_checkers(&mut self, now: Time) {
+        let old = std::mem::take(&mut self.fixed);
+        for (member, path) in self.operator.members(&self.config.site) {
+            self.pool.place(member.worker, backend::Endpoint::Checker(path), None);
+            self.fixed.push(member);
+        }
+        let left = old.into_iter().filter(|o| !self.fixed.iter().any(|n| n.worker == o.worker));
+        let mut changes: Vec<Member> = left.map(|o| Member { state: State::Gone, ..o }).collect();
+        changes.iter().for_each(|gone| self.pool.remove(gone.worker));
+        changes.extend(&self.fixed);
+        if !changes.is_empty() {
+            self.core.members(now, ListKind::Delta, changes);
+        }
+    }
+
     // ---- VRRP
 
     fn vrrp(&mut self, event: Event) {
@@ -372,6 +475,16 @@
     }
 }
 
+/// What the configuration lets connections to workers take.
+fn worker_limits(config: &Config) -> (backend::Limits, Span, usize) {
+    let site = &config.site;
+    // Closed before the worker's own limit, or a command could cross its close.
+    let limits = backend::Limits { multiplex: site.multiplex, idle: site.idle_close.times(0.8) };
+    // The platform allows connects 50 ms more than the simulator does.
+    let connect = Span(site.connect_limit.0 + Span::millis(50).0);
+    (limits, connect, config.sockets.saturating_sub(RESERVED))
+}
+
 /// The reading end of a pipe that gets a byte for each of these signals.
 fn signal_pipe(signals: &[i32]) -> io::Result<UnixStream> {
     let (read, write) = UnixStream::pair()?;
--- a/src/front/socket.rs
+++ b/src/front/socket.rs
@@ -46,6 +46,13 @@
     made
 }
 
+impl SocketFile {
+    /// Gives the file another mode.
+    pub fn set_mode(&self, mode: u32) -> io::Result<()> {
+        fs::set_permissions(&self.path, Permissions::from_mode(mode))
+    }
+}
+
 impl Drop for SocketFile {
     /// A later process may have put its own socket in place: that one stays.
     fn drop(&mut self) {
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -111,7 +111,7 @@
     poll: Poll,
     events: Events,
     clock: SystemClock,
-    listeners: Vec<Listener>,
+    listeners: Vec<Option<Listener>>,
     pipes: Vec<mio::net::UnixStream>,
     sockets: Vec<mio::net::UdpSocket>,
     entries: HashMap<Token, Entry>,
@@ -172,10 +172,20 @@
             Listener::Tcp(l) => registry.register(l, Token(number), Interest::READABLE)?,
             Listener::Unix(l) => registry.register(l, Token(number), Interest::READABLE)?,
         }
-        self.listeners.push(listener);
+        self.listeners.push(Some(listener));
         Ok(number)
     }
 
+    /// Listens there no longer.
+    pub fn unlisten(&mut self, listener: usize) {
+        let gone = self.listeners.get_mut(listener).and_then(Option::take);
+        let _ = match gone {
+            Some(Listener::Tcp(mut l)) => self.poll.registry().deregister(&mut l),
+            Some(Listener::Unix(mut l)) => self.poll.registry().deregister(&mut l),
+            None => Ok(()),
+        };
+    }
+
     /// Watches the reading end of a pipe; its number.
     pub fn watch(&mut self, pipe: StdUnixStream) -> io::Result<usize> {
         pipe.set_nonblocking(true)?;
@@ -217,11 +227,12 @@
     /// Takes the next client of a listener, if one waits.
     pub fn accept(&mut self, listener: usize) -> io::Result<Option<Stream>> {
         let taken = match &self.listeners[listener] {
-            Listener::Tcp(l) => l.accept().map(|(stream, _)| {
+            None => return Ok(None),
+            Some(Listener::Tcp(l)) => l.accept().map(|(stream, _)| {
                 let _ = stream.set_nodelay(true);
                 Stream::Tcp(stream)
             }),
-            Listener::Unix(l) => l.accept().map(|(stream, _)| Stream::Unix(stream)),
+            Some(Listener::Unix(l)) => l.accept().map(|(stream, _)| Stream::Unix(stream)),
         };
         match taken {
             Ok(stream) => Ok(Some(stream)),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -38,8 +38,8 @@
 pub struct Site {
     /// What the module is told.
     pub settings: Settings,
-    /// Names of the classes, in their order.
-    pub classes: Vec<String>,
+    /// Names of the classes, in their order; none for one that a new configuration no longer has.
+    pub classes: Vec<Option<String>>,
     /// Names of the zones, in their order.
     pub zones: Vec<String>,
     /// Names of the machine kinds, in their order.
@@ -174,7 +174,7 @@
 /// Reads the settings with what sockets need of them.
 pub fn read_site(text: &[u8]) -> Result<Site, String> {
     let text: Text = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
-    let names = text.classes.iter().map(|class| class.name.clone()).collect();
+    let names = text.classes.iter().map(|class| Some(class.name.clone())).collect();
     let (zones, kinds) = (text.zones.clone(), text.kinds.clone());
     let (multiplex, max_open) = (text.bounds.multiplex.max(1), text.bounds.max_open);
     let (idle_close, connect_limit) = (Span(text.bounds.idle_close_ns), Span(text.bounds.connect_timeout_ns));
@@ -192,6 +192,34 @@
     })
 }
 
+impl Site {
+    /// The place of a class that new calls may name.
+    pub fn class(&self, name: &str) -> Option<usize> {
+        self.classes.iter().position(|known| known.as_deref() == Some(name))
+    }
+
+    /// What a new configuration makes of this one. Classes keep their places, for calls under way know theirs
+    /// by it: one that the new configuration lacks stays for those calls, without a name for new ones.
+    pub fn replaced_by(&self, mut new: Site) -> Site {
+        let old = self.settings.classes.iter().cloned().zip(&self.classes);
+        let (mut classes, mut names) = (Vec::new(), Vec::new());
+        for (class, name) in old {
+            let kept = name.as_ref().and_then(|name| new.class(name));
+            names.push(kept.and_then(|place| new.classes[place].take()));
+            classes.push(kept.map_or(class, |place| new.settings.classes[place].clone()));
+        }
+        for (class, name) in new.settings.classes.iter().zip(&mut new.classes) {
+            if let Some(name) = name.take() {
+                classes.push(class.clone());
+                names.push(Some(name));
+            }
+        }
+        new.settings.classes = classes;
+        new.classes = names;
+        new
+    }
+}
+
 fn read_text(text: Text) -> Result<Settings, String> {
     let classes = text.classes.iter().enumerate().map(|(n, class)| read_class(n, class));
     let info = text.family_info;
@@ -283,3 +311,34 @@
         _ => Gauge::Other,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A call under way knows its class by its place: a new configuration must not put another one there.
+    #[test]
+    fn classes_keep_their_places_when_a_configuration_is_replaced() {
+        let site = |names: &[&str]| {
+            let class = |(n, name)| {
+                format!(r#"{{"name":"{name}","deadlineNs":{n},"effect":"retryable","objectiveNs":1}}"#)
+            };
+            let classes: Vec<String> = names.iter().enumerate().map(class).collect();
+            read_site(
+                format!(
+                    r#"{{"fleetSize":1,"index":0,"classes":[{}],"bounds":{{"mostTries":1}},
+                    "contract":{{"coldFrom":1,"coldNs":1,"fallMultiple":1,"fallNs":1}},
+                    "familyInfo":{{"keepNs":1,"notLoaded":"load","loadSpanNs":0}}}}"#,
+                    classes.join(",")
+                )
+                .as_bytes(),
+            )
+            .unwrap()
+        };
+        let merged = site(&["a", "b"]).replaced_by(site(&["c", "b", ""]));
+        let places: Vec<_> = ["a", "b", "c", ""].map(|name| merged.class(name)).to_vec();
+        assert_eq!(places, [None, Some(1), Some(2), Some(3)]);
+        let figures: Vec<_> = merged.settings.classes.iter().map(|class| class.deadline.0).collect();
+        assert_eq!(figures, [0, 1, 0, 2], "the old a, the new b, c and the nameless");
+    }
+}
--- a/tests/jsonrpc.rs
+++ b/tests/jsonrpc.rs
@@ -269,6 +269,40 @@
     assert!(!path.exists(), "taken away at the end");
 }
 
+/// SIGHUP reads the operator's file too: the socket moves, checkers change, calls under way go on.
+#[test]
+fn a_new_operators_file_moves_the_socket_and_replaces_checkers() {
+    let folder = Folder::new();
+    let paths = [folder.at("one.sock"), folder.at("two.sock")];
+    let checkers = [Worker::checker(&paths[0]), Worker::checker(&paths[1])];
+    let file = |daemon: &Folder, socket: &str, n: usize| {
+        let socket = daemon.at(socket);
+        let checker = format!("[[checkers]]\nid = \"s-0000c00{n}\"\nsocket = {:?}\n", paths[n]);
+        format!("[jsonrpc]\nsocket = {socket:?}\nmode = \"600\"\n{checker}")
+    };
+    let daemon = Daemon::with(&[], settings(), None, |folder| file(folder, "calls.sock", 0));
+    let (path, config) = (daemon.folder.at("operator.toml"), daemon.config.to_string());
+    let mut client = connect(&daemon);
+    client.send(&rpc_call(&json!(1), "practice-check", REF, 60_000, "").to_string());
+    let mut heard = checkers[0].next();
+    std::fs::write(&path, "[jsonrpc]\nsocket = 7\n").unwrap();
+    assert_eq!(daemon.reload(&config), "refused");
+    let precious = daemon.folder.at("precious");
+    std::fs::write(&precious, "").unwrap();
+    std::fs::write(&path, format!("[jsonrpc]\nsocket = {precious:?}\n")).unwrap();
+    assert_eq!(daemon.reload(&config), "refused", "there is something that is no socket");
+    connect(&daemon);
+    std::fs::write(&path, file(&daemon.folder, "moved.sock", 1)).unwrap();
+    daemon.reload(&config);
+    assert!(!daemon.folder.at("calls.sock").exists());
+    let mut second = Rpc::connect(&daemon.folder.at("moved.sock"));
+    second.send(&rpc_call(&json!(1), "practice-check", "00000000000000aa", 2900, "").to_string());
+    checkers[1].next().answer("200", "eA==");
+    assert_eq!(second.next()["result"]["body"], "eA==");
+    heard.answer("200", "eQ==");
+    assert_eq!(client.next()["result"]["body"], "eQ==", "under way when the file changed");
+}
+
 /// Identical calls over both framings: the same outcomes and the same number of orders to load.
 #[test]
 fn both_framings_have_the_same_outcomes_and_orders() {
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -235,6 +235,7 @@
     pub listen: SocketAddr,
     pub folder: Folder,
     pub log: Arc<Mutex<String>>,
+    pub config: Value,
 }
 
 impl Daemon {
@@ -276,7 +277,7 @@
                 log.push('\n');
             }
         });
-        let mut daemon = Daemon { child, listen: "127.0.0.1:0".parse().unwrap(), folder, log };
+        let mut daemon = Daemon { child, listen: "127.0.0.1:0".parse().unwrap(), folder, log, config };
         let log = daemon.wait_log("offset=");
         let word = log.split_whitespace().find_map(|word| word.strip_prefix("listen="));
         daemon.listen = word.unwrap().parse().unwrap();
@@ -306,6 +307,25 @@
         assert!(Command::new("kill").args(["-s", name, &pid]).status().unwrap().success());
     }
 
+    /// Puts another configuration in place and has it read; the log's word for how that went.
+    pub fn reload(&self, config: &str) -> String {
+        let count =
+            |log: &str| log.matches("mintgate: reloaded").count() + log.matches("reload refused").count();
+        let before = count(&self.log.lock().unwrap());
+        std::fs::write(self.folder.at("config.json"), config).unwrap();
+        self.signal("HUP");
+        let start = Instant::now();
+        loop {
+            let log = self.log.lock().unwrap().clone();
+            if count(&log) > before {
+                let line = log.lines().rfind(|line| line.contains("mintgate: reload"));
+                return line.unwrap().split(' ').take(3).last().unwrap_or_default().to_owned();
+            }
+            assert!(start.elapsed() < LONG, "no reload:\n{log}");
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     /// A counter, as printed on request.
     pub fn counter(&self, name: &str) -> u64 {
         let before = self.log.lock().unwrap().matches("mintgate: counters").count();
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -301,6 +301,42 @@
     daemon.wait_log("bus silent");
 }
 
+/// SIGHUP ends nothing: the file is checked and then used, calls under way go on, and the new bus is asked
+/// from the last event on.
+#[test]
+fn a_new_configuration_is_taken_whole_or_not_at_all() {
+    let (worker, second, bus, moved) = (Worker::agent(), Worker::agent(), Bus::new(), Bus::new());
+    let daemon = Daemon::with(&[&worker], settings(), Some(bus.0.local_addr().unwrap()), |_| String::new());
+    let (mut feed, _) = bus.accept();
+    feed.write_all(&event(2, 7, &second, 1)).unwrap();
+    daemon.wait_counter("list_events", 2);
+    let mut client = Frames::connect(&daemon);
+    client.send(&frame(0, 1, &call("practice-check", REF, 60_000, b"")));
+    let mut heard = worker.next();
+    let mut config = daemon.config.clone();
+    config["bus"] = json!(moved.0.local_addr().unwrap().to_string());
+    config["settings"]["classes"][1]["name"] = json!("exam-submit");
+    let text = config.to_string();
+    for bad in ["", "{", &text[..text.len() - 1], &text.replace("objectiveNs", "objective")] {
+        assert_eq!(daemon.reload(bad), "refused");
+    }
+    client.send(&frame(0, 2, &call("exam-submit", "00000000000000aa", 2900, b"")));
+    assert_eq!(client.next(), Some((1, 2, vec![69, 0])), "the old configuration stands");
+    daemon.reload(&text);
+    let (mut feed, offset) = moved.accept();
+    assert_eq!(offset, 2, "from the last event");
+    feed.write_all(&event(3, 1, &worker, 1)).unwrap();
+    feed.write_all(&event(4, 7, &second, 0)).unwrap();
+    daemon.wait_counter("list_events", 4);
+    heard.answer("200", "eQ==");
+    assert_eq!(client.next(), Some((1, 1, vec![79, 0, b'y'])), "under way when the file changed");
+    client.send(&frame(0, 3, &call("exam-submit", "00000000000000bb", 2900, b"")));
+    second.next().answer("200", "eA==");
+    assert_eq!(client.next(), Some((1, 3, vec![79, 0, b'x'])));
+    client.send(&frame(0, 4, &call("credit-submit", "00000000000000cc", 2900, b"")));
+    assert_eq!(client.next(), Some((1, 4, vec![69, 0])), "the class has gone");
+}
+
 #[test]
 fn at_sigterm_what_still_comes_is_answered() {
     let worker = Worker::agent();
