End a worker's connection at a spoilt answer, and spread calls over connections

A probe logged each unreadable line: 5 to 19 calls were open on its connection, and none of them was ever answered there. Lines at fault: src/backend/mod.rs 'harms nobody else' (Flow::Go after such a line), no limit on a line that stops short, and src/backend/pool.rs, which put all calls of a worker on one connection. Checked beside it: held sends (drain, withdrawn call, ration) were reported as ConnectFailed, so src/brain.rs took the worker for lost; one broken connection counted once for each call on it. Calls under a name that is open were sent on (the probe showed hundreds under one name). Ruled out: CPU (0.08 s in the worst second).

Left: a quarter of the calls refused for 2 s round a crash; 327 of 384 descriptors held by silent clients.

--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -109,8 +109,12 @@
 pub const LINE: usize = 64 << 10;
 /// Open commands, with those that wait, on one connection.
 const QUEUE: usize = 4096;
-/// For how long the name of a given-up attempt is kept from use on its connection.
-const SHADOW: Span = Span::millis(30_000);
+/// For how long the name of a given-up attempt is kept from use on its connection, and how many such names:
+/// clients may withdraw calls by hundreds.
+const SHADOW: (Span, usize) = (Span::millis(10_000), 1024);
+/// A worker's line that has begun must have come whole within this time. One that stops short would swallow
+/// the start of every later answer on its connection.
+const WHOLE_LINE: Span = Span::millis(300);
 
 #[derive(Clone, Copy, Debug)]
 enum Open {
@@ -146,6 +150,8 @@
     shadows: VecDeque<(Time, String)>,
     /// When the probe that is out here has failed.
     probe_by: Option<(Time, ProbeId)>,
+    /// Until when the line that has begun must have ended.
+    line_by: Option<Time>,
     /// A probe got no answer and nothing has come since. A connection through a cut stays up and silent, and
     /// goes on slowly when the cut ends: new work takes a new one, whose refusal proves that nothing ran.
     silent: bool,
@@ -166,6 +172,7 @@
             idle_since: connect_by,
             shadows: VecDeque::new(),
             probe_by: None,
+            line_by: None,
             silent: false,
         }
     }
@@ -191,8 +198,7 @@
                         self.attempts -= 1;
                         self.open.remove(&work.reference);
                         self.names.remove(&attempt);
-                        let broken = Broken { reached: Reached::NotSent, cause: "no longer allowed" };
-                        hub.core.attempt_ended(hub.now, attempt, Err(broken));
+                        hub.core.attempt_held(hub.now, attempt);
                         continue;
                     }
                     link.put(&self.codec.go(&work, hub.now, deadline));
@@ -206,8 +212,7 @@
                 Job::Stage { order, function, copies } => {
                     if !hub.core.may_write_order(hub.now, order) {
                         self.open.remove(&Self::order_name(order));
-                        let broken = Broken { reached: Reached::NotSent, cause: "no longer allowed" };
-                        hub.core.order_ended(hub.now, order, Err(broken));
+                        hub.core.order_held(hub.now, order);
                         continue;
                     }
                     link.put(&self.codec.stage(&Self::order_name(order), function, copies));
@@ -240,9 +245,15 @@
             Ok(Said::Answer { rid, reply, copies }) => (rid, Ok(reply), copies),
             Err(Unreadable { rid, cause }) => {
                 hub.core.counters().unreadable += 1;
-                // Without a name it harms nobody else: what it should have answered runs into its deadline.
-                let Some(rid) = rid else { return Flow::Go };
-                (rid, Err(Broken { reached: Reached::Answered, cause }), None)
+                if let Some(Open::Attempt(attempt)) = rid.as_ref().and_then(|rid| self.open.remove(rid)) {
+                    self.attempts -= 1;
+                    self.names.remove(&attempt);
+                    let broken = Broken { reached: Reached::Answered, cause };
+                    hub.core.attempt_ended(hub.now, attempt, Err(broken));
+                }
+                // Where a line ends and the next begins is no longer sure: nothing more comes of use on this
+                // connection, and whatever is open on it would wait in vain until its deadline.
+                return Flow::Close;
             }
         };
         // A name that is not open belongs to nobody (any more); a worker may say what it likes.
@@ -272,7 +283,11 @@
     }
 
     fn drop_shadows(&mut self, now: Time) {
-        while let Some((at, _)) = self.shadows.front().filter(|(at, _)| *at + SHADOW < now) {
+        let many = self.shadows.len().saturating_sub(SHADOW.1);
+        let mut gone = self.shadows.iter().position(|(at, _)| *at + SHADOW.0 >= now).unwrap_or(usize::MAX);
+        gone = gone.min(self.shadows.len()).max(many);
+        for _ in 0..gone {
+            let Some((at, _)) = self.shadows.front() else { return };
             let at = *at;
             let Some((_, rid)) = self.shadows.pop_front() else { return };
             if matches!(self.open.get(&rid), Some(Open::Shadow(since)) if *since == at) {
@@ -303,6 +318,11 @@
         if link.inbox.len() > LINE || link.ended {
             return Flow::Close;
         }
+        self.line_by = match link.inbox.is_empty() {
+            true => None,
+            // What is left after a whole line has only just begun.
+            false => self.line_by.filter(|_| from == 0).or(Some(hub.now + WHOLE_LINE)),
+        };
         self.pump(link, hub)
     }
 
@@ -318,16 +338,17 @@
             let broken = Broken { reached: Reached::Out, cause: "no answer" };
             hub.core.probe_ended(hub.now, probe, Err(broken));
         }
-        let late = self.connect_by.is_some_and(|by| by <= hub.now);
+        let late = self.connect_by.into_iter().chain(self.line_by).any(|by| by <= hub.now);
         let idle = self.idle() && self.idle_since + self.limits.idle <= hub.now;
         if late || idle { Flow::Close } else { Flow::Go }
     }
 
     fn deadline(&self) -> Option<Time> {
         let idle = self.idle().then_some(self.idle_since + self.limits.idle);
-        let shadow = self.shadows.front().map(|(at, _)| *at + SHADOW + Span(1));
+        let shadow = self.shadows.front().map(|(at, _)| *at + SHADOW.0 + Span(1));
         let probe = self.probe_by.map(|(by, _)| by);
-        self.connect_by.into_iter().chain(probe).min().or(idle.into_iter().chain(shadow).min())
+        let due = self.connect_by.into_iter().chain(probe).chain(self.line_by);
+        due.chain(idle).chain(shadow).min()
     }
 
     fn closed(&mut self, link: &Link, hub: &mut Hub) {
@@ -394,6 +415,7 @@
                 }
                 self.open.insert(name.clone(), Open::Shadow(hub.now));
                 self.shadows.push_back((hub.now, name));
+                self.drop_shadows(hub.now);
             }
             Job::Probe { probe, deadline } => {
                 self.open.insert(Self::probe_name(*probe), Open::Probe(*probe));
@@ -410,7 +432,11 @@
         let free = reference.is_none_or(|name| !self.open.contains_key(name));
         free && !self.silent
             && self.attempts < self.limits.multiplex
-            && self.open.len() + self.pending.len() < QUEUE
+            && self.open.len() - self.shadows.len().min(self.open.len()) + self.pending.len() < QUEUE
+    }
+
+    fn load(&self) -> usize {
+        self.attempts
     }
 
     fn idle(&self) -> bool {
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -11,6 +11,9 @@
 
 /// Connections to one worker at a time, those coming up included.
 const PER_WORKER: usize = 16;
+/// Calls on one connection from which another is opened, while descriptors last. One answer that cannot be
+/// read, or one reset, takes everything with it that is open on its connection.
+const SHARED: usize = 1;
 
 /// Where a worker listens.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -39,6 +42,8 @@
     connect_limit: Span,
     /// Descriptors that connections to workers may take.
     budget: usize,
+    /// Connections to one worker over which calls are spread.
+    spread: usize,
 }
 
 impl Pool {
@@ -52,6 +57,7 @@
             limits,
             connect_limit,
             budget,
+            spread: 1,
         }
     }
 
@@ -85,8 +91,7 @@
             Command::Send { attempt, worker, work, deadline } => {
                 let connection = self.connection(worker, Some(&work.reference), reactor, core);
                 let Some(connection) = connection else {
-                    let broken = Broken { reached: Reached::NotSent, cause: "no connection" };
-                    return core.attempt_ended(reactor.now(), attempt, Err(broken));
+                    return core.attempt_held(reactor.now(), attempt);
                 };
                 self.went.insert(attempt, connection);
                 self.forget_ended(reactor);
@@ -102,10 +107,7 @@
                     Some(connection) => {
                         give(connection, Job::Stage { order, function, copies }, reactor, core)
                     }
-                    None => {
-                        let broken = Broken { reached: Reached::NotSent, cause: "no connection" };
-                        core.order_ended(reactor.now(), order, Err(broken));
-                    }
+                    None => core.order_held(reactor.now(), order),
                 }
             }
             Command::Probe { probe, worker, deadline } => {
@@ -135,11 +137,20 @@
         reactor: &mut Reactor,
         core: &mut Core,
     ) -> Option<u64> {
+        // Clients may hold a third of the descriptors; what is left after them is for all workers alike.
+        self.spread = (self.budget * 2 / 3 / self.targets.len().max(1)).clamp(1, PER_WORKER);
         let target = self.targets.get_mut(&worker)?;
         target.connections.retain(|id| reactor.look(*id, |_| ()).is_some());
-        let usable = |id: &&u64| reactor.look(**id, |connection| connection.accepts(name)).unwrap_or(false);
-        if let Some(id) = target.connections.iter().find(usable) {
-            return Some(*id);
+        let load = |id: &u64| {
+            let load = reactor.look(*id, |connection| connection.accepts(name).then(|| connection.load()));
+            load.flatten().map(|load| (load, *id))
+        };
+        let least = target.connections.iter().filter_map(load).min();
+        // Orders and probes share what there is.
+        let free = least.filter(|(load, _)| name.is_none() || *load < SHARED);
+        let spread = target.connections.len() < self.spread;
+        if let Some((_, id)) = free.or(least.filter(|_| !spread || reactor.count() >= self.budget)) {
+            return Some(id);
         }
         if target.connections.len() >= PER_WORKER
             || reactor.count() >= self.budget && !reactor.shed_idle(core)
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -38,6 +38,10 @@
 /// A worker that has said nothing for this long while calls of ours are out is probed; and how many probes in
 /// a row without an answer make it lost: one may wait behind work.
 const SUSPECT: (Span, u32) = (Span::millis(800), 2);
+/// Calls that break within this time broke with one connection; and how many such breaks in a row, with no
+/// good answer between, make a worker lost.
+const RESET_BURST: Span = Span::millis(30);
+const RESETS: u32 = 3;
 /// First pause after a failed load or lost worker, and how often it doubles with further failures.
 const BACKOFF: (Span, u32) = (Span::millis(400), 4);
 /// A worker that turned a call away is left alone this long; cuts of a limit lie as far apart.
@@ -170,6 +174,9 @@
     heard: Time,
     probed: bool,
     unanswered: u32,
+    /// Connections that broke in a row, with nothing good between, and when the last did.
+    resets: u32,
+    reset_at: Time,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -744,7 +751,7 @@
         self.strain += (took - self.strain) * FELT.0;
         match outcome.status {
             Status::Ok => {
-                w.failures = 0;
+                (w.failures, w.resets) = (0, 0);
                 pair.stood(now + keep);
                 let usual = &mut self.usual[attempt.class];
                 let latency = outcome.latency.secs();
@@ -769,9 +776,18 @@
                 w.shun_until = w.shun_until.max(now + FULL_PAUSE);
                 w.cut(now);
             }
-            // One connection may break by itself; a process that has died shows at the next try.
-            Status::Reset if w.failures == 0 => w.failures = 1,
-            Status::ConnectFailed | Status::Reset => w.lost(now),
+            // A connection may break by itself, with all that is open on it; a process that has died shows at
+            // the next try, which is refused.
+            Status::Reset => {
+                if now - w.reset_at > RESET_BURST {
+                    (w.reset_at, w.resets) = (now, w.resets + 1);
+                }
+                if w.resets >= RESETS {
+                    w.resets = 0;
+                    w.lost(now);
+                }
+            }
+            Status::ConnectFailed => w.lost(now),
             Status::Timeout => {
                 w.slow = (w.slow * 1.3).min(SLOW_RANGE.1);
                 w.cut(now);
@@ -841,7 +857,9 @@
             pair.ordered = None;
             match loaded.status {
                 Status::Ok => pair.stood(now + keep),
-                Status::Reset | Status::ConnectFailed => w.lost(now),
+                Status::ConnectFailed => w.lost(now),
+                // Its connection broke, or it never went out: that says nothing of the load.
+                Status::Reset | Status::Moot => {}
                 _ => {
                     pair.fail(now);
                     if loaded.copies == 0 {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -11,7 +11,7 @@
 use crate::brain::Balancer;
 use crate::interface::*;
 use crate::settings::Site;
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
 /// Bytes of bodies held for open calls; beyond them calls are refused, for memory is bounded.
@@ -283,6 +283,8 @@
     next_order: u64,
     requests: BTreeMap<RequestId, Taken>,
     owners: HashMap<Owner, RequestId>,
+    /// The clients' names for the open calls.
+    names: HashSet<String>,
     attempts: BTreeMap<AttemptId, Attempt>,
     orders: BTreeMap<OrderId, Order>,
     probes: BTreeMap<ProbeId, (WorkerId, Time)>,
@@ -309,6 +311,7 @@
             next_order: 0,
             requests: BTreeMap::new(),
             owners: HashMap::new(),
+            names: HashSet::new(),
             attempts: BTreeMap::new(),
             orders: BTreeMap::new(),
             probes: BTreeMap::new(),
@@ -380,6 +383,10 @@
         self.taken.push_back(now);
         let class = self.site.class(&call.class);
         let Some(class) = class else { return self.answer(call.owner, Verdict::Failed, false) };
+        // A name that is open already would make two calls' answers look alike at a worker.
+        if self.names.contains(&call.reference) {
+            return self.answer(call.owner, Verdict::Failed, false);
+        }
         let full = self.requests.len() >= self.site.max_open || self.bodies + call.body.len() > BODIES;
         if full || call.deadline <= now || self.owners.contains_key(&call.owner) {
             let cooldown = self.advice();
@@ -392,6 +399,7 @@
         }
         self.called.insert(call.function);
         self.bodies += call.body.len();
+        self.names.insert(call.reference.clone());
         let work = Rc::new(Work {
             reference: call.reference,
             class: call.class,
@@ -471,6 +479,16 @@
         self.settle(now);
     }
 
+    /// An attempt that never left, for a reason of our own: it was no longer allowed, or there was nothing to
+    /// send it on. It says nothing of the worker, unlike a connection that could not be made.
+    pub fn attempt_held(&mut self, now: Time, id: AttemptId) {
+        if self.attempts.contains_key(&id) {
+            self.counters.end(Status::Moot);
+            self.end_attempt(now, id, Status::Moot);
+            self.settle(now);
+        }
+    }
+
     /// An order to load has ended at its worker, or broke on the way.
     pub fn order_ended(&mut self, now: Time, id: OrderId, end: Result<Standing, Broken>) {
         let standing = end.unwrap_or_else(|broken| {
@@ -485,6 +503,12 @@
         self.settle(now);
     }
 
+    /// An order to load that never left, for a reason of our own; see [`Core::attempt_held`].
+    pub fn order_held(&mut self, now: Time, id: OrderId) {
+        self.end_order(now, id, Standing { status: Status::Moot, copies: 0 });
+        self.settle(now);
+    }
+
     /// A probe has been answered, or broke on the way.
     pub fn probe_ended(&mut self, now: Time, id: ProbeId, end: Result<(), Broken>) {
         let status = end.map_or(Status::Reset, |()| Status::Ok);
@@ -666,6 +690,7 @@
     fn forget(&mut self, id: RequestId) -> Option<Owner> {
         let taken = self.requests.remove(&id)?;
         self.bodies -= taken.work.body.len();
+        self.names.remove(&taken.work.reference);
         self.due.remove(&(taken.deadline + BACKSTOP, Due::Call(id)));
         self.owners.remove(&taken.owner);
         Some(taken.owner)
@@ -770,6 +795,10 @@
         send.expect("it is sent")
     }
 
+    fn broken(reached: Reached) -> Result<Reply, Broken> {
+        Err(Broken { reached, cause: "test" })
+    }
+
     fn load(core: &mut Core, now: Time) -> OrderId {
         core.carry_out(now, Action::Load { worker: WorkerId(1), function: FUNCTION, copies: 1 });
         match core.next_command() {
@@ -819,7 +848,6 @@
     /// The window counts from the first attempt that may have run, not from the latest.
     #[test]
     fn repeats_that_queued_keep_to_their_class() {
-        let broken = |reached| Err(Broken { reached, cause: "test" });
         let cases = [
             ("keyed", Reached::Out, MS(900), true),
             ("keyed", Reached::Out, MS(960), false),
@@ -837,6 +865,20 @@
         }
     }
 
+    /// What we held back ourselves says nothing of the worker: it must not be taken for one that refuses
+    /// connections, which nothing goes to for a while.
+    #[test]
+    fn what_never_left_is_not_held_against_its_worker() {
+        let mut core = core();
+        let (first, worker) = sent(&call(&mut core, 1, "safe"));
+        core.attempt_held(MS(1), first);
+        let (again, at) = sent(&std::iter::from_fn(|| core.next_command()).collect::<Vec<_>>());
+        assert_eq!(at, worker, "the function's home still");
+        core.attempt_ended(MS(2), again, broken(Reached::NotSent));
+        let (_, at) = sent(&std::iter::from_fn(|| core.next_command()).collect::<Vec<_>>());
+        assert_ne!(at, worker, "it refused a connection");
+    }
+
     /// Nothing that goes wrong in the module may leave a call without an answer.
     #[test]
     fn a_call_that_the_module_has_lost_is_failed_after_its_deadline() {
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -68,6 +68,10 @@
     fn accepts(&self, _reference: Option<&str>) -> bool {
         false
     }
+    /// How many calls are open here.
+    fn load(&self) -> usize {
+        0
+    }
     /// No new call is wanted here any more.
     fn leave(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
         Flow::Go
--- a/tests/jsonrpc.rs
+++ b/tests/jsonrpc.rs
@@ -153,6 +153,26 @@
     assert_eq!(again.next()["result"]["ready"], true);
 }
 
+/// The rules on names and on spoilt answers hold here as on the other front.
+#[test]
+fn a_name_in_use_and_a_spoilt_answer_harm_nobody_else() {
+    let folder = Folder::new();
+    let (checker, path) = (Worker::checker(&folder.at("checker.sock")), folder.at("checker.sock"));
+    let daemon = Daemon::with(&[], settings(), None, |folder| {
+        format!("{}[[checkers]]\nid = \"s-0000c001\"\nsocket = {path:?}\n", operator(folder))
+    });
+    let (mut client, mut other) = (connect(&daemon), connect(&daemon));
+    client.send(&rpc_call(&json!(1), "practice-check", REF, 60_000, "YQ==").to_string());
+    let mut heard = checker.next();
+    other.send(&rpc_call(&json!(1), "practice-check", REF, 60_000, "Yg==").to_string());
+    assert_eq!(other.next()["error"]["code"], -32002);
+    heard.raw(b"[\n");
+    let mut again = checker.next();
+    assert_eq!(again.name(), REF);
+    again.answer("200", "eA==");
+    assert_eq!(client.next()["result"]["body"], "eA==");
+}
+
 #[test]
 fn checkers_on_unix_sockets_serve_both_fronts_under_the_same_rules() {
     let folder = Folder::new();
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -57,6 +57,10 @@
         self.wire.end();
     }
 
+    pub fn raw(&mut self, bytes: &[u8]) {
+        let _ = self.wire.write_all(bytes);
+    }
+
     /// `go`, `halt`, `stage`, ... whichever wire it came by.
     pub fn word(&self) -> &str {
         match self.line["verb"].as_str().or(self.line["method"].as_str()).unwrap() {
