End silent and endless clients in time, and call withdrawn calls off

Withdrawn calls stayed out at their workers. Lines at fault: src/front/mod.rs IDLE alone bounded a client without a whole frame; src/brain.rs ClientGone only forgot the call; src/net/reactor.rs read a full-speed sender without a bound, and shed whichever idle connection the map named first.

--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -339,12 +339,12 @@
             hub.core.probe_ended(hub.now, probe, Err(broken));
         }
         let late = self.connect_by.into_iter().chain(self.line_by).any(|by| by <= hub.now);
-        let idle = self.idle() && self.idle_since + self.limits.idle <= hub.now;
+        let idle = self.idle().is_some_and(|since| since + self.limits.idle <= hub.now);
         if late || idle { Flow::Close } else { Flow::Go }
     }
 
     fn deadline(&self) -> Option<Time> {
-        let idle = self.idle().then_some(self.idle_since + self.limits.idle);
+        let idle = self.idle().map(|since| since + self.limits.idle);
         let shadow = self.shadows.front().map(|(at, _)| *at + SHADOW.0 + Span(1));
         let probe = self.probe_by.map(|(by, _)| by);
         let due = self.connect_by.into_iter().chain(probe).chain(self.line_by);
@@ -439,8 +439,9 @@
         self.attempts
     }
 
-    fn idle(&self) -> bool {
+    fn idle(&self) -> Option<Time> {
         let used = self.open.values().any(|open| !matches!(open, Open::Shadow(_)));
-        self.connect_by.is_none() && self.pending.is_empty() && self.writing.is_none() && !used
+        let idle = self.connect_by.is_none() && self.pending.is_empty() && self.writing.is_none() && !used;
+        idle.then_some(self.idle_since)
     }
 }
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -171,7 +171,8 @@
     /// Drops notes of attempts whose connections have gone or that are long over.
     fn forget_ended(&mut self, reactor: &Reactor) {
         if self.went.len() > 8192 {
-            self.went.retain(|_, id| reactor.look(*id, |connection| !connection.idle()).unwrap_or(false));
+            self.went
+                .retain(|_, id| reactor.look(*id, |connection| connection.idle().is_none()).unwrap_or(false));
         }
     }
 }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -54,7 +54,7 @@
 const SLOW_GAIN: f64 = 0.15;
 /// Bounds of believed slowness, against peers.
 const SLOW_RANGE: (f64, f64) = (0.5, 12.0);
-/// Time in which unrefreshed slowness and hearsay halve, so that a suspect gets trial traffic.
+/// Time in which unrefreshed slowness halves, so that a suspect gets trial traffic.
 const SLOW_HALF: Span = Span::millis(4000);
 /// Weight of a new latency in a class's usual one.
 const CLASS_GAIN: f64 = 0.02;
@@ -165,8 +165,8 @@
     failures: u32,
     shun_until: Time,
     sends: VecDeque<(Time, f64)>,
-    others: f64,
-    others_at: Time,
+    /// Others' calls of one function there, as far as answers tell company.
+    others: (f64, Time),
     strain: f64,
     limit: f64,
     cut_at: Time,
@@ -256,7 +256,7 @@
             Event::Members(kind, members) => self.members(kind, members, out),
             Event::Call(call) => self.call(call, out),
             Event::Outcome(outcome) => self.outcome(outcome, out),
-            Event::ClientGone(id) => drop(self.requests.remove(&id)),
+            Event::ClientGone(id) => self.client_gone(id, out),
             Event::Loaded(loaded) => self.loaded(loaded, out),
             Event::Probed(worker, status) => self.probed(worker, status, out),
             Event::Wake => self.armed = None,
@@ -337,6 +337,14 @@
         self.place(call.id, out);
     }
 
+    /// Nobody waits any more: what is out is called off, so that it takes no place that others want.
+    fn client_gone(&mut self, id: RequestId, out: &mut Actions) {
+        let attempt = self.requests.remove(&id).and_then(|request| request.out);
+        if let Some(attempt) = attempt.filter(|_| self.settings.limits.may_cancel) {
+            out.push(Action::Cancel { id, attempt });
+        }
+    }
+
     // ---- Ranking
 
     fn rerank(&mut self) {
@@ -555,15 +563,14 @@
         orders.filter(|at| self.now - *at < LOAD_PATIENCE).count()
     }
 
-    /// How much stands before a new call at a worker: our calls in flight, what it reports of others',
-    /// weighed by its slowness against peers.
+    /// How much stands before a new call at a worker: our calls in flight, the company told, weighed by its
+    /// slowness against peers. Workers here report their load to probes alone, so no report is used.
     fn busy(&self, worker: WorkerId) -> f64 {
         let Some(w) = self.workers.get(&worker) else { return f64::INFINITY };
         let faded = |since: Time| 0.5f64.powf((self.now - since).secs() / SLOW_HALF.secs());
         let slow = 1.0 + (w.slow - 1.0) * faded(w.slow_at);
-        let others = w.others * faded(w.others_at);
         let cross = if w.member.zone == self.settings.zone { 0.0 } else { self.settings.prices.cross_zone };
-        (f64::from(w.in_flight) + 0.5 * others + 1.0) * slow + cross * CROSS_WEIGHT
+        (f64::from(w.in_flight) + 0.5 * w.others.0 * faded(w.others.1) + 1.0) * slow + cross * CROSS_WEIGHT
     }
 
     /// The least busy of some workers, one with a free lane before one without; ties break randomly.
@@ -737,7 +744,9 @@
             (w.heard, w.unanswered) = (now, 0);
         }
         w.in_flight = w.in_flight.saturating_sub(1);
-        w.report(&self.settings.gauges, outcome, now);
+        if matches!(outcome.status, Status::Ok | Status::Full) {
+            w.others = ((f64::from(outcome.company) - f64::from(w.in_flight)).max(0.0), now);
+        }
         let pair = w.pairs.entry(attempt.function).or_default();
         pair.in_flight = pair.in_flight.saturating_sub(1);
         if outcome.copy == CopyNote::LoadFailed {
@@ -990,17 +999,6 @@
             (self.limit, self.cut_at) = ((self.limit * LIMIT_STEP.1).max(LIMIT.0), now);
         }
     }
-
-    /// What a worker holds of others' calls: as it reports, at least the company told.
-    fn report(&mut self, gauges: &[Gauge], outcome: &Outcome, now: Time) {
-        let counts = |gauge: &Gauge| matches!(gauge, Gauge::InFlight | Gauge::Queue | Gauge::Busy);
-        let told = gauges.iter().zip(&outcome.report).filter(|(gauge, _)| counts(gauge));
-        let told = told.map(|(_, value)| f64::from(*value)).filter(|value| (0.0..1e6).contains(value));
-        let held = told.sum::<f64>().max(f64::from(outcome.company));
-        if matches!(outcome.status, Status::Ok | Status::Full) {
-            (self.others, self.others_at) = ((held - f64::from(self.in_flight)).max(0.0), now);
-        }
-    }
 }
 
 fn backoff(failures: u32) -> Span {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -230,6 +230,14 @@
         let Some(front) = &self.operator.jsonrpc else { return };
         let reactor = &mut self.reactor;
         self.rpc_clients.retain(|id| reactor.look(*id, |_| ()).is_some());
+        if self.rpc_clients.len() >= front.max_clients {
+            // The one that has held its place longest without anything open makes room, if there is one.
+            let idle = |id: &u64| Some((reactor.look(*id, |connection| connection.idle())??, *id));
+            if let Some((_, id)) = self.rpc_clients.iter().filter_map(idle).min() {
+                reactor.end(id, &mut self.core);
+                self.rpc_clients.remove(&id);
+            }
+        }
         if self.rpc_clients.len() >= front.max_clients {
             return eprintln!("mintgate: accept dropped why=\"max_clients\"");
         }
--- a/src/front/frames.rs
+++ b/src/front/frames.rs
@@ -1,6 +1,6 @@
 //! The platform's front: binary frames over TCP. A pure codec, and the connection object over it.
 
-use super::{BODY, IDLE, LINGER, OPEN, OUTBOX, TRANSIT, read_function};
+use super::{BODY, LINGER, OPEN, OUTBOX, TRANSIT, WHOLE, read_function};
 use crate::core::{Answer, Incoming, Owner, Verdict};
 use crate::interface::{FunctionId, Span, Time};
 use crate::net::{Connection, Flow, Hub, Link};
@@ -10,6 +10,11 @@
 pub const FRAME: usize = 262_144;
 /// Buffers of a client's connection: a whole frame, and output that waits.
 pub const LIMITS: (usize, usize) = (FRAME + 4, OUTBOX);
+/// A connection on which nothing is open and nothing comes is closed after this. Clients close theirs after
+/// 4 s, so no request crosses it.
+pub const IDLE: Span = Span::millis(5_000);
+/// The same for one that has never sent a whole frame: some clients open connections by hundreds and send nothing.
+pub const FIRST: Span = Span::millis(2_200);
 
 /// Types of frames.
 pub mod kinds {
@@ -116,6 +121,10 @@
 /// Reads a request.
 pub fn read_request(payload: &[u8], owner: Owner, now: Time) -> Result<Incoming, Odd> {
     let (list, body) = read_fields(payload).map_err(Odd::Malformed)?;
+    let twice = |n: usize| list[..n].iter().any(|(name, _)| *name == list[n].0);
+    if (1..list.len()).any(twice) {
+        return Err(Odd::Unusable("a field stands twice"));
+    }
     let field = |name: &str| list.iter().find(|(n, _)| *n == name).map(|(_, value)| *value);
     let need = |name: &str, why| field(name).ok_or(Odd::Unusable(why));
     let class = need("service", "no service")?;
@@ -125,7 +134,9 @@
     }
     let function = read_function(need("lookup", "no lookup")?);
     let function = FunctionId(function.ok_or(Odd::Unusable("lookup is not 16 hex digits"))?);
-    let allow = need("allow", "no allow")?.parse::<u64>().map_err(|_| Odd::Unusable("allow is no number"))?;
+    let allow = need("allow", "no allow")?;
+    let digits = allow.bytes().all(|b| b.is_ascii_digit());
+    let allow = allow.parse::<u64>().ok().filter(|_| digits).ok_or(Odd::Unusable("allow is no number"))?;
     if body.len() > BODY {
         return Err(Odd::Unusable("body too large"));
     }
@@ -206,6 +217,10 @@
     seen: Seen,
     last: Time,
     leaving: bool,
+    /// A whole frame has come.
+    used: bool,
+    /// Until when the frame that has begun must be whole.
+    whole_by: Option<Time>,
     /// Ends by then even if the client does not read.
     finish_by: Option<Time>,
 }
@@ -214,7 +229,15 @@
     /// A connection that has just been accepted.
     pub fn new(now: Time) -> FrameConnection {
         let (open, seen) = (BTreeSet::new(), Seen::default());
-        FrameConnection { open, seen, last: now, leaving: false, finish_by: None }
+        FrameConnection {
+            open,
+            seen,
+            last: now,
+            leaving: false,
+            used: false,
+            whole_by: None,
+            finish_by: None,
+        }
     }
 
     fn frame(&mut self, frame: &Frame, link: &mut Link, hub: &mut Hub) -> Result<(), &'static str> {
@@ -260,6 +283,10 @@
         Ok(())
     }
 
+    fn patience(&self) -> Span {
+        if self.used { IDLE } else { FIRST }
+    }
+
     /// Tells the client what is wrong; the connection ends once that has gone out.
     fn malformed(&mut self, why: &str, link: &mut Link, hub: &mut Hub) -> Flow {
         hub.core.counters().malformed += 1;
@@ -279,7 +306,6 @@
     }
 
     fn received(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
-        self.last = hub.now;
         let bytes = std::mem::take(&mut link.inbox);
         let mut from = 0;
         let error = loop {
@@ -287,6 +313,7 @@
                 Ok(None) => break None,
                 Ok(Some((frame, size))) => {
                     from += size;
+                    (self.used, self.last) = (true, hub.now);
                     if let Err(why) = self.frame(&frame, link, hub) {
                         break Some(why);
                     }
@@ -296,6 +323,11 @@
         };
         link.inbox = bytes;
         link.used(from);
+        self.whole_by = match link.inbox.is_empty() {
+            true => None,
+            // What is left after a whole frame has only just begun.
+            false => self.whole_by.filter(|_| from == 0).or(Some(hub.now + WHOLE)),
+        };
         match error {
             Some(why) => self.malformed(why, link, hub),
             // A client that closes waits for nothing more.
@@ -304,15 +336,19 @@
         }
     }
 
-    fn due(&mut self, _link: &mut Link, hub: &mut Hub) -> Flow {
-        let idle = self.open.is_empty() && self.last + IDLE <= hub.now;
+    fn due(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
+        if self.finish_by.is_none() && self.whole_by.is_some_and(|by| by <= hub.now) {
+            return self.malformed("a frame without an end", link, hub);
+        }
+        let idle = self.open.is_empty() && self.last + self.patience() <= hub.now;
         let over = self.finish_by.is_some_and(|by| by <= hub.now);
         if idle || over { Flow::Close } else { Flow::Go }
     }
 
     fn deadline(&self) -> Option<Time> {
-        let idle = self.open.is_empty().then_some(self.last + IDLE);
-        self.finish_by.into_iter().chain(idle).min()
+        let idle = self.open.is_empty().then_some(self.last + self.patience());
+        let whole = self.whole_by.filter(|_| self.finish_by.is_none());
+        self.finish_by.into_iter().chain(whole).chain(idle).min()
     }
 
     fn closed(&mut self, link: &Link, hub: &mut Hub) {
@@ -343,8 +379,8 @@
         Flow::Go
     }
 
-    fn idle(&self) -> bool {
-        self.open.is_empty() && self.finish_by.is_none()
+    fn idle(&self) -> Option<Time> {
+        (self.open.is_empty() && self.finish_by.is_none()).then_some(self.last)
     }
 }
 
@@ -393,6 +429,8 @@
             ("allow", None),
             ("allow", Some("-1")),
             ("allow", Some("soon")),
+            ("allow", Some("+5")),
+            ("allow", Some("99999999999999999999999")),
             ("lookup", None),
             ("lookup", Some("+f3a9c21e0b4d655")),
             ("lookup", Some("7f3a9c21e0b4d6551")),
@@ -406,6 +444,9 @@
             let got = read_request(&fields(&list), OWNER, Time(0));
             assert!(matches!(got, Err(Odd::Unusable(_))), "{name} {value:?}: {got:?}");
         }
+        let twice: Vec<_> = good.iter().copied().chain([("allow", "9")]).collect();
+        let got = read_request(&fields(&twice), OWNER, Time(0)).unwrap_err();
+        assert_eq!(got, Odd::Unusable("a field stands twice"));
         let large = [fields(&good), vec![0; BODY + 1]].concat();
         assert_eq!(read_request(&large, OWNER, Time(0)).unwrap_err(), Odd::Unusable("body too large"));
         let whole = fields(&good);
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -9,7 +9,7 @@
 //! A `call` notification is not taken: nobody could be told how it ended. A client that closes, or closes the
 //! half it writes on, waits for nothing more: its calls are withdrawn.
 
-use super::{BODY, IDLE, LINGER, OPEN, OUTBOX, TRANSIT, read_function};
+use super::{BODY, IDLE, LINGER, OPEN, OUTBOX, TRANSIT, WHOLE, read_function};
 use crate::core::{Answer, Incoming, Owner, Verdict};
 use crate::interface::{FunctionId, Span, Time};
 use crate::net::{Connection, Flow, Hub, Link};
@@ -216,6 +216,8 @@
     /// The rest of a line that was too long is passed over.
     skipping: bool,
     last: Time,
+    /// Until when the line that has begun must have ended.
+    whole_by: Option<Time>,
     finish_by: Option<Time>,
 }
 
@@ -229,6 +231,7 @@
             line_limit,
             skipping: false,
             last: now,
+            whole_by: None,
             finish_by: None,
         }
     }
@@ -355,6 +358,13 @@
         }
     }
 
+    fn cut_short(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
+        hub.core.counters().malformed += 1;
+        put(link, &error(&Value::Null, codes::PARSE, "the line has no end", None));
+        self.finish_by = Some(hub.now + LINGER);
+        Flow::Finish
+    }
+
     fn too_long(&mut self, link: &mut Link, hub: &mut Hub) {
         hub.core.counters().malformed += 1;
         put(link, &error(&Value::Null, codes::INVALID_REQUEST, "line too long", None));
@@ -379,18 +389,23 @@
 
     fn received(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
         self.last = hub.now;
+        let held = link.inbox.len();
         self.lines(link, hub);
         if !link.ended {
+            // A line cut short is owed a word; one that is held back until its client reads is not cut short.
+            let part = self.skipping || !link.inbox.is_empty() && !link.inbox.contains(&b'\n');
+            self.whole_by = match part {
+                false => None,
+                // What is left after a whole line has only just begun.
+                true => self.whole_by.filter(|_| link.inbox.len() >= held).or(Some(hub.now + WHOLE)),
+            };
             return Flow::Go;
         }
         if link.inbox.iter().all(u8::is_ascii_whitespace) || link.inbox.contains(&b'\n') {
             return Flow::Close;
         }
         // A line cut short by the end: said, in case the client still reads.
-        hub.core.counters().malformed += 1;
-        put(link, &error(&Value::Null, codes::PARSE, "the line has no end", None));
-        self.finish_by = Some(hub.now + LINGER);
-        Flow::Finish
+        self.cut_short(link, hub)
     }
 
     fn flushed(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
@@ -398,7 +413,10 @@
         Flow::Go
     }
 
-    fn due(&mut self, _link: &mut Link, hub: &mut Hub) -> Flow {
+    fn due(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
+        if self.finish_by.is_none() && self.whole_by.is_some_and(|by| by <= hub.now) {
+            return self.cut_short(link, hub);
+        }
         let idle = self.open.is_empty() && self.last + IDLE <= hub.now;
         let over = self.finish_by.is_some_and(|by| by <= hub.now);
         if idle || over { Flow::Close } else { Flow::Go }
@@ -406,7 +424,8 @@
 
     fn deadline(&self) -> Option<Time> {
         let idle = self.open.is_empty().then_some(self.last + IDLE);
-        self.finish_by.into_iter().chain(idle).min()
+        let whole = self.whole_by.filter(|_| self.finish_by.is_none());
+        self.finish_by.into_iter().chain(whole).chain(idle).min()
     }
 
     fn closed(&mut self, link: &Link, hub: &mut Hub) {
@@ -423,8 +442,8 @@
         Flow::Go
     }
 
-    fn idle(&self) -> bool {
-        self.open.is_empty() && self.finish_by.is_none()
+    fn idle(&self) -> Option<Time> {
+        (self.open.is_empty() && self.finish_by.is_none()).then_some(self.last)
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -174,6 +174,11 @@
         Ok(self.waiting() == 0 && self.up)
     }
 
+    /// Leaves the rest in the socket for now; it is told of again.
+    fn hold(&mut self) {
+        self.held = true;
+    }
+
     /// Reads what there is, up to the limit; true if the socket has no more for now.
     fn fill(&mut self) -> io::Result<bool> {
         let mut chunk = [0u8; CHUNK];
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -76,9 +76,9 @@
     fn leave(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
         Flow::Go
     }
-    /// Nothing is open here, so that it may be closed to make room.
-    fn idle(&self) -> bool {
-        false
+    /// Since when nothing is open here, so that it may be closed to make room; none while something is.
+    fn idle(&self) -> Option<Time> {
+        None
     }
 }
 
@@ -99,6 +99,8 @@
     due: Option<Time>,
     finishing: bool,
     shut: bool,
+    /// Bytes that have come and were thrown away since the connection is to end.
+    wasted: usize,
 }
 
 enum Listener {
@@ -106,6 +108,11 @@
     Unix(UnixListener),
 }
 
+/// Bytes taken from one connection in one turn of the loop, and those still taken from one that is to end: a
+/// sender at full speed must not keep the others waiting, nor the processor busy with what nobody wants.
+const TURN: usize = 256 << 10;
+const WASTE: usize = 1 << 20;
+
 const PIPES: usize = 1 << 8;
 const SOCKETS: usize = 1 << 9;
 const FIRST: usize = 1 << 10;
@@ -269,7 +276,8 @@
         let token = Token(self.next);
         self.next += 1;
         let link = Link::new(stream, token, up, limits);
-        self.entries.insert(token, Entry { link, connection, due: None, finishing: false, shut: false });
+        self.entries
+            .insert(token, Entry { link, connection, due: None, finishing: false, shut: false, wasted: 0 });
         self.call(token, core, |entry, hub| match entry.link.up {
             true => entry.connection.opened(&mut entry.link, hub),
             false => Flow::Go,
@@ -415,7 +423,7 @@
 
     fn happened(&mut self, token: Token, readable: bool, core: &mut Core) {
         self.call(token, core, |entry, hub| {
-            let Entry { link, connection, finishing, .. } = entry;
+            let Entry { link, connection, finishing, wasted, .. } = entry;
             if !link.up {
                 match link.stream.connected() {
                     Ok(true) => link.up = true,
@@ -438,29 +446,41 @@
             if !readable {
                 return flow;
             }
-            // Edge-triggered: read until the socket has no more, in turns with the connection's own work.
+            // Edge-triggered: read until the socket has no more, in turns with the connection's own work and
+            // with other connections.
+            let mut taken = 0;
             loop {
                 let held = link.inbox.len();
                 let all = match link.fill() {
                     Ok(all) => all,
                     Err(_) => return Flow::Close,
                 };
+                taken += link.inbox.len() - held;
                 if *finishing {
+                    *wasted += link.inbox.len();
                     link.inbox.clear();
+                    if *wasted > WASTE {
+                        return Flow::Close;
+                    }
                 } else if link.inbox.len() > held || link.ended {
                     flow = flow.and(connection.received(link, hub));
                 }
                 if all || flow != Flow::Go || link.held_back() {
                     return flow;
                 }
+                if taken > TURN {
+                    link.hold();
+                    return flow;
+                }
             }
         });
     }
 
-    /// Closes the connection that has nothing open, if there is one.
+    /// Closes the connection that has had nothing open for longest, if there is one: whoever will use it again
+    /// has most likely done so before.
     pub fn shed_idle(&mut self, core: &mut Core) -> bool {
-        let idle = self.entries.iter().find(|(_, entry)| entry.connection.idle()).map(|(token, _)| *token);
-        idle.map(|token| self.close(token, core)).is_some()
+        let idle = self.entries.iter().filter_map(|(token, entry)| Some((entry.connection.idle()?, *token)));
+        idle.min().map(|(_, token)| token).map(|token| self.close(token, core)).is_some()
     }
 
     /// A span as the reactor's own absolute time.
--- a/tests/jsonrpc.rs
+++ b/tests/jsonrpc.rs
@@ -89,6 +89,26 @@
     assert_eq!(cut.next()["error"]["code"], -32700, "the line has no end");
 }
 
+/// A line that has begun must end; a client that holds a place for nothing makes room when it is wanted.
+#[test]
+fn a_line_without_an_end_is_ended_and_a_silent_client_makes_room() {
+    let worker = Worker::agent();
+    let daemon =
+        Daemon::with(&[&worker], settings(), None, |folder| format!("{}max_clients = 2\n", operator(folder)));
+    let mut half = connect(&daemon);
+    half.0.get_mut().write_all(b"{\"jsonrpc\":").unwrap();
+    assert_eq!(half.next()["error"]["code"], -32700);
+    let mut line = String::new();
+    assert_eq!(std::io::BufRead::read_line(&mut half.0, &mut line).unwrap(), 0, "closed");
+    let _silent = [connect(&daemon), connect(&daemon)];
+    for _ in 0..2 {
+        let mut client = connect(&daemon);
+        client.send(&rpc_call(&json!(1), "practice-check", REF, 2900, "").to_string());
+        worker.next().answer("200", "eA==");
+        assert_eq!(client.next()["result"]["body"], "eA==");
+    }
+}
+
 /// A client that does not read must neither grow the daemon nor stall once it reads again.
 #[test]
 fn output_that_nobody_reads_holds_input_back_until_somebody_does() {
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -65,6 +65,46 @@
     assert_eq!(daemon.counter("panics"), 0);
 }
 
+/// Who opens a connection and sends nothing, or half a frame, or goes on without an end, is told so or closed,
+/// and holds neither descriptors nor buffers.
+#[test]
+fn unfinished_and_endless_input_is_ended() {
+    let worker = Worker::agent();
+    let daemon = Daemon::start(&[&worker]);
+    worker.serve(echo);
+    let good = frame(0, 1, &call("practice-check", REF, 2000, b"x"));
+    let mut silent = Frames::connect(&daemon);
+    assert_eq!(silent.next(), None, "closed");
+    let mut half = Frames::connect(&daemon);
+    half.send(&good[..20]);
+    assert_eq!(half.next(), Some((1, 0, vec![69, 0])));
+    assert_eq!(half.next(), None);
+    // Sixty megabytes at full speed, while others are served.
+    let mut huge = Frames::connect(&daemon);
+    let writer = std::thread::spawn(move || {
+        let chunk = vec![0; 1 << 20];
+        let head = 60_000_000u32.to_be_bytes();
+        huge.0.write_all(&head).and_then(|()| (0..60).try_for_each(|_| huge.0.write_all(&chunk)))
+    });
+    let mut client = Frames::connect(&daemon);
+    client.send(&good);
+    assert_eq!(client.next(), Some((1, 1, vec![79, 0, b'x'])));
+    assert!(writer.join().unwrap().is_err(), "ended before it was all read");
+}
+
+/// A withdrawn call takes no place at its worker that others want.
+#[test]
+fn a_withdrawn_call_is_called_off_at_its_worker() {
+    let worker = Worker::agent();
+    let daemon = Daemon::start(&[&worker]);
+    let mut client = Frames::connect(&daemon);
+    client.send(&frame(0, 1, &call("practice-check", REF, 60_000, b"")));
+    assert_eq!(worker.next().word(), "go");
+    client.send(&frame(2, 1, &[]));
+    let heard = worker.next();
+    assert_eq!((heard.word(), heard.name().as_str()), ("halt", REF));
+}
+
 #[test]
 fn a_call_that_cannot_be_used_has_failed_and_its_connection_goes_on() {
     let worker = Worker::agent();
