Bound what hostile clients hold of memory by the limit that is named

Bodies were bounded at 32 MB whatever the limit said, output that nobody reads only for each connection, and the set of called functions grew to 131,072. Lines at fault: src/front/frames.rs LIMITS, src/core/mod.rs BODIES and CALLED, src/net/mod.rs used() (kept room).

--- a/src/config.rs
+++ b/src/config.rs
@@ -45,6 +45,8 @@
     pub seed: u64,
     /// Descriptors that may be held.
     pub sockets: usize,
+    /// Memory that may be taken, in MB.
+    pub memory_mb: usize,
     /// Where the event bus is, if there is one.
     pub bus: Option<SocketAddr>,
     /// The bus's events up to now.
@@ -71,6 +73,7 @@
 #[derive(Deserialize, Default)]
 struct Limits {
     sockets: Option<usize>,
+    memory_mb: Option<f64>,
 }
 
 #[derive(Deserialize, Default)]
@@ -113,6 +116,8 @@
 
 /// Descriptors held where no limit is told.
 const SOCKETS: usize = 1024;
+/// Memory taken where no limit is told, in MB.
+const MEMORY_MB: usize = 192;
 
 /// Reads the configuration; the error names what is missing or odd.
 pub fn read(text: &[u8]) -> Result<Config, String> {
@@ -130,6 +135,7 @@
         listen: text.listen,
         seed: u64::from_str_radix(&text.seed, 16).unwrap_or_default(),
         sockets: text.limits.sockets.unwrap_or(SOCKETS),
+        memory_mb: text.limits.memory_mb.map_or(MEMORY_MB, |mb| mb.clamp(1.0, 1e6) as usize),
         bus: text.bus,
         known,
         site,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -14,15 +14,18 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
-/// Bytes of bodies held for open calls; beyond them calls are refused, for memory is bounded.
-const BODIES: usize = 32 << 20;
+/// The part of the memory limit that bodies of open calls may take, as a divisor; beyond it calls are refused.
+const BODIES: usize = 6;
+/// The limit where none is told.
+const MEMORY: usize = 192 << 20;
 /// A probe that is not answered by then has failed: the simulator's limit and what sockets are allowed more.
 const PROBE_LIMIT: Span = Span::millis(300);
 /// So long after its deadline a call that the module has not ended is failed by the core: the one answer is
 /// owed whatever the module does, and clients allow 50 ms more than their deadline.
 const BACKSTOP: Span = Span::millis(20);
-/// Functions remembered as called; beyond them memory starts anew, which only holds orders back.
-const CALLED: usize = 1 << 17;
+/// Functions remembered as called: those of the present span, up to a number, and of the one before. Clients may
+/// name ever new ones, and only orders for what is called are of use.
+const CALLED: (Span, usize) = (Span::millis(60_000), 1 << 14);
 /// A keyed repeat must be written this long before its group forgets.
 const KEY_MARGIN: Span = Span::millis(50);
 
@@ -296,8 +299,10 @@
     /// Calls taken and orders written inside the ration's window.
     taken: VecDeque<Time>,
     ordered: VecDeque<Time>,
-    called: BTreeSet<FunctionId>,
+    called: [BTreeSet<FunctionId>; 2],
+    called_since: Time,
     bodies: usize,
+    memory: usize,
     counters: Counters,
 }
 
@@ -321,8 +326,10 @@
             backlog: VecDeque::new(),
             taken: VecDeque::new(),
             ordered: VecDeque::new(),
-            called: BTreeSet::new(),
+            called: [BTreeSet::new(), BTreeSet::new()],
+            called_since: Time(0),
             bodies: 0,
+            memory: MEMORY,
             counters: Counters::default(),
         }
     }
@@ -332,6 +339,11 @@
         &self.site
     }
 
+    /// Memory that the scheduler may take, in bytes.
+    pub fn limit_memory(&mut self, bytes: usize) {
+        self.memory = bytes;
+    }
+
     /// A new configuration: calls under way go on as they were taken, by the new figures.
     pub fn replace_site(&mut self, now: Time, site: Site) {
         self.site = self.site.replaced_by(site);
@@ -387,17 +399,19 @@
         if self.names.contains(&call.reference) {
             return self.answer(call.owner, Verdict::Failed, false);
         }
-        let full = self.requests.len() >= self.site.max_open || self.bodies + call.body.len() > BODIES;
+        let full =
+            self.requests.len() >= self.site.max_open || self.bodies + call.body.len() > self.memory / BODIES;
         if full || call.deadline <= now || self.owners.contains_key(&call.owner) {
             let cooldown = self.advice();
             return self.answer(call.owner, Verdict::Refused { cooldown }, call.deadline <= now);
         }
         let id = RequestId(self.next_request);
         self.next_request = self.next_request.wrapping_add(1);
-        if self.called.len() >= CALLED {
-            self.called.clear();
+        if now - self.called_since > CALLED.0 || self.called[0].len() >= CALLED.1 {
+            self.called_since = now;
+            self.called = [BTreeSet::new(), std::mem::take(&mut self.called[0])];
         }
-        self.called.insert(call.function);
+        self.called[0].insert(call.function);
         self.bodies += call.body.len();
         self.names.insert(call.reference.clone());
         let work = Rc::new(Work {
@@ -578,7 +592,9 @@
         if order.copies == 0 {
             return true;
         }
-        if !self.open_to_work(order.worker) || !self.called.contains(&order.function) {
+        if !self.open_to_work(order.worker)
+            || !self.called.iter().any(|called| called.contains(&order.function))
+        {
             return false;
         }
         if let Some(ration) = self.site.settings.rules.ration {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -102,7 +102,8 @@
             Some(setting) => Some(Router::new(setting, &mut reactor)?),
         };
         reactor.active = router.is_none();
-        let core = Core::new(config.site.clone(), config.seed);
+        let mut core = Core::new(config.site.clone(), config.seed);
+        limit_memory(&config, &mut core, &mut reactor);
         let (limits, connect, budget) = worker_limits(&config);
         let mut pool = Pool::new(limits, connect, budget);
         let mut fixed = Vec::new();
@@ -339,6 +340,7 @@
         self.core.replace_site(now, self.config.site.clone());
         let (limits, connect, budget) = worker_limits(&self.config);
         self.pool.configure(limits, connect, budget);
+        limit_memory(&self.config, &mut self.core, &mut self.reactor);
         self.replace_checkers(now);
         // The bus's numbers go on. What the file knows is of use where it follows on what is known here.
         self.follow_bus(now);
@@ -483,6 +485,12 @@
     }
 }
 
+/// Bodies of open calls take a sixth of the memory, and output that nobody reads another.
+fn limit_memory(config: &Config, core: &mut Core, reactor: &mut Reactor) {
+    core.limit_memory(config.memory_mb << 20);
+    reactor.waiting_limit = (config.memory_mb << 20) / 6;
+}
+
 /// What the configuration lets connections to workers take.
 fn worker_limits(config: &Config) -> (backend::Limits, Span, usize) {
     let site = &config.site;
--- a/src/front/frames.rs
+++ b/src/front/frames.rs
@@ -8,8 +8,11 @@
 
 /// Largest length field.
 pub const FRAME: usize = 262_144;
-/// Buffers of a client's connection: a whole frame, and output that waits.
-pub const LIMITS: (usize, usize) = (FRAME + 4, OUTBOX);
+/// Largest length of a frame that can be of use: a body and its fields. A longer one is not kept, for hundreds
+/// of connections may bring one each: its request has failed once its head is known, and the rest is passed over.
+pub const USABLE: usize = 32 << 10;
+/// Buffers of a client's connection: a usable frame, and output that waits.
+pub const LIMITS: (usize, usize) = (USABLE + 4, OUTBOX);
 /// A connection on which nothing is open and nothing comes is closed after this. Clients close theirs after
 /// 4 s, so no request crosses it.
 pub const IDLE: Span = Span::millis(5_000);
@@ -219,6 +222,8 @@
     leaving: bool,
     /// A whole frame has come.
     used: bool,
+    /// What is still to be passed over of a frame that is too long.
+    skip: usize,
     /// Until when the frame that has begun must be whole.
     whole_by: Option<Time>,
     /// Ends by then even if the client does not read.
@@ -235,6 +240,7 @@
             last: now,
             leaving: false,
             used: false,
+            skip: 0,
             whole_by: None,
             finish_by: None,
         }
@@ -283,6 +289,25 @@
         Ok(())
     }
 
+    /// The size of the frame that begins here, if it is too long to be of use and its head is there: then it
+    /// has had its answer.
+    fn too_long(&mut self, bytes: &[u8], link: &mut Link, hub: &mut Hub) -> Result<usize, &'static str> {
+        let Some(head) = bytes.first_chunk::<9>() else { return Ok(0) };
+        let length = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
+        if length <= USABLE {
+            return Ok(0);
+        }
+        let stream = u32::from_be_bytes([head[5], head[6], head[7], head[8]]);
+        if head[4] != kinds::REQUEST || stream == 0 || !self.seen.new_stream(stream) {
+            return Err("a long frame that is no request");
+        }
+        hub.core.turned_away(&Verdict::Failed);
+        let mut bytes = Vec::new();
+        put_answer(stream, &Verdict::Failed, &mut bytes);
+        link.put(&bytes);
+        Ok(4 + length)
+    }
+
     fn patience(&self) -> Span {
         if self.used { IDLE } else { FIRST }
     }
@@ -307,12 +332,25 @@
 
     fn received(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
         let bytes = std::mem::take(&mut link.inbox);
-        let mut from = 0;
+        let mut from = self.skip.min(bytes.len());
+        self.skip -= from;
+        // What is still passed over belongs to the frame that began before.
+        let mut begun = self.skip == 0 && from > 0;
         let error = loop {
             match read_frame(&bytes[from..]) {
-                Ok(None) => break None,
+                _ if self.skip > 0 => break None,
+                Ok(None) => match self.too_long(&bytes[from..], link, hub) {
+                    Ok(0) => break None,
+                    Ok(size) => {
+                        self.skip = size.saturating_sub(bytes.len() - from);
+                        from = bytes.len().min(from + size);
+                        begun = true;
+                    }
+                    Err(why) => break Some(why),
+                },
                 Ok(Some((frame, size))) => {
                     from += size;
+                    begun = true;
                     (self.used, self.last) = (true, hub.now);
                     if let Err(why) = self.frame(&frame, link, hub) {
                         break Some(why);
@@ -323,10 +361,10 @@
         };
         link.inbox = bytes;
         link.used(from);
-        self.whole_by = match link.inbox.is_empty() {
+        self.whole_by = match link.inbox.is_empty() && self.skip == 0 {
             true => None,
             // What is left after a whole frame has only just begun.
-            false => self.whole_by.filter(|_| from == 0).or(Some(hub.now + WHOLE)),
+            false => self.whole_by.filter(|_| !begun).or(Some(hub.now + WHOLE)),
         };
         match error {
             Some(why) => self.malformed(why, link, hub),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -93,7 +93,7 @@
 }
 
 /// Bytes taken from a socket at a time.
-const CHUNK: usize = 64 << 10;
+const CHUNK: usize = 16 << 10;
 
 /// A stream with its two buffers. Input beyond `inbox_limit` and output that nobody reads hold reading back.
 #[derive(Debug)]
@@ -146,6 +146,10 @@
     /// Drops the first bytes of the input, which have been used.
     pub fn used(&mut self, count: usize) {
         self.inbox.drain(..count);
+        // Hundreds of connections must not each keep the room of their largest message.
+        if self.inbox.capacity() > CHUNK + 2 * self.inbox.len() {
+            self.inbox.shrink_to(self.inbox.len());
+        }
     }
 
     /// Whether input is held back until the other side reads what it is owed.
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -112,6 +112,8 @@
 /// sender at full speed must not keep the others waiting, nor the processor busy with what nobody wants.
 const TURN: usize = 256 << 10;
 const WASTE: usize = 1 << 20;
+/// Output that a connection may always have waiting.
+const CLOGGED: usize = 64 << 10;
 
 const PIPES: usize = 1 << 8;
 const SOCKETS: usize = 1 << 9;
@@ -128,6 +130,10 @@
     entries: HashMap<Token, Entry>,
     next: usize,
     timers: BTreeSet<(Time, Token)>,
+    /// Bytes that wait to be written, on all connections together.
+    waiting: usize,
+    /// Beyond so many of them a connection that adds to them is closed, if its other side reads nothing.
+    pub waiting_limit: usize,
     /// Callbacks are handed this; false while the scheduler is not ready.
     pub ready: bool,
     /// Callbacks are handed this too; false while another daemon is the active one.
@@ -147,6 +153,8 @@
             entries: HashMap::new(),
             next: FIRST,
             timers: BTreeSet::new(),
+            waiting: 0,
+            waiting_limit: usize::MAX,
             ready: false,
             active: true,
         })
@@ -290,6 +298,7 @@
         let (now, ready, active) = (self.clock.now(), self.ready, self.active);
         let Some(entry) = self.entries.get_mut(&token) else { return };
         let hub = &mut Hub { core, now, ready, active };
+        let before = entry.link.waiting();
         let flow = catch_unwind(AssertUnwindSafe(|| {
             let mut flow = what(entry, hub);
             // What was put in line goes out at once; a connection may put more whenever all has gone.
@@ -307,6 +316,11 @@
             eprintln!("mintgate: panic connection={} closed", token.0);
             Flow::Close
         });
+        let after = entry.link.waiting();
+        self.waiting = (self.waiting + after).saturating_sub(before);
+        // Memory is bounded, and so is what those who do not read may hold of it.
+        let clogged = self.waiting > self.waiting_limit && after > before && after > CLOGGED;
+        let flow = if clogged { Flow::Close } else { flow };
         entry.finishing |= flow == Flow::Finish;
         // Closed with input unread, the system would throw away what the other side has not read yet: this
         // half is shut, and the rest waits for the other side's end or the connection's own deadline.
@@ -331,6 +345,7 @@
 
     fn close(&mut self, token: Token, core: &mut Core) {
         let Some(mut entry) = self.entries.remove(&token) else { return };
+        self.waiting = self.waiting.saturating_sub(entry.link.waiting());
         if let Some(at) = entry.due {
             self.timers.remove(&(at, token));
         }
@@ -521,6 +536,30 @@
         fn closed(&mut self, _link: &Link, _hub: &mut Hub) {}
     }
 
+    /// Whoever reads nothing must not hold memory without bound.
+    #[test]
+    fn output_beyond_the_limit_ends_the_connection_that_adds_to_it() {
+        let site = br#"{"fleetSize": 1, "index": 0, "classes": [], "bounds": {"mostTries": 1},
+            "contract": {"coldFrom": 1, "coldNs": 1, "fallMultiple": 1, "fallNs": 1},
+            "familyInfo": {"keepNs": 1, "notLoaded": "load", "loadSpanNs": 0}}"#;
+        let mut core = Core::new(crate::settings::read_site(site).unwrap(), 1);
+        let mut reactor = Reactor::new(SystemClock::new()).unwrap();
+        reactor.waiting_limit = 8 << 20;
+        let (near, _far) = StdUnixStream::pair().unwrap();
+        near.set_nonblocking(true).unwrap();
+        let stream = Stream::Unix(UnixStream::from_std(near));
+        let id = reactor.add(stream, Box::new(Fragile), true, (100, usize::MAX), &mut core).unwrap();
+        let mut put = |bytes: usize| {
+            reactor.with(id, &mut core, |_, link, _| {
+                link.put(&vec![0; bytes]);
+                Flow::Go
+            });
+            (reactor.count(), reactor.waiting > 0)
+        };
+        assert_eq!(put(7 << 20), (1, true));
+        assert_eq!(put(7 << 20), (0, false));
+    }
+
     #[test]
     fn a_panic_ends_its_connection_and_no_other() {
         let site = br#"{"fleetSize": 1, "index": 0, "classes": [], "bounds": {"mostTries": 1},
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -247,18 +247,32 @@
         Daemon::with(workers, settings(), None, |_| String::new())
     }
 
+    pub fn limited(workers: &[&Worker], limits: Value) -> Daemon {
+        Daemon::begin(workers, settings(), limits, None, |_| String::new())
+    }
+
     /// Starts the daemon with these agents, settings, bus and operator's file.
     pub fn with(
         workers: &[&Worker],
         settings: Value,
         bus: Option<SocketAddr>,
         operator: impl Fn(&Folder) -> String,
+    ) -> Daemon {
+        Daemon::begin(workers, settings, json!({"sockets": 256}), bus, operator)
+    }
+
+    fn begin(
+        workers: &[&Worker],
+        settings: Value,
+        limits: Value,
+        bus: Option<SocketAddr>,
+        operator: impl Fn(&Folder) -> String,
     ) -> Daemon {
         let folder = Folder::new();
         let targets: Vec<Value> =
             workers.iter().enumerate().map(|(n, w)| target(n as u32 + 1, w.address(), "SERVING")).collect();
         let mut config = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "7", "settings": settings,
-            "limits": {"sockets": 256}, "known": {"offset": 1, "batch": [
+            "limits": limits, "known": {"offset": 1, "batch": [
                 {"offset": 1, "topology": {"rev": 1, "all": true, "targets": targets}}]}});
         if let Some(bus) = bus {
             config["bus"] = json!(bus.to_string());
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -92,6 +92,29 @@
     assert!(writer.join().unwrap().is_err(), "ended before it was all read");
 }
 
+/// Long frames by the hundred, none of which ends: they must not be kept.
+#[test]
+fn a_flood_of_long_frames_stays_within_memory() {
+    let worker = Worker::agent();
+    let daemon = Daemon::limited(&[&worker], json!({"sockets": 256, "memory_mb": 32}));
+    worker.serve(echo);
+    let resident = || {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", daemon.child.id())).unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmHWM")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse::<usize>().unwrap() / 1024
+    };
+    let mut long = frame(0, 1, &[7; 250_000]);
+    long.truncate(200_000);
+    let mut clients: Vec<_> = (0..150).map(|_| Frames::connect(&daemon)).collect();
+    for client in &mut clients {
+        client.send(&long);
+        assert_eq!(client.next(), Some((1, 1, vec![69, 0])), "told at its head");
+    }
+    let mut client = Frames::connect(&daemon);
+    only_ready(&mut client, 79);
+    assert!(resident() < 32, "{} MB", resident());
+}
+
 /// A withdrawn call takes no place at its worker that others want.
 #[test]
 fn a_withdrawn_call_is_called_off_at_its_worker() {
