--- a/src/brain.rs
+++ b/src/brain.rs
@@ -69,7 +69,7 @@
 const WORTHY: f64 = 1.5;
 /// Part of the aim that a call may wait here for room: with its work and a queue it would then end late.
 const QUEUE_PART: f64 = 0.2;
-/// Part of the aim after which a waiting call starts a load elsewhere; part of full workers up to which it may.
+/// Part of the aim after which a waiting call starts a load elsewhere, and of full workers that forbids it.
 const SPILL: (f64, f64) = (0.08, 0.34);
 /// Part of a call's whole time after which one that has found no room yet is given up.
 const HOPE: f64 = 0.4;
