Cut a worker's limit by slow answers only, and count a call's first refusal alone as strain

Lines at fault: src/brain.rs learn(): the lagging mean alone cut the limit, also upon a quick answer.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -27,9 +27,9 @@
 const RENEW_AT: f64 = 0.3;
 /// Loads of ours under way at a worker; a rare function starts none where one is.
 const LOADS: usize = 3;
-/// How long a miss answer is believed: other front ends load too.
+/// How long a miss answer is believed.
 const MISS_BELIEVED: Span = Span::millis(1000);
-/// Wait for a load before another worker is tried: about twice a slow load.
+/// Wait for a load before another worker is tried.
 const LOAD_PATIENCE: Span = Span::millis(3000);
 /// Pause before a call that found no way is placed again.
 const RETRY: Span = Span::millis(40);
@@ -50,7 +50,7 @@
 /// Weight of a new latency in a worker's slowness and strain; bounds of the former, against peers.
 const SLOW_GAIN: f64 = 0.15;
 const SLOW_RANGE: (f64, f64) = (0.5, 12.0);
-/// Time in which unrefreshed slowness halves, so that a suspect gets trial traffic.
+/// Time in which unrefreshed slowness halves.
 const SLOW_HALF: Span = Span::millis(4000);
 /// Weight of a new latency in a class's usual one.
 const CLASS_GAIN: f64 = 0.02;
@@ -750,9 +750,9 @@
             pair.fail(now);
         }
         let took = match outcome.status {
-            // A wait for a load says nothing of how full workers are.
+            // A wait for a load says nothing of how full workers are, nor a call's second refusal.
             Status::Ok if attempt.warm => (outcome.latency.secs() / aim.secs().max(0.001)).min(1.0),
-            Status::Full if !attempt.warm => self.strain,
+            Status::Full if !attempt.warm || outcome.attempt > 0 => self.strain,
             Status::Full | Status::Timeout => 1.0,
             _ => self.strain,
         };
@@ -782,7 +782,8 @@
                     w.slow = (w.slow + (ratio - w.slow) * SLOW_GAIN).clamp(SLOW_RANGE.0, SLOW_RANGE.1);
                     w.slow_at = now;
                     w.strain += (took - w.strain) * SLOW_GAIN;
-                    if w.strain > STRAIN {
+                    // The mean lags behind: what is quick again is no sign of too much.
+                    if w.strain > STRAIN && took > STRAIN {
                         w.cut(now);
                     } else if f64::from(w.in_flight) + 2.0 >= w.limit {
                         w.limit = (w.limit + LIMIT_STEP.0).min(LIMIT.2);
@@ -980,7 +981,6 @@
         (self.warm_until, self.missed, self.failures) = (until, None, 0);
     }
 
-    /// A load failed here: the next one waits, longer each time.
     fn fail(&mut self, now: Time) {
         self.retry_at = now + backoff(self.failures);
         self.failures += 1;
@@ -988,7 +988,7 @@
 }
 
 impl Worker {
-    /// The process is gone or cannot be reached: nothing is believed to stand there.
+    /// It cannot be reached: nothing is believed to stand there.
     fn lost(&mut self, now: Time) {
         if self.shun_until <= now {
             self.shun_until = now + backoff(self.failures);
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -359,6 +359,23 @@
     assert!(sent.filter(|worker| *worker == home).count() >= 6, "its limit stands");
 }
 
+/// After a jam the mean stayed high and went on cutting, though every answer was quick again.
+#[test]
+fn quick_answers_after_a_jam_do_not_cut_a_workers_limit_further() {
+    let mut rig = Rig::new(settings(OnMiss::Load), 1);
+    for n in 0..12 {
+        rig.give(Event::Call(call(n, 7, 0)));
+        rig.pass(Span::millis(200));
+        let latency = Span::millis(if (1..6).contains(&n) { 700 } else { 100 });
+        let (copy, report) = (CopyNote::Stood, vec![]);
+        let (id, status) = (R(n), Status::Ok);
+        let outcome = Outcome { id, attempt: 0, status, latency, finished: true, copy, company: 0, report };
+        rig.give(Event::Outcome(outcome));
+    }
+    let sent = (100..120).flat_map(|n| sends(&rig.give(Event::Call(call(n, 7, 0)))));
+    assert!((3..=4).contains(&sent.count()), "cut for the jam alone");
+}
+
 /// Calls waited for the one worker where their function stood, until they were given up, while others were idle.
 #[test]
 fn a_call_does_not_wait_for_a_full_worker_while_others_have_room() {
