Keep a quick worker's limit when it turns a call away, and drop the belief in its copy

Their copies had gone unseen and their load queues were full: more calls is not what they lacked. Lines at fault: src/brain.rs learn(), Status::Full with attempt.warm. Ruled out: silence (28 late answers), CPU, resets.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -54,7 +54,6 @@
 const SLOW_HALF: Span = Span::millis(4000);
 /// Weight of a new latency in a class's usual one.
 const CLASS_GAIN: f64 = 0.02;
-/// Time constant of the measured rate of work done.
 const RATE_SPAN: Span = Span::millis(5000);
 /// In-flight calls that crossing a zone weighs as, times its price as a part of one.
 const CROSS_WEIGHT: f64 = 10.0;
@@ -522,7 +521,7 @@
         (counted as usize, own < counted * BLIND_CALLS)
     }
 
-    /// Whether our in-flight calls at a worker are under what its answers have shown to be good.
+    /// Whether our calls at a worker are under what its answers have shown to be good.
     fn has_room(&self, worker: WorkerId, class: usize) -> bool {
         let more = if self.worthy(class) { WORTHY } else { 1.0 };
         self.workers.get(&worker).is_some_and(|w| f64::from(w.in_flight) + 1.0 <= (w.limit * more).max(1.0))
@@ -713,8 +712,7 @@
             request.ran = Some(attempt.place);
         }
         // Where it failed it would most likely fail again, and at once.
-        let crammed = outcome.status == Status::Full && !attempt.warm;
-        if crammed || matches!(outcome.status, Status::Miss | Status::Error) {
+        if matches!(outcome.status, Status::Miss | Status::Error | Status::Full) {
             request.missed.push(attempt.worker);
         }
         if outcome.status == Status::Miss {
@@ -791,8 +789,10 @@
                 }
             }
             Status::Miss => (pair.missed, pair.warm_until) = (Some(now), Time(0)),
-            // No room for a new copy, or too many loads: that says nothing of the copies that stand.
-            Status::Full if !attempt.warm => w.crammed_until = now + FULL_PAUSE,
+            // No room for a copy, or too many loads, also where one has gone unseen: it has room for calls.
+            Status::Full if !attempt.warm || w.strain < STRAIN => {
+                (w.crammed_until, pair.warm_until) = (now + FULL_PAUSE, Time(0));
+            }
             Status::Full => {
                 w.shun_until = w.shun_until.max(now + FULL_PAUSE);
                 w.cut(now);
