--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -74,6 +74,8 @@
     opened,
     /// Client connections ended for malformed input.
     malformed,
+    /// Log lines about clients left out because too many came in one second.
+    unlogged,
     /// Lines of workers or of the event bus that could not be read.
     unreadable,
     /// Panics caught at a connection.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -16,6 +16,8 @@
 
 /// The part of the memory limit that bodies of open calls may take, as a divisor; beyond it calls are refused.
 const BODIES: usize = 6;
+/// Log lines a second that clients' doings may cause; the rest is only counted.
+const LOGGED: u32 = 10;
 /// The limit where none is told.
 const MEMORY: usize = 192 << 20;
 /// A probe that is not answered by then has failed: the simulator's limit and what sockets are allowed more.
@@ -303,6 +305,8 @@
     called_since: Time,
     bodies: usize,
     memory: usize,
+    /// The second that is running, and the lines logged in it.
+    logged: (Time, u32),
     counters: Counters,
 }
 
@@ -330,6 +334,7 @@
             called_since: Time(0),
             bodies: 0,
             memory: MEMORY,
+            logged: (Time(0), 0),
             counters: Counters::default(),
         }
     }
@@ -344,6 +349,17 @@
         self.memory = bytes;
     }
 
+    /// Whether a line that a client has caused is to be logged: clients at full speed must not have the
+    /// scheduler write, and wait for whoever reads its log, all the time.
+    pub fn may_log(&mut self, now: Time) -> bool {
+        if now - self.logged.0 >= Span::millis(1_000) {
+            self.logged = (now, 0);
+        }
+        self.logged.1 += 1;
+        self.counters.unlogged += u64::from(self.logged.1 > LOGGED);
+        self.logged.1 <= LOGGED
+    }
+
     /// A new configuration: calls under way go on as they were taken, by the new figures.
     pub fn replace_site(&mut self, now: Time, site: Site) {
         self.site = self.site.replaced_by(site);
@@ -895,6 +911,14 @@
         assert_ne!(at, worker, "it refused a connection");
     }
 
+    #[test]
+    fn lines_that_clients_cause_are_bounded() {
+        let mut core = core();
+        let lines: Vec<usize> =
+            [0, 1_000, 1_500].map(|ms| (0..25).filter(|_| core.may_log(MS(ms))).count()).to_vec();
+        assert_eq!((lines, core.counters().unlogged), (vec![10, 10, 0], 55));
+    }
+
     /// Nothing that goes wrong in the module may leave a call without an answer.
     #[test]
     fn a_call_that_the_module_has_lost_is_failed_after_its_deadline() {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -216,6 +216,7 @@
                     let connection = Box::new(FrameConnection::new(now));
                     self.reactor.add(stream, connection, true, frames::LIMITS, &mut self.core);
                 }
+                Ok(Some(_)) if !self.core.may_log(self.reactor.now()) => {}
                 Ok(Some(_)) => eprintln!("mintgate: accept dropped why=\"no descriptors left\""),
                 Ok(None) => return,
                 Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
@@ -239,6 +240,9 @@
                 self.rpc_clients.remove(&id);
             }
         }
+        if self.rpc_clients.len() >= front.max_clients && !self.core.may_log(now) {
+            return;
+        }
         if self.rpc_clients.len() >= front.max_clients {
             return eprintln!("mintgate: accept dropped why=\"max_clients\"");
         }
--- a/src/front/frames.rs
+++ b/src/front/frames.rs
@@ -315,7 +315,9 @@
     /// Tells the client what is wrong; the connection ends once that has gone out.
     fn malformed(&mut self, why: &str, link: &mut Link, hub: &mut Hub) -> Flow {
         hub.core.counters().malformed += 1;
-        eprintln!("mintgate: malformed front=frames connection={} why=\"{why}\"", link.id());
+        if hub.core.may_log(hub.now) {
+            eprintln!("mintgate: malformed front=frames connection={} why=\"{why}\"", link.id());
+        }
         let mut bytes = Vec::new();
         put_answer(0, &Verdict::Failed, &mut bytes);
         link.put(&bytes);
--- a/tests/jsonrpc.rs
+++ b/tests/jsonrpc.rs
@@ -343,6 +343,28 @@
     assert_eq!(client.next()["result"]["body"], "eQ==", "under way when the file changed");
 }
 
+/// A planned restart: not ready any more, but what is under way and what still comes is answered.
+#[test]
+fn at_sigterm_calls_of_this_front_are_answered_too() {
+    let worker = Worker::agent();
+    let mut daemon = start(&[&worker]);
+    let mut client = connect(&daemon);
+    client.send(&rpc_call(&json!(1), "practice-check", REF, 60_000, "").to_string());
+    let mut heard = worker.next();
+    daemon.signal("TERM");
+    daemon.wait_log("ending");
+    client.send(r#"{"jsonrpc":"2.0","id":2,"method":"ready"}"#);
+    assert_eq!(client.next()["result"]["ready"], false);
+    let mut late = connect(&daemon);
+    late.send(&rpc_call(&json!(1), "practice-check", "00000000000000aa", 2900, "").to_string());
+    worker.next().answer("200", "eA==");
+    assert_eq!(late.next()["result"]["body"], "eA==");
+    heard.answer("200", "eQ==");
+    assert_eq!(client.next()["result"]["body"], "eQ==");
+    assert!(daemon.child.wait().unwrap().success());
+    assert!(!daemon.folder.at("calls.sock").exists());
+}
+
 /// Identical calls over both framings: the same outcomes and the same number of orders to load.
 #[test]
 fn both_framings_have_the_same_outcomes_and_orders() {
