Serve readiness, figures and bans by hand at a second address

Change: src/ops/ (codec over httparse, bans and figures without I/O, one connection object), bans laid over the bus's list in the core so that module and gates see one view, counts per class kept at the final answer.

--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -132,6 +132,12 @@
                     give(connection, Job::Purge { function }, reactor, core);
                 }
             }
+            // A process that came back is met on new connections, whose refusal proves that nothing ran.
+            Command::Renew { worker } => {
+                if let Some(target) = self.targets.get_mut(&worker) {
+                    target.connections.clear();
+                }
+            }
             Command::Answer { .. } => {}
         }
     }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -228,8 +228,8 @@
 
     /// New settings. Classes keep their places; new ones come after them.
     pub fn configure(&mut self, settings: Settings) {
-        let more = settings.classes.iter().skip(self.usual.len()).map(|class| class.aim.secs() / 4.0);
-        self.usual.extend(more);
+        let more = settings.classes.iter().skip(self.usual.len());
+        self.usual.extend(more.map(|class| class.aim.secs() / 4.0));
         self.settings = settings;
     }
 
@@ -268,9 +268,7 @@
     // ---- Events in
 
     fn subscribe(&mut self, out: &mut Actions) {
-        if self.settings.discovery == Discovery::OnRequest {
-            out.push(Action::Subscribe);
-        }
+        out.extend((self.settings.discovery == Discovery::OnRequest).then_some(Action::Subscribe));
     }
 
     fn members(&mut self, kind: ListKind, members: Vec<Member>, out: &mut Actions) {
@@ -352,8 +350,8 @@
         let chosen = self.functions.iter().filter(|(_, f)| f.calls() >= BRONZE_CALLS);
         let mut ranks: Vec<_> = chosen.map(|(id, f)| (std::cmp::Reverse(f.calls()), *id)).collect();
         ranks.sort_unstable();
-        let memory = &self.settings.loading.memory_mb;
-        let mut room = memory.iter().copied().fold(f64::INFINITY, f64::min) * GOLD_MEMORY;
+        let least = self.settings.loading.memory_mb.iter().copied().fold(f64::INFINITY, f64::min);
+        let mut room = least * GOLD_MEMORY;
         let mut top = BTreeSet::new();
         for (_, id) in ranks {
             room -= self.functions[&id].memory_mb;
@@ -492,8 +490,7 @@
         self.later(id, RETRY);
     }
 
-    /// Workers that a function's calls keep busy, all front ends together, with room for bursts except in a
-    /// crowd, where more copies only push others out.
+    /// Workers that a function's calls keep busy, with room for bursts but in a crowd.
     fn wanted_copies(&self, key: FunctionId, class: usize) -> usize {
         let Some(function) = self.functions.get(&key) else { return 1 };
         let fleet = f64::from(self.settings.fleet_size.max(1));
@@ -567,6 +564,13 @@
         two.get(1).filter(clearly).or(two.first()).copied()
     }
 
+    /// How many ready workers are avoided now by choice.
+    pub fn avoided(&self) -> usize {
+        let ready = self.workers.values().filter(|w| w.member.state == State::Ready);
+        let ready: Vec<WorkerId> = ready.map(|w| w.member.worker).collect();
+        ready.len() - self.healthy(ready).len()
+    }
+
     /// Leaves out the shunned, the dark and those far slower than the rest, unless more than half would be.
     fn healthy(&self, order: Vec<WorkerId>) -> Vec<WorkerId> {
         let slowness = |w: &WorkerId| self.workers[w].slowness(self.now);
@@ -695,7 +699,6 @@
         if matches!(outcome.status, Status::Miss | Status::Error | Status::Full) {
             request.missed.push(attempt.worker);
         }
-        let Some(request) = self.requests.get(&outcome.id) else { return };
         let unsafe_ran =
             request.ran.is_some() && self.settings.classes[request.class].effect == Effect::Unsafe;
         if outcome.status == Status::Timeout || now >= request.end || unsafe_ran {
@@ -919,12 +922,10 @@
         let span = self.settings.rules.ration.map_or(RATE_SPAN, |r| r.span);
         let since = self.now - span;
         for times in [&mut self.orders, &mut self.arrivals] {
-            while times.front().is_some_and(|at| *at < since) {
-                times.pop_front();
-            }
+            times.retain(|at| *at >= since);
         }
-        let full = self.workers.keys().filter(|w| !self.has_room(**w, 0)).count();
-        self.crowding = full as f64 / self.workers.len().max(1) as f64;
+        let full = self.workers.keys().filter(|w| !self.has_room(**w, 0)).count() as f64;
+        self.crowding = full / self.workers.len().max(1) as f64;
         self.fill(span);
     }
 
--- a/src/config.rs
+++ b/src/config.rs
@@ -15,6 +15,9 @@
     pub config: PathBuf,
     /// The operator's file, if there is one.
     pub operator: Option<PathBuf>,
+    /// The second address as this process alone is told of it: it prevails over the file, which an old and a
+    /// new process share.
+    pub mgmt: Option<SocketAddr>,
 }
 
 impl Sources {
@@ -30,7 +33,8 @@
         };
         let text = std::fs::read(&self.config)
             .map_err(|e| format!("configuration: cannot read {}: {e}", self.config.display()))?;
-        Ok((read(&text)?, operator))
+        let config = read(&text)?;
+        Ok((Config { mgmt: self.mgmt.or(config.mgmt), ..config }, operator))
     }
 }
 
@@ -41,6 +45,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// The second address, if there is one.
+    pub mgmt: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// Descriptors that may be held.
@@ -60,6 +66,7 @@
     #[serde(default)]
     name: String,
     listen: SocketAddr,
+    mgmt: Option<SocketAddr>,
     #[serde(default)]
     seed: String,
     #[serde(default)]
@@ -133,6 +140,7 @@
     Ok(Config {
         name: text.name,
         listen: text.listen,
+        mgmt: text.mgmt,
         seed: u64::from_str_radix(&text.seed, 16).unwrap_or_default(),
         sockets: text.limits.sockets.unwrap_or(SOCKETS),
         memory_mb: text.limits.memory_mb.map_or(MEMORY_MB, |mb| mb.clamp(1.0, 1e6) as usize),
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -1,6 +1,9 @@
 //! What the scheduler counts: taken in, sent, answered.
 
+use super::Verdict;
 use crate::interface::Status;
+use crate::ops::figures::Ends;
+use std::collections::BTreeMap;
 use std::fmt;
 
 macro_rules! counters {
@@ -9,6 +12,8 @@
         #[derive(Clone, Debug, Default, PartialEq, Eq)]
         pub struct Counters {
             $($(#[$doc])* pub $name: u64,)*
+            /// Final answers by the name of their class.
+            pub classes: BTreeMap<String, Ends>,
         }
 
         impl fmt::Display for Counters {
@@ -82,9 +87,27 @@
     panics,
     /// VRRP advertisements dropped as malformed.
     vrrp_dropped,
+    /// Files taken at SIGHUP.
+    conf_loaded,
+    /// Files turned down at SIGHUP.
+    conf_invalid,
 }
 
 impl Counters {
+    /// Counts a final answer under its class.
+    pub fn final_answer(&mut self, class: &str, verdict: &Verdict) {
+        if !self.classes.contains_key(class) {
+            self.classes.insert(class.to_owned(), Ends::default());
+        }
+        if let Some(ends) = self.classes.get_mut(class) {
+            match verdict {
+                Verdict::Served(_) => ends.answered += 1,
+                Verdict::Refused { .. } => ends.deferred += 1,
+                Verdict::Failed => ends.errored += 1,
+            }
+        }
+    }
+
     /// Counts the end of an attempt.
     pub fn end(&mut self, status: Status) {
         let counter = match status {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -10,6 +10,8 @@
 
 use crate::brain::Balancer;
 use crate::interface::*;
+use crate::ops::bans::{Bans, Done};
+use crate::ops::figures::Figures;
 use crate::settings::Site;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
@@ -221,6 +223,11 @@
         /// What.
         function: FunctionId,
     },
+    /// Nothing new goes out on the connections that lead there: the process at their end may be another now.
+    Renew {
+        /// Where.
+        worker: WorkerId,
+    },
 }
 
 struct Taken {
@@ -294,7 +301,9 @@
     orders: BTreeMap<OrderId, Order>,
     probes: BTreeMap<ProbeId, (WorkerId, Time)>,
     /// What the list tells of each worker on it.
-    told: BTreeMap<WorkerId, State>,
+    told: BTreeMap<WorkerId, Member>,
+    /// Who is out by hand whatever the list tells.
+    bans: Bans,
     due: BTreeSet<(Time, Due)>,
     commands: VecDeque<Command>,
     backlog: VecDeque<Event>,
@@ -325,6 +334,7 @@
             orders: BTreeMap::new(),
             probes: BTreeMap::new(),
             told: BTreeMap::new(),
+            bans: Bans::default(),
             due: BTreeSet::new(),
             commands: VecDeque::new(),
             backlog: VecDeque::new(),
@@ -398,28 +408,80 @@
         for member in &members {
             match member.state {
                 State::Gone => drop(self.told.remove(&member.worker)),
-                state => drop(self.told.insert(member.worker, state)),
+                _ => drop(self.told.insert(member.worker, *member)),
             }
         }
+        self.bans.forget_gone(|worker| self.told.contains_key(&worker));
         self.counters.list_events += 1;
+        let members = members.into_iter().map(|member| self.bans.laid_over(member)).collect();
         self.step(now, Event::Members(kind, members));
     }
 
+    /// An operator leaves a worker out: from now on nothing new is written to it, whatever the list tells.
+    pub fn exclude(&mut self, now: Time, worker: WorkerId) -> Done {
+        let done = self.bans.exclude(worker, self.told.contains_key(&worker));
+        if done == Done::Changed {
+            self.look_anew(now, worker);
+        }
+        done
+    }
+
+    /// An operator puts a worker back. It has most likely been restarted, so nothing that was known of it holds.
+    pub fn include(&mut self, now: Time, worker: WorkerId) -> Done {
+        let done = self.bans.include(now, worker, self.told.contains_key(&worker));
+        if done == Done::Changed {
+            self.commands.push_back(Command::Renew { worker });
+            self.look_anew(now, worker);
+        }
+        done
+    }
+
+    fn look_anew(&mut self, now: Time, worker: WorkerId) {
+        if let Some(member) = self.told.get(&worker) {
+            let member = self.bans.laid_over(*member);
+            self.step(now, Event::Members(ListKind::Delta, vec![member]));
+        }
+    }
+
+    /// Whether a call taken now could be placed: some worker may be sent work.
+    pub fn places(&self) -> bool {
+        self.told.keys().any(|worker| self.open_to_work(*worker))
+    }
+
+    /// The figures as they stand now.
+    pub fn figures(&self) -> Figures {
+        let mut classes = self.counters.classes.clone();
+        for name in self.site.classes.iter().flatten() {
+            classes.entry(name.clone()).or_default();
+        }
+        let out = self.bans.out().filter(|worker| self.told.contains_key(worker)).count();
+        Figures {
+            classes,
+            sends: self.counters.sent,
+            current: self.owed(),
+            cluster_size: self.told.len(),
+            cluster_unhealthy: out + self.balancer.avoided(),
+            conf_loaded: self.counters.conf_loaded,
+            conf_invalid: self.counters.conf_invalid,
+        }
+    }
+
     /// A call has come in whole. From here on one final answer is owed.
     pub fn call(&mut self, now: Time, call: Incoming) {
         self.counters.taken += 1;
         self.taken.push_back(now);
         let class = self.site.class(&call.class);
-        let Some(class) = class else { return self.answer(call.owner, Verdict::Failed, false) };
+        let Some(class) = class else { return self.answer(call.owner, None, Verdict::Failed, false) };
         // A name that is open already would make two calls' answers look alike at a worker.
         if self.names.contains(&call.reference) {
-            return self.answer(call.owner, Verdict::Failed, false);
+            return self.answer(call.owner, Some(&call.class), Verdict::Failed, false);
         }
         let full =
             self.requests.len() >= self.site.max_open || self.bodies + call.body.len() > self.memory / BODIES;
         if full || call.deadline <= now || self.owners.contains_key(&call.owner) {
             let cooldown = self.advice();
-            return self.answer(call.owner, Verdict::Refused { cooldown }, call.deadline <= now);
+            let refused = Verdict::Refused { cooldown };
+            return self.answer(call.owner, Some(&call.class), refused, call.deadline <= now);
         }
         let id = RequestId(self.next_request);
         self.next_request = self.next_request.wrapping_add(1);
@@ -501,9 +563,9 @@
             taken.first_out = None;
         }
         if let Some(bytes) = body
-            && let Some(owner) = self.forget(id.request)
+            && let Some(taken) = self.forget(id.request)
         {
-            self.answer(owner, Verdict::Served(bytes), false);
+            self.answer(taken.owner, Some(&taken.work.class), Verdict::Served(bytes), false);
         }
         self.end_attempt(now, id, status);
         self.settle(now);
@@ -578,8 +640,12 @@
         self.site.settings.limits.retry_after.unwrap_or(Span(0))
     }
 
-    /// Counts a call that its front has answered by itself because it could not be taken.
-    pub fn turned_away(&mut self, verdict: &Verdict) {
+    /// Counts a call that its front has answered by itself because it could not be taken, under its class
+    /// where that could be read.
+    pub fn turned_away(&mut self, class: Option<&str>, verdict: &Verdict) {
+        if let Some(class) = class.filter(|class| self.site.class(class).is_some()) {
+            self.counters.final_answer(class, verdict);
+        }
         match verdict {
             Verdict::Refused { .. } => self.counters.turned_away_refused += 1,
             _ => self.counters.turned_away_failed += 1,
@@ -631,7 +697,7 @@
     /// An event of the bus counts as told from the moment it is in the bus, which may be long before it was
     /// heard here. So nothing that still waits is written once a drain is known, whatever grace there is.
     fn open_to_work(&self, worker: WorkerId) -> bool {
-        self.told.get(&worker) == Some(&State::Ready)
+        self.told.get(&worker).is_some_and(|member| self.bans.laid_over(*member).state == State::Ready)
     }
 
     // ---- Inside
@@ -705,12 +771,15 @@
     fn conclude(&mut self, now: Time, id: RequestId, verdict: Verdict) {
         let Some(taken) = self.requests.get(&id) else { return };
         let expired = now + self.site.settings.tick >= taken.deadline;
-        let owner = taken.owner;
-        self.forget(id);
-        self.answer(owner, verdict, expired);
+        if let Some(taken) = self.forget(id) {
+            self.answer(taken.owner, Some(&taken.work.class), verdict, expired);
+        }
     }
 
-    fn answer(&mut self, owner: Owner, verdict: Verdict, expired: bool) {
+    fn answer(&mut self, owner: Owner, class: Option<&str>, verdict: Verdict, expired: bool) {
+        if let Some(class) = class {
+            self.counters.final_answer(class, &verdict);
+        }
         match &verdict {
             Verdict::Served(_) => self.counters.served += 1,
             Verdict::Refused { .. } => self.counters.refused += 1,
@@ -719,13 +788,13 @@
         self.commands.push_back(Command::Answer { owner, answer: Answer { verdict, expired } });
     }
 
-    fn forget(&mut self, id: RequestId) -> Option<Owner> {
+    fn forget(&mut self, id: RequestId) -> Option<Taken> {
         let taken = self.requests.remove(&id)?;
         self.bodies -= taken.work.body.len();
         self.names.remove(&taken.work.reference);
         self.due.remove(&(taken.deadline + BACKSTOP, Due::Call(id)));
         self.owners.remove(&taken.owner);
-        Some(taken.owner)
+        Some(taken)
     }
 
     fn end_attempt(&mut self, now: Time, id: AttemptId, status: Status) {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -9,11 +9,12 @@
 use crate::front::socket::{self, SocketFile};
 use crate::interface::{ListKind, Member, Span, State, Time};
 use crate::net::{Reactor, Signal, Stream, SystemClock};
+use crate::ops::{self, MgmtConnection};
 use crate::vrrp::packet::{Advertisement, LARGEST};
 use crate::vrrp::{self, Event};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use std::cell::RefCell;
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 use std::io;
 use std::os::unix::net::UnixStream;
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -66,6 +67,9 @@
     bus_again: Option<Time>,
     /// The connection to the bus, while there is one.
     bus_id: Option<u64>,
+    /// The listener of the second address, and those who call there, in the order they came.
+    mgmt: Option<usize>,
+    callers: VecDeque<u64>,
     /// The listener of the second front, and its file.
     rpc: Option<(usize, SocketFile)>,
     rpc_clients: BTreeSet<u64>,
@@ -89,7 +93,15 @@
         let print = signal_pipe(&[SIGUSR1])?;
         let reload = signal_pipe(&[SIGHUP])?;
         let pipes = (reactor.watch(end)?, reactor.watch(print)?, reactor.watch(reload)?);
-        config.listen = reactor.listen(config.listen)?;
+        config.listen = reactor.listen(config.listen)?.1;
+        let mgmt = match &mut config.mgmt {
+            None => None,
+            Some(at) => {
+                let (listener, own) = reactor.listen(*at)?;
+                *at = own;
+                Some(listener)
+            }
+        };
         let rpc = match &operator.jsonrpc {
             None => None,
             Some(front) => {
@@ -124,6 +136,8 @@
             bus_id: None,
             operator,
             fixed,
+            mgmt,
+            callers: VecDeque::new(),
             rpc,
             rpc_clients: BTreeSet::new(),
             router,
@@ -147,8 +161,9 @@
         self.reactor.ready = true;
         self.vrrp(Event::Startup);
         let at = self.config.listen;
+        let mgmt = self.config.mgmt.map(|at| format!(" mgmt={at}")).unwrap_or_default();
         eprintln!(
-            "mintgate: serving name={} listen={at} offset={}",
+            "mintgate: serving name={} listen={at}{mgmt} offset={}",
             self.config.name,
             self.inbox.borrow().offset
         );
@@ -158,11 +173,10 @@
             let until = until.chain(self.next_step()).chain(router).min();
             for signal in self.reactor.turn(until, &mut self.core)? {
                 match signal {
+                    Signal::Client(listener) if self.mgmt == Some(listener) => self.accept_callers(listener),
                     Signal::Client(listener) => self.accept(listener),
                     Signal::Pipe(pipe) if pipe == self.pipes.0 => self.begin_end(),
-                    Signal::Pipe(pipe) if pipe == self.pipes.1 => {
-                        eprintln!("mintgate: {}", self.core.counters())
-                    }
+                    Signal::Pipe(pipe) if pipe == self.pipes.1 => self.print(),
                     Signal::Pipe(_) => self.reload(),
                     Signal::Datagram(socket) => self.hear(socket),
                 }
@@ -170,7 +184,7 @@
             self.vrrp(Event::Timer);
             self.settle();
             if self.ended() {
-                eprintln!("mintgate: {}", self.core.counters());
+                self.print();
                 eprintln!("mintgate: ended name={}", self.config.name);
                 return Ok(());
             }
@@ -228,6 +242,27 @@
         }
     }
 
+    /// Callers at the second address come in whatever clients do, for their descriptors are reserved. Where all
+    /// places are taken, whoever came first and has completed nothing yet makes room.
+    fn accept_callers(&mut self, listener: usize) {
+        while let Ok(Some(stream)) = self.reactor.accept(listener) {
+            let reactor = &self.reactor;
+            self.callers.retain(|id| reactor.look(*id, |_| ()).is_some());
+            if self.callers.len() >= ops::CALLERS
+                && let Some(first) = self.callers.pop_front()
+            {
+                self.reactor.end(first, &mut self.core);
+            }
+            let connection = Box::new(MgmtConnection::new(self.reactor.now()));
+            self.callers.extend(self.reactor.add(stream, connection, true, ops::LIMITS, &mut self.core));
+        }
+    }
+
+    fn print(&mut self) {
+        eprintln!("mintgate: figures {}", self.core.figures().to_string().trim_end().replace('\n', " "));
+        eprintln!("mintgate: {}", self.core.counters());
+    }
+
     fn accept_rpc(&mut self, now: Time, stream: Stream) {
         let Some(front) = &self.operator.jsonrpc else { return };
         let reactor = &mut self.reactor;
@@ -314,17 +349,24 @@
     /// SIGHUP: both files are read whole and checked before anything of them is used; where one is bad, all
     /// stays as it was. Calls under way go on, and so do connections.
     fn reload(&mut self) {
-        let (mut config, operator) = match self.sources.read() {
+        let read = self.sources.read();
+        let fronts = |(config, operator): (Config, Operator)| {
+            self.reload_fronts(&operator).map_err(|e| e.to_string())?;
+            Ok((config, operator))
+        };
+        let (mut config, operator) = match read.and_then(fronts) {
             Ok(read) => read,
-            Err(why) => return eprintln!("mintgate: reload refused why=\"{why}\""),
+            Err(why) => {
+                self.core.counters().conf_invalid += 1;
+                return eprintln!("mintgate: reload refused why=\"{why}\"");
+            }
         };
-        if let Err(why) = self.reload_fronts(&operator) {
-            return eprintln!("mintgate: reload refused why=\"{why}\"");
-        }
+        self.core.counters().conf_loaded += 1;
         let now = self.reactor.now();
         // What can only be had at a start stays as it is, and is said.
         let fixed = [
             ("listen", config.listen.port() != 0 && config.listen != self.config.listen),
+            ("mgmt", config.mgmt != self.config.mgmt && config.mgmt.is_none_or(|at| at.port() != 0)),
             ("name", config.name != self.config.name),
             ("zones", config.site.zones != self.config.site.zones),
             ("kinds", config.site.kinds != self.config.site.kinds),
@@ -333,7 +375,8 @@
         for (what, _) in fixed.iter().filter(|(_, differs)| *differs) {
             eprintln!("mintgate: reload kept what={what}");
         }
-        (config.listen, config.name) = (self.config.listen, self.config.name.clone());
+        (config.listen, config.mgmt) = (self.config.listen, self.config.mgmt);
+        config.name.clone_from(&self.config.name);
         config.site.zones.clone_from(&self.config.site.zones);
         config.site.kinds.clone_from(&self.config.site.kinds);
         let vrrp = self.operator.vrrp.take();
--- a/src/front/frames.rs
+++ b/src/front/frames.rs
@@ -257,16 +257,18 @@
                     Err(Odd::Malformed(why)) => return Err(why),
                     other => other,
                 };
-                let verdict = match call {
-                    Ok(_) if self.open.len() >= OPEN => Verdict::Refused { cooldown: hub.core.advice() },
+                let (class, verdict) = match call {
+                    Ok(call) if self.open.len() >= OPEN => {
+                        (Some(call.class), Verdict::Refused { cooldown: hub.core.advice() })
+                    }
                     Ok(call) => {
                         self.open.insert(frame.stream);
                         hub.core.call(hub.now, call);
                         return Ok(());
                     }
-                    Err(_) => Verdict::Failed,
+                    Err(_) => (None, Verdict::Failed),
                 };
-                hub.core.turned_away(&verdict);
+                hub.core.turned_away(class.as_deref(), &verdict);
                 let mut bytes = Vec::new();
                 put_answer(frame.stream, &verdict, &mut bytes);
                 link.put(&bytes);
@@ -301,7 +303,7 @@
         if head[4] != kinds::REQUEST || stream == 0 || !self.seen.new_stream(stream) {
             return Err("a long frame that is no request");
         }
-        hub.core.turned_away(&Verdict::Failed);
+        hub.core.turned_away(None, &Verdict::Failed);
         let mut bytes = Vec::new();
         put_answer(stream, &Verdict::Failed, &mut bytes);
         link.put(&bytes);
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -311,7 +311,7 @@
         }
         if self.open.len() >= OPEN || !hub.active {
             let verdict = Verdict::Refused { cooldown: hub.core.advice() };
-            hub.core.turned_away(&verdict);
+            hub.core.turned_away(Some(&params.class), &verdict);
             return self.say(batch, response(&id, &Answer { verdict, expired: false }), link);
         }
         let stream = self.next;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -79,6 +79,7 @@
 pub mod front;
 mod interface;
 pub mod net;
+pub mod ops;
 pub mod settings;
 pub mod vrrp;
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -22,7 +22,13 @@
         _ => return Err("usage: mintgate [--operator FILE]".to_owned()),
     };
     let config = std::env::var_os("GW_CONFIG").ok_or("GW_CONFIG names no configuration")?.into();
-    let sources = Sources { config, operator };
+    let mgmt = match std::env::var("GW_MGMT") {
+        Ok(text) if !text.is_empty() => {
+            Some(text.parse().map_err(|_| format!("GW_MGMT is '{text}', no address"))?)
+        }
+        _ => None,
+    };
+    let sources = Sources { config, operator, mgmt };
     let (config, operator) = sources.read()?;
     daemon::run(config, operator, sources).map_err(|e| format!("cannot serve: {e}"))
 }
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -170,12 +170,11 @@
         self.entries.len()
     }
 
-    /// Listens on a TCP address; the address, with its port where any would do.
-    pub fn listen(&mut self, at: SocketAddr) -> io::Result<SocketAddr> {
+    /// Listens on a TCP address; the listener's number, and the address with its port where any would do.
+    pub fn listen(&mut self, at: SocketAddr) -> io::Result<(usize, SocketAddr)> {
         let listener = TcpListener::bind(at)?;
         let at = listener.local_addr()?;
-        self.add_listener(Listener::Tcp(listener))?;
-        Ok(at)
+        Ok((self.add_listener(Listener::Tcp(listener))?, at))
     }
 
     /// Listens on a Unix socket that has been made; the listener's number.
--- /dev/null
+++ b/src/ops/bans.rs
@@ -0,0 +1,121 @@
+//! Workers out by hand: a state beside the bus's own list, and the list as it looks with both.
+
+use crate::interface::{Member, State, Time, WorkerId};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Ids that may be out at a time: they stay out while the bus does not know them.
+const MOST: usize = 4096;
+
+/// What a call by hand did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Done {
+    /// It changed how the worker stands.
+    Changed,
+    /// It stood so already.
+    Stood,
+    /// Nobody has this id.
+    Unknown,
+    /// No more can be out.
+    TooMany,
+}
+
+/// Who is out by hand, and who came back when.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Bans {
+    out: BTreeSet<WorkerId>,
+    /// Since when those that are back count as started: their process is most likely a new one.
+    back: BTreeMap<WorkerId, Time>,
+}
+
+impl Bans {
+    /// Leaves a worker out. One that is out stays so whatever the bus says, under its id.
+    pub fn exclude(&mut self, worker: WorkerId, listed: bool) -> Done {
+        match () {
+            () if self.out.contains(&worker) => Done::Stood,
+            () if !listed => Done::Unknown,
+            () if self.out.len() >= MOST => Done::TooMany,
+            () => {
+                self.out.insert(worker);
+                Done::Changed
+            }
+        }
+    }
+
+    /// Puts it back; one call answers any number out.
+    pub fn include(&mut self, now: Time, worker: WorkerId, listed: bool) -> Done {
+        if self.out.remove(&worker) {
+            self.back.insert(worker, now);
+            return Done::Changed;
+        }
+        if listed { Done::Stood } else { Done::Unknown }
+    }
+
+    /// Whether it is out.
+    pub fn contains(&self, worker: WorkerId) -> bool {
+        self.out.contains(&worker)
+    }
+
+    /// All that are out.
+    pub fn out(&self) -> impl Iterator<Item = WorkerId> + '_ {
+        self.out.iter().copied()
+    }
+
+    /// A line of the bus's list as it is to be taken: who is out finishes what it has, and who is back has
+    /// started then at the earliest.
+    pub fn laid_over(&self, member: Member) -> Member {
+        let back = self.back.get(&member.worker).copied();
+        match member.state {
+            State::Gone => member,
+            _ if self.contains(member.worker) => Member { state: State::Draining, ..member },
+            _ => Member { started: member.started.max(back), ..member },
+        }
+    }
+
+    /// The bus has told who there is: of those that are gone it is no longer of use when they came back.
+    pub fn forget_gone(&mut self, listed: impl Fn(WorkerId) -> bool) {
+        self.back.retain(|worker, _| listed(*worker));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const BOX: WorkerId = WorkerId(1);
+
+    /// Calls and news in any order: what counts is the last call by hand, and an id that nobody has gets a no.
+    #[test]
+    fn a_ban_holds_until_the_call_back() {
+        let mut bans = Bans::default();
+        let line = |state, started| Member { worker: BOX, state, started, ..Member::default() };
+        assert_eq!(bans.exclude(BOX, false), Done::Unknown);
+        assert_eq!(bans.include(Time(1), BOX, false), Done::Unknown);
+        assert_eq!(bans.include(Time(1), BOX, true), Done::Stood, "it was never out");
+        assert_eq!(
+            bans.laid_over(line(State::Ready, None)),
+            line(State::Ready, None),
+            "nor has it come back"
+        );
+        assert_eq!(bans.exclude(BOX, true), Done::Changed);
+        assert_eq!(bans.exclude(BOX, true), Done::Stood);
+        bans.forget_gone(|_| false);
+        assert_eq!(bans.exclude(BOX, false), Done::Stood, "gone from the list, and still out");
+        let again = line(State::Ready, Some(Time(5)));
+        assert_eq!(bans.laid_over(again).state, State::Draining, "listed anew, and still out");
+        assert_eq!(bans.laid_over(line(State::Gone, None)).state, State::Gone);
+        assert_eq!(bans.include(Time(9), BOX, false), Done::Changed, "one call back for two out");
+        assert_eq!(bans.include(Time(10), BOX, true), Done::Stood);
+        assert_eq!(bans.laid_over(again), line(State::Ready, Some(Time(9))), "cold from the call back on");
+        assert_eq!(bans.laid_over(line(State::Ready, Some(Time(12)))).started, Some(Time(12)));
+        bans.forget_gone(|_| false);
+        assert_eq!(bans.laid_over(again), again, "what came after it was gone is told by the bus");
+    }
+
+    #[test]
+    fn bans_are_bounded() {
+        let mut bans = Bans::default();
+        let done: Vec<Done> = (0..=MOST as u64).map(|id| bans.exclude(WorkerId(id), true)).collect();
+        assert_eq!((done[0], done[MOST]), (Done::Changed, Done::TooMany));
+        assert_eq!(bans.out().count(), MOST);
+    }
+}
--- /dev/null
+++ b/src/ops/figures.rs
@@ -0,0 +1,67 @@
+//! The figures: one source for the second address, SIGUSR1 and the end.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// How requests of a class ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Ends {
+    /// Served.
+    pub answered: u64,
+    /// Refused.
+    pub deferred: u64,
+    /// Failed.
+    pub errored: u64,
+}
+
+/// What the second address shows. Counts run from the start of the process.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// By name of the class; one that a new configuration has dropped keeps its counts.
+    pub classes: BTreeMap<String, Ends>,
+    /// Attempts written whole to workers.
+    pub sends: u64,
+    /// Requests taken and not ended.
+    pub current: usize,
+    /// Workers in the list.
+    pub cluster_size: usize,
+    /// Those of them that are avoided now, by hand or by choice.
+    pub cluster_unhealthy: usize,
+    /// Files taken at SIGHUP.
+    pub conf_loaded: u64,
+    /// Files turned down at SIGHUP.
+    pub conf_invalid: u64,
+}
+
+impl fmt::Display for Figures {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (class, ends) in &self.classes {
+            writeln!(f, "scheduler.answered.{class}={}", ends.answered)?;
+            writeln!(f, "scheduler.deferred.{class}={}", ends.deferred)?;
+            writeln!(f, "scheduler.errored.{class}={}", ends.errored)?;
+        }
+        writeln!(f, "scheduler.sends={}", self.sends)?;
+        writeln!(f, "scheduler.current={}", self.current)?;
+        writeln!(f, "scheduler.cluster_size={}", self.cluster_size)?;
+        writeln!(f, "scheduler.cluster_unhealthy={}", self.cluster_unhealthy)?;
+        writeln!(f, "scheduler.conf_loaded={}", self.conf_loaded)?;
+        writeln!(f, "scheduler.conf_invalid={}", self.conf_invalid)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn figures_are_written_a_line_each() {
+        let ends = Ends { answered: 812, deferred: 2, errored: 1 };
+        let classes = BTreeMap::from([("credit-submit".to_owned(), ends)]);
+        let figures = Figures { classes, sends: 900, current: 14, cluster_size: 12, ..Figures::default() };
+        let text = "scheduler.answered.credit-submit=812\nscheduler.deferred.credit-submit=2\n\
+            scheduler.errored.credit-submit=1\nscheduler.sends=900\nscheduler.current=14\n\
+            scheduler.cluster_size=12\nscheduler.cluster_unhealthy=0\nscheduler.conf_loaded=0\n\
+            scheduler.conf_invalid=0\n";
+        assert_eq!(figures.to_string(), text);
+    }
+}
--- /dev/null
+++ b/src/ops/http.rs
@@ -0,0 +1,191 @@
+//! The words of the second address: HTTP/1.1 with one call a connection. A pure codec.
+
+use crate::config::read_worker;
+use crate::interface::WorkerId;
+
+/// Longest head of a call.
+pub const HEAD: usize = 8 << 10;
+/// Most header lines of a call.
+const HEADERS: usize = 64;
+
+/// What a caller wants.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Whether this process is ready to serve.
+    Ready,
+    /// The figures.
+    Figures,
+    /// Leave a worker out.
+    Exclude(WorkerId),
+    /// Put it back.
+    Include(WorkerId),
+}
+
+/// Why a caller gets a no: a status and a line that says what is wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct No(pub u16, pub &'static str);
+
+/// Reads a call; `Ok(None)` where its head is not whole yet.
+pub fn read(bytes: &[u8]) -> Result<Option<Call>, No> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+    let mut request = httparse::Request::new(&mut headers);
+    let size = match request.parse(bytes) {
+        Ok(httparse::Status::Complete(size)) => size,
+        Ok(httparse::Status::Partial) if bytes.len() < HEAD => return Ok(None),
+        Ok(httparse::Status::Partial) | Err(httparse::Error::TooManyHeaders) => {
+            return Err(No(431, "the head is too long"));
+        }
+        Err(httparse::Error::Version) => return Err(No(505, "HTTP/1.1 is spoken here")),
+        Err(_) => return Err(No(400, "this is no HTTP call")),
+    };
+    if size > HEAD {
+        return Err(No(431, "the head is too long"));
+    }
+    let body = request.headers.iter().any(|header| {
+        let named = |name: &str| header.name.eq_ignore_ascii_case(name);
+        named("transfer-encoding") || named("content-length") && header.value.trim_ascii() != b"0"
+    });
+    if body {
+        return Err(No(400, "no call here takes a body"));
+    }
+    if bytes.len() > size {
+        return Err(No(400, "one call a connection"));
+    }
+    route(request.method.unwrap_or(""), request.path.unwrap_or("")).map(Some)
+}
+
+fn route(method: &str, target: &str) -> Result<Call, No> {
+    let (path, query) = target.split_once('?').map_or((target, None), |(path, query)| (path, Some(query)));
+    let (wanted, call): (&str, fn(WorkerId) -> Call) = match path {
+        "/api/ready" | "/api/telemetry" => ("GET", Call::Include),
+        "/api/exclude" => ("POST", Call::Exclude),
+        "/api/include" => ("POST", Call::Include),
+        _ => return Err(No(404, "no such path")),
+    };
+    if method != wanted {
+        return Err(No(405, if wanted == "GET" { "GET is meant" } else { "POST is meant" }));
+    }
+    match path {
+        "/api/ready" => return Ok(Call::Ready),
+        "/api/telemetry" => return Ok(Call::Figures),
+        _ => {}
+    }
+    let names: Vec<&str> = query.unwrap_or("").split('&').filter_map(|p| p.strip_prefix("name=")).collect();
+    match names.as_slice() {
+        [] => Err(No(400, "name= is missing")),
+        [name] => read_worker(name).map(call).ok_or(No(400, "name= is no id of a node agent")),
+        _ => Err(No(400, "name= stands twice")),
+    }
+}
+
+/// Writes an answer: a 2xx is a yes.
+pub fn answer(status: u16, text: &str) -> Vec<u8> {
+    let reason = match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        431 => "Request Header Fields Too Large",
+        505 => "HTTP Version Not Supported",
+        _ => "Service Unavailable",
+    };
+    let allow = match (status, text) {
+        (405, text) => format!("Allow: {}\r\n", text.split(' ').next().unwrap_or("GET")),
+        _ => String::new(),
+    };
+    format!(
+        "HTTP/1.1 {status} {reason}\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: {}\r\n{allow}\
+         Cache-Control: no-store\r\nConnection: close\r\n\r\n{text}",
+        text.len()
+    )
+    .into_bytes()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    const BOX: WorkerId = WorkerId(0xc4_1f7a);
+
+    fn head(line: &str) -> Vec<u8> {
+        format!("{line} HTTP/1.1\r\nHost: 127.0.0.1\r\nAccept: */*\r\n\r\n").into_bytes()
+    }
+
+    #[test]
+    fn calls_are_read() {
+        let cases = [
+            ("GET /api/ready", Ok(Call::Ready)),
+            ("GET /api/telemetry", Ok(Call::Figures)),
+            ("GET /api/telemetry?x=1", Ok(Call::Figures)),
+            ("POST /api/exclude?name=s-00c41f7a", Ok(Call::Exclude(BOX))),
+            ("POST /api/include?name=s-00c41f7a", Ok(Call::Include(BOX))),
+            ("POST /api/ready", Err(405)),
+            ("GET /api/exclude?name=s-00c41f7a", Err(405)),
+            ("GET /api/else", Err(404)),
+            ("GET /", Err(404)),
+            ("POST /api/exclude", Err(400)),
+            ("POST /api/exclude?", Err(400)),
+            ("POST /api/exclude?id=s-00c41f7a", Err(400)),
+            ("POST /api/exclude?name=", Err(400)),
+            ("POST /api/exclude?name=s-00c41f7", Err(400)),
+            ("POST /api/exclude?name=s%2D00c41f7a", Err(400)),
+            ("POST /api/exclude?name=s-00c41f7a&name=s-00c41f7b", Err(400)),
+        ];
+        for (line, expected) in cases {
+            let got = read(&head(line)).map(|call| call.unwrap()).map_err(|no| no.0);
+            assert_eq!(got, expected, "{line}");
+        }
+    }
+
+    /// What is not one whole call without a body changes nothing.
+    #[test]
+    fn odd_calls_get_a_no() {
+        let post = |rest: &str| format!("POST /api/exclude?name=s-00c41f7a HTTP/1.1\r\n{rest}").into_bytes();
+        let cases: Vec<(Vec<u8>, u16)> = vec![
+            (post("Content-Length: 4\r\n\r\nbody"), 400),
+            (post("Content-Length: 4\r\n\r\n"), 400),
+            (post("Transfer-Encoding: chunked\r\n\r\n"), 400),
+            ([head("GET /api/ready"), head("GET /api/ready")].concat(), 400),
+            (post(&"X: y\r\n".repeat(100)), 431),
+            (post(&format!("X: {}", "y".repeat(HEAD))), 431),
+            (post(&format!("X: {}\r\n\r\n", "y".repeat(HEAD))), 431),
+            (b"GET /api/ready HTTP/2.0\r\n\r\n".to_vec(), 505),
+            (b"\x16\x03\x01\x02\x00\x01".to_vec(), 400),
+        ];
+        for (bytes, status) in cases {
+            let text = String::from_utf8_lossy(&bytes[..bytes.len().min(60)]).into_owned();
+            assert_eq!(read(&bytes).map_err(|no| no.0), Err(status), "{text}");
+        }
+        let whole = post("Content-Length: 0\r\n\r\n");
+        assert_eq!(read(&whole), Ok(Some(Call::Exclude(BOX))));
+        for cut in 0..whole.len() {
+            assert_eq!(read(&whole[..cut]), Ok(None), "{cut}");
+        }
+    }
+
+    proptest! {
+        /// Whatever comes, only a whole call of the two names a worker.
+        #[test]
+        fn noise_is_no_call(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+            prop_assert!(!matches!(read(&bytes), Ok(Some(_))));
+        }
+
+        /// A call that is damaged at one byte is another call, a no, or not whole; nobody else is named but by
+        /// its id.
+        #[test]
+        fn a_damaged_call_names_no_other_worker(at in 0usize..34, byte in any::<u8>()) {
+            let mut bytes = head("POST /api/exclude?name=s-00c41f7a");
+            bytes[at] = byte;
+            if let Ok(Some(call)) = read(&bytes) {
+                let text = String::from_utf8_lossy(&bytes).into_owned();
+                let named = match call {
+                    Call::Exclude(WorkerId(id)) | Call::Include(WorkerId(id)) => id,
+                    _ => u64::MAX,
+                };
+                prop_assert!(text.to_lowercase().contains(&format!("name=s-{named:08x} ")), "{text}");
+            }
+        }
+    }
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -237,6 +237,7 @@
 pub struct Daemon {
     pub child: Child,
     pub listen: SocketAddr,
+    pub mgmt: SocketAddr,
     pub folder: Folder,
     pub log: Arc<Mutex<String>>,
     pub config: Value,
@@ -271,7 +272,7 @@
         let folder = Folder::new();
         let targets: Vec<Value> =
             workers.iter().enumerate().map(|(n, w)| target(n as u32 + 1, w.address(), "SERVING")).collect();
-        let mut config = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "7", "settings": settings,
+        let mut config = json!({"name": "n0", "listen": "127.0.0.1:0", "mgmt": "127.0.0.1:0", "seed": "7", "settings": settings,
             "limits": limits, "known": {"offset": 1, "batch": [
                 {"offset": 1, "topology": {"rev": 1, "all": true, "targets": targets}}]}});
         if let Some(bus) = bus {
@@ -295,13 +296,26 @@
                 log.push('\n');
             }
         });
-        let mut daemon = Daemon { child, listen: "127.0.0.1:0".parse().unwrap(), folder, log, config };
+        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        let mut daemon = Daemon { child, listen: any, mgmt: any, folder, log, config };
         let log = daemon.wait_log("offset=");
-        let word = log.split_whitespace().find_map(|word| word.strip_prefix("listen="));
-        daemon.listen = word.unwrap().parse().unwrap();
+        let word = |what| log.split_whitespace().find_map(|word| word.strip_prefix(what)).unwrap();
+        (daemon.listen, daemon.mgmt) = (word("listen=").parse().unwrap(), word("mgmt=").parse().unwrap());
         daemon
     }
 
+    /// Calls the second address; the status and what follows the head.
+    pub fn operate(&self, method: &str, target: &str) -> (u16, String) {
+        operate(self.mgmt, format!("{method} {target} HTTP/1.1\r\nHost: here\r\n\r\n").as_bytes())
+    }
+
+    /// A figure as the second address shows it.
+    pub fn figure(&self, name: &str) -> Option<u64> {
+        let (_, text) = self.operate("GET", "/api/telemetry");
+        let lines = text.lines().find_map(|line| line.strip_prefix(&format!("scheduler.{name}=")));
+        lines.map(|value| value.parse().unwrap())
+    }
+
     /// Waits for a word in the log.
     pub fn wait_log(&self, word: &str) -> String {
         self.wait_log_times(word, 1)
@@ -362,6 +376,17 @@
     }
 }
 
+/// What the second address says to these bytes: the status, 0 for a close, and what follows the head.
+pub fn operate(at: SocketAddr, bytes: &[u8]) -> (u16, String) {
+    let mut stream = TcpStream::connect(at).unwrap();
+    stream.set_read_timeout(Some(LONG)).unwrap();
+    stream.write_all(bytes).unwrap();
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    let (head, body) = text.split_once("\r\n\r\n").unwrap_or_default();
+    (head.split(' ').nth(1).map_or(0, |status| status.parse().unwrap()), body.to_owned())
+}
+
 impl Daemon {
     /// Waits until a counter has come so far.
     pub fn wait_counter(&self, name: &str, least: u64) {
@@ -483,3 +508,30 @@
     }
     counts
 }
+
+/// A bus that the test plays by hand.
+pub struct Bus(pub TcpListener);
+
+impl Bus {
+    pub fn new() -> Bus {
+        Bus(TcpListener::bind("127.0.0.1:0").unwrap())
+    }
+
+    /// The next connection and the offset from which it wants to go on.
+    pub fn accept(&self) -> (TcpStream, u64) {
+        let (mut stream, _) = self.0.accept().unwrap();
+        let mut offset = [0; 8];
+        stream.read_exact(&mut offset).unwrap();
+        (stream, u64::from_be_bytes(offset))
+    }
+}
+
+pub fn event(offset: u64, id: u32, worker: &Worker, state: u8) -> Vec<u8> {
+    let mut record = id.to_be_bytes().to_vec();
+    record.extend([127, 0, 0, 1]);
+    record.extend(worker.address().port().to_be_bytes());
+    record.extend([state, 0, 0, 0, 0]);
+    record.extend(4000u32.to_be_bytes());
+    record.extend(0u64.to_be_bytes());
+    [&(9 + record.len() as u32).to_be_bytes()[..], &offset.to_be_bytes(), &[2], &record].concat()
+}
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -4,7 +4,7 @@
 
 use rig::*;
 use serde_json::json;
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 
 const REF: &str = "9b1f03aa5c7e2d41";
@@ -323,33 +323,6 @@
     only_ready(&mut client, 79);
 }
 
-/// A bus that the test plays by hand.
-struct Bus(TcpListener);
-
-impl Bus {
-    fn new() -> Bus {
-        Bus(TcpListener::bind("127.0.0.1:0").unwrap())
-    }
-
-    /// The next connection and the offset from which it wants to go on.
-    fn accept(&self) -> (TcpStream, u64) {
-        let (mut stream, _) = self.0.accept().unwrap();
-        let mut offset = [0; 8];
-        stream.read_exact(&mut offset).unwrap();
-        (stream, u64::from_be_bytes(offset))
-    }
-}
-
-fn event(offset: u64, id: u32, worker: &Worker, state: u8) -> Vec<u8> {
-    let mut record = id.to_be_bytes().to_vec();
-    record.extend([127, 0, 0, 1]);
-    record.extend(worker.address().port().to_be_bytes());
-    record.extend([state, 0, 0, 0, 0]);
-    record.extend(4000u32.to_be_bytes());
-    record.extend(0u64.to_be_bytes());
-    [&(9 + record.len() as u32).to_be_bytes()[..], &offset.to_be_bytes(), &[2], &record].concat()
-}
-
 #[test]
 fn a_worker_told_to_drain_or_gone_sees_nothing_new_and_the_bus_goes_on_where_it_was() {
     let (first, second, bus) = (Worker::agent(), Worker::agent(), Bus::new());
