Check new configurations whole, and keep calls in the class they came in

Ruled out: figures that come late (0 of 48), the second address.

Change: config::check compares a new file with the one in use before anything of it is used; a class that changes gets a new place, and free places are used again; the number of attempts belongs to the class; a dropped class is refused.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -226,10 +226,11 @@
         }
     }
 
-    /// New settings. Classes keep their places; new ones come after them.
+    /// New settings. Classes keep their places; another at one of them, or after them, is new.
     pub fn configure(&mut self, settings: Settings) {
-        let more = settings.classes.iter().skip(self.usual.len());
-        self.usual.extend(more.map(|class| class.aim.secs() / 4.0));
+        let (old, new) = (&self.settings.classes, &settings.classes);
+        let known = |n: &usize| old.get(*n).filter(|class| **class == new[*n]).map(|_| self.usual[*n]);
+        self.usual = (0..new.len()).map(|n| known(&n).unwrap_or(new[n].aim.secs() / 4.0)).collect();
         self.settings = settings;
     }
 
@@ -408,13 +409,12 @@
         let salt = self.rng.next_u64();
         let Some(request) = self.requests.get_mut(&id).filter(|r| r.out.is_none()) else { return };
         request.waiting = false;
-        if request.attempts >= self.settings.limits.max_attempts {
+        if request.attempts >= self.settings.classes[request.class].max_attempts {
             return self.give_up(id, out);
         }
         let (key, class, missed) = (request.function, request.class, request.missed.clone());
         let Some(function) = self.functions.get(&key) else { return self.give_up(id, out) };
-        let lanes = function.lanes;
-        let trust = function.gold && self.now - function.since > GOLD_TRUST;
+        let (lanes, trust) = (function.lanes, function.gold && self.now - function.since > GOLD_TRUST);
         let copies = self.wanted_copies(key, class);
         let near = if trust { usize::MAX } else { copies * 2 + NEAR };
         let able = self.hash_order(key).into_iter().filter(|w| self.may_send(id, *w));
@@ -590,7 +590,7 @@
         };
         if w.member.state != State::Ready
             || request.out.is_some()
-            || request.attempts >= self.settings.limits.max_attempts
+            || request.attempts >= self.settings.classes[request.class].max_attempts
             || !self.cold_room(w)
         {
             return false;
@@ -852,7 +852,7 @@
                 Effect::Keyed { window, .. } => now + KEY_MARGIN < ran + window,
                 Effect::Unsafe => false,
             };
-            if again && request.attempts < self.settings.limits.max_attempts {
+            if again && request.attempts < self.settings.classes[request.class].max_attempts {
                 out.push(Action::Cancel { id: *id, attempt: *number });
             }
         }
--- a/src/config.rs
+++ b/src/config.rs
@@ -61,6 +61,8 @@
     pub known: Vec<News>,
     /// The site.
     pub site: Site,
+    /// All that the file holds but the bus's events, read or not.
+    pub whole: Value,
 }
 
 #[derive(Deserialize)]
@@ -130,7 +132,9 @@
 
 /// Reads the configuration; the error names what is missing or odd.
 pub fn read(text: &[u8]) -> Result<Config, String> {
+    let mut whole: Value = serde_json::from_slice(text).map_err(|e| format!("configuration: {e}"))?;
     let text: Text = serde_json::from_slice(text).map_err(|e| format!("configuration: {e}"))?;
+    whole["known"] = Value::Null;
     let site = read_site(text.settings.to_string().as_bytes())?;
     let mut known = Vec::new();
     for event in text.known.batch {
@@ -149,9 +153,76 @@
         bus: text.bus,
         known,
         site,
+        whole,
     })
 }
 
+/// Whether a new configuration may take the place of the one in use: it has every key that this one has, of the
+/// same type, and its classes can be served. The error names the key.
+pub fn check(new: &Config, used: &Config) -> Result<(), String> {
+    lacks(&used.whole, &new.whole, "")?;
+    let classes =
+        |config: &Config| config.whole["settings"]["classes"].as_array().cloned().unwrap_or_default();
+    let keyed = ["group", "repeatWindowNs"];
+    let needed = classes(used).into_iter().reduce(|one, other| {
+        let common = |(key, _): &(&String, &Value)| other.get(key.as_str()).is_some();
+        let fields = one.as_object().into_iter().flatten().filter(common);
+        fields.map(|(key, value)| (key.clone(), value.clone())).collect()
+    });
+    let needed: Value = needed
+        .iter()
+        .flat_map(|class| class.as_object())
+        .flatten()
+        .filter(|(key, _)| !keyed.contains(&key.as_str()))
+        .map(|(key, value)| (key.clone(), value.clone()))
+        .collect();
+    let mut names = std::collections::BTreeSet::new();
+    for (n, class) in classes(new).iter().enumerate() {
+        lacks(&needed, class, &format!("settings.classes[{n}]"))?;
+        let name = class["name"].as_str().unwrap_or_default();
+        if name.is_empty() || !names.insert(name.to_owned()) {
+            return Err(format!(
+                "configuration: settings.classes[{n}].name is '{name}', which is empty or stands twice"
+            ));
+        }
+    }
+    if names.is_empty() {
+        return Err("configuration: settings.classes is empty".to_owned());
+    }
+    for (n, class) in new.site.settings.classes.iter().enumerate() {
+        let window = match class.effect {
+            Effect::Keyed { window, .. } => window,
+            _ => Span(1),
+        };
+        let figures =
+            [("deadlineNs", class.deadline), ("objectiveNs", class.aim), ("repeatWindowNs", window)];
+        if let Some((key, _)) = figures.iter().find(|(_, span)| span.0 == 0) {
+            return Err(format!("configuration: settings.classes[{n}].{key} is not over 0"));
+        }
+        if class.max_attempts == 0 {
+            return Err("configuration: settings.bounds.mostTries is not over 0".to_owned());
+        }
+    }
+    Ok(())
+}
+
+/// The first key of the one that the other lacks, or has as another type. Lists are compared by whoever knows
+/// what is in them.
+fn lacks(used: &Value, new: &Value, path: &str) -> Result<(), String> {
+    let (Some(used), Some(new)) = (used.as_object(), new.as_object()) else { return Ok(()) };
+    for (key, value) in used {
+        let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
+        match new.get(key) {
+            None => return Err(format!("configuration: {path} is missing")),
+            Some(other) if std::mem::discriminant(value) != std::mem::discriminant(other) => {
+                return Err(format!("configuration: {path} is of another type"));
+            }
+            Some(other) => lacks(value, other, &path)?,
+        }
+    }
+    Ok(())
+}
+
 /// The number in a worker's name: `s-` and 8 hex digits.
 pub fn read_worker(uid: &str) -> Option<WorkerId> {
     let digits =
@@ -324,6 +395,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use serde_json::json;
 
     #[test]
     fn the_operators_file_is_read_and_its_oddities_named() {
@@ -369,6 +441,72 @@
         }
     }
 
+    /// Each of these files would stop or change what is served if anything of it were used.
+    #[test]
+    fn a_broken_configuration_takes_no_other_ones_place() {
+        let class = |name: &str, effect: &str| {
+            json!({"name": name, "deadlineNs": 3, "objectiveNs": 1, "worth": 1.0, "effect": effect, "group": "all",
+                "repeatWindowNs": 6})
+        };
+        let good = json!({"name": "n3", "listen": "127.0.0.1:1", "seed": "8c", "bus": "127.0.0.1:2",
+            "limits": {"memory_mb": 48, "sockets": 384}, "known": {"offset": 1, "batch": []},
+            "settings": {"fleetSize": 1, "index": 0, "zones": ["a"], "classes": [class("a", "retryable"),
+                class("b", "dedup")], "bounds": {"mostTries": 3, "mayCancel": true},
+                "contract": {"coldFrom": 0.2, "coldNs": 1, "fallMultiple": 3.0, "fallNs": 1},
+                "familyInfo": {"keepNs": 1, "notLoaded": "load", "loadSpanNs": 0}}});
+        let used = read(good.to_string().as_bytes()).unwrap();
+        let check = |text: &str| read(text.as_bytes()).and_then(|new| check(&new, &used));
+        let mut retuned = good.clone();
+        retuned["settings"]["bounds"]["mostTries"] = json!(1);
+        retuned["settings"]["classes"] = json!([class("b", "fragile"), class("c", "retryable")]);
+        retuned["settings"]["classes"][0].as_object_mut().unwrap().remove("group");
+        retuned["known"] = Value::Null;
+        retuned.as_object_mut().unwrap().remove("known");
+        assert_eq!(check(&retuned.to_string()), Ok(()));
+        let text = good.to_string();
+        for cut in 0..text.len() {
+            assert!(check(&text[..cut]).is_err(), "{cut}");
+        }
+        let cases = [
+            ("/settings/classes/0/deadlineNs", json!(0), "classes[0].deadlineNs"),
+            ("/settings/classes/0/deadlineNs", json!(-5), "settings"),
+            ("/settings/classes/1/objectiveNs", json!(0), "classes[1].objectiveNs"),
+            ("/settings/classes/1/repeatWindowNs", json!(0), "classes[1].repeatWindowNs"),
+            ("/settings/classes/1/name", json!("a"), "classes[1].name is 'a'"),
+            ("/settings/classes/1/name", json!(""), "classes[1].name is ''"),
+            ("/settings/classes/1/effect", json!("sometimes"), "classes[1].effect"),
+            ("/settings/classes", json!([]), "classes is empty"),
+            ("/settings/bounds/mostTries", json!(0), "mostTries"),
+            ("/settings/bounds/mostTries", json!("3"), "settings"),
+            ("/settings/bounds/mayCancel", Value::Null, "settings"),
+            ("/settings/zones", json!("a"), "settings"),
+            ("/limits", json!(7), "configuration"),
+            ("/seed", json!(7), "configuration"),
+        ];
+        for (at, value, word) in cases {
+            let mut broken = good.clone();
+            *broken.pointer_mut(at).unwrap() = value.clone();
+            let error = check(&broken.to_string()).unwrap_err();
+            assert!(error.contains(word), "{at} {value}: {error}");
+        }
+        // Any key that is missing, wherever it stands.
+        let paths =
+            ["", "/limits", "/settings", "/settings/bounds", "/settings/contract", "/settings/familyInfo"];
+        let paths = paths.into_iter().chain(["/settings/classes/0", "/settings/classes/1"]);
+        for path in paths {
+            let keys: Vec<String> =
+                good.pointer(path).unwrap().as_object().unwrap().keys().cloned().collect();
+            for key in keys {
+                // The bus's events are of use at a start, and a class that is not keyed needs nothing of keys.
+                let spare =
+                    key == "known" || path.ends_with('0') && ["group", "repeatWindowNs"].contains(&&*key);
+                let mut broken = good.clone();
+                broken.pointer_mut(path).unwrap().as_object_mut().unwrap().remove(&key);
+                assert_eq!(check(&broken.to_string()).is_ok(), spare, "{path}/{key}");
+            }
+        }
+    }
+
     #[test]
     fn the_configuration_is_read_and_its_oddities_named() {
         let good = r#"{"name":"n3","listen":"10.0.0.4:10080","seed":"8c1f30d27a5be964","bus":"10.2.0.1:8500",
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -241,6 +241,7 @@
 struct Taken {
     owner: Owner,
     work: Rc<Work>,
+    class: usize,
     effect: Effect,
     deadline: Time,
     attempts: u16,
@@ -250,6 +251,7 @@
 
 struct Attempt {
     worker: WorkerId,
+    class: usize,
     decided: Time,
     deadline: Time,
     written: Option<Time>,
@@ -378,9 +380,14 @@
         self.logged.1 <= LOGGED
     }
 
-    /// A new configuration: calls under way go on as they were taken, by the new figures.
+    /// A new configuration: calls under way go on in the class in which they were taken.
     pub fn replace_site(&mut self, now: Time, site: Site) {
-        self.site = self.site.replaced_by(site);
+        for name in self.site.classes.iter().flatten() {
+            self.counters.classes.entry(name.clone()).or_default();
+        }
+        let open: BTreeSet<usize> =
+            self.requests.values().map(|t| t.class).chain(self.attempts.values().map(|a| a.class)).collect();
+        self.site = self.site.replaced_by(site, |place| open.contains(&place));
         self.balancer.configure(self.site.settings.clone());
         self.settle(now);
     }
@@ -517,7 +524,14 @@
         self.counters.taken += 1;
         self.taken.push_back(now);
         let class = self.site.class(&call.class);
-        let Some(class) = class else { return self.answer(call.owner, None, Verdict::Failed, false) };
+        let Some(class) = class else {
+            // One that a new configuration has dropped: nothing has run, and nothing will.
+            if self.counters.classes.contains_key(&call.class) {
+                let refused = Verdict::Refused { cooldown: self.advice() };
+                return self.answer(call.owner, Some(&call.class), refused, false);
+            }
+            return self.answer(call.owner, None, Verdict::Failed, false);
+        };
         // A name that is open already would make two calls' answers look alike at a worker.
         if self.names.contains(&call.reference) {
             return self.answer(call.owner, Some(&call.class), Verdict::Failed, false);
@@ -547,7 +561,8 @@
         });
         let effect = self.site.settings.classes[class].effect;
         let (owner, deadline) = (call.owner, call.deadline);
-        self.requests.insert(id, Taken { owner, work, effect, deadline, attempts: 0, first_out: None });
+        let taken = Taken { owner, work, class, effect, deadline, attempts: 0, first_out: None };
+        self.requests.insert(id, taken);
         self.owners.insert(owner, id);
         self.due.insert((deadline + BACKSTOP, Due::Call(id)));
         self.step(
@@ -775,8 +790,9 @@
                 let attempt = AttemptId { request: id, number: taken.attempts };
                 taken.attempts += 1;
                 let deadline = (now + timeout).min(taken.deadline);
-                let work = taken.work.clone();
-                self.attempts.insert(attempt, Attempt { worker, decided: now, deadline, written: None });
+                let (work, class) = (taken.work.clone(), taken.class);
+                self.attempts
+                    .insert(attempt, Attempt { worker, class, decided: now, deadline, written: None });
                 self.due.insert((deadline, Due::Attempt(attempt)));
                 self.commands.push_back(Command::Send { attempt, worker, work, deadline });
             }
@@ -895,19 +911,22 @@
     const MS: fn(u64) -> Time = |ms| Time(1_000_000_000_000 + ms * 1_000_000);
     const FUNCTION: FunctionId = FunctionId(9);
 
+    const SITE: &str = r#"{"fleetSize": 1, "index": 0, "tickNs": 2000000, "classes": [
+        {"name": "safe", "deadlineNs": 3000000000, "effect": "retryable", "objectiveNs": 1000000000},
+        {"name": "keyed", "deadlineNs": 3000000000, "effect": "dedup", "group": "all",
+         "repeatWindowNs": 1000000000, "objectiveNs": 1000000000},
+        {"name": "unsafe", "deadlineNs": 3000000000, "effect": "fragile", "objectiveNs": 1000000000}],
+      "bounds": {"mostTries": 9, "mayCancel": true},
+      "contract": {"coldFrom": 0.2, "coldNs": 9000000000, "fallMultiple": 3, "fallNs": 2000000000},
+      "familyInfo": {"keepNs": 9000000000, "notLoaded": "load", "mayOrder": true,
+        "loadSpanNs": 5000000000, "loadsAnyway": 3, "loadPart": 0.3}}"#;
+
+    fn site(text: &str) -> Site {
+        crate::settings::read_site(text.as_bytes()).unwrap()
+    }
+
     fn core() -> Core {
-        let site = crate::settings::read_site(
-            br#"{"fleetSize": 1, "index": 0, "tickNs": 2000000, "classes": [
-                {"name": "safe", "deadlineNs": 3000000000, "effect": "retryable", "objectiveNs": 1000000000},
-                {"name": "keyed", "deadlineNs": 3000000000, "effect": "dedup", "group": "all",
-                 "repeatWindowNs": 1000000000, "objectiveNs": 1000000000},
-                {"name": "unsafe", "deadlineNs": 3000000000, "effect": "fragile", "objectiveNs": 1000000000}],
-              "bounds": {"mostTries": 9, "mayCancel": true},
-              "contract": {"coldFrom": 0.2, "coldNs": 9000000000, "fallMultiple": 3, "fallNs": 2000000000},
-              "familyInfo": {"keepNs": 9000000000, "notLoaded": "load", "mayOrder": true,
-                "loadSpanNs": 5000000000, "loadsAnyway": 3, "loadPart": 0.3}}"#,
-        );
-        let mut core = Core::new(site.unwrap(), 7);
+        let mut core = Core::new(site(SITE), 7);
         let member = |n| Member { worker: WorkerId(n), weight: 1.0, ..Member::default() };
         core.members(MS(0), ListKind::Full, vec![member(1), member(2)]);
         core
@@ -1026,6 +1045,44 @@
         assert_ne!(at, worker, "it refused a connection");
     }
 
+    /// A new configuration brings other rules: they bind whoever comes after it, and nobody who came before.
+    #[test]
+    fn calls_keep_the_class_in_which_they_were_taken() {
+        let retuned = SITE.replace("retryable", "fragile").replace("\"mostTries\": 9", "\"mostTries\": 1");
+        let retuned = retuned.replace("keyed", "other");
+        let fails = |core: &mut Core, stream, attempt| {
+            core.written(MS(1), attempt);
+            core.attempt_ended(MS(2), attempt, broken(Reached::Out));
+            let commands: Vec<_> = std::iter::from_fn(|| core.next_command()).collect();
+            let answer = |c: &Command| matches!(c, Command::Answer { owner, .. } if owner.stream == stream);
+            (commands.iter().any(answer), commands)
+        };
+        let mut core = core();
+        let (before, _) = sent(&call(&mut core, 1, "safe"));
+        let (keyed, _) = sent(&call(&mut core, 2, "keyed"));
+        core.replace_site(MS(0), site(&retuned));
+        let (after, _) = sent(&call(&mut core, 3, "safe"));
+        assert!(matches!(
+            &call(&mut core, 4, "keyed")[..],
+            [Command::Answer { answer, .. }] if matches!(answer.verdict, Verdict::Refused { .. })
+        ));
+        assert!(fails(&mut core, 3, after).0, "unsafe, and one attempt");
+        let (answered, commands) = fails(&mut core, 1, before);
+        assert!(!answered && core.may_write(MS(3), sent(&commands).0), "safe, and more attempts");
+        let (answered, commands) = fails(&mut core, 2, keyed);
+        assert!(!answered && core.may_write(MS(3), sent(&commands).0), "inside its window");
+        // The places are used again: configurations that come and go leave nothing behind.
+        let again = sent(&commands).0;
+        core.attempt_ended(MS(4), again, Ok(Reply::Ok(vec![])));
+        for round in 0..20 {
+            core.replace_site(MS(5), site(if round % 2 == 0 { SITE } else { &retuned }));
+        }
+        assert!(core.site.classes.len() <= 7, "{:?}", core.site.classes);
+        let figures = core.figures();
+        assert_eq!(figures.classes["keyed"].answered, 1, "a dropped class keeps its counts");
+        assert!(figures.classes.contains_key("other"));
+    }
+
     #[test]
     fn lines_that_clients_cause_are_bounded() {
         let mut core = core();
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -425,12 +425,14 @@
     fn reload(&mut self) {
         let read = self.sources.read();
         let fronts = |(config, operator): (Config, Operator)| {
+            config::check(&config, &self.config)?;
             self.reload_fronts(&operator).map_err(|e| e.to_string())?;
             Ok((config, operator))
         };
         let (mut config, operator) = match read.and_then(fronts) {
             Ok(read) => read,
             Err(why) => {
+                let why = why.replace('"', "'");
                 self.core.counters().conf_invalid += 1;
                 return eprintln!("mintgate: reload refused why=\"{why}\"");
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -100,7 +100,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// Full worth is paid for an answer within this time.
     pub aim: Span,
@@ -112,6 +112,9 @@
     pub late_share: f64,
     /// Whether it may be repeated.
     pub effect: Effect,
+    /// Most attempts of one request. A new configuration may bring other figures: a class that they change is
+    /// another class, and requests under way stay in the one that they came in.
+    pub max_attempts: u16,
 }
 
 /// A tenant and its share of the fleet.
@@ -150,8 +153,6 @@
 /// What a site lets a front end do.
 #[derive(Clone, Debug)]
 pub struct Limits {
-    /// Most attempts of one request.
-    pub max_attempts: u16,
     /// Attempts may be called off.
     pub may_cancel: bool,
     /// Workers may be probed.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -199,19 +199,25 @@
     }
 
     /// What a new configuration makes of this one. Classes keep their places, for calls under way know theirs
-    /// by it: one that the new configuration lacks stays for those calls, without a name for new ones.
-    pub fn replaced_by(&self, mut new: Site) -> Site {
-        let old = self.settings.classes.iter().cloned().zip(&self.classes);
-        let (mut classes, mut names) = (Vec::new(), Vec::new());
-        for (class, name) in old {
-            let kept = name.as_ref().and_then(|name| new.class(name));
-            names.push(kept.and_then(|place| new.classes[place].take()));
-            classes.push(kept.map_or(class, |place| new.settings.classes[place].clone()));
+    /// by it: one that the new configuration lacks, or has with other figures, stays for those calls without a
+    /// name for new ones. Its place is used again once no call is `open` there.
+    pub fn replaced_by(&self, mut new: Site, open: impl Fn(usize) -> bool) -> Site {
+        let mut classes = self.settings.classes.clone();
+        let mut names: Vec<Option<String>> = Vec::new();
+        for (class, name) in classes.iter().zip(&self.classes) {
+            let place = name.as_ref().and_then(|name| new.class(name));
+            let same = place.filter(|place| new.settings.classes[*place] == *class);
+            names.push(same.and_then(|place| new.classes[place].take()));
         }
         for (class, name) in new.settings.classes.iter().zip(&mut new.classes) {
-            if let Some(name) = name.take() {
-                classes.push(class.clone());
-                names.push(Some(name));
+            let Some(name) = name.take() else { continue };
+            let free = (0..names.len()).find(|place| names[*place].is_none() && !open(*place));
+            match free {
+                Some(place) => (classes[place], names[place]) = (class.clone(), Some(name)),
+                None => {
+                    classes.push(class.clone());
+                    names.push(Some(name));
+                }
             }
         }
         new.settings.classes = classes;
@@ -221,7 +227,8 @@
 }
 
 fn read_text(text: Text) -> Result<Settings, String> {
-    let classes = text.classes.iter().enumerate().map(|(n, class)| read_class(n, class));
+    let tries = text.bounds.most_tries;
+    let classes = text.classes.iter().enumerate().map(|(n, class)| read_class(n, class, tries));
     let info = text.family_info;
     let (contract, bounds) = (text.contract, text.bounds);
     Ok(Settings {
@@ -244,7 +251,6 @@
             }),
         },
         limits: Limits {
-            max_attempts: bounds.most_tries,
             may_cancel: bounds.may_cancel,
             may_probe: bounds.probes,
             may_order: info.may_order,
@@ -276,7 +282,7 @@
     })
 }
 
-fn read_class(number: usize, class: &ClassText) -> Result<Class, String> {
+fn read_class(number: usize, class: &ClassText, max_attempts: u16) -> Result<Class, String> {
     let missing = |what: &str| format!("settings: classes[{number}] lacks {what}");
     let effect = match class.effect.as_str() {
         "retryable" => Effect::Safe,
@@ -298,6 +304,7 @@
         worth: class.worth.unwrap_or(1.0),
         late_share: class.late_share,
         effect,
+        max_attempts,
     })
 }
 
@@ -335,10 +342,16 @@
             )
             .unwrap()
         };
-        let merged = site(&["a", "b"]).replaced_by(site(&["c", "b", ""]));
-        let places: Vec<_> = ["a", "b", "c", ""].map(|name| merged.class(name)).to_vec();
-        assert_eq!(places, [None, Some(1), Some(2), Some(3)]);
-        let figures: Vec<_> = merged.settings.classes.iter().map(|class| class.deadline.0).collect();
-        assert_eq!(figures, [0, 1, 0, 2], "the old a, the new b, c and the nameless");
+        let places = |site: &Site| ["a", "b", "c", "d"].map(|name| site.class(name));
+        let figures =
+            |site: &Site| -> Vec<_> { site.settings.classes.iter().map(|class| class.deadline.0).collect() };
+        // The new b has the same figures, the new a others, and calls are open in the old a.
+        let merged = site(&["a", "b"]).replaced_by(site(&["c", "b", "a"]), |place| place == 0);
+        assert_eq!(places(&merged), [Some(3), Some(1), Some(2), None]);
+        assert_eq!(figures(&merged), [0, 1, 0, 2], "the old a, b, c and the new a");
+        // Once they have ended, the place is used again.
+        let merged = merged.replaced_by(site(&["d", "b", "a"]), |_| false);
+        assert_eq!(places(&merged), [Some(3), Some(1), None, Some(0)]);
+        assert_eq!(figures(&merged), [0, 1, 0, 2]);
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -17,6 +17,7 @@
         worth: 1.0,
         late_share: 0.1,
         effect,
+        max_attempts: 5,
     };
     Settings {
         fleet_size: 1,
@@ -37,13 +38,7 @@
             fall_span: Span::millis(2_000),
             ration: None,
         },
-        limits: Limits {
-            max_attempts: 5,
-            may_cancel: true,
-            may_probe: true,
-            may_order: true,
-            retry_after: None,
-        },
+        limits: Limits { may_cancel: true, may_probe: true, may_order: true, retry_after: None },
         loading: Loading { keep: Span::millis(8_000), on_miss, memory_mb: vec![8_000.0] },
         prices: Prices::default(),
         gauges: vec![],
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -395,7 +395,7 @@
     second.next().answer("200", "eA==");
     assert_eq!(client.next(), Some((1, 3, vec![79, 0, b'x'])));
     client.send(&frame(0, 4, &call("credit-submit", "00000000000000cc", 2900, b"")));
-    assert_eq!(client.next(), Some((1, 4, vec![69, 0])), "the class has gone");
+    assert_eq!(client.next().map(|(_, _, payload)| payload[0]), Some(66), "the class has gone");
 }
 
 #[test]
