Take long answers from workers, and give slow requests 2.5 s to come whole

Cause: src/backend/mod.rs held LINE = 64 KB against lines of 307 KB (230,000 bytes in base64): each long answer ended its connection with all that was open on it, and went out again. Requests that take 2 s to be written met WHOLE = 2 s.

Change: 512 KB a line, 300 ms and 1 ms a KB to end, input searched once; WHOLE 2.5 s, FIRST 2.6 s; answers being read are waited for until 3.4 s after SIGTERM.

--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -106,16 +106,16 @@
     (deadline - now).0.div_ceil(1_000_000).max(1)
 }
 
-/// Longest line taken from a worker: a body of 16 KiB in base64 with room to spare.
-pub const LINE: usize = 64 << 10;
+/// Longest line taken from a worker: a body of 230,000 bytes in base64 with room to spare.
+pub const LINE: usize = 512 << 10;
 /// Open commands, with those that wait, on one connection.
 const QUEUE: usize = 4096;
 /// For how long the name of a given-up attempt is kept from use on its connection, and how many such names:
 /// clients may withdraw calls by hundreds.
 const SHADOW: (Span, usize) = (Span::millis(10_000), 1024);
-/// A worker's line that has begun must have come whole within this time. One that stops short would swallow
-/// the start of every later answer on its connection.
-const WHOLE_LINE: Span = Span::millis(300);
+/// A worker's line that has begun must have come whole within this time, and so much more for each KiB that has
+/// come. One that stops short would swallow the start of every later answer on its connection.
+const WHOLE_LINE: (Span, Span) = (Span::millis(300), Span::millis(1));
 
 #[derive(Clone, Copy, Debug)]
 enum Open {
@@ -162,8 +162,9 @@
     shadows: VecDeque<(Time, String)>,
     /// When the probe that is out here has failed.
     probe_by: Option<(Time, ProbeId)>,
-    /// Until when the line that has begun must have ended.
-    line_by: Option<Time>,
+    /// When the line that has begun did so, and how much of it holds no end.
+    begun: Option<Time>,
+    searched: usize,
     /// A probe got no answer and nothing has come since. A connection through a cut stays up and silent, and
     /// goes on slowly when the cut ends: new work takes a new one, whose refusal proves that nothing ran.
     silent: bool,
@@ -184,7 +185,8 @@
             idle_since: connect_by,
             shadows: VecDeque::new(),
             probe_by: None,
-            line_by: None,
+            begun: None,
+            searched: 0,
             silent: false,
         }
     }
@@ -294,6 +296,11 @@
         Flow::Go
     }
 
+    /// Until when the line that has begun must have ended.
+    fn line_by(&self) -> Option<Time> {
+        Some(self.begun? + Span(WHOLE_LINE.0.0 + WHOLE_LINE.1.0 * (self.searched as u64 >> 10)))
+    }
+
     fn drop_shadows(&mut self, now: Time) {
         let many = self.shadows.len().saturating_sub(SHADOW.1);
         let mut gone = self.shadows.iter().position(|(at, _)| *at + SHADOW.0 >= now).unwrap_or(usize::MAX);
@@ -318,10 +325,12 @@
     }
 
     fn received(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
-        let mut from = 0;
-        while let Some(end) = link.inbox[from..].iter().position(|b| *b == b'\n') {
-            let line = link.inbox[from..from + end].to_vec();
-            from += end + 1;
+        // A long line comes in many pieces; what has been searched is not searched again.
+        let (mut from, mut searched) = (0, self.searched.min(link.inbox.len()));
+        while let Some(end) = link.inbox[searched..].iter().position(|b| *b == b'\n') {
+            let line = link.inbox[from..searched + end].to_vec();
+            from = searched + end + 1;
+            searched = from;
             if self.line(&line, hub) == Flow::Close {
                 return Flow::Close;
             }
@@ -330,10 +339,11 @@
         if link.inbox.len() > LINE || link.ended {
             return Flow::Close;
         }
-        self.line_by = match link.inbox.is_empty() {
+        self.searched = link.inbox.len();
+        self.begun = match link.inbox.is_empty() {
             true => None,
             // What is left after a whole line has only just begun.
-            false => self.line_by.filter(|_| from == 0).or(Some(hub.now + WHOLE_LINE)),
+            false => self.begun.filter(|_| from == 0).or(Some(hub.now)),
         };
         self.pump(link, hub)
     }
@@ -350,7 +360,7 @@
             let broken = Broken { reached: Reached::Out, cause: "no answer" };
             hub.core.probe_ended(hub.now, probe, Err(broken));
         }
-        let late = self.connect_by.into_iter().chain(self.line_by).any(|by| by <= hub.now);
+        let late = self.connect_by.into_iter().chain(self.line_by()).any(|by| by <= hub.now);
         let idle = self.idle().is_some_and(|since| since + self.limits.idle <= hub.now);
         if late || idle { Flow::Close } else { Flow::Go }
     }
@@ -359,7 +369,7 @@
         let idle = self.idle().map(|since| since + self.limits.idle);
         let shadow = self.shadows.front().map(|(at, _)| *at + SHADOW.0 + Span(1));
         let probe = self.probe_by.map(|(by, _)| by);
-        let due = self.connect_by.into_iter().chain(probe).chain(self.line_by);
+        let due = self.connect_by.into_iter().chain(probe).chain(self.line_by());
         due.chain(idle).chain(shadow).min()
     }
 
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -27,8 +27,8 @@
 const PART: Span = Span::millis(1_200);
 /// When connections that came after SIGTERM are told that they are to leave.
 const LATE_LEAVE: Span = Span::millis(750);
-/// How long answers may wait to be written before the end.
-const LAST_WRITE: Span = Span::millis(500);
+/// How long answers may still wait to be read then: SIGKILL comes 3.7 s after SIGTERM, or later.
+const LAST_WRITE: Span = Span::millis(2_200);
 /// So long after SIGTERM a request half read is still waited for, where a younger process takes the clients.
 const LAST_READ: Span = Span::millis(3_000);
 /// Descriptors that a process goes on needing beside those it holds when another comes.
--- a/src/front/frames.rs
+++ b/src/front/frames.rs
@@ -17,7 +17,7 @@
 /// 4 s, so no request crosses it.
 pub const IDLE: Span = Span::millis(5_000);
 /// The same for one that has never sent a whole frame: some clients open connections by hundreds and send nothing.
-pub const FIRST: Span = Span::millis(2_200);
+pub const FIRST: Span = Span::millis(2_600);
 
 /// Types of frames.
 pub mod kinds {
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -16,7 +16,7 @@
 pub const IDLE: Span = Span::millis(60_000);
 /// A message that has begun must have come whole within this time: one that never ends holds a descriptor and
 /// a buffer, and its sender is owed a word within 3 s.
-pub const WHOLE: Span = Span::millis(2_000);
+pub const WHOLE: Span = Span::millis(2_500);
 /// Output that may wait for a client before no more is read from it.
 pub const OUTBOX: usize = 256 << 10;
 /// How long a client that has been told the connection ends may take to read the rest.
--- a/tests/daily.rs
+++ b/tests/daily.rs
@@ -236,3 +236,32 @@
     assert!(!new.ends());
     new.wait_log("GW_PASSED_SOCKET names descriptor 0: it is no listening TCP socket");
 }
+
+/// One answer in sixteen is long, comes in pieces, and is read slowly, also while the daemon ends.
+#[test]
+fn a_long_answer_is_passed_on_whole_however_slowly_it_is_read() {
+    let worker = Worker::agent();
+    let mut daemon = Daemon::start(&[&worker]);
+    let body: Vec<u8> = (0..230_000u32).map(|n| n as u8).collect();
+    let mut slow = Frames::connect(&daemon);
+    slow.send(&frame(0, 1, &call("practice-check", "00000000000000aa", 2900, b"x")));
+    let mut heard = worker.next();
+    let mut quick = Frames::connect(&daemon);
+    quick.send(&frame(0, 1, &call("practice-check", "00000000000000bb", 2900, b"x")));
+    let mut other = worker.next();
+    let content = base64::Engine::encode(&base64::engine::general_purpose::STANDARD, &body);
+    let line = json!({"verb": "200", "rid": heard.name(), "content": content}).to_string();
+    let (most, rest) = line.as_bytes().split_at(line.len() - 10);
+    for piece in most.chunks(30_000) {
+        heard.raw(piece);
+    }
+    other.answer("200", "eA==");
+    assert_eq!(quick.next(), Some((1, 1, vec![79, 0, b'x'])), "others do not wait for it");
+    heard.raw(rest);
+    heard.raw(b"\n");
+    daemon.wait_counter("served", 2);
+    daemon.signal("TERM");
+    daemon.wait_log("ending");
+    assert_eq!(slow.next().map(|(_, _, payload)| payload[2..] == body), Some(true));
+    assert!(daemon.ends());
+}
