Start beside a broken file or an old second front, and turn away a second newcomer

A new process exits with 1 where GW_CONFIG is broken or an operator's file names a socket that the old one holds; two at a time took the old one from each other.

Change: src/daemon/upgrade.rs (moved out of the daemon) keeps the last good file in TMPDIR and falls back to it while an old process serves; the second front's socket file is replaced, VRRP's address bound once it is free; one newcomer at a time; an old process that has shut its door is no longer ready at its second address.

--- a/src/config.rs
+++ b/src/config.rs
@@ -23,16 +23,17 @@
 }
 
 impl Sources {
+    /// Reads the operator's file.
+    pub fn operator(&self) -> Result<Operator, String> {
+        let Some(path) = &self.operator else { return Ok(Operator::default()) };
+        let text = std::fs::read_to_string(path)
+            .map_err(|e| format!("operator's file: cannot read {}: {e}", path.display()))?;
+        read_operator(&text)
+    }
+
     /// Reads both files whole; nothing of them is used unless all of both can be.
     pub fn read(&self) -> Result<(Config, Operator), String> {
-        let operator = match &self.operator {
-            None => Operator::default(),
-            Some(path) => {
-                let text = std::fs::read_to_string(path)
-                    .map_err(|e| format!("operator's file: cannot read {}: {e}", path.display()))?;
-                read_operator(&text)?
-            }
-        };
+        let operator = self.operator()?;
         let text = std::fs::read(&self.config)
             .map_err(|e| format!("configuration: cannot read {}: {e}", self.config.display()))?;
         let config = read(&text)?;
@@ -63,6 +64,8 @@
     pub site: Site,
     /// All that the file holds but the bus's events, read or not.
     pub whole: Value,
+    /// The file itself.
+    pub text: Vec<u8>,
 }
 
 #[derive(Deserialize)]
@@ -131,7 +134,8 @@
 const MEMORY_MB: usize = 192;
 
 /// Reads the configuration; the error names what is missing or odd.
-pub fn read(text: &[u8]) -> Result<Config, String> {
+pub fn read(bytes: &[u8]) -> Result<Config, String> {
+    let text = bytes;
     let mut whole: Value = serde_json::from_slice(text).map_err(|e| format!("configuration: {e}"))?;
     let text: Text = serde_json::from_slice(text).map_err(|e| format!("configuration: {e}"))?;
     whole["known"] = Value::Null;
@@ -154,6 +158,7 @@
         known,
         site,
         whole,
+        text: bytes.to_vec(),
     })
 }
 
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,5 +1,9 @@
 //! The daemon: the core with its fronts, back ends, bus, clock and signals round it.
 
+mod upgrade;
+
+pub use upgrade::fall_back;
+
 use crate::backend::{self, Pool};
 use crate::bus::{self, BusConnection, Inbox, News};
 use crate::config::{self, Config, Operator, Sources};
@@ -7,10 +11,9 @@
 use crate::front::frames::{self, FrameConnection};
 use crate::front::jsonrpc::RpcConnection;
 use crate::front::socket::{self, SocketFile};
-use crate::handover::message::{self, Known, Line, Message};
-use crate::handover::{self, Do, Mailbox, PeerConnection};
-use crate::interface::{ListKind, Member, Span, State, Time, WorkerId};
-use crate::net::{Flow, Reactor, Signal, Stream, SystemClock, inherit};
+use crate::handover;
+use crate::interface::{ListKind, Member, Span, State, Time};
+use crate::net::{Reactor, Signal, Stream, SystemClock, inherit};
 use crate::ops::{self, MgmtConnection};
 use crate::vrrp::packet::{Advertisement, LARGEST};
 use crate::vrrp::{self, Event};
@@ -20,8 +23,8 @@
 use std::io;
 use std::os::unix::net::UnixStream;
 use std::panic::{AssertUnwindSafe, catch_unwind};
-use std::path::PathBuf;
 use std::rc::Rc;
+use upgrade::Upgrade;
 
 /// After SIGTERM clients still come for a while; nothing ends before this.
 const PART: Span = Span::millis(1_200);
@@ -31,8 +34,6 @@
 const LAST_WRITE: Span = Span::millis(2_200);
 /// So long after SIGTERM a request half read is still waited for, where a younger process takes the clients.
 const LAST_READ: Span = Span::millis(3_000);
-/// Descriptors that a process goes on needing beside those it holds when another comes.
-const SPARE: usize = 8;
 /// Events of the bus whose sums are kept.
 const SUMS: usize = 256;
 /// Descriptors kept for the poll, the listeners, the pipes, the bus and the standard streams.
@@ -63,22 +64,6 @@
     }
 }
 
-/// The processes of this scheduler that run at a time: one, but for upgrades.
-struct Upgrade {
-    machine: handover::Machine,
-    mailbox: Rc<RefCell<Mailbox>>,
-    /// Where they meet; the listener there, once this one serves.
-    path: PathBuf,
-    listener: Option<(usize, SocketFile)>,
-    /// How many share the limits; meanwhile, the descriptors that connections of this one may take.
-    share: usize,
-    cap: Option<usize>,
-    /// Descriptors that the older one goes on holding, as it has just said.
-    held: usize,
-    /// Why this one must not start.
-    failed: Option<&'static str>,
-}
-
 struct Daemon {
     sources: Sources,
     core: Core,
@@ -134,16 +119,7 @@
             }
         };
         config.listen = door.1;
-        let upgrade = sources.passed.map(|_| Upgrade {
-            machine: handover::Machine::new(&config.name),
-            mailbox: Rc::default(),
-            path: meeting_place(&config.name),
-            listener: None,
-            share: 1,
-            cap: None,
-            held: 0,
-            failed: None,
-        });
+        let upgrade = sources.passed.map(|_| Upgrade::new(&config.name));
         let mgmt = match &mut config.mgmt {
             None => None,
             Some(at) => {
@@ -152,18 +128,19 @@
                 Some(listener)
             }
         };
-        let rpc = match &operator.jsonrpc {
+        // At an upgrade these are still the old process's; see `upgrade`.
+        let rpc = match operator.jsonrpc.as_ref().filter(|_| upgrade.is_none()) {
             None => None,
             Some(front) => {
                 let (listener, file) = socket::bind(&front.socket, front.mode)?;
                 Some((reactor.listen_unix(listener)?, file))
             }
         };
-        let router = match &operator.vrrp {
+        let router = match operator.vrrp.as_ref().filter(|_| upgrade.is_none()) {
             None => None,
             Some(setting) => Some(Router::new(setting, &mut reactor)?),
         };
-        reactor.active = router.is_none();
+        reactor.active = operator.vrrp.is_none();
         let mut core = Core::new(config.site.clone(), config.seed);
         limit_memory(&config, 1, &mut core, &mut reactor);
         let (limits, connect) = worker_limits(&config);
@@ -476,6 +453,7 @@
         if moved {
             self.move_bus(now);
         }
+        self.keep();
         eprintln!("mintgate: reloaded offset={}", self.inbox.borrow().offset);
     }
 
@@ -527,162 +505,6 @@
         }
     }
 
-    // ---- Upgrades
-
-    /// Descriptors that connections of this process may take: all but what is reserved, and what another
-    /// process of this scheduler holds.
-    fn descriptors(&self) -> usize {
-        let all = self.config.sockets.saturating_sub(RESERVED);
-        self.upgrade.as_ref().and_then(|upgrade| upgrade.cap).unwrap_or(all)
-    }
-
-    /// So many processes share the limits now. The older one gives back what lies idle and keeps what it has;
-    /// the younger one may take the rest.
-    fn share(&mut self, share: usize) {
-        let all = self.config.sockets.saturating_sub(RESERVED);
-        let Some(upgrade) = &mut self.upgrade else { return };
-        let held = std::mem::take(&mut upgrade.held);
-        upgrade.share = share;
-        upgrade.cap = match (share, held) {
-            (1, _) => None,
-            (_, 0) => {
-                while self.reactor.count() > all / 2 && self.reactor.shed_idle(&mut self.core) {}
-                let least = self.reactor.count() + SPARE;
-                Some(upgrade.cap.map_or(least, |cap| cap.min(least)))
-            }
-            (_, held) => Some(all.saturating_sub(held + RESERVED).max(all / 4)),
-        };
-        self.apply_limits();
-    }
-
-    fn apply_limits(&mut self) {
-        let share = self.upgrade.as_ref().map_or(1, |upgrade| upgrade.share);
-        let (limits, connect) = worker_limits(&self.config);
-        self.pool.configure(limits, connect, self.descriptors());
-        limit_memory(&self.config, share, &mut self.core, &mut self.reactor);
-    }
-
-    fn meets_at(&self, listener: usize) -> bool {
-        let own = self.upgrade.as_ref().and_then(|upgrade| upgrade.listener.as_ref());
-        own.is_some_and(|(number, _)| *number == listener)
-    }
-
-    fn accept_peers(&mut self, listener: usize) {
-        while let (Some(upgrade), Ok(Some(stream))) = (&self.upgrade, self.reactor.accept(listener)) {
-            let connection = Box::new(PeerConnection::new(upgrade.mailbox.clone(), false));
-            let limits = (message::LONGEST + 4, usize::MAX);
-            self.reactor.add(stream, connection, true, limits, &mut self.core);
-        }
-    }
-
-    /// Tells the machine what has happened, and what waits for it, and does what it says.
-    fn upgrade(&mut self, event: handover::Event) {
-        let mut events = VecDeque::from([event]);
-        loop {
-            let now = self.reactor.now();
-            let Some(upgrade) = &mut self.upgrade else { return };
-            events.append(&mut upgrade.mailbox.borrow_mut().events);
-            let Some(event) = events.pop_front() else { return };
-            for what in upgrade.machine.handle(now, event) {
-                events.extend(self.do_upgrade(now, what));
-            }
-        }
-    }
-
-    fn do_upgrade(&mut self, now: Time, what: Do) -> Option<handover::Event> {
-        let upgrade = self.upgrade.as_mut()?;
-        match what {
-            Do::Meet => {
-                let stream = match self.reactor.connect_unix(&upgrade.path) {
-                    Ok(stream) => stream,
-                    Err(e)
-                        if matches!(e.kind(), io::ErrorKind::NotFound | io::ErrorKind::ConnectionRefused) =>
-                    {
-                        return Some(handover::Event::Nobody);
-                    }
-                    Err(_) => return Some(handover::Event::Unmet),
-                };
-                let connection = Box::new(PeerConnection::new(upgrade.mailbox.clone(), true));
-                let limits = (message::LONGEST + 4, usize::MAX);
-                let met = self.reactor.add(stream, connection, false, limits, &mut self.core);
-                return met.is_none().then_some(handover::Event::Unmet);
-            }
-            Do::Say(peer, message) => self.say(peer, &message),
-            Do::SayState(peer) => {
-                let known = self.known();
-                self.say(peer, &Message::State(Box::new(known)));
-            }
-            Do::TakeOver(known) => self.take_over(now, &known),
-            Do::Serve => {
-                // Where the next one cannot be met, an upgrade has to do without what this one knows.
-                match socket::replace(&upgrade.path, 0o600)
-                    .and_then(|(listener, file)| Ok((self.reactor.listen_unix(listener)?, file)))
-                {
-                    Ok(listener) => upgrade.listener = Some(listener),
-                    Err(e) => eprintln!("mintgate: upgrade no meeting place why=\"{e}\""),
-                }
-                self.door(true);
-                self.open();
-            }
-            Do::Door(open) => {
-                eprintln!("mintgate: upgrade door={}", if open { "open" } else { "shut" });
-                self.door(open);
-            }
-            Do::ByHand { worker, out, at } => self.core.by_hand_elsewhere(at.min(now), WorkerId(worker), out),
-            Do::Share(share) => self.share(share),
-            Do::Drop(peer, why) => {
-                eprintln!("mintgate: upgrade peer dropped why=\"{why}\"");
-                self.reactor.end(peer, &mut self.core);
-            }
-            Do::Fail(why) => upgrade.failed = Some(why),
-        }
-        None
-    }
-
-    fn say(&mut self, peer: u64, message: &Message) {
-        let bytes = message::write(message);
-        self.reactor.with(peer, &mut self.core, |_, link, _| {
-            link.put(&bytes);
-            Flow::Go
-        });
-    }
-
-    fn door(&mut self, open: bool) {
-        if self.door.1 != open && self.reactor.take_from(self.door.0, open).is_ok() {
-            self.door.1 = open;
-        }
-    }
-
-    fn known(&self) -> Known {
-        let line = |member: &Member| Some(Line::of(member, self.pool.address(member.worker)?));
-        Known {
-            version: message::VERSION,
-            name: self.config.name.clone(),
-            offset: self.inbox.borrow().offset,
-            list: self.core.list().filter_map(line).collect(),
-            events: self.sums.iter().copied().collect(),
-            descriptors: self.descriptors(),
-            ..self.core.known()
-        }
-    }
-
-    /// The old one's list is used where the bus's numbers mean the same to both, and it has heard as much.
-    fn take_over(&mut self, now: Time, known: &Known) {
-        self.core.take_over(now, known);
-        if let Some(upgrade) = &mut self.upgrade {
-            upgrade.held = known.descriptors;
-        }
-        let offset = self.inbox.borrow().offset;
-        let same = self.sums.back().is_some_and(|last| known.events.contains(last));
-        if same && known.offset > offset {
-            let entry = |line: &Line| bus::Entry { member: line.member(), address: line.address() };
-            let entries = known.list.iter().map(entry).collect();
-            self.inbox.borrow_mut().offset = known.offset;
-            self.learn(now, News { offset: known.offset, kind: ListKind::Full, entries });
-        }
-        eprintln!("mintgate: upgrade took over offset={} out={}", known.offset, known.out.len());
-    }
-
     // ---- VRRP
 
     fn vrrp(&mut self, event: Event) {
@@ -781,12 +603,6 @@
     (limits, connect)
 }
 
-/// Where the processes of this scheduler meet. The name is part of the path, for folders may be shared.
-fn meeting_place(name: &str) -> PathBuf {
-    let plain: String = name.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '-' }).collect();
-    std::env::temp_dir().join(format!("mintgate-{plain}.sock"))
-}
-
 /// The reading end of a pipe that gets a byte for each of these signals.
 fn signal_pipe(signals: &[i32]) -> io::Result<UnixStream> {
     let (read, write) = UnixStream::pair()?;
--- /dev/null
+++ b/src/daemon/upgrade.rs
@@ -0,0 +1,285 @@
+//! Upgrades: what the daemon does as an old and as a new process of its scheduler.
+
+use super::{Daemon, RESERVED, Router, limit_memory, worker_limits};
+use crate::bus::{self, News};
+use crate::config::{self, Config, Operator, Sources};
+use crate::front::socket::{self, SocketFile};
+use crate::handover::message::{self, Known, Line, Message};
+use crate::handover::{self, Do, Mailbox, PeerConnection};
+use crate::interface::{ListKind, Member, Time, WorkerId};
+use crate::net::Flow;
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::io;
+use std::os::unix::net::UnixStream;
+use std::path::PathBuf;
+use std::rc::Rc;
+
+/// Descriptors that a process goes on needing beside those it holds when another comes.
+const SPARE: usize = 8;
+/// Connections that may stand at the meeting place.
+const PEERS: usize = 4;
+
+/// The processes of this scheduler that run at a time: one, but for upgrades.
+pub(super) struct Upgrade {
+    pub(super) machine: handover::Machine,
+    mailbox: Rc<RefCell<Mailbox>>,
+    /// Where they meet; the listener there, once this one serves.
+    path: PathBuf,
+    listener: Option<(usize, SocketFile)>,
+    /// Where the last good configuration is kept for the next one.
+    kept: PathBuf,
+    peers: Vec<u64>,
+    /// How many share the limits; meanwhile, the descriptors that connections of this one may take.
+    share: usize,
+    cap: Option<usize>,
+    /// Descriptors that the older one goes on holding, as it has just said.
+    held: usize,
+    /// Why this one must not start.
+    pub(super) failed: Option<&'static str>,
+}
+
+impl Upgrade {
+    /// A process that has just started on a passed listener.
+    pub(super) fn new(name: &str) -> Upgrade {
+        Upgrade {
+            machine: handover::Machine::new(name),
+            mailbox: Rc::default(),
+            path: meeting_place(name),
+            kept: kept_place(name),
+            listener: None,
+            peers: vec![],
+            share: 1,
+            cap: None,
+            held: 0,
+            failed: None,
+        }
+    }
+}
+
+impl Daemon {
+    /// Descriptors that connections of this process may take: all but what is reserved, and what another
+    /// process of this scheduler holds.
+    pub(super) fn descriptors(&self) -> usize {
+        let all = self.config.sockets.saturating_sub(RESERVED);
+        self.upgrade.as_ref().and_then(|upgrade| upgrade.cap).unwrap_or(all)
+    }
+
+    /// So many processes share the limits now. The older one gives back what lies idle and keeps what it has;
+    /// the younger one may take the rest.
+    fn share(&mut self, share: usize) {
+        let all = self.config.sockets.saturating_sub(RESERVED);
+        let Some(upgrade) = &mut self.upgrade else { return };
+        let held = std::mem::take(&mut upgrade.held);
+        upgrade.share = share;
+        upgrade.cap = match (share, held) {
+            (1, _) => None,
+            (_, 0) => {
+                while self.reactor.count() > all / 2 && self.reactor.shed_idle(&mut self.core) {}
+                let least = self.reactor.count() + SPARE;
+                Some(upgrade.cap.map_or(least, |cap| cap.min(least)))
+            }
+            (_, held) => Some(all.saturating_sub(held + RESERVED).max(all / 4)),
+        };
+        self.apply_limits();
+    }
+
+    pub(super) fn apply_limits(&mut self) {
+        let share = self.upgrade.as_ref().map_or(1, |upgrade| upgrade.share);
+        let (limits, connect) = worker_limits(&self.config);
+        self.pool.configure(limits, connect, self.descriptors());
+        limit_memory(&self.config, share, &mut self.core, &mut self.reactor);
+    }
+
+    pub(super) fn meets_at(&self, listener: usize) -> bool {
+        let own = self.upgrade.as_ref().and_then(|upgrade| upgrade.listener.as_ref());
+        own.is_some_and(|(number, _)| *number == listener)
+    }
+
+    pub(super) fn accept_peers(&mut self, listener: usize) {
+        while let (Some(upgrade), Ok(Some(stream))) = (&mut self.upgrade, self.reactor.accept(listener)) {
+            upgrade.peers.retain(|id| self.reactor.look(*id, |_| ()).is_some());
+            if upgrade.peers.len() >= PEERS {
+                continue;
+            }
+            let connection = Box::new(PeerConnection::new(upgrade.mailbox.clone(), false));
+            let limits = (message::LONGEST + 4, usize::MAX);
+            upgrade.peers.extend(self.reactor.add(stream, connection, true, limits, &mut self.core));
+        }
+    }
+
+    /// Tells the machine what has happened, and what waits for it, and does what it says.
+    pub(super) fn upgrade(&mut self, event: handover::Event) {
+        let mut events = VecDeque::from([event]);
+        loop {
+            let now = self.reactor.now();
+            let Some(upgrade) = &mut self.upgrade else { return };
+            events.append(&mut upgrade.mailbox.borrow_mut().events);
+            let Some(event) = events.pop_front() else { return };
+            for what in upgrade.machine.handle(now, event) {
+                events.extend(self.do_upgrade(now, what));
+            }
+        }
+    }
+
+    fn do_upgrade(&mut self, now: Time, what: Do) -> Option<handover::Event> {
+        let upgrade = self.upgrade.as_mut()?;
+        match what {
+            Do::Meet => {
+                let stream = match self.reactor.connect_unix(&upgrade.path) {
+                    Ok(stream) => stream,
+                    Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {
+                        return Some(handover::Event::Unmet);
+                    }
+                    // Nobody listens, or nobody can under such a name.
+                    Err(_) => return Some(handover::Event::Nobody),
+                };
+                let connection = Box::new(PeerConnection::new(upgrade.mailbox.clone(), true));
+                let limits = (message::LONGEST + 4, usize::MAX);
+                let met = self.reactor.add(stream, connection, false, limits, &mut self.core);
+                return met.is_none().then_some(handover::Event::Unmet);
+            }
+            Do::Say(peer, message) => self.say(peer, &message),
+            Do::SayState(peer) => {
+                let known = self.known();
+                self.say(peer, &Message::State(Box::new(known)));
+            }
+            Do::TakeOver(known) => self.take_over(now, &known),
+            Do::Serve => {
+                // Where the next one cannot be met, an upgrade has to do without what this one knows.
+                match socket::replace(&upgrade.path, 0o600)
+                    .and_then(|(listener, file)| Ok((self.reactor.listen_unix(listener)?, file)))
+                {
+                    Ok(listener) => upgrade.listener = Some(listener),
+                    Err(e) => eprintln!("mintgate: upgrade no meeting place why=\"{e}\""),
+                }
+                self.door(true);
+                self.open();
+                self.take_fronts();
+                self.keep();
+            }
+            Do::Door(open) => {
+                eprintln!("mintgate: upgrade door={}", if open { "open" } else { "shut" });
+                self.door(open);
+            }
+            Do::ByHand { worker, out, at } => self.core.by_hand_elsewhere(at.min(now), WorkerId(worker), out),
+            Do::Share(share) => {
+                self.share(share);
+                self.take_router();
+            }
+            Do::Drop(peer, why) => {
+                eprintln!("mintgate: upgrade peer dropped why=\"{why}\"");
+                self.reactor.end(peer, &mut self.core);
+            }
+            Do::Fail(why) => upgrade.failed = Some(why),
+        }
+        None
+    }
+
+    fn say(&mut self, peer: u64, message: &Message) {
+        let bytes = message::write(message);
+        self.reactor.with(peer, &mut self.core, |_, link, _| {
+            link.put(&bytes);
+            Flow::Go
+        });
+    }
+
+    /// The second front's socket file is the old process's until now. Its clients are answered there.
+    fn take_fronts(&mut self) {
+        if let Some(front) = &self.operator.jsonrpc {
+            let taken = socket::replace(&front.socket, front.mode);
+            match taken.and_then(|(listener, file)| Ok((self.reactor.listen_unix(listener)?, file))) {
+                Ok(rpc) => self.rpc = Some(rpc),
+                Err(e) => eprintln!("mintgate: upgrade no second front why=\"{e}\""),
+            }
+        }
+        self.take_router();
+    }
+
+    /// Keeps the configuration in use, in case another process starts while a broken file is in place.
+    pub(super) fn keep(&self) {
+        let Some(upgrade) = self.upgrade.as_ref().filter(|upgrade| upgrade.machine.serves()) else { return };
+        let new = upgrade.kept.with_extension("new");
+        let kept =
+            std::fs::write(&new, &self.config.text).and_then(|()| std::fs::rename(&new, &upgrade.kept));
+        if let Err(e) = kept {
+            eprintln!("mintgate: upgrade configuration not kept why=\"{e}\"");
+        }
+    }
+
+    /// The address of the virtual router is free once the old process has gone.
+    fn take_router(&mut self) {
+        let serves = self.upgrade.as_ref().is_some_and(|upgrade| upgrade.machine.serves());
+        let Some(setting) = self.operator.vrrp.clone().filter(|_| serves && self.router.is_none()) else {
+            return;
+        };
+        match Router::new(&setting, &mut self.reactor) {
+            Ok(router) => {
+                self.router = Some(router);
+                self.vrrp(crate::vrrp::Event::Startup);
+            }
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse => {}
+            Err(e) => eprintln!("mintgate: upgrade no vrrp why=\"{e}\""),
+        }
+    }
+
+    fn door(&mut self, open: bool) {
+        if self.door.1 != open && self.reactor.take_from(self.door.0, open).is_ok() {
+            self.door.1 = open;
+            self.reactor.open = open;
+        }
+    }
+
+    fn known(&self) -> Known {
+        let line = |member: &Member| Some(Line::of(member, self.pool.address(member.worker)?));
+        Known {
+            version: message::VERSION,
+            name: self.config.name.clone(),
+            offset: self.inbox.borrow().offset,
+            list: self.core.list().filter_map(line).collect(),
+            events: self.sums.iter().copied().collect(),
+            descriptors: self.descriptors(),
+            ..self.core.known()
+        }
+    }
+
+    /// The old one's list is used where the bus's numbers mean the same to both, and it has heard as much.
+    fn take_over(&mut self, now: Time, known: &Known) {
+        self.core.take_over(now, known);
+        if let Some(upgrade) = &mut self.upgrade {
+            upgrade.held = known.descriptors;
+        }
+        let offset = self.inbox.borrow().offset;
+        let same = self.sums.back().is_some_and(|last| known.events.contains(last));
+        if same && known.offset > offset {
+            let entry = |line: &Line| bus::Entry { member: line.member(), address: line.address() };
+            let entries = known.list.iter().map(entry).collect();
+            self.inbox.borrow_mut().offset = known.offset;
+            self.learn(now, News { offset: known.offset, kind: ListKind::Full, entries });
+        }
+        eprintln!("mintgate: upgrade took over offset={} out={}", known.offset, known.out.len());
+    }
+}
+
+/// What to start with where the process that serves now has a configuration that the file must not replace: a
+/// new version may come while a broken one is in place.
+pub fn fall_back(sources: &Sources, name: &str) -> Result<(Config, Operator), String> {
+    let read = sources.read();
+    let serves = || UnixStream::connect(meeting_place(name)).is_ok();
+    let kept = || config::read(&std::fs::read(kept_place(name)).ok()?).ok();
+    let Some(kept) = sources.passed.and_then(|_| kept()).filter(|_| serves()) else { return read };
+    read.and_then(|(new, operator)| config::check(&new, &kept).map(|()| (new, operator))).or_else(|why| {
+        eprintln!("mintgate: upgrade configuration of the old process why=\"{}\"", why.replace('"', "'"));
+        Ok((Config { mgmt: sources.mgmt.or(kept.mgmt), ..kept }, sources.operator()?))
+    })
+}
+
+fn kept_place(name: &str) -> PathBuf {
+    meeting_place(name).with_extension("json")
+}
+
+/// Where the processes of this scheduler meet. The name is part of the path, for folders may be shared.
+fn meeting_place(name: &str) -> PathBuf {
+    let plain: String = name.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '-' }).collect();
+    std::env::temp_dir().join(format!("mintgate-{plain}.sock"))
+}
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -214,13 +214,12 @@
                 if version != VERSION || name != self.name {
                     return vec![Do::Drop(peer, "of another version or name")];
                 }
-                // One at a time: whoever came last is the one that the platform has just started.
-                let before = self.younger.replace(peer).map(|other| Do::Drop(other, "another came"));
-                let mut all: Vec<Do> = before.into_iter().collect();
-                if std::mem::take(&mut self.yielded) {
-                    all.push(Do::Door(true));
+                // One at a time: it tries again, and meets whoever serves by then.
+                if self.younger.is_some() {
+                    return vec![Do::Drop(peer, "another is taking over")];
                 }
-                all.extend([self.share(), Do::SayState(peer)]);
+                self.younger = Some(peer);
+                let mut all = vec![self.share(), Do::SayState(peer)];
                 if self.leaving {
                     all.extend(self.shut());
                 }
@@ -399,6 +398,11 @@
         machine.handle(NOW, Event::Heard(7, hello(VERSION, "n0")));
         assert_eq!(machine.handle(NOW, Event::Leaving), []);
         assert!(machine.yielded());
+        // Two that start at a time do not take the old one from each other.
+        let mut two = serving();
+        two.handle(NOW, Event::Heard(6, hello(VERSION, "n0")));
+        assert!(matches!(two.handle(NOW, Event::Heard(7, hello(VERSION, "n0")))[..], [Do::Drop(7, _)]));
+        assert_eq!(two.handle(NOW, Event::Heard(6, Message::Serving)), [Do::Door(false)]);
         let mut alone = serving();
         assert_eq!(alone.handle(NOW, Event::Leaving), [], "a planned restart: clients still come here");
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -35,6 +35,7 @@
         _ => None,
     };
     let sources = Sources { config, operator, mgmt, passed };
-    let (config, operator) = sources.read()?;
+    let name = std::env::var("GW_NAME").unwrap_or_default();
+    let (config, operator) = daemon::fall_back(&sources, &name)?;
     daemon::run(config, operator, sources).map_err(|e| format!("cannot serve: {e}"))
 }
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -34,6 +34,8 @@
     pub ready: bool,
     /// Whether this daemon takes new calls on fronts of its host; see [`crate::vrrp`].
     pub active: bool,
+    /// Whether clients are taken from the door; see [`crate::handover`].
+    pub open: bool,
 }
 
 /// A connection as an object: the reactor calls it back with what happens to it.
@@ -142,6 +144,8 @@
     pub ready: bool,
     /// Callbacks are handed this too; false while another daemon is the active one.
     pub active: bool,
+    /// And this; false while another process takes the clients.
+    pub open: bool,
 }
 
 impl Reactor {
@@ -161,6 +165,7 @@
             waiting_limit: usize::MAX,
             ready: false,
             active: true,
+            open: true,
         })
     }
 
@@ -319,9 +324,9 @@
 
     /// Calls a connection back, with panics caught: they end this connection alone.
     fn call(&mut self, token: Token, core: &mut Core, what: impl FnOnce(&mut Entry, &mut Hub) -> Flow) {
-        let (now, ready, active) = (self.clock.now(), self.ready, self.active);
+        let (now, ready, active, open) = (self.clock.now(), self.ready, self.active, self.open);
         let Some(entry) = self.entries.get_mut(&token) else { return };
-        let hub = &mut Hub { core, now, ready, active };
+        let hub = &mut Hub { core, now, ready, active, open };
         let before = entry.link.waiting();
         let flow = catch_unwind(AssertUnwindSafe(|| {
             let mut flow = what(entry, hub);
@@ -373,7 +378,8 @@
         if let Some(at) = entry.due {
             self.timers.remove(&(at, token));
         }
-        let hub = &mut Hub { core, now: self.clock.now(), ready: self.ready, active: self.active };
+        let (now, ready, active, open) = (self.clock.now(), self.ready, self.active, self.open);
+        let hub = &mut Hub { core, now, ready, active, open };
         let closed = catch_unwind(AssertUnwindSafe(|| entry.connection.closed(&entry.link, hub)));
         if closed.is_err() {
             hub.core.counters().panics += 1;
--- a/src/ops/mgmt.rs
+++ b/src/ops/mgmt.rs
@@ -26,7 +26,7 @@
 
     fn carry_out(call: Call, hub: &mut Hub) -> Result<String, No> {
         let done = match call {
-            Call::Ready if hub.ready && hub.core.places() => return Ok("ready\n".to_owned()),
+            Call::Ready if hub.ready && hub.open && hub.core.places() => return Ok("ready\n".to_owned()),
             Call::Ready => return Err(No(503, "not ready")),
             Call::Figures => return Ok(hub.core.figures().to_string()),
             Call::Exclude(worker) => hub.core.by_hand(hub.now, worker, true),
--- a/tests/daily.rs
+++ b/tests/daily.rs
@@ -265,3 +265,61 @@
     assert_eq!(slow.next().map(|(_, _, payload)| payload[2..] == body), Some(true));
     assert!(daemon.ends());
 }
+
+/// A new version that comes while a broken file is in place starts with what the old one uses, and not beside
+/// nobody.
+#[test]
+fn a_broken_file_does_not_keep_a_new_version_from_starting() {
+    let worker = Worker::agent();
+    let door = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut old = at_a_door(&[&worker], &door);
+    worker.serve(echo);
+    let mut broken = old.config.clone();
+    broken["settings"]["bounds"]["mostTries"] = json!(0);
+    assert_eq!(old.reload(&broken.to_string()), "refused");
+    let mut new = old.beside(&door);
+    new.serves();
+    new.wait_log("upgrade configuration of the old process");
+    old.signal("TERM");
+    assert!(old.ends());
+    let mut client = Frames::connect(&new);
+    assert_eq!(serve_one(&mut client, 1), Some((1, 1, vec![79, 0, b'x'])));
+    std::fs::write(new.folder.at("config.json"), "{").unwrap();
+    let mut next = new.beside(&door);
+    next.serves();
+    drop(new);
+    next.signal("KILL");
+    assert!(!next.ends());
+    assert!(!old.beside(&door).ends(), "nobody serves: the file counts");
+}
+
+/// The second front and the virtual router pass to the new process with the rest.
+#[test]
+fn an_upgrade_takes_the_second_front_along() {
+    let worker = Worker::agent();
+    let door = TcpListener::bind("127.0.0.1:0").unwrap();
+    let first = Daemon::with(&[&worker], settings(), None, |folder| {
+        format!(
+            "[jsonrpc]\nsocket = \"{}\"\n[vrrp]\nvrid = 7\npriority = 255\ninterval_cs = 10\n\
+            bind = \"127.0.0.1:0\"\npeers = []\naddress = \"127.0.0.100\"\n",
+            folder.at("calls.sock").display()
+        )
+    });
+    worker.serve(echo);
+    drop(std::fs::remove_file(first.folder.at("calls.sock")));
+    let mut old = first.beside(&door);
+    old.serves();
+    old.wait_log("state=Active");
+    let mut before = Rpc::connect(&old.folder.at("calls.sock"));
+    let mut new = old.beside(&door);
+    new.serves();
+    new.wait_log("state=Active");
+    let mut after = Rpc::connect(&old.folder.at("calls.sock"));
+    old.signal("TERM");
+    for (client, name) in [(&mut before, "00000000000000aa"), (&mut after, "00000000000000bb")] {
+        client.send(&rpc_call(&json!(1), "practice-check", name, 2000, "eA==").to_string());
+    }
+    assert_eq!(after.next()["result"]["body"], "eA==");
+    assert!(before.next().get("id").is_some(), "an answer, by the one that was asked");
+    assert!(old.ends());
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -298,7 +298,7 @@
     pub fn spawn(folder: Arc<Folder>, config: Value, door: Option<&TcpListener>) -> Daemon {
         let mut command = Command::new(env!("CARGO_BIN_EXE_mintgate"));
         command.env("GW_CONFIG", folder.at("config.json")).stdin(Stdio::null()).stderr(Stdio::piped());
-        command.env("TMPDIR", &folder.0);
+        command.env("TMPDIR", &folder.0).env("GW_NAME", "n0");
         if let Some(door) = door {
             command.env("GW_PASSED_SOCKET", "0").env("GW_MGMT", "127.0.0.1:0");
             command.stdin(std::os::fd::OwnedFd::from(door.try_clone().unwrap()));
