--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -990,6 +990,41 @@
         assert!(!core.may_write(MS(13), attempt), "absent from the whole list is gone");
     }
 
+    /// Whatever waits for its connection when its worker is left out by hand stays here: an attempt, the repeat of
+    /// one, an order. What comes back is met as a new process.
+    #[test]
+    fn what_queued_is_held_back_after_a_ban_whatever_the_bus_tells() {
+        let mut core = core();
+        let (attempt, worker) = sent(&call(&mut core, 1, "safe"));
+        let (open, home) = sent(&call(&mut core, 2, "safe"));
+        core.written(MS(1), open);
+        let order = load(&mut core, MS(1));
+        let ready = |worker| Member { worker, weight: 1.0, ..Member::default() };
+        for worker in [worker, home, WorkerId(1)] {
+            core.by_hand(MS(2), worker, true);
+        }
+        assert!(!core.may_write(MS(2), attempt) && !core.may_write_order(MS(2), order));
+        // Gone, back under another address, and the whole list anew: it stays out.
+        core.members(MS(3), ListKind::Delta, vec![Member { state: State::Gone, ..ready(worker) }]);
+        core.members(MS(4), ListKind::Delta, vec![Member { started: Some(MS(3)), ..ready(worker) }]);
+        core.members(MS(5), ListKind::Full, vec![ready(WorkerId(1)), ready(WorkerId(2))]);
+        core.replace_site(MS(6), site(SITE));
+        assert!(!core.may_write(MS(7), attempt) && !core.may_write_order(MS(7), order));
+        // What was open there fails: its repeat goes elsewhere.
+        while core.next_command().is_some() {}
+        core.attempt_ended(MS(8), open, broken(Reached::Out));
+        let other = std::iter::from_fn(|| core.next_command()).find_map(|command| match command {
+            Command::Send { worker, .. } => Some(worker),
+            _ => None,
+        });
+        assert!(other.is_none_or(|other| other != home && other != worker), "{other:?}");
+        core.by_hand(MS(9), worker, false);
+        let renewed = |c: &Command| matches!(c, Command::Renew { worker: w } if *w == worker);
+        assert!(std::iter::from_fn(|| core.next_command()).any(|c| renewed(&c)));
+        assert_eq!(core.bans.laid_over(ready(worker)).started, Some(MS(9)), "cold");
+        assert!(core.open_to_work(worker));
+    }
+
     /// Orders that waited behind a slow connection must not bunch up beyond the ration.
     #[test]
     fn the_ration_holds_when_orders_are_written() {
--- a/src/front/frames.rs
+++ b/src/front/frames.rs
@@ -219,6 +219,8 @@
     open: BTreeSet<u32>,
     seen: Seen,
     last: Time,
+    /// When anything came last: a request that is being written slowly is not taken for one that never will be.
+    heard: Time,
     leaving: bool,
     /// A whole frame has come.
     used: bool,
@@ -238,6 +240,7 @@
             open,
             seen,
             last: now,
+            heard: now,
             leaving: false,
             used: false,
             skip: 0,
@@ -335,6 +338,7 @@
     }
 
     fn received(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
+        self.heard = hub.now;
         let bytes = std::mem::take(&mut link.inbox);
         let mut from = self.skip.min(bytes.len());
         self.skip -= from;
@@ -426,7 +430,7 @@
     }
 
     fn idle(&self) -> Option<Time> {
-        (self.open.is_empty() && self.finish_by.is_none()).then_some(self.last)
+        (self.open.is_empty() && self.finish_by.is_none()).then_some(self.last.max(self.heard))
     }
 }
 
--- a/src/ops/mgmt.rs
+++ b/src/ops/mgmt.rs
@@ -42,7 +42,7 @@
     fn answer(&mut self, answer: Result<String, No>, link: &mut Link, hub: &Hub) -> Flow {
         match answer {
             Ok(text) => link.put(&http::answer(200, &text)),
-            Err(No(status, why)) => link.put(&http::answer(status, why)),
+            Err(No(status, why)) => link.put(&http::answer(status, &format!("{why}\n"))),
         }
         self.answered = Some(hub.now);
         Flow::Finish
--- a/tests/daily.rs
+++ b/tests/daily.rs
@@ -161,6 +161,12 @@
     old.wait_log("door=shut");
     assert_eq!(new.figure("cluster_unhealthy"), Some(1), "who was out is out");
     assert_eq!((new.figure("sends"), new.operate("GET", "/api/ready").0), (Some(0), 200));
+    // New settings in the middle of it: whoever is told takes them, and bans stay.
+    let mut retuned = old.config.clone();
+    retuned["settings"]["classes"][1]["name"] = json!("exam-submit");
+    assert!(new.reload(&retuned.to_string()).starts_with("offset="));
+    assert!(old.reload(&retuned.to_string()).starts_with("offset="));
+    assert_eq!(new.figure("answered.exam-submit"), Some(0));
     assert_eq!((exclude(&old, 2), exclude(&new, 1)), (200, 200));
     while new.figure("cluster_unhealthy") != Some(2) {}
     assert_eq!(new.operate("POST", "/api/include?name=s-00000002").0, 200);
@@ -323,3 +329,20 @@
     assert!(before.next().get("id").is_some(), "an answer, by the one that was asked");
     assert!(old.ends());
 }
+
+/// In a crowd that connects and says nothing, whoever is writing a request keeps its place.
+#[test]
+fn a_slow_request_outlives_a_silent_crowd() {
+    let worker = Worker::agent();
+    let daemon = Daemon::limited(&[&worker], json!({"sockets": 96}));
+    worker.serve(echo);
+    let mut slow = Frames::connect(&daemon);
+    let whole = frame(0, 1, &call("practice-check", "00000000000000aa", 2500, b"x"));
+    let mut crowd = Vec::new();
+    for piece in whole.chunks(whole.len() / 4 + 1) {
+        slow.send(piece);
+        crowd.extend((0..40).map(|_| TcpStream::connect(daemon.listen).unwrap()));
+        daemon.wait_counter("accepted", 1 + crowd.len() as u64);
+    }
+    assert_eq!(slow.next(), Some((1, 1, vec![79, 0, b'x'])));
+}
