Run chains of steps under one deadline over JSON-RPC, with one final answer

Before each start the time left is held against the need of this step and all after it. Finished keyed steps are kept for their window; a repeat takes their answers.

--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -146,7 +146,7 @@
                     target.connections.clear();
                 }
             }
-            Command::Answer { .. } | Command::ByHand { .. } => {}
+            Command::Answer { .. } | Command::Chain { .. } | Command::ByHand { .. } => {}
         }
     }
 
--- /dev/null
+++ b/src/chain/estimate.rs
@@ -0,0 +1,104 @@
+//! What a step needs: from own answers, a prior, and the time of a load.
+
+use crate::interface::{FunctionId, Span, Time};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Answers kept for a function of a class, and such functions.
+const SAMPLE: usize = 16;
+const FUNCTIONS: usize = 4096;
+/// The part of the sample that is to lie below the estimate: one step in five may take longer.
+const QUANTILE: f64 = 0.8;
+/// What is taken for an answer's time where none was seen: this part of the class's wanted time.
+const PRIOR: f64 = 0.25;
+
+/// A function as called in one class.
+type Key = (FunctionId, String);
+
+#[derive(Default)]
+struct Seen {
+    took: VecDeque<Span>,
+    last: Time,
+}
+
+/// Estimates of one scheduler, from its own answers alone.
+#[derive(Default)]
+pub struct Estimates {
+    seen: BTreeMap<Key, Seen>,
+}
+
+/// What is known of a step beforehand.
+pub struct Ahead<'a> {
+    /// The function.
+    pub function: FunctionId,
+    /// The class, by name.
+    pub class: &'a str,
+    /// The time wanted for the class.
+    pub aim: Span,
+    /// The usual time of a load, where told.
+    pub load_time: Option<Span>,
+}
+
+impl Estimates {
+    /// An answer came after so long.
+    pub fn note(&mut self, now: Time, function: FunctionId, class: &str, took: Span) {
+        let key = (function, class.to_owned());
+        if !self.seen.contains_key(&key) && self.seen.len() >= FUNCTIONS {
+            // Whatever has not been called for longest is the least missed.
+            let oldest = self.seen.iter().min_by_key(|(_, seen)| seen.last).map(|(key, _)| key.clone());
+            oldest.and_then(|key| self.seen.remove(&key));
+        }
+        let seen = self.seen.entry(key).or_default();
+        seen.last = now;
+        seen.took.push_back(took);
+        seen.took.drain(..seen.took.len().saturating_sub(SAMPLE));
+    }
+
+    /// What the step needs if it starts about now. A copy is believed to stand for `keep` after an answer.
+    pub fn need(&self, now: Time, step: &Ahead, keep: Span) -> Span {
+        let seen = self.seen.get(&(step.function, step.class.to_owned()));
+        let warm = seen.is_some_and(|seen| now - seen.last < keep);
+        let run = seen.map_or(step.aim.times(PRIOR), |seen| {
+            let mut took: Vec<Span> = seen.took.iter().copied().collect();
+            took.sort_unstable();
+            took[((took.len() - 1) as f64 * QUANTILE) as usize]
+        });
+        let load = if warm { Span(0) } else { step.load_time.unwrap_or(Span(0)) };
+        Span(run.0 + load.0)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn estimates_follow_answers_priors_and_loads() {
+        let keep = Span::millis(9_000);
+        let step = |load: Option<u64>| Ahead {
+            function: FunctionId(1),
+            class: "a",
+            aim: Span::millis(1_000),
+            load_time: load.map(Span::millis),
+        };
+        let mut estimates = Estimates::default();
+        let need = |e: &Estimates, at: u64, load| {
+            e.need(Time(0) + Span::millis(at), &step(load), keep).0 / 1_000_000
+        };
+        assert_eq!(need(&estimates, 0, None), 250, "a prior");
+        assert_eq!(need(&estimates, 0, Some(400)), 650, "and a load");
+        for ms in [100, 100, 100, 100, 900] {
+            estimates.note(Time(0), FunctionId(1), "a", Span::millis(ms));
+        }
+        estimates.note(Time(0), FunctionId(1), "b", Span::millis(5_000));
+        assert_eq!(need(&estimates, 8_999, Some(400)), 100, "four in five, and a copy that stands");
+        assert_eq!(need(&estimates, 9_000, Some(400)), 500, "no longer");
+        for _ in 0..SAMPLE {
+            estimates.note(Time(0), FunctionId(1), "a", Span::millis(300));
+        }
+        assert_eq!(need(&estimates, 1, None), 300, "the latest count");
+        for id in 0..2 * FUNCTIONS as u64 {
+            estimates.note(Time(id), FunctionId(id), "a", Span(1));
+        }
+        assert_eq!(estimates.seen.len(), FUNCTIONS);
+    }
+}
--- /dev/null
+++ b/src/chain/mod.rs
@@ -0,0 +1,434 @@
+//! Chains: steps one after another under one deadline, with one final answer. A state machine without I/O.
+
+pub mod estimate;
+
+use crate::core::{Answer, Incoming, Owner, Verdict};
+use crate::interface::{FunctionId, Span, Time};
+use estimate::{Ahead, Estimates};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Steps of one chain at most.
+pub const STEPS: usize = 8;
+/// The connection number under which steps are calls of the core; no front has it.
+pub const STEP: u64 = u64::MAX;
+/// Answers of finished steps that are kept for repeats, and their bytes.
+const KEPT: (usize, usize) = (1024, 4 << 20);
+
+/// A step as a client words it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Step {
+    /// Name of the class.
+    pub class: String,
+    /// The function called.
+    pub function: FunctionId,
+    /// Memory of one copy, in MB.
+    pub memory_mb: f64,
+    /// Calls that one copy runs at a time.
+    pub lanes: f64,
+    /// Usual time of a load, where told.
+    pub load_time: Option<Span>,
+    /// The body; none where the answer of the step before is the body.
+    pub body: Option<Vec<u8>>,
+}
+
+/// A chain as a front has read it.
+#[derive(Clone, Debug)]
+pub struct Chain {
+    /// Where the one answer goes.
+    pub owner: Owner,
+    /// Idempotency key: the same for all tries of the chain.
+    pub key: Option<String>,
+    /// When the client gives up.
+    pub deadline: Time,
+    /// The steps, one at least.
+    pub steps: Vec<Step>,
+}
+
+/// How a chain ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct End {
+    /// Of the last step that was started, or why none was started any more.
+    pub answer: Answer,
+    /// The step that it stopped at, counted from 0.
+    pub step: usize,
+    /// Steps that were served.
+    pub ran: usize,
+    /// That step was not started: what remained did not cover what it and all after it need.
+    pub short: Option<Short>,
+}
+
+/// What remained, and what would have been needed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Short {
+    /// Time until the deadline.
+    pub left: Span,
+    /// What the step and all after it need.
+    pub need: Span,
+}
+
+/// What is to be done.
+#[derive(Debug)]
+pub enum Do {
+    /// Take this call; its answer goes to [`Machine::step_ended`].
+    Start(Incoming),
+    /// Call a step off.
+    Withdraw(Owner),
+    /// The chain's one end.
+    Finish(Owner, End),
+}
+
+/// What the machine asks of the site: the time wanted for a class, and the window in which a repeat is dropped.
+pub trait Classes {
+    /// Wanted time and window, of a class that may be called.
+    fn class(&self, name: &str) -> Option<(Span, Option<Span>)>;
+    /// How long an idle copy stays.
+    fn keep(&self) -> Span;
+    /// How long a refused client is told to stay away.
+    fn cooldown(&self) -> Span;
+}
+
+struct Open {
+    chain: Chain,
+    step: usize,
+    last: Vec<u8>,
+    started: Time,
+}
+
+struct Done {
+    key: String,
+    step: Step,
+    body: Vec<u8>,
+    until: Time,
+}
+
+/// See the module's page.
+#[derive(Default)]
+pub struct Machine {
+    /// Makes steps' names unlike those of other schedulers.
+    salt: u64,
+    open: BTreeMap<u64, Open>,
+    next: u64,
+    estimates: Estimates,
+    /// Answers of finished keyed steps, oldest first.
+    done: VecDeque<Done>,
+    bytes: usize,
+}
+
+impl Machine {
+    /// No chains yet. The salt is to differ between schedulers.
+    pub fn new(salt: u64) -> Machine {
+        Machine { salt, ..Machine::default() }
+    }
+
+    /// A chain has come. Its deadline is also the wanted time of its last step's class.
+    pub fn begin(&mut self, now: Time, mut chain: Chain, classes: &impl Classes) -> Vec<Do> {
+        let wanted = chain.steps.last().and_then(|step| classes.class(&step.class));
+        let Some((aim, _)) = wanted else {
+            let answer = Answer { verdict: Verdict::Failed, expired: false };
+            return vec![Do::Finish(chain.owner, End { answer, step: 0, ran: 0, short: None })];
+        };
+        let twin = |open: &&Open| chain.key.is_some() && open.chain.key == chain.key;
+        if let Some(twin) = self.open.values().find(twin) {
+            // The first is still at work on it; what has another content is another chain, and no good one.
+            let same = twin.chain.steps == chain.steps;
+            let verdict =
+                if same { Verdict::Refused { cooldown: classes.cooldown() } } else { Verdict::Failed };
+            let answer = Answer { verdict, expired: false };
+            return vec![Do::Finish(chain.owner, End { answer, step: 0, ran: 0, short: None })];
+        }
+        chain.deadline = chain.deadline.min(now + aim);
+        let id = self.next;
+        self.next += 1;
+        self.open.insert(id, Open { chain, step: 0, last: vec![], started: now });
+        self.go_on(now, id, classes)
+    }
+
+    /// A step has had its final answer.
+    pub fn step_ended(&mut self, now: Time, owner: Owner, answer: Answer, classes: &impl Classes) -> Vec<Do> {
+        let id = owner.stream / STEPS as u64;
+        let Some(open) = self.open.get_mut(&id).filter(|open| owner == name(id, open.step)) else {
+            return vec![];
+        };
+        let Verdict::Served(body) = answer.verdict else {
+            let (step, owner) = (open.step, open.chain.owner);
+            self.open.remove(&id);
+            return vec![Do::Finish(owner, End { answer, step, ran: step, short: None })];
+        };
+        let step = &open.chain.steps[open.step];
+        self.estimates.note(now, step.function, &step.class, now - open.started);
+        let window = classes.class(&step.class).and_then(|(_, window)| window);
+        if let (Some(key), Some(window)) = (step_key(&open.chain, open.step), window) {
+            // The window began when the step was written, and not before it was started.
+            let done = Done { key, step: step.clone(), body: body.clone(), until: open.started + window };
+            self.bytes += done.body.len();
+            self.done.push_back(done);
+        }
+        (open.last, open.step) = (body, open.step + 1);
+        self.forget(now);
+        self.go_on(now, id, classes)
+    }
+
+    /// Nobody waits for this chain any more.
+    pub fn withdraw(&mut self, owner: Owner) -> Vec<Do> {
+        let Some(id) = self.open.iter().find(|(_, open)| open.chain.owner == owner).map(|(id, _)| *id) else {
+            return vec![];
+        };
+        let step = self.open.remove(&id).map_or(0, |open| open.step);
+        vec![Do::Withdraw(name(id, step))]
+    }
+
+    /// Chains that are owed an answer.
+    pub fn owed(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Starts the next step, or ends the chain.
+    fn go_on(&mut self, now: Time, id: u64, classes: &impl Classes) -> Vec<Do> {
+        loop {
+            let Some(open) = self.open.get_mut(&id) else { return vec![] };
+            let (chain, at) = (&open.chain, open.step);
+            let Some(step) = chain.steps.get(at) else {
+                let (owner, body) = (chain.owner, std::mem::take(&mut open.last));
+                self.open.remove(&id);
+                let answer = Answer { verdict: Verdict::Served(body), expired: false };
+                return vec![Do::Finish(owner, End { answer, step: at - 1, ran: at, short: None })];
+            };
+            let key = step_key(chain, at);
+            let kept = self
+                .done
+                .iter()
+                .rfind(|done| Some(&done.key) == key.as_ref() && done.step == *step && now < done.until);
+            if let Some(done) = kept {
+                (open.last, open.step) = (done.body.clone(), at + 1);
+                continue;
+            }
+            let need = chain.steps[at..].iter().map(|step| {
+                let aim = classes.class(&step.class).map_or(Span(0), |(aim, _)| aim);
+                let (function, load_time) = (step.function, step.load_time);
+                let ahead = Ahead { function, class: &step.class, aim, load_time };
+                self.estimates.need(now, &ahead, classes.keep()).0
+            });
+            let (left, need) = (chain.deadline - now, Span(need.sum()));
+            if left < need {
+                let owner = chain.owner;
+                self.open.remove(&id);
+                // Steps before may have run, and their keys hold: coming back is harmless.
+                let verdict = Verdict::Refused { cooldown: classes.cooldown() };
+                let answer = Answer { verdict, expired: left.0 == 0 };
+                return vec![Do::Finish(
+                    owner,
+                    End { answer, step: at, ran: at, short: Some(Short { left, need }) },
+                )];
+            }
+            let incoming = Incoming {
+                owner: name(id, at),
+                // An odd factor keeps different names different.
+                reference: format!(
+                    "{:016x}",
+                    (self.salt ^ name(id, at).stream).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+                ),
+                class: step.class.clone(),
+                function: step.function,
+                key,
+                memory_mb: step.memory_mb,
+                lanes: step.lanes,
+                load_time: step.load_time,
+                deadline: chain.deadline,
+                body: step.body.clone().unwrap_or_else(|| open.last.clone()),
+            };
+            open.started = now;
+            return vec![Do::Start(incoming)];
+        }
+    }
+
+    fn forget(&mut self, now: Time) {
+        let many = |machine: &Machine| machine.done.len() > KEPT.0 || machine.bytes > KEPT.1;
+        while many(self) || self.done.front().is_some_and(|done| done.until <= now) {
+            let Some(done) = self.done.pop_front() else { return };
+            self.bytes -= done.body.len();
+        }
+    }
+}
+
+/// A step's place among the core's calls.
+fn name(id: u64, step: usize) -> Owner {
+    Owner { connection: STEP, stream: id * STEPS as u64 + step as u64 }
+}
+
+/// A step's key: the same for a repeat of the chain, another for each step.
+fn step_key(chain: &Chain, step: usize) -> Option<String> {
+    Some(format!("{}.{step}", chain.key.as_ref()?))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const NOW: Time = Time(1_000_000_000_000);
+    const OWNER: Owner = Owner { connection: 1, stream: 7 };
+
+    struct Site;
+
+    impl Classes for Site {
+        fn class(&self, name: &str) -> Option<(Span, Option<Span>)> {
+            match name {
+                "check" => Some((Span::millis(1_500), None)),
+                "credit" => Some((Span::millis(1_000), Some(Span::millis(6_000)))),
+                _ => None,
+            }
+        }
+        fn keep(&self) -> Span {
+            Span::millis(9_000)
+        }
+        fn cooldown(&self) -> Span {
+            Span::millis(250)
+        }
+    }
+
+    fn step(class: &str, function: u64, load: u64, body: Option<&[u8]>) -> Step {
+        Step {
+            class: class.to_owned(),
+            function: FunctionId(function),
+            memory_mb: 1.0,
+            lanes: 1.0,
+            load_time: (load > 0).then_some(Span::millis(load)),
+            body: body.map(<[u8]>::to_vec),
+        }
+    }
+
+    fn chain(steps: Vec<Step>) -> Chain {
+        Chain { owner: OWNER, key: Some("k".to_owned()), deadline: NOW + Span::millis(3_000), steps }
+    }
+
+    fn served(body: &[u8]) -> Answer {
+        Answer { verdict: Verdict::Served(body.to_vec()), expired: false }
+    }
+
+    fn started(all: &[Do]) -> &Incoming {
+        match all {
+            [Do::Start(incoming)] => incoming,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn ended(all: &[Do]) -> &End {
+        match all {
+            [Do::Finish(OWNER, end)] => end,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Learns that a function takes so long, where a copy stands.
+    fn learn(machine: &mut Machine, class: &str, function: u64, ms: u64) {
+        machine.estimates.note(NOW, FunctionId(function), class, Span::millis(ms));
+    }
+
+    #[test]
+    fn steps_run_one_after_another_and_have_one_answer() {
+        let mut machine = Machine::default();
+        let steps = vec![
+            step("check", 1, 0, Some(b"a")),
+            step("check", 2, 0, None),
+            step("credit", 3, 0, Some(b"c")),
+        ];
+        let mut at = NOW;
+        let mut all = machine.begin(at, chain(steps), &Site);
+        for (n, body) in [b"a", b"1", b"c"].into_iter().enumerate() {
+            let (owner, incoming) = (started(&all).owner, started(&all));
+            assert_eq!(incoming.deadline, NOW + Span::millis(1_000), "the last step's wanted time, for all");
+            assert_eq!((incoming.body.as_slice(), incoming.key.clone()), (&body[..], Some(format!("k.{n}"))));
+            assert_eq!(machine.owed(), 1);
+            at = at + Span::millis(50);
+            all = machine.step_ended(at, owner, served(format!("{}", n + 1).as_bytes()), &Site);
+            assert!(machine.step_ended(at, owner, served(b"late"), &Site).is_empty(), "told twice");
+        }
+        let end = ended(&all);
+        assert_eq!((&end.answer, end.step, end.ran, end.short), (&served(b"3"), 2, 3, None));
+        assert_eq!(machine.owed(), 0);
+    }
+
+    /// A cold load in the middle: the first step starts only if all of it fits, and nothing starts in vain.
+    #[test]
+    fn no_step_starts_that_the_time_does_not_cover() {
+        for (load, covered) in [(300, true), (900, false)] {
+            let mut machine = Machine::default();
+            for function in [1, 3] {
+                learn(&mut machine, "check", function, 100);
+                learn(&mut machine, "credit", function, 100);
+            }
+            let steps = vec![
+                step("check", 1, 0, Some(b"")),
+                step("check", 2, load, None),
+                step("credit", 3, 0, None),
+            ];
+            let all = machine.begin(NOW, chain(steps), &Site);
+            assert_eq!(matches!(all[..], [Do::Start(_)]), covered, "{load}");
+            if !covered {
+                let end = ended(&all);
+                assert_eq!((end.step, end.ran, end.short.is_some()), (0, 0, true));
+                assert!(matches!(end.answer.verdict, Verdict::Refused { cooldown } if cooldown.0 > 0));
+                continue;
+            }
+            // It took longer than thought: the second is not started, and the client hears what has run.
+            let all = machine.step_ended(NOW + Span::millis(600), started(&all).owner, served(b""), &Site);
+            let end = ended(&all);
+            assert_eq!((end.step, end.ran), (1, 1));
+            assert_eq!(end.short.unwrap().left, Span::millis(400));
+        }
+    }
+
+    /// The credit step has run and its answer was lost with the chain: a repeat does not run it again.
+    #[test]
+    fn a_repeat_takes_the_answers_of_finished_steps_inside_their_window() {
+        let steps =
+            || vec![step("check", 1, 0, Some(b"a")), step("credit", 2, 0, None), step("credit", 3, 0, None)];
+        let mut machine = Machine::default();
+        let first = machine.begin(NOW, chain(steps()), &Site);
+        let second = machine.step_ended(NOW, started(&first).owner, served(b"1"), &Site);
+        let third = machine.step_ended(NOW, started(&second).owner, served(b"2"), &Site);
+        let refused = Answer { verdict: Verdict::Refused { cooldown: Span(0) }, expired: false };
+        let end = machine.step_ended(NOW, started(&third).owner, refused, &Site);
+        assert_eq!((ended(&end).step, ended(&end).ran), (2, 2));
+        let again = machine.begin(NOW, chain(steps()), &Site);
+        let again = machine.step_ended(NOW, started(&again).owner, served(b"1"), &Site);
+        let incoming = started(&again);
+        assert_eq!(
+            (incoming.function, incoming.body.as_slice()),
+            (FunctionId(3), &b"2"[..]),
+            "the credit step is not run again"
+        );
+        machine.withdraw(OWNER);
+        // Another content under the same key, and a window that has passed, have no part in it.
+        let mut other = steps();
+        other[1].function = FunctionId(9);
+        for (at, steps) in [(NOW, other), (NOW + Span::millis(6_000), steps())] {
+            let mut late = chain(steps);
+            late.deadline = at + Span::millis(3_000);
+            let all = machine.begin(at, late, &Site);
+            let all = machine.step_ended(at, started(&all).owner, served(b"1"), &Site);
+            assert_eq!(started(&all).body, b"1");
+            machine.withdraw(OWNER);
+        }
+    }
+
+    #[test]
+    fn a_client_that_leaves_calls_its_step_off() {
+        let mut machine = Machine::default();
+        let all = machine.begin(NOW, chain(vec![step("check", 1, 0, Some(b""))]), &Site);
+        let owner = started(&all).owner;
+        assert!(matches!(machine.withdraw(OWNER)[..], [Do::Withdraw(step)] if step == owner));
+        assert!(
+            machine.withdraw(OWNER).is_empty()
+                && machine.step_ended(NOW, owner, served(b""), &Site).is_empty()
+        );
+        // A repeat while the first is open waits for it; another chain under its key is none.
+        let open = machine.begin(NOW, chain(vec![step("check", 1, 0, Some(b""))]), &Site);
+        let twin = machine.begin(NOW, chain(vec![step("check", 1, 0, Some(b""))]), &Site);
+        assert!(matches!(ended(&twin).answer.verdict, Verdict::Refused { .. }));
+        let other = machine.begin(NOW, chain(vec![step("check", 2, 0, Some(b""))]), &Site);
+        assert_eq!(ended(&other).answer.verdict, Verdict::Failed);
+        assert_eq!(machine.step_ended(NOW, started(&open).owner, served(b""), &Site).len(), 1);
+        let unknown = machine.begin(NOW, chain(vec![step("none", 1, 0, Some(b""))]), &Site);
+        assert_eq!(ended(&unknown).answer.verdict, Verdict::Failed);
+    }
+}
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -43,6 +43,14 @@
     overdue,
     /// Calls that their clients withdrew, or left by closing.
     withdrawn,
+    /// Chains taken; each of their steps is a call taken besides.
+    chains,
+    /// Chains of which all steps were served.
+    chains_served,
+    /// Chains that were stopped because the time that remained did not cover the next step and those after it.
+    chains_stopped,
+    /// Chains of which a step was refused or failed.
+    chains_failed,
     /// Attempts written whole to a worker.
     sent,
     /// Attempts that ended well.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,6 +9,7 @@
 pub use counters::Counters;
 
 use crate::brain::Balancer;
+use crate::chain::{self, Chain, End};
 use crate::handover::message::Known;
 use crate::interface::*;
 use crate::ops::bans::{Bans, Done};
@@ -179,6 +180,13 @@
         /// What.
         answer: Answer,
     },
+    /// Give a chain its one end.
+    Chain {
+        /// Where to.
+        owner: Owner,
+        /// What.
+        end: End,
+    },
     /// Start an attempt.
     Send {
         /// Which.
@@ -314,6 +322,10 @@
     told: BTreeMap<WorkerId, Member>,
     /// Who is out by hand whatever the list tells.
     bans: Bans,
+    chains: chain::Machine,
+    /// Final answers of chains' steps, which go to the chains; whether those are at work on them.
+    step_answers: VecDeque<(Owner, Answer)>,
+    in_chains: bool,
     due: BTreeSet<(Time, Due)>,
     commands: VecDeque<Command>,
     backlog: VecDeque<Event>,
@@ -345,6 +357,9 @@
             probes: BTreeMap::new(),
             told: BTreeMap::new(),
             bans: Bans::default(),
+            chains: chain::Machine::new(seed),
+            step_answers: VecDeque::new(),
+            in_chains: false,
             due: BTreeSet::new(),
             commands: VecDeque::new(),
             backlog: VecDeque::new(),
@@ -580,9 +595,49 @@
         );
     }
 
+    /// A chain has come in whole. Its steps are taken as calls, and one end is owed.
+    pub fn chain(&mut self, now: Time, chain: Chain) {
+        self.counters.chains += 1;
+        let all = self.chains.begin(now, chain, &self.site);
+        self.run_chains(now, all);
+    }
+
+    /// Does what chains want, until none has an answer to go on from.
+    fn run_chains(&mut self, now: Time, all: Vec<chain::Do>) {
+        let mut all = VecDeque::from(all);
+        let outer = std::mem::replace(&mut self.in_chains, true);
+        loop {
+            // Whoever is at work on them further out takes the answers.
+            if all.is_empty()
+                && !outer
+                && let Some((owner, answer)) = self.step_answers.pop_front()
+            {
+                all.extend(self.chains.step_ended(now, owner, answer, &self.site));
+            }
+            match all.pop_front() {
+                Some(chain::Do::Start(incoming)) => self.call(now, incoming),
+                Some(chain::Do::Withdraw(step)) => self.withdraw(now, step),
+                Some(chain::Do::Finish(owner, end)) => {
+                    match (&end.answer.verdict, end.short) {
+                        (Verdict::Served(_), _) => self.counters.chains_served += 1,
+                        (_, Some(_)) => self.counters.chains_stopped += 1,
+                        _ => self.counters.chains_failed += 1,
+                    }
+                    self.commands.push_back(Command::Chain { owner, end });
+                }
+                None if outer || self.step_answers.is_empty() => break,
+                None => {}
+            }
+        }
+        self.in_chains = outer;
+    }
+
     /// Nobody waits for this call any more.
     pub fn withdraw(&mut self, now: Time, owner: Owner) {
-        let Some(id) = self.owners.get(&owner).copied() else { return };
+        let Some(id) = self.owners.get(&owner).copied() else {
+            let all = self.chains.withdraw(owner);
+            return self.run_chains(now, all);
+        };
         self.counters.withdrawn += 1;
         self.forget(id);
         self.step(now, Event::ClientGone(id));
@@ -777,6 +832,9 @@
                 self.carry_out(now, action);
             }
         }
+        if !self.step_answers.is_empty() {
+            self.run_chains(now, vec![]);
+        }
         let Some(ration) = self.site.settings.rules.ration else { return self.taken.clear() };
         while self.taken.front().is_some_and(|at| *at + ration.span < now) {
             self.taken.pop_front();
@@ -847,7 +905,11 @@
             Verdict::Refused { .. } => self.counters.refused += 1,
             Verdict::Failed => self.counters.failed += 1,
         }
-        self.commands.push_back(Command::Answer { owner, answer: Answer { verdict, expired } });
+        let answer = Answer { verdict, expired };
+        match owner.connection {
+            chain::STEP => self.step_answers.push_back((owner, answer)),
+            _ => self.commands.push_back(Command::Answer { owner, answer }),
+        }
     }
 
     fn forget(&mut self, id: RequestId) -> Option<Taken> {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -255,6 +255,11 @@
                         connection.answer(owner.stream, &answer, link, hub)
                     });
                 }
+                Command::Chain { owner, end } => {
+                    self.reactor.with(owner.connection, &mut self.core, |connection, link, hub| {
+                        connection.chain_ended(owner.stream, &end, link, hub)
+                    });
+                }
                 Command::ByHand { worker, out } => {
                     let worker = worker.0;
                     self.upgrade(handover::Event::ByHand { worker, out });
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -3,13 +3,15 @@
 //! | method | params | result |
 //! | --- | --- | --- |
 //! | `call` | `class`, `function`, `allow_ms`; optional `ref`, `key`, `memory_mb`, `lanes`, `load_ms`, `body` | `{"body": BASE64}` |
-//! | `cancel` | `id` of a call on this connection; a notification | none; the call ends with [`codes::CANCELLED`] |
+//! | `chain` | `steps`, `allow_ms`; optional `key`; see `docs/chains.md` | `{"body": BASE64}` of the last step |
+//! | `cancel` | `id` of a call or chain on this connection; a notification | none; the call ends with [`codes::CANCELLED`] |
 //! | `ready` | none | `{"ready": BOOL}` |
 //!
 //! A `call` notification is not taken: nobody could be told how it ended. A client that closes, or closes the
 //! half it writes on, waits for nothing more: its calls are withdrawn.
 
 use super::{BODY, IDLE, LINGER, OPEN, OUTBOX, TRANSIT, WHOLE, read_function};
+use crate::chain::{Chain, Classes, End, STEPS, Step};
 use crate::core::{Answer, Incoming, Owner, Verdict};
 use crate::interface::{FunctionId, Span, Time};
 use crate::net::{Connection, Flow, Hub, Link};
@@ -36,6 +38,8 @@
     pub const EXPIRED: i64 = -32003;
     /// The client has withdrawn the call.
     pub const CANCELLED: i64 = -32004;
+    /// The time that remains does not cover the chain's next step and those after it.
+    pub const STOPPED: i64 = -32005;
 }
 
 /// Requests in one batch.
@@ -52,6 +56,8 @@
     Nothing,
     /// A call with its id.
     Call(Value, Box<Params>),
+    /// A chain with its id.
+    Chain(Value, Box<ChainParams>),
     /// The call of this id is withdrawn.
     Cancel(Value),
     /// Whether the scheduler is ready.
@@ -61,15 +67,18 @@
 /// What a call asks for.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Params {
-    class: String,
-    function: FunctionId,
+    step: Step,
     allow_ms: u64,
     reference: Option<String>,
     key: Option<String>,
-    memory_mb: f64,
-    lanes: f64,
-    load_ms: f64,
-    body: Vec<u8>,
+}
+
+/// What a chain asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ChainParams {
+    steps: Vec<Step>,
+    allow_ms: u64,
+    key: Option<String>,
 }
 
 /// What a line holds.
@@ -137,44 +146,92 @@
             Ok(params) => Request::Call(id, Box::new(params)),
             Err(why) => Request::Reply(error(&id, codes::INVALID_PARAMS, why, None)),
         },
+        ("chain", Some(id), params) => {
+            match params.map_err(str::to_owned).and_then(|params| read_chain(&params)) {
+                Ok(params) => Request::Chain(id, Box::new(params)),
+                Err(why) => Request::Reply(error(&id, codes::INVALID_PARAMS, &why, None)),
+            }
+        }
         (_, Some(id), _) => Request::Reply(error(&id, codes::NO_METHOD, "no such method", None)),
     }
 }
 
-fn read_params(params: &Map<String, Value>) -> Result<Params, &'static str> {
-    let text = |name: &str, why| match params.get(name) {
+fn read_text(
+    params: &Map<String, Value>,
+    name: &str,
+    why: &'static str,
+) -> Result<Option<String>, &'static str> {
+    match params.get(name) {
         None => Ok(None),
         Some(Value::String(text)) => Ok(Some(text.clone())),
         Some(_) => Err(why),
-    };
+    }
+}
+
+/// What says what is to be run. A body that is absent is empty, except where `previous` asks for another answer.
+fn read_step(params: &Map<String, Value>) -> Result<Step, &'static str> {
     let figure = |name: &str, usual: f64, why| match params.get(name).map(Value::as_f64) {
         None => Ok(usual),
         Some(Some(figure)) if figure.is_finite() && figure >= 0.0 => Ok(figure),
         Some(_) => Err(why),
     };
-    let function = text("function", "function is not text")?.ok_or("no function")?;
-    let reference = text("ref", "ref is not text")?;
-    if reference.as_deref().is_some_and(|text| read_function(text).is_none()) {
-        return Err("ref is not 16 hex digits");
-    }
-    let body = STANDARD.decode(text("body", "body is not text")?.unwrap_or_default());
+    let function = read_text(params, "function", "function is not text")?.ok_or("no function")?;
+    let body = STANDARD.decode(read_text(params, "body", "body is not text")?.unwrap_or_default());
     let body = body.map_err(|_| "body is not base64")?;
     if body.len() > BODY {
         return Err("body too large");
     }
-    Ok(Params {
-        class: text("class", "class is not text")?.ok_or("no class")?,
+    let load_ms = figure("load_ms", 0.0, "odd load_ms")?;
+    Ok(Step {
+        class: read_text(params, "class", "class is not text")?.ok_or("no class")?,
         function: FunctionId(read_function(&function).ok_or("function is not 16 hex digits")?),
-        allow_ms: params.get("allow_ms").and_then(Value::as_u64).ok_or("allow_ms is no whole number")?,
-        reference,
-        key: text("key", "key is not text")?,
         memory_mb: figure("memory_mb", 0.0, "odd memory_mb")?,
         lanes: figure("lanes", 1.0, "odd lanes")?,
-        load_ms: figure("load_ms", 0.0, "odd load_ms")?,
-        body,
+        load_time: Some(Span((load_ms * 1e6) as u64)).filter(|span| span.0 > 0),
+        body: Some(body),
     })
 }
 
+fn read_allow(params: &Map<String, Value>) -> Result<u64, &'static str> {
+    params.get("allow_ms").and_then(Value::as_u64).ok_or("allow_ms is no whole number")
+}
+
+fn read_params(params: &Map<String, Value>) -> Result<Params, &'static str> {
+    let reference = read_text(params, "ref", "ref is not text")?;
+    if reference.as_deref().is_some_and(|text| read_function(text).is_none()) {
+        return Err("ref is not 16 hex digits");
+    }
+    let (step, key) = (read_step(params)?, read_text(params, "key", "key is not text")?);
+    Ok(Params { step, allow_ms: read_allow(params)?, reference, key })
+}
+
+fn read_chain(params: &Map<String, Value>) -> Result<ChainParams, String> {
+    let Some(list) = params.get("steps").and_then(Value::as_array) else { return Err("no steps".to_owned()) };
+    if !(1..=STEPS).contains(&list.len()) {
+        return Err(format!("steps are not 1 to {STEPS}"));
+    }
+    let mut steps = Vec::with_capacity(list.len());
+    for (n, step) in list.iter().enumerate() {
+        let odd = |why: &str| format!("steps[{n}]: {why}");
+        let fields = step.as_object().ok_or_else(|| odd("not an object"))?;
+        let mut step = read_step(fields).map_err(odd)?;
+        match fields.get("previous") {
+            None | Some(Value::Bool(false)) => {}
+            Some(Value::Bool(true)) if n == 0 => return Err(odd("there is no answer before the first step")),
+            Some(Value::Bool(true)) if fields.contains_key("body") => {
+                return Err(odd("both previous and body"));
+            }
+            Some(Value::Bool(true)) => step.body = None,
+            Some(_) => return Err(odd("previous is neither true nor false")),
+        }
+        steps.push(step);
+    }
+    match read_allow(params)? {
+        0 => Err("allow_ms is not over 0".to_owned()),
+        allow_ms => Ok(ChainParams { steps, allow_ms, key: read_text(params, "key", "key is not text")? }),
+    }
+}
+
 /// The response that tells a call's final answer.
 pub fn response(id: &Value, answer: &Answer) -> Value {
     match &answer.verdict {
@@ -196,6 +253,24 @@
     }
 }
 
+/// The response that tells a chain's one end.
+pub fn chain_response(id: &Value, end: &End) -> Value {
+    let mut reply = match (&end.answer.verdict, end.short) {
+        (Verdict::Refused { cooldown }, Some(short)) => {
+            let ms = |span: Span| span.0.div_ceil(1_000_000);
+            let data =
+                json!({"cooldown_ms": ms(*cooldown), "left_ms": ms(short.left), "need_ms": ms(short.need)});
+            error(id, codes::STOPPED, "the time left does not cover the steps left", Some(data))
+        }
+        _ => response(id, &end.answer),
+    };
+    if let Some(error) = reply.get_mut("error") {
+        error["data"]["step"] = json!(end.step);
+        error["data"]["ran"] = json!(end.ran);
+    }
+    reply
+}
+
 struct Open {
     id: Value,
     /// The batch whose one reply this answer belongs to.
@@ -301,38 +376,70 @@
                 }
             }
             Request::Call(id, params) => self.call(id, *params, batch, link, hub),
+            Request::Chain(id, params) => self.chain(id, *params, batch, link, hub),
         }
     }
 
-    fn call(&mut self, id: Value, params: Params, batch: Option<u64>, link: &mut Link, hub: &mut Hub) {
+    fn chain(&mut self, id: Value, params: ChainParams, batch: Option<u64>, link: &mut Link, hub: &mut Hub) {
+        let Some(owner) = self.place(&id, None, batch, link, hub) else { return };
+        // What can only be known here is said before anything starts.
+        let classes: &dyn Classes = hub.core.site();
+        let odd = params.steps.iter().enumerate().find_map(|(n, step)| match classes.class(&step.class) {
+            None => Some(format!("steps[{n}]: the class is not known")),
+            Some((_, Some(_))) if params.key.is_none() => Some(format!("steps[{n}]: its class needs a key")),
+            Some(_) => None,
+        });
+        if let Some(why) = odd {
+            hub.core.counters().malformed += 1;
+            return self.say(batch, error(&id, codes::INVALID_PARAMS, &why, None), link);
+        }
+        self.open.insert(owner.stream, Open { id, batch });
+        let ChainParams { steps, allow_ms, key } = params;
+        hub.core.chain(hub.now, Chain { owner, key, deadline: deadline(hub.now, allow_ms), steps });
+    }
+
+    /// A place for a call or a chain, or its answer where there is none.
+    fn place(
+        &mut self,
+        id: &Value,
+        class: Option<&str>,
+        batch: Option<u64>,
+        link: &mut Link,
+        hub: &mut Hub,
+    ) -> Option<Owner> {
         // Two open calls of one id could not be told apart, neither by the client nor by a cancel.
-        if self.open.values().any(|open| open.id == id) {
-            return self.say(batch, error(&id, codes::INVALID_REQUEST, "id is in use", None), link);
+        if self.open.values().any(|open| open.id == *id) {
+            self.say(batch, error(id, codes::INVALID_REQUEST, "id is in use", None), link);
+            return None;
         }
         if self.open.len() >= OPEN || !hub.active {
             let verdict = Verdict::Refused { cooldown: hub.core.advice() };
-            hub.core.turned_away(Some(&params.class), &verdict);
-            return self.say(batch, response(&id, &Answer { verdict, expired: false }), link);
+            hub.core.turned_away(class, &verdict);
+            self.say(batch, response(id, &Answer { verdict, expired: false }), link);
+            return None;
         }
-        let stream = self.next;
         self.next += 1;
-        let owner = Owner { connection: link.id(), stream };
-        self.open.insert(stream, Open { id, batch });
-        let allow = params.allow_ms.min(3_600_000) * 1_000_000;
-        let made = || format!("{:08x}{:08x}", owner.connection as u32, stream as u32);
+        Some(Owner { connection: link.id(), stream: self.next - 1 })
+    }
+
+    fn call(&mut self, id: Value, params: Params, batch: Option<u64>, link: &mut Link, hub: &mut Hub) {
+        let Some(owner) = self.place(&id, Some(&params.step.class), batch, link, hub) else { return };
+        self.open.insert(owner.stream, Open { id, batch });
+        let made = || format!("{:08x}{:08x}", owner.connection as u32, owner.stream as u32);
+        let Step { class, function, memory_mb, lanes, load_time, body } = params.step;
         hub.core.call(
             hub.now,
             Incoming {
                 owner,
                 reference: params.reference.unwrap_or_else(made),
-                class: params.class,
-                function: params.function,
+                class,
+                function,
                 key: params.key,
-                memory_mb: params.memory_mb,
-                lanes: params.lanes,
-                load_time: Some(Span((params.load_ms * 1e6) as u64)).filter(|span| span.0 > 0),
-                deadline: hub.now + Span(allow.saturating_sub(TRANSIT.0)),
-                body: params.body,
+                memory_mb,
+                lanes,
+                load_time,
+                deadline: deadline(hub.now, params.allow_ms),
+                body: body.unwrap_or_default(),
             },
         );
     }
@@ -371,6 +478,11 @@
     }
 }
 
+/// When a client that waits so long is to have its answer.
+fn deadline(now: Time, allow_ms: u64) -> Time {
+    now + Span((allow_ms.min(3_600_000) * 1_000_000).saturating_sub(TRANSIT.0))
+}
+
 fn has_reply(request: &Request) -> bool {
     !matches!(request, Request::Nothing | Request::Cancel(_))
 }
@@ -442,6 +554,14 @@
         Flow::Go
     }
 
+    fn chain_ended(&mut self, stream: u64, end: &End, link: &mut Link, hub: &mut Hub) -> Flow {
+        if let Some(open) = self.open.remove(&stream) {
+            self.last = hub.now;
+            self.say(open.batch, chain_response(&open.id, end), link);
+        }
+        Flow::Go
+    }
+
     fn idle(&self) -> Option<Time> {
         (self.open.is_empty() && self.finish_by.is_none()).then_some(self.last)
     }
@@ -520,8 +640,8 @@
     fn good_lines_are_read() {
         let text = r#"{"jsonrpc":"2.0","id":"a","method":"call","params":{"class":"c","function":"7f3a9c21e0b4d655","allow_ms":1500,"key":"k","lanes":2,"body":"aGk="}}"#;
         let Line::One(Request::Call(id, params)) = read_line(text.as_bytes()) else { panic!("a call") };
-        assert_eq!((id, params.allow_ms, params.lanes), (json!("a"), 1500, 2.0));
-        assert_eq!((params.key.as_deref(), &params.body[..]), (Some("k"), &b"hi"[..]));
+        assert_eq!((id, params.allow_ms, params.step.lanes), (json!("a"), 1500, 2.0));
+        assert_eq!((params.key.as_deref(), params.step.body.as_deref()), (Some("k"), Some(&b"hi"[..])));
         let cases = [
             (r#"{"jsonrpc":"2.0","method":"cancel","params":{"id":7}}"#, Request::Cancel(json!(7))),
             (r#"{"jsonrpc":"2.0","method":"cancel"}"#, Request::Nothing),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -73,6 +73,7 @@
 pub mod backend;
 mod brain;
 pub mod bus;
+pub mod chain;
 pub mod client;
 pub mod config;
 pub mod core;
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -1,6 +1,7 @@
 //! The reactor: one poll, all connections, their timers. Connections are objects that it calls back.
 
 use super::{Link, Stream, SystemClock};
+use crate::chain::End;
 use crate::core::{Answer, Core};
 use crate::interface::{Span, Time};
 use mio::net::{TcpListener, TcpStream, UnixListener, UnixStream};
@@ -62,6 +63,10 @@
     fn answer(&mut self, _stream: u64, _answer: &Answer, _link: &mut Link, _hub: &mut Hub) -> Flow {
         Flow::Go
     }
+    /// The one end of a chain that came in here.
+    fn chain_ended(&mut self, _stream: u64, _end: &End, _link: &mut Link, _hub: &mut Hub) -> Flow {
+        Flow::Go
+    }
     /// A job for the worker at the other end.
     fn job(&mut self, _job: crate::backend::Job, _link: &mut Link, _hub: &mut Hub) -> Flow {
         Flow::Go
