Send no chain's step again outside its window, and take chains in the client library

Change: the core tells chains when a step's first attempt went out that may have run; a repeat counts the window from there, and ends with 'unknown' where it has passed or does not cover the step. client::Client takes chains, with a doc example.

--- a/src/client.rs
+++ b/src/client.rs
@@ -2,6 +2,7 @@
 //!
 //! ```
 //! use mintgate::backend::Endpoint;
+//! use mintgate::chain::Step;
 //! use mintgate::client::{Client, Outgoing};
 //! use mintgate::core::Verdict;
 //! use mintgate::{FunctionId, Member, Span, WorkerId, settings};
@@ -39,11 +40,27 @@
 //!     }
 //! };
 //! assert_eq!((answered, answer.verdict), (call, Verdict::Served(b"4 of 5".to_vec())));
+//!
+//! // Two steps under one deadline: the second works on the first one's answer.
+//! let step = |function, body| Step {
+//!     class: "check".to_owned(), function: FunctionId(function), memory_mb: 400.0, lanes: 2.0,
+//!     load_time: None, body,
+//! };
+//! let steps = vec![step(9, Some(b"my exercise".to_vec())), step(10, None)];
+//! let chain = client.chain(Some("one-try".to_owned()), client.now() + Span::millis(3000), steps);
+//! let end = loop {
+//!     client.turn(deadline)?;
+//!     if let Some((_, end)) = client.chain_ends().pop() {
+//!         break end;
+//!     }
+//! };
+//! assert_eq!((end.ran, end.answer.verdict), (2, Verdict::Served(b"4 of 5".to_vec())));
 //! # std::fs::remove_dir_all(&folder)?;
 //! # Ok::<(), std::io::Error>(())
 //! ```
 
 use crate::backend::{Endpoint, Limits, Pool};
+use crate::chain::{Chain, End, Step};
 use crate::core::{Answer, Command, Core, Counters, Incoming, Owner};
 use crate::interface::{FunctionId, ListKind, Member, Span, State, Time};
 use crate::net::{Reactor, SystemClock};
@@ -95,6 +112,7 @@
     /// Makes names of calls unlike those of other clients of the same workers.
     salt: u32,
     answers: Vec<(CallId, Answer)>,
+    ends: Vec<(CallId, End)>,
 }
 
 impl Client {
@@ -103,7 +121,15 @@
         let reactor = Reactor::new(SystemClock::new())?;
         let pool = Pool::new(Limits::of(&site), site.connect_limit, CONNECTIONS);
         let salt = (seed ^ seed >> 32) as u32 ^ std::process::id();
-        Ok(Client { core: Core::new(site, seed), reactor, pool, next: 0, salt, answers: vec![] })
+        Ok(Client {
+            core: Core::new(site, seed),
+            reactor,
+            pool,
+            next: 0,
+            salt,
+            answers: vec![],
+            ends: vec![],
+        })
     }
 
     /// The present time, of which deadlines are points.
@@ -136,16 +162,32 @@
         CallId(self.next)
     }
 
-    /// Nobody waits for this call any more: no answer comes, and workers are told where that helps.
+    /// Takes a chain: its steps run one after another, and [`Client::chain_ends`] has its one end once a turn has
+    /// brought it. The deadline is also the wanted time of the last step's class, if that is earlier.
+    pub fn chain(&mut self, key: Option<String>, deadline: Time, steps: Vec<Step>) -> CallId {
+        self.next += 1;
+        let owner = Owner { connection: 0, stream: self.next };
+        self.core.chain(self.reactor.now(), Chain { owner, key, deadline, steps });
+        self.carry_out();
+        CallId(self.next)
+    }
+
+    /// The chains that have ended since this was asked last.
+    pub fn chain_ends(&mut self) -> Vec<(CallId, End)> {
+        std::mem::take(&mut self.ends)
+    }
+
+    /// Nobody waits for this call or chain any more: no answer comes, and workers are told where that helps.
     pub fn cancel(&mut self, call: CallId) {
         self.core.withdraw(self.reactor.now(), Owner { connection: 0, stream: call.0 });
         self.answers.retain(|(id, _)| *id != call);
+        self.ends.retain(|(id, _)| *id != call);
         self.carry_out();
     }
 
     /// Works until something has happened or `until` has come; the calls that have ended.
     pub fn turn(&mut self, until: Time) -> io::Result<Vec<(CallId, Answer)>> {
-        if self.answers.is_empty() {
+        if self.answers.is_empty() && self.ends.is_empty() {
             let due = self.core.next_due().into_iter().chain([until]).min();
             self.reactor.turn(due, &mut self.core)?;
             self.carry_out();
@@ -163,6 +205,7 @@
         while let Some(command) = self.core.next_command() {
             match command {
                 Command::Answer { owner, answer } => self.answers.push((CallId(owner.stream), answer)),
+                Command::Chain { owner, end } => self.ends.push((CallId(owner.stream), end)),
                 command => self.pool.command(command, &mut self.reactor, &mut self.core),
             }
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -639,7 +639,8 @@
             return self.run_chains(now, all);
         };
         self.counters.withdrawn += 1;
-        self.forget(id);
+        let taken = self.forget(id);
+        self.step_out(now, taken.as_ref());
         self.step(now, Event::ClientGone(id));
     }
 
@@ -892,10 +893,21 @@
         let Some(taken) = self.requests.get(&id) else { return };
         let expired = now + self.site.settings.tick >= taken.deadline;
         if let Some(taken) = self.forget(id) {
+            self.step_out(now, Some(&taken));
             self.answer(taken.owner, Some(&taken.work.class), verdict, expired);
         }
     }
 
+    /// A chain's step has ended unserved: its chain is to know if it may have run.
+    fn step_out(&mut self, now: Time, taken: Option<&Taken>) {
+        let Some(taken) = taken.filter(|taken| taken.owner.connection == chain::STEP) else { return };
+        if let (Effect::Keyed { .. }, Some(key), Some(since)) =
+            (taken.effect, &taken.work.key, taken.first_out)
+        {
+            self.chains.may_have_run(now, key, since);
+        }
+    }
+
     fn answer(&mut self, owner: Owner, class: Option<&str>, verdict: Verdict, expired: bool) {
         if let Some(class) = class {
             self.counters.final_answer(class, &verdict);
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -40,6 +40,8 @@
     pub const CANCELLED: i64 = -32004;
     /// The time that remains does not cover the chain's next step and those after it.
     pub const STOPPED: i64 = -32005;
+    /// The chain's step may have run in an earlier try, and its key no longer allows another.
+    pub const UNKNOWN: i64 = -32006;
 }
 
 /// Requests in one batch.
@@ -262,6 +264,9 @@
                 json!({"cooldown_ms": ms(*cooldown), "left_ms": ms(short.left), "need_ms": ms(short.need)});
             error(id, codes::STOPPED, "the time left does not cover the steps left", Some(data))
         }
+        _ if end.unknown => {
+            error(id, codes::UNKNOWN, "the step may have run, and is not sent again", Some(json!({})))
+        }
         _ => response(id, &end.answer),
     };
     if let Some(error) = reply.get_mut("error") {
