--- a/src/chain/mod.rs
+++ b/src/chain/mod.rs
@@ -517,7 +517,7 @@
                         stream += 1;
                         let owner = Owner { connection: 1, stream };
                         let first = step("check", n % 3, n * 10, Some(b""));
-                        let steps = vec![first, step("credit", 5, 0, None), step("credit", 6, n * 20, None)];
+                        let steps = [first, step("credit", 5, 0, None), step("credit", 6, n * 20, None)];
                         let steps = steps[..1 + pick % 3].to_vec();
                         owed.insert(owner, (steps.clone(), 0));
                         let deadline = now + Span::millis(500 + n * 100);
