--- a/src/brain.rs
+++ b/src/brain.rs
@@ -240,7 +240,7 @@
         if self.due.is_empty() {
             self.due.insert((self.now + HOLD_PACE, Due::Holds));
             self.turned = [self.now; BUCKETS];
-            self.subscribe(out);
+            out.extend((self.settings.discovery == Discovery::OnRequest).then_some(Action::Subscribe));
         }
         match event {
             Event::Members(kind, members) => self.members(kind, members, out),
@@ -249,6 +249,7 @@
             Event::ClientGone(id) => self.client_gone(id, out),
             Event::Loaded(loaded) => self.loaded(loaded, out),
             Event::Probed(worker, status) => self.probed(worker, status, out),
+            Event::Wanted(key, memory_mb) => self.wanted(key, memory_mb, out),
             Event::Wake => self.armed = None,
         }
         while let Some(&(at, due)) = self.due.first().filter(|(at, _)| *at <= self.now) {
@@ -268,13 +269,9 @@
 
     // ---- Events in
 
-    fn subscribe(&mut self, out: &mut Actions) {
-        out.extend((self.settings.discovery == Discovery::OnRequest).then_some(Action::Subscribe));
-    }
-
     fn members(&mut self, kind: ListKind, members: Vec<Member>, out: &mut Actions) {
         if kind == ListKind::Failed {
-            return self.subscribe(out);
+            return out.push(Action::Subscribe);
         }
         self.listed += 1;
         if kind != ListKind::Delta {
@@ -312,14 +309,14 @@
         if class >= self.settings.classes.len() {
             return out.push(Action::Fail { id: call.id });
         }
-        let now = self.now;
         let function = self.functions.entry(call.function).or_default();
         function.memory_mb = call.memory_mb.clamp(0.0, 1e12);
         function.lanes = (call.lanes.clamp(1.0, 64.0) as u32).max(1);
         function.counts[0] += 1;
-        let end = now + call.remaining;
+        let end = self.now + call.remaining;
         let aim = self.settings.classes[class].aim.min(call.remaining);
-        let request = Request { function: call.function, class, came: now, aim, end, ..Request::default() };
+        let request =
+            Request { function: call.function, class, came: self.now, aim, end, ..Request::default() };
         self.requests.insert(call.id, request);
         self.due.insert((end - self.settings.tick, Due::End(call.id)));
         // All workers together are past their limit: the rest is refused at once, before it queues anywhere.
@@ -334,9 +331,8 @@
     /// Nobody waits any more: what is out is called off, so that it takes no place that others want.
     fn client_gone(&mut self, id: RequestId, out: &mut Actions) {
         let attempt = self.requests.remove(&id).and_then(|request| request.out);
-        if let Some(attempt) = attempt.filter(|_| self.settings.limits.may_cancel) {
-            out.push(Action::Cancel { id, attempt });
-        }
+        let attempt = attempt.filter(|_| self.settings.limits.may_cancel);
+        out.extend(attempt.map(|attempt| Action::Cancel { id, attempt }));
     }
 
     // ---- Ranking
@@ -666,9 +662,8 @@
     /// Ends a request unserved, at its end of time or before: refused where proven harmless, else failed.
     fn give_up(&mut self, id: RequestId, out: &mut Actions) {
         let Some(request) = self.requests.remove(&id) else { return };
-        if let Some(attempt) = request.out.filter(|_| self.settings.limits.may_cancel) {
-            out.push(Action::Cancel { id, attempt });
-        }
+        let attempt = request.out.filter(|_| self.settings.limits.may_cancel);
+        out.extend(attempt.map(|attempt| Action::Cancel { id, attempt }));
         let may_have_run = request.ran.is_some() || request.out.is_some();
         let harmless = match self.settings.classes[request.class].effect {
             Effect::Safe => true,
@@ -696,9 +691,8 @@
             request.ran = Some(attempt.place);
         }
         // Where it failed it would most likely fail again, and at once.
-        if matches!(outcome.status, Status::Miss | Status::Error | Status::Full) {
-            request.missed.push(attempt.worker);
-        }
+        let failed = matches!(outcome.status, Status::Miss | Status::Error | Status::Full);
+        request.missed.extend(failed.then_some(attempt.worker));
         let unsafe_ran =
             request.ran.is_some() && self.settings.classes[request.class].effect == Effect::Unsafe;
         if outcome.status == Status::Timeout || now >= request.end || unsafe_ran {
@@ -835,8 +829,7 @@
         let Some(w) = self.workers.get_mut(&worker) else { return };
         w.probed = false;
         if status == Status::Ok {
-            (w.heard, w.unanswered) = (now, 0);
-            return;
+            return (w.heard, w.unanswered) = (now, 0);
         }
         w.unanswered += 1;
         if w.unanswered < SUSPECT.1 {
@@ -886,6 +879,14 @@
         waiting.into_iter().for_each(|id| self.place(id, out));
     }
 
+    /// A call of this function is to come soon: a copy is ordered at its home, if none stands there.
+    fn wanted(&mut self, key: FunctionId, memory_mb: f64, out: &mut Actions) {
+        self.functions.entry(key).or_default().memory_mb = memory_mb;
+        let order = self.hash_order(key);
+        let home = self.healthy(order).first().copied().filter(|w| !self.believed_warm(key, *w, false));
+        home.into_iter().for_each(|home| self.order_load(home, key, out));
+    }
+
     // ---- Holds: gold stands everywhere
 
     fn holds(&mut self, out: &mut Actions) {
@@ -920,9 +921,8 @@
     /// Forgets what has left every window.
     fn prune(&mut self) {
         let span = self.settings.rules.ration.map_or(RATE_SPAN, |r| r.span);
-        let since = self.now - span;
         for times in [&mut self.orders, &mut self.arrivals] {
-            times.retain(|at| *at >= since);
+            times.retain(|at| *at >= self.now - span);
         }
         let full = self.workers.keys().filter(|w| !self.has_room(**w, 0)).count() as f64;
         self.crowding = full / self.workers.len().max(1) as f64;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -560,11 +560,7 @@
         }
         let id = RequestId(self.next_request);
         self.next_request = self.next_request.wrapping_add(1);
-        if now - self.called_since > CALLED.0 || self.called[0].len() >= CALLED.1 {
-            self.called_since = now;
-            self.called = [BTreeSet::new(), std::mem::take(&mut self.called[0])];
-        }
-        self.called[0].insert(call.function);
+        self.note_called(now, call.function);
         self.bodies += call.body.len();
         self.names.insert(call.reference.clone());
         let work = Rc::new(Work {
@@ -595,6 +591,15 @@
         );
     }
 
+    /// A client has named this function.
+    fn note_called(&mut self, now: Time, function: FunctionId) {
+        if now - self.called_since > CALLED.0 || self.called[0].len() >= CALLED.1 {
+            self.called_since = now;
+            self.called = [BTreeSet::new(), std::mem::take(&mut self.called[0])];
+        }
+        self.called[0].insert(function);
+    }
+
     /// A chain has come in whole. Its steps are taken as calls, and one end is owed.
     pub fn chain(&mut self, now: Time, chain: Chain) {
         self.counters.chains += 1;
@@ -617,6 +622,11 @@
             match all.pop_front() {
                 Some(chain::Do::Start(incoming)) => self.call(now, incoming),
                 Some(chain::Do::Withdraw(step)) => self.withdraw(now, step),
+                Some(chain::Do::Want(function, memory_mb)) => {
+                    // A client has named it; whether an order goes out is for the module and the ration to say.
+                    self.note_called(now, function);
+                    self.step(now, Event::Wanted(function, memory_mb));
+                }
                 Some(chain::Do::Finish(owner, end)) => {
                     match (&end.answer.verdict, end.short) {
                         (Verdict::Served(_), _) => self.counters.chains_served += 1,
@@ -682,6 +692,12 @@
         if let Some(bytes) = body
             && let Some(taken) = self.forget(id.request)
         {
+            if taken.owner.connection != chain::STEP
+                && let Some(attempt) = self.attempts.get(&id)
+            {
+                let took = now - attempt.decided;
+                self.chains.note(now, taken.work.function, &taken.work.class, took);
+            }
             self.answer(taken.owner, Some(&taken.work.class), Verdict::Served(bytes), false);
         }
         self.end_attempt(now, id, status);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -420,6 +420,8 @@
     Loaded(Loaded),
     /// A probe has ended: [`Status::Ok`] if the worker answered it.
     Probed(WorkerId, Status),
+    /// A call of this function, with the memory of one copy, is likely to come soon.
+    Wanted(FunctionId, f64),
     /// A time asked for by [`Action::Wake`] has come.
     Wake,
 }
