--- a/lab/src/chains.rs
+++ b/lab/src/chains.rs
@@ -3,7 +3,7 @@
 use crate::fleet::{Job, KEEP, Worker};
 use mintgate::chain::estimate::{Ahead, Estimates};
 use mintgate::chain::{Chain, Step};
-use mintgate::core::{AttemptId, Command, Core, Incoming, Owner, Reply, Standing, Verdict};
+use mintgate::core::{Command, Core, Incoming, Owner, Reply, Standing, Verdict};
 use mintgate::{FunctionId, ListKind, Member, Span, Status, Time, WorkerId, settings};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -75,7 +75,7 @@
     core: Core,
     workers: BTreeMap<WorkerId, Worker>,
     ends: BTreeSet<(Time, u64)>,
-    jobs: BTreeMap<u64, (WorkerId, Job, Option<AttemptId>)>,
+    jobs: BTreeMap<u64, (WorkerId, Job)>,
     next: u64,
     /// Steps served of each chain, when the one that runs was started, and what it was estimated at.
     ran: Vec<usize>,
@@ -157,7 +157,7 @@
                         Job { attempt, function: work.function, work: plan.work[at], load: plan.load[at] };
                     let runs = self.workers.entry(worker).or_default().take(now, job);
                     runs.into_iter().for_each(|(end, job)| self.ends_at(end, worker, job));
-                    self.jobs_of(attempt, at, chain);
+                    self.credits[chain] += u32::from(at == 2);
                 }
                 Command::Halt { attempt, worker } => self.workers.entry(worker).or_default().halt(attempt),
                 Command::Stage { order, worker, function, .. } => {
@@ -193,14 +193,10 @@
         }
     }
 
-    fn jobs_of(&mut self, _attempt: AttemptId, at: usize, chain: usize) {
-        self.credits[chain] += u32::from(at == 2);
-    }
-
     fn ends_at(&mut self, end: Time, worker: WorkerId, job: Job) {
         self.next += 1;
         self.ends.insert((end, self.next));
-        self.jobs.insert(self.next, (worker, job, Some(job.attempt)));
+        self.jobs.insert(self.next, (worker, job));
     }
 
     fn served(&mut self, now: Time, chain: usize, served: bool) {
@@ -239,7 +235,7 @@
                 chain += 1;
             } else if let Some((_, number)) = end.filter(|(at, _)| *at == now) {
                 self.ends.pop_first();
-                let (worker, job, _) = self.jobs.remove(&number).expect("it runs");
+                let (worker, job) = self.jobs.remove(&number).expect("it runs");
                 let next = self.workers.entry(worker).or_default().ended(now);
                 next.into_iter().for_each(|(end, job)| self.ends_at(end, worker, job));
                 self.core.attempt_ended(now, job.attempt, Ok(Reply::Ok(vec![0; 8])));
@@ -330,7 +326,10 @@
     fn a_short_play_repeats_and_answers_each_chain_once() {
         let plans = plans(200, 20.0, 3);
         for way in [Way::Chain, Way::Separate, Way::NoLoads] {
-            assert!(play(&plans, way, 3).answers.iter().all(|answers| *answers == 1));
+            let tally = play(&plans, way, 3);
+            assert!(tally.answers.iter().all(|answers| *answers == 1));
+            // Estimates that cover no chain would stop all of them, and learn nothing.
+            assert!(tally.earned > 150, "{}", tally.earned);
         }
         assert_eq!(report(50, 3, &[10.0]), report(50, 3, &[10.0]));
     }
--- a/tests/chain.rs
+++ b/tests/chain.rs
@@ -163,3 +163,52 @@
     first.answer("404", "");
     assert_eq!(daemon.counter("panics"), 0);
 }
+
+/// SIGTERM in mid-chain: the steps still to come run, and the one answer is given before the end.
+#[test]
+fn a_chain_that_is_under_way_is_finished_at_the_end() {
+    let worker = Worker::agent();
+    let (mut daemon, mut client) = daemon(&worker);
+    client.send(&chain(1, three()).to_string());
+    let mut first = worker.next();
+    daemon.signal("TERM");
+    daemon.wait_log("ending");
+    first.answer("200", "YQ==");
+    worker.serve(echo);
+    assert_eq!(client.next()["result"]["body"], "YQ==");
+    assert!(daemon.ends());
+}
+
+/// A run box is left out between two steps, and comes back: the next step goes elsewhere, under the same deadline.
+#[test]
+fn a_step_goes_elsewhere_when_its_worker_is_left_out_in_between() {
+    let workers = [Worker::agent(), Worker::agent()];
+    let mut settings = settings();
+    for class in settings["classes"].as_array_mut().unwrap() {
+        class["objectiveNs"] = json!(20_000_000_000u64);
+        class["deadlineNs"] = json!(30_000_000_000u64);
+    }
+    let daemon = Daemon::with(&workers.each_ref(), settings, None, |folder| {
+        format!("[jsonrpc]\nsocket = \"{}\"\n", folder.at("calls.sock").display())
+    });
+    let mut client = Rpc::connect(&daemon.folder.at("calls.sock"));
+    // All steps call one function, whose home the first one shows.
+    let one = || step("practice-check", "00000000000000a1", json!({}));
+    client.send(&chain(1, vec![one(), one()]).to_string());
+    let (home, mut heard) = loop {
+        let found = workers.iter().enumerate().find_map(|(n, worker)| Some((n, worker.poll()?)));
+        if let Some(found) = found {
+            break found;
+        }
+    };
+    assert_eq!(daemon.operate("POST", &format!("/api/exclude?name=s-{:08x}", home + 1)).0, 200);
+    heard.answer("200", "YQ==");
+    let mut next = workers[1 - home].next();
+    while next.word() != "go" {
+        next.answer("200", "");
+        next = workers[1 - home].next();
+    }
+    next.answer("200", "Yg==");
+    assert_eq!(client.next()["result"]["body"], "Yg==");
+    assert!(workers[home].quiet());
+}
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -570,3 +570,23 @@
     }
     assert!(to_zone[2] >= 2 && to_zone[2..].iter().sum::<u32>() <= 5, "{to_zone:?}");
 }
+
+/// A function that will be wanted gets one copy at its home, ahead of any call, inside the ration and once.
+#[test]
+fn what_will_be_wanted_is_ordered_at_its_home() {
+    let ration = Some(Ration { free: 2.0, share: 0.0, span: Span::millis(5_000) });
+    let mut settings = settings(OnMiss::Load);
+    settings.rules.ration = ration;
+    let mut rig = Rig::new(settings, 3);
+    let first = loads(&rig.give(Event::Wanted(FunctionId(9), 300.0)));
+    assert_eq!(first.len(), 1);
+    assert!(loads(&rig.give(Event::Wanted(FunctionId(9), 300.0))).is_empty(), "it is under way");
+    rig.stands(first[0].0, 9, Status::Ok);
+    assert!(loads(&rig.give(Event::Wanted(FunctionId(9), 300.0))).is_empty(), "it stands");
+    assert_eq!(sends(&rig.give(Event::Call(call(1, 9, 0)))), [first[0].0], "and is used");
+    assert_eq!(loads(&rig.give(Event::Wanted(FunctionId(10), 300.0))).len(), 1);
+    assert!(loads(&rig.give(Event::Wanted(FunctionId(11), 300.0))).is_empty(), "the ration is spent");
+    let mut drained = Rig::new(common::settings(OnMiss::Load), 1);
+    drained.give(Event::Members(ListKind::Delta, vec![Member { state: State::Draining, ..member(1) }]));
+    assert!(loads(&drained.give(Event::Wanted(FunctionId(9), 300.0))).is_empty(), "not where nothing may go");
+}
