--- a/src/chain/mod.rs
+++ b/src/chain/mod.rs
@@ -114,6 +114,8 @@
 pub struct Machine {
     /// Makes steps' names unlike those of other schedulers.
     salt: u64,
+    /// Chains may take until their clients give up, and not only the wanted time of their last step's class.
+    pub until_given_up: bool,
     open: BTreeMap<u64, Open>,
     next: u64,
     estimates: Estimates,
@@ -154,7 +156,9 @@
                 End { answer, step: 0, ran: 0, unknown: false, short: None },
             )];
         }
-        chain.deadline = chain.deadline.min(now + aim);
+        if !self.until_given_up {
+            chain.deadline = chain.deadline.min(now + aim);
+        }
         let id = self.next;
         self.next += 1;
         self.open.insert(id, Open { chain, step: 0, last: vec![], started: now });
@@ -451,6 +455,13 @@
         }
     }
 
+    #[test]
+    fn an_operator_may_let_chains_take_until_clients_give_up() {
+        let mut machine = Machine { until_given_up: true, ..Machine::default() };
+        let all = machine.begin(NOW, chain(vec![step("credit", 1, 2_000, Some(b""))]), &Site);
+        assert_eq!(started(&all).deadline, NOW + Span::millis(3_000));
+    }
+
     /// The credit step has run and its answer was lost with the chain: a repeat does not run it again.
     #[test]
     fn a_repeat_takes_the_answers_of_finished_steps_inside_their_window() {
--- a/src/config.rs
+++ b/src/config.rs
@@ -267,6 +267,27 @@
     pub checkers: Vec<Checker>,
     /// Which daemon takes new calls on the JSON-RPC front; without it, this one does.
     pub vrrp: Option<Vrrp>,
+    /// How chains are taken.
+    pub chains: Chains,
+}
+
+/// How chains are taken.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Chains {
+    /// How long a chain may take.
+    pub until: Until,
+}
+
+/// How long a chain may take, within its client's own allowance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Until {
+    /// The time wanted for the class of its last step.
+    #[default]
+    Wanted,
+    /// Until the client gives up.
+    GivenUp,
 }
 
 /// The virtual router that this daemon belongs to.
@@ -406,6 +427,7 @@
     fn the_operators_file_is_read_and_its_oddities_named() {
         let whole = include_str!("../deploy/jsonrpc.toml").replace("# [", "[").replace("# id", "id");
         let commented = [
+            "until",
             "socket",
             "zone",
             "kind",
@@ -424,8 +446,12 @@
         let operator = read_operator(&whole).unwrap();
         assert_eq!(operator.jsonrpc.unwrap().mode, 0o660);
         assert_eq!((operator.checkers.len(), operator.vrrp.unwrap().vrid), (1, 7));
+        assert_eq!(operator.chains.until, Until::Wanted);
+        assert_eq!(read_operator("[chains]\nuntil = \"given-up\"").unwrap().chains.until, Until::GivenUp);
         assert!(read_operator("").unwrap().jsonrpc.is_none(), "off where nothing is said");
         let cases = [
+            ("[chains]\nuntil = \"later\"", "until"),
+            ("[chains]\nsteps = 9", "steps"),
             ("[jsonrpc]", "socket"),
             ("[jsonrpc]\nsocket = \"s\"\nmode = \"999\"", "octal"),
             ("[jsonrpc]\nsocket = \"s\"\nmax_line = 1", "max_line"),
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -591,6 +591,11 @@
         );
     }
 
+    /// Chains may take until their clients give up, and not only the wanted time of their last step's class.
+    pub fn chains_until_given_up(&mut self, until_given_up: bool) {
+        self.chains.until_given_up = until_given_up;
+    }
+
     /// A client has named this function.
     fn note_called(&mut self, now: Time, function: FunctionId) {
         if now - self.called_since > CALLED.0 || self.called[0].len() >= CALLED.1 {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -6,7 +6,7 @@
 
 use crate::backend::{self, Pool};
 use crate::bus::{self, BusConnection, Inbox, News};
-use crate::config::{self, Config, Operator, Sources};
+use crate::config::{self, Config, Operator, Sources, Until};
 use crate::core::{Command, Core};
 use crate::front::frames::{self, FrameConnection};
 use crate::front::jsonrpc::RpcConnection;
@@ -142,6 +142,7 @@
         };
         reactor.active = operator.vrrp.is_none();
         let mut core = Core::new(config.site.clone(), config.seed);
+        core.chains_until_given_up(operator.chains.until == Until::GivenUp);
         limit_memory(&config, 1, &mut core, &mut reactor);
         let (limits, connect) = worker_limits(&config);
         let mut pool = Pool::new(limits, connect, config.sockets.saturating_sub(RESERVED));
@@ -439,6 +440,7 @@
         config.site.kinds.clone_from(&self.config.site.kinds);
         let vrrp = self.operator.vrrp.take();
         self.operator = Operator { vrrp, ..operator };
+        self.core.chains_until_given_up(self.operator.chains.until == Until::GivenUp);
         let known = std::mem::take(&mut config.known);
         let moved = config.bus != self.config.bus;
         self.config = config;
