--- a/src/brain.rs
+++ b/src/brain.rs
@@ -560,11 +560,11 @@
         two.get(1).filter(clearly).or(two.first()).copied()
     }
 
-    /// How many ready workers are avoided now by choice.
+    /// How many ready workers are avoided now by choice, and have nothing open of ours.
     pub fn avoided(&self) -> usize {
         let ready = self.workers.values().filter(|w| w.member.state == State::Ready);
-        let ready: Vec<WorkerId> = ready.map(|w| w.member.worker).collect();
-        ready.len() - self.healthy(ready).len()
+        let kept = self.healthy(ready.clone().map(|w| w.member.worker).collect());
+        ready.filter(|w| w.in_flight == 0 && !kept.contains(&w.member.worker)).count()
     }
 
     /// Leaves out the shunned, the dark and those far slower than the rest, unless more than half would be.
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -590,3 +590,17 @@
     drained.give(Event::Members(ListKind::Delta, vec![Member { state: State::Draining, ..member(1) }]));
     assert!(loads(&drained.give(Event::Wanted(FunctionId(9), 300.0))).is_empty(), "not where nothing may go");
 }
+
+/// A worker that is passed by counts as avoided once nothing is open there: until then it is still being used.
+#[test]
+fn a_failing_worker_is_told_as_avoided_once_it_has_nothing_open() {
+    let mut rig = Rig::new(settings(OnMiss::Load), 3);
+    assert_eq!(rig.balancer.avoided(), 0);
+    let home = sends(&rig.give(Event::Call(call(1, 9, 0))))[0];
+    rig.give(Event::Call(call(2, 9, 0)));
+    let open = rig.sent.iter().filter(|(_, _, worker)| *worker == home).count();
+    rig.outcome(RequestId(1), 0, Status::ConnectFailed);
+    assert_eq!(rig.balancer.avoided(), usize::from(open == 1), "lost, and maybe with a call open");
+    rig.outcome(RequestId(2), 0, Status::ConnectFailed);
+    assert!(rig.balancer.avoided() >= 1);
+}
