Say once what was written twice: cooldown, route, ends of chains, environment

Core::advice spelt out Classes::cooldown; the HTTP route named a placeholder call for paths that take none, and matched each path twice; six chains' ends were built by hand (End::at); main.rs read two variables by the same code; both answers of the second front, both sets of a peer's limits and three sums of descriptors were twins; message::LATELY was dead; the lab carried out commands at each turn that only the first can have.

--- a/lab/src/chains.rs
+++ b/lab/src/chains.rs
@@ -145,10 +145,8 @@
                     self.tally.attempts += 1;
                     if self.steps[chain].insert(at) {
                         self.tally.started += 1;
-                        let plan = &self.plans[chain];
-                        let load_time = (self.way != Way::NoLoads).then_some(plan.load[at]);
-                        let (function, class) = (plan.functions[at], CLASSES[at]);
-                        let ahead = Ahead { function, class, aim: WANTED, load_time };
+                        let Step { function, load_time, .. } = self.step(chain, at);
+                        let ahead = Ahead { function, class: CLASSES[at], aim: WANTED, load_time };
                         let need = self.estimates.need(now, &ahead, KEEP);
                         self.begun[chain] = (now, Span(need.load.0 + need.run.0));
                     }
@@ -222,9 +220,9 @@
     fn run(mut self) -> Tally {
         let member = |n| Member { worker: WorkerId(n), weight: 1.0, ..Member::default() };
         self.core.members(START, ListKind::Full, (1..=WORKERS).map(member).collect());
+        self.carry_out(START);
         let mut chain = 0;
         loop {
-            self.carry_out(self.plans[chain.min(self.plans.len() - 1)].at.min(START));
             let arrival = self.plans.get(chain).map(|plan| plan.at);
             let end = self.ends.first().copied();
             let due = self.core.next_due().filter(|_| arrival.is_some() || self.core.owed() > 0);
--- a/src/chain/mod.rs
+++ b/src/chain/mod.rs
@@ -63,6 +63,13 @@
     pub short: Option<Short>,
 }
 
+impl End {
+    /// A chain that stops at this step, which was not served.
+    fn at(step: usize, answer: Answer) -> End {
+        End { answer, step, ran: step, unknown: false, short: None }
+    }
+}
+
 /// What remained, and what would have been needed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Short {
@@ -139,10 +146,7 @@
         let wanted = chain.steps.last().filter(|_| few).and_then(|step| classes.class(&step.class));
         let Some((aim, _)) = wanted else {
             let answer = Answer { verdict: Verdict::Failed, expired: false };
-            return vec![Do::Finish(
-                chain.owner,
-                End { answer, step: 0, ran: 0, unknown: false, short: None },
-            )];
+            return vec![Do::Finish(chain.owner, End::at(0, answer))];
         };
         let twin = |open: &&Open| chain.key.is_some() && open.chain.key == chain.key;
         if let Some(twin) = self.open.values().find(twin) {
@@ -151,10 +155,7 @@
             let verdict =
                 if same { Verdict::Refused { cooldown: classes.cooldown() } } else { Verdict::Failed };
             let answer = Answer { verdict, expired: false };
-            return vec![Do::Finish(
-                chain.owner,
-                End { answer, step: 0, ran: 0, unknown: false, short: None },
-            )];
+            return vec![Do::Finish(chain.owner, End::at(0, answer))];
         }
         if !self.until_given_up {
             chain.deadline = chain.deadline.min(now + aim);
@@ -174,7 +175,7 @@
         let Verdict::Served(body) = answer.verdict else {
             let (step, owner) = (open.step, open.chain.owner);
             self.open.remove(&id);
-            return vec![Do::Finish(owner, End { answer, step, ran: step, unknown: false, short: None })];
+            return vec![Do::Finish(owner, End::at(step, answer))];
         };
         let step = &open.chain.steps[open.step];
         self.estimates.note(now, step.function, &step.class, now - open.started);
@@ -233,10 +234,7 @@
                 let (owner, body) = (chain.owner, std::mem::take(&mut open.last));
                 self.open.remove(&id);
                 let answer = Answer { verdict: Verdict::Served(body), expired: false };
-                return vec![Do::Finish(
-                    owner,
-                    End { answer, step: at - 1, ran: at, unknown: false, short: None },
-                )];
+                return vec![Do::Finish(owner, End { ran: at, ..End::at(at - 1, answer) })];
             };
             let key = step_key(chain, at);
             let kept = self
@@ -262,7 +260,7 @@
                 let owner = chain.owner;
                 self.open.remove(&id);
                 let answer = Answer { verdict: Verdict::Failed, expired: false };
-                let end = End { answer, step: at, ran: at, unknown: true, short: None };
+                let end = End { unknown: true, ..End::at(at, answer) };
                 return vec![Do::Finish(owner, end)];
             }
             let (left, need) = (chain.deadline - now, along(&needs));
@@ -272,8 +270,7 @@
                 // Steps before may have run, and their keys hold: coming back is harmless.
                 let verdict = Verdict::Refused { cooldown: classes.cooldown() };
                 let answer = Answer { verdict, expired: left.0 == 0 };
-                let end =
-                    End { answer, step: at, ran: at, unknown: false, short: Some(Short { left, need }) };
+                let end = End { short: Some(Short { left, need }), ..End::at(at, answer) };
                 // By the time it comes back copies may stand: else a chain that is cold would be so for ever.
                 return std::iter::once(Do::Finish(owner, end)).chain(cold).collect();
             }
--- a/src/config.rs
+++ b/src/config.rs
@@ -135,9 +135,8 @@
 
 /// Reads the configuration; the error names what is missing or odd.
 pub fn read(bytes: &[u8]) -> Result<Config, String> {
-    let text = bytes;
-    let mut whole: Value = serde_json::from_slice(text).map_err(|e| format!("configuration: {e}"))?;
-    let text: Text = serde_json::from_slice(text).map_err(|e| format!("configuration: {e}"))?;
+    let mut whole: Value = serde_json::from_slice(bytes).map_err(|e| format!("configuration: {e}"))?;
+    let text: Text = serde_json::from_slice(bytes).map_err(|e| format!("configuration: {e}"))?;
     whole["known"] = Value::Null;
     let site = read_site(text.settings.to_string().as_bytes())?;
     let mut known = Vec::new();
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,7 +9,7 @@
 pub use counters::Counters;
 
 use crate::brain::Balancer;
-use crate::chain::{self, Chain, End};
+use crate::chain::{self, Chain, Classes, End};
 use crate::handover::message::Known;
 use crate::interface::*;
 use crate::ops::bans::{Bans, Done};
@@ -775,7 +775,7 @@
 
     /// How long a client is told to stay away where the module has not said.
     pub fn advice(&self) -> Span {
-        self.site.settings.limits.retry_after.unwrap_or(Span(0))
+        self.site.cooldown()
     }
 
     /// Counts a call that its front has answered by itself because it could not be taken, under its class
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -145,7 +145,7 @@
         core.chains_until_given_up(operator.chains.until == Until::GivenUp);
         limit_memory(&config, 1, &mut core, &mut reactor);
         let (limits, connect) = worker_limits(&config);
-        let mut pool = Pool::new(limits, connect, config.sockets.saturating_sub(RESERVED));
+        let mut pool = Pool::new(limits, connect, descriptors(&config));
         let mut fixed = Vec::new();
         for (member, path) in operator.members(&config.site) {
             pool.place(member.worker, backend::Endpoint::Checker(path), None);
@@ -601,6 +601,11 @@
     reactor.waiting_limit = memory / 6;
 }
 
+/// Descriptors that connections may take where no other process shares them.
+fn descriptors(config: &Config) -> usize {
+    config.sockets.saturating_sub(RESERVED)
+}
+
 /// What the configuration lets connections to workers take.
 fn worker_limits(config: &Config) -> (backend::Limits, Span) {
     let site = &config.site;
--- a/src/daemon/upgrade.rs
+++ b/src/daemon/upgrade.rs
@@ -1,6 +1,6 @@
 //! Upgrades: what the daemon does as an old and as a new process of its scheduler.
 
-use super::{Daemon, RESERVED, Router, limit_memory, worker_limits};
+use super::{Daemon, RESERVED, Router, descriptors, limit_memory, worker_limits};
 use crate::bus::{self, News};
 use crate::config::{self, Config, Operator, Sources};
 use crate::front::socket::{self, SocketFile};
@@ -61,14 +61,14 @@
     /// Descriptors that connections of this process may take: all but what is reserved, and what another
     /// process of this scheduler holds.
     pub(super) fn descriptors(&self) -> usize {
-        let all = self.config.sockets.saturating_sub(RESERVED);
+        let all = descriptors(&self.config);
         self.upgrade.as_ref().and_then(|upgrade| upgrade.cap).unwrap_or(all)
     }
 
     /// So many processes share the limits now. The older one gives back what lies idle and keeps what it has;
     /// the younger one may take the rest.
     fn share(&mut self, share: usize) {
-        let all = self.config.sockets.saturating_sub(RESERVED);
+        let all = descriptors(&self.config);
         let Some(upgrade) = &mut self.upgrade else { return };
         let held = std::mem::take(&mut upgrade.held);
         upgrade.share = share;
@@ -103,8 +103,13 @@
                 continue;
             }
             let connection = Box::new(PeerConnection::new(upgrade.mailbox.clone(), false));
-            let limits = (message::LONGEST + 4, usize::MAX);
-            upgrade.peers.extend(self.reactor.add(stream, connection, true, limits, &mut self.core));
+            upgrade.peers.extend(self.reactor.add(
+                stream,
+                connection,
+                true,
+                handover::LIMITS,
+                &mut self.core,
+            ));
         }
     }
 
@@ -135,8 +140,7 @@
                     Err(_) => return Some(handover::Event::Nobody),
                 };
                 let connection = Box::new(PeerConnection::new(upgrade.mailbox.clone(), true));
-                let limits = (message::LONGEST + 4, usize::MAX);
-                let met = self.reactor.add(stream, connection, false, limits, &mut self.core);
+                let met = self.reactor.add(stream, connection, false, handover::LIMITS, &mut self.core);
                 return met.is_none().then_some(handover::Event::Unmet);
             }
             Do::Say(peer, message) => self.say(peer, &message),
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -449,6 +449,15 @@
         );
     }
 
+    /// A call or a chain has ended; whoever withdrew it is owed nothing.
+    fn over(&mut self, stream: u64, reply: impl Fn(&Value) -> Value, link: &mut Link, hub: &Hub) -> Flow {
+        if let Some(open) = self.open.remove(&stream) {
+            self.last = hub.now;
+            self.say(open.batch, reply(&open.id), link);
+        }
+        Flow::Go
+    }
+
     fn lines(&mut self, link: &mut Link, hub: &mut Hub) {
         // A client that does not read its answers is not read from either: see `flushed`.
         while link.waiting() <= OUTBOX {
@@ -552,19 +561,11 @@
     }
 
     fn answer(&mut self, stream: u64, answer: &Answer, link: &mut Link, hub: &mut Hub) -> Flow {
-        if let Some(open) = self.open.remove(&stream) {
-            self.last = hub.now;
-            self.say(open.batch, response(&open.id, answer), link);
-        }
-        Flow::Go
+        self.over(stream, |id| response(id, answer), link, hub)
     }
 
     fn chain_ended(&mut self, stream: u64, end: &End, link: &mut Link, hub: &mut Hub) -> Flow {
-        if let Some(open) = self.open.remove(&stream) {
-            self.last = hub.now;
-            self.say(open.batch, chain_response(&open.id, end), link);
-        }
-        Flow::Go
+        self.over(stream, |id| chain_response(id, end), link, hub)
     }
 
     fn idle(&self) -> Option<Time> {
--- a/src/handover/message.rs
+++ b/src/handover/message.rs
@@ -1,6 +1,6 @@
 //! What an old and a new process say to each other: a length, and a message of JSON that names its version.
 
-use crate::interface::{CellId, KindId, Member, Span, State, Time, WorkerId, ZoneId};
+use crate::interface::{CellId, KindId, Member, State, Time, WorkerId, ZoneId};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -127,9 +127,6 @@
     Ok(Some((message, 4 + length)))
 }
 
-/// A span in which what was ordered and taken still counts for the other.
-pub const LATELY: Span = Span::millis(60_000);
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -7,13 +7,15 @@
 
 use crate::interface::{Span, Time};
 use crate::net::{Connection, Flow, Hub, Link};
-use message::{Known, Message, VERSION};
+use message::{Known, LONGEST, Message, VERSION};
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::rc::Rc;
 
 /// The new one has met the old one by then, or it fails: the platform waits 6 s for its yes.
 pub const MEET: Span = Span::millis(4_000);
+/// Buffers of a peer's connection: a message, and all that waits to be said.
+pub const LIMITS: (usize, usize) = (LONGEST + 4, usize::MAX);
 /// Pause before the new one tries to meet again.
 const AGAIN: Span = Span::millis(50);
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,6 +4,7 @@
 use mintgate::config::Sources;
 use mintgate::daemon;
 use std::process::ExitCode;
+use std::str::FromStr;
 
 fn main() -> ExitCode {
     match start() {
@@ -22,20 +23,19 @@
         _ => return Err("usage: mintgate [--operator FILE]".to_owned()),
     };
     let config = std::env::var_os("GW_CONFIG").ok_or("GW_CONFIG names no configuration")?.into();
-    let mgmt = match std::env::var("GW_MGMT") {
-        Ok(text) if !text.is_empty() => {
-            Some(text.parse().map_err(|_| format!("GW_MGMT is '{text}', no address"))?)
-        }
-        _ => None,
-    };
-    let passed = match std::env::var("GW_PASSED_SOCKET") {
-        Ok(text) if !text.is_empty() => {
-            Some(text.parse().map_err(|_| format!("GW_PASSED_SOCKET is '{text}', no number"))?)
-        }
-        _ => None,
-    };
+    let (mgmt, passed) = (told("GW_MGMT", "address")?, told("GW_PASSED_SOCKET", "number")?);
     let sources = Sources { config, operator, mgmt, passed };
     let name = std::env::var("GW_NAME").unwrap_or_default();
     let (config, operator) = daemon::fall_back(&sources, &name)?;
     daemon::run(config, operator, sources).map_err(|e| format!("cannot serve: {e}"))
 }
+
+/// What the environment says under this name, if anything.
+fn told<T: FromStr>(name: &str, what: &str) -> Result<Option<T>, String> {
+    match std::env::var(name) {
+        Ok(text) if !text.is_empty() => {
+            text.parse().map(Some).map_err(|_| format!("{name} is '{text}', no {what}"))
+        }
+        _ => Ok(None),
+    }
+}
--- a/src/ops/http.rs
+++ b/src/ops/http.rs
@@ -55,25 +55,24 @@
 }
 
 fn route(method: &str, target: &str) -> Result<Call, No> {
-    let (path, query) = target.split_once('?').map_or((target, None), |(path, query)| (path, Some(query)));
-    let (wanted, call): (&str, fn(WorkerId) -> Call) = match path {
-        "/api/ready" | "/api/telemetry" => ("GET", Call::Include),
-        "/api/exclude" => ("POST", Call::Exclude),
-        "/api/include" => ("POST", Call::Include),
-        _ => return Err(No(404, "no such path")),
-    };
-    if method != wanted {
-        return Err(No(405, if wanted == "GET" { "GET is meant" } else { "POST is meant" }));
-    }
-    match path {
-        "/api/ready" => return Ok(Call::Ready),
-        "/api/telemetry" => return Ok(Call::Figures),
-        _ => {}
+    let (path, query) = target.split_once('?').unwrap_or((target, ""));
+    match (method, path) {
+        ("GET", "/api/ready") => Ok(Call::Ready),
+        ("GET", "/api/telemetry") => Ok(Call::Figures),
+        ("POST", "/api/exclude") => read_name(query).map(Call::Exclude),
+        ("POST", "/api/include") => read_name(query).map(Call::Include),
+        (_, "/api/ready" | "/api/telemetry") => Err(No(405, "GET is meant")),
+        (_, "/api/exclude" | "/api/include") => Err(No(405, "POST is meant")),
+        _ => Err(No(404, "no such path")),
     }
-    let names: Vec<&str> = query.unwrap_or("").split('&').filter_map(|p| p.strip_prefix("name=")).collect();
+}
+
+/// The one worker that a query names.
+fn read_name(query: &str) -> Result<WorkerId, No> {
+    let names: Vec<&str> = query.split('&').filter_map(|part| part.strip_prefix("name=")).collect();
     match names.as_slice() {
         [] => Err(No(400, "name= is missing")),
-        [name] => read_worker(name).map(call).ok_or(No(400, "name= is no id of a node agent")),
+        [name] => read_worker(name).ok_or(No(400, "name= is no id of a node agent")),
         _ => Err(No(400, "name= stands twice")),
     }
 }
