--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -232,7 +232,15 @@
                     link.put(&self.codec.stage(&Self::order_name(order), function, copies));
                     self.writing = Some(Open::Order(order));
                 }
-                Job::Probe { probe, .. } => link.put(&self.codec.probe(&Self::probe_name(probe))),
+                Job::Probe { probe, .. } => {
+                    if !hub.core.may_write_probe(hub.clock.now(), probe) {
+                        self.open.remove(&Self::probe_name(probe));
+                        self.probe_by = self.probe_by.filter(|(_, waited)| *waited != probe);
+                        hub.core.probe_held(hub.now, probe);
+                        continue;
+                    }
+                    link.put(&self.codec.probe(&Self::probe_name(probe)));
+                }
                 Job::Purge { function } => link.put(&self.codec.purge(function)),
             }
             match link.flush() {
--- a/src/bin/mintgate-simhost/codec.rs
+++ b/src/bin/mintgate-simhost/codec.rs
@@ -347,7 +347,7 @@
             Action::Unload { worker, function } => {
                 self.record(11, instance, &[&worker_bytes(worker), &function.0.to_be_bytes()]);
             }
-            Action::Probe { worker } => self.record(6, instance, &[&worker_bytes(worker)]),
+            Action::Probe { worker, .. } => self.record(6, instance, &[&worker_bytes(worker)]),
             Action::Wake { after } => {
                 self.record(13, instance, &[&after.0.to_be_bytes(), &[0; 4]]);
             }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -19,8 +19,6 @@
 const GOLD_TURNS: u8 = 2;
 /// Calls a window below which a function is bronze (design page).
 const BRONZE_CALLS: u32 = 2;
-/// Time after its promotion from which gold is trusted to stand on workers that others hold for it.
-const GOLD_TRUST: Span = Span::millis(6000);
 /// How often holds are looked at: short against any keep-alive.
 const HOLD_PACE: Span = Span::millis(200);
 /// Part of the keep-alive that is left when a hold renews: room for a lost order and its repeat.
@@ -33,8 +31,9 @@
 const LOAD_PATIENCE: Span = Span::millis(3000);
 /// Pause before a call that found no way is placed again.
 const RETRY: Span = Span::millis(40);
-/// Silence with three calls out, longer with fewer, until a probe; unanswered ones until a worker is lost.
-const SUSPECT: (Span, u32) = (Span::millis(800), 2);
+/// Silence with three calls out, longer with fewer, until a probe; unanswered ones until a worker is lost;
+/// silence until one in our part of the fleet's probes is probed.
+const SUSPECT: (Span, u32, Span) = (Span::millis(800), 2, Span::millis(1000));
 /// How long calls are out, and how many in a zone of which nothing is heard since, that make it dark.
 const DARK: (Span, usize, u32) = (Span::millis(400), 2, 2);
 /// Calls that break within this time broke with one connection; so many in a row make a worker lost.
@@ -47,14 +46,12 @@
 const FULL_PAUSE: Span = Span::millis(150);
 /// Part used of a cold worker's budget, which is worded in capacity: usual traffic is half of that.
 const COLD_PART: f64 = 1.4;
-/// Weight of a new latency in slowness and strain; bounds of slowness; multiple of its mean that is left out.
-const SLOW_GAIN: f64 = 0.15;
+/// Weights of a new latency in slowness and strain, and in a class's usual one; bounds of slowness; the
+/// multiple of its mean that is left out; the time in which unrefreshed slowness halves.
+const SLOW_GAIN: (f64, f64) = (0.15, 0.02);
 const SLOW_RANGE: (f64, f64) = (0.5, 12.0);
 const SLOW_LEFT: f64 = 2.0;
-/// Time in which unrefreshed slowness halves.
 const SLOW_HALF: Span = Span::millis(4000);
-/// Weight of a new latency in a class's usual one.
-const CLASS_GAIN: f64 = 0.02;
 const RATE_SPAN: Span = Span::millis(5000);
 /// In-flight calls that crossing a zone weighs as, times its price as a part of one.
 const CROSS_WEIGHT: f64 = 10.0;
@@ -79,8 +76,8 @@
 const NEAR: usize = 12;
 /// Lanes wanted for each call at a time, for bursts: with room everywhere, and with none.
 const BURST_ROOM: (f64, f64) = (1.5, 0.7);
-/// Weight of an attempt in our strain over all workers, and the strain from which calls are shed.
-const FELT: (f64, f64) = (0.1, 0.5);
+/// Weight of an attempt in our strain over all workers.
+const FELT: f64 = 0.1;
 /// Part of the workers without room from which calls are shed.
 const CROWDED: f64 = 0.5;
 /// A keyed repeat must arrive this long before the group forgets.
@@ -95,7 +92,6 @@
     counts: [u32; BUCKETS],
     gold: bool,
     turns: u8,
-    since: Time,
     order: Vec<WorkerId>,
     listed: u64,
 }
@@ -152,7 +148,6 @@
     slow_at: Time,
     failures: u32,
     shun_until: Time,
-    crammed_until: Time,
     /// While it is cold: calls that may go there now, filling with its capacity, and when last looked at.
     tokens: (f64, Time),
     strain: f64,
@@ -199,6 +194,7 @@
     listed: u64,
     /// The part of the workers that have no room, as last looked at.
     crowding: f64,
+    shares: Shares,
 }
 
 impl Balancer {
@@ -223,6 +219,7 @@
             turned: [Time(0); BUCKETS],
             listed: 0,
             crowding: 0.0,
+            shares: Shares::default(),
         }
     }
 
@@ -250,6 +247,7 @@
             Event::Loaded(loaded) => self.loaded(loaded, out),
             Event::Probed(worker, status) => self.probed(worker, status, out),
             Event::Wanted(key, memory_mb) => self.wanted(key, memory_mb, out),
+            Event::Shares(shares) => self.shares = shares,
             Event::Wake => self.armed = None,
         }
         while let Some(&(at, due)) = self.due.first().filter(|(at, _)| *at <= self.now) {
@@ -319,12 +317,6 @@
             Request { function: call.function, class, came: self.now, aim, end, ..Request::default() };
         self.requests.insert(call.id, request);
         self.due.insert((end - self.settings.tick, Due::End(call.id)));
-        // All workers together are past their limit: the rest is refused at once, before it queues anywhere.
-        let over = (self.strain - FELT.1) / (1.0 - FELT.1);
-        let shed = if self.worthy(class) { over * 2.0 - 1.0 } else { over };
-        if f64::from(self.rng.next_u32()) / f64::from(u32::MAX) < shed {
-            return self.give_up(call.id, out);
-        }
         self.place(call.id, out);
     }
 
@@ -361,7 +353,7 @@
         for (id, function) in &mut self.functions {
             function.turns = if top.contains(id) == function.gold { 0 } else { function.turns + 1 };
             if function.turns >= GOLD_TURNS {
-                (function.gold, function.turns, function.since) = (!function.gold, 0, now);
+                (function.gold, function.turns) = (!function.gold, 0);
             }
             function.counts.rotate_right(1);
             function.counts[0] = 0;
@@ -410,13 +402,11 @@
         }
         let (key, class, missed) = (request.function, request.class, request.missed.clone());
         let Some(function) = self.functions.get(&key) else { return self.give_up(id, out) };
-        let (lanes, trust) = (function.lanes, function.gold && self.now - function.since > GOLD_TRUST);
+        let lanes = function.lanes;
         let copies = self.wanted_copies(key, class);
-        let near = if trust { usize::MAX } else { copies * 2 + NEAR };
         let able = self.hash_order(key).into_iter().filter(|w| self.may_send(id, *w));
-        let order = self.healthy(able.take(near).collect());
+        let order = self.healthy(able.take(copies * 2 + NEAR).collect());
         let open = |w: &WorkerId| self.has_room(*w, class);
-        let crammed = |w: &WorkerId| self.workers[w].crammed_until > self.now;
         if !order.iter().any(open) {
             return self.hold_back(id, out);
         }
@@ -424,7 +414,7 @@
         // Where a call loads what it lacks, the first in hash order stand for all front ends, or soon will.
         let common = if self.settings.loading.on_miss == OnMiss::Load { copies.min(order.len()) } else { 0 };
         let assumed = &order[..common];
-        let stands = |w: &WorkerId| self.believed_warm(key, *w, trust);
+        let stands = |w: &WorkerId| self.believed_warm(key, *w);
         let assume = |w: &WorkerId| assumed.contains(w) && !self.lately_missed(key, *w);
         let warm: Vec<WorkerId> =
             order.iter().copied().filter(|w| !missed.contains(w) && (stands(w) || assume(w))).collect();
@@ -432,7 +422,7 @@
         if self.bronze(key)
             && let Some(home) = warm.iter().filter(|w| open(w)).find(free)
         {
-            return self.send(id, *home, self.believed_warm(key, *home, trust), out);
+            return self.send(id, *home, self.believed_warm(key, *home), out);
         }
         let room: Vec<WorkerId> = warm.iter().copied().filter(open).collect();
         if let Some(best) = self.least_busy(key, &room, salt).or(warm.first().copied()) {
@@ -452,7 +442,7 @@
         // None stands, as far as is known.
         if self.settings.loading.on_miss == OnMiss::Load {
             let lane_free = order.iter().copied().filter(|w| self.lanes_taken(key, *w) < lanes);
-            let fresh = lane_free.clone().filter(|w| !missed.contains(w) && !crammed(w));
+            let fresh = lane_free.clone().filter(|w| !missed.contains(w));
             let homes: Vec<WorkerId> = fresh.chain(lane_free).take(2).filter(open).collect();
             let Some(home) = self.less_busy(&homes) else { return self.hold_back(id, out) };
             return self.send(id, home, false, out);
@@ -503,7 +493,7 @@
         self.workers.get(&worker).is_some_and(|w| f64::from(w.in_flight) + 1.0 <= (w.limit * more).max(1.0))
     }
 
-    /// Whether a class is worth clearly more than another for its work: it is given more room and shed last.
+    /// Whether a class is worth clearly more than another for its work: it is given more room.
     fn worthy(&self, class: usize) -> bool {
         let worth = |c: usize| self.settings.classes[c].worth / self.usual[c].max(0.001);
         (0..self.usual.len()).any(|other| worth(class) > worth(other) * WORTHY)
@@ -518,9 +508,9 @@
         self.workers.get(&worker)?.pairs.get(&key)
     }
 
-    fn believed_warm(&self, key: FunctionId, worker: WorkerId, trust: bool) -> bool {
+    fn believed_warm(&self, key: FunctionId, worker: WorkerId) -> bool {
         let told = self.pair(key, worker).is_some_and(|p| p.warm_until > self.now || p.in_flight > 0);
-        (told || trust && self.cold_age(worker).is_none()) && !self.lately_missed(key, worker)
+        told && !self.lately_missed(key, worker)
     }
 
     fn lately_missed(&self, key: FunctionId, worker: WorkerId) -> bool {
@@ -721,7 +711,7 @@
             Status::Full | Status::Timeout => 1.0,
             _ => self.strain,
         };
-        self.strain += (took - self.strain) * FELT.0;
+        self.strain += (took - self.strain) * FELT;
         // What fails at once looks idle and draws ever more. Where no copy stood, a load may have failed.
         if attempt.warm && matches!(outcome.status, Status::Ok | Status::Error) {
             let failed = if outcome.status == Status::Error { 1.0 } else { 0.0 };
@@ -739,9 +729,9 @@
                 let usual = &mut self.usual[attempt.class];
                 let latency = outcome.latency.secs();
                 if attempt.warm {
-                    w.feel(now, latency / *usual, SLOW_GAIN);
-                    *usual += (latency - *usual) * CLASS_GAIN;
-                    w.strain += (took - w.strain) * SLOW_GAIN;
+                    w.feel(now, latency / *usual, SLOW_GAIN.0);
+                    *usual += (latency - *usual) * SLOW_GAIN.1;
+                    w.strain += (took - w.strain) * SLOW_GAIN.0;
                     // The mean lags behind: what is quick again is no sign of too much.
                     if w.strain > STRAIN && took > STRAIN {
                         w.cut(now);
@@ -751,10 +741,8 @@
                 }
             }
             Status::Miss => (pair.missed, pair.warm_until) = (Some(now), Time(0)),
-            // No room for a copy, or too many loads, also where one has gone unseen: it has room for calls.
-            Status::Full if !attempt.warm || w.strain < STRAIN => {
-                (w.crammed_until, pair.warm_until) = (now + FULL_PAUSE, Time(0));
-            }
+            // No room for a copy, or too many loads: it has room for calls.
+            Status::Full if !attempt.warm || w.strain < STRAIN => pair.warm_until = Time(0),
             Status::Full => {
                 w.shun_until = w.shun_until.max(now + FULL_PAUSE);
                 w.cut(now);
@@ -774,7 +762,7 @@
             Status::Timeout | Status::Cancelled => {
                 let ratio = outcome.latency.secs() / self.usual[attempt.class];
                 if ratio > w.slowness(now) {
-                    w.feel(now, ratio, SLOW_GAIN);
+                    w.feel(now, ratio, SLOW_GAIN.0);
                 }
             }
             Status::Error | Status::Moot => {}
@@ -795,7 +783,19 @@
             let silent = now - attempt.place.since.max(w.heard) >= patience;
             if limits.may_probe && limits.may_cancel && silent && !w.probed {
                 w.probed = true;
-                out.push(Action::Probe { worker: attempt.worker });
+                out.push(Action::Probe { worker: attempt.worker, part: None });
+            }
+        }
+    }
+
+    /// Asks the workers of our parts, for all of the fleet, whether they live.
+    fn watch(&mut self, out: &mut Actions) {
+        let (now, shares) = (self.now, &self.shares);
+        for (id, w) in self.workers.iter_mut().filter(|(_, w)| !w.probed && now - w.heard >= SUSPECT.2) {
+            let part = (mix(id.0) % u64::from(shares.parts.max(1))) as u16;
+            if shares.own.contains(&(Task::Probe, part)) {
+                w.probed = true;
+                out.push(Action::Probe { worker: *id, part: Some(part) });
             }
         }
     }
@@ -831,7 +831,7 @@
         if status == Status::Ok {
             return (w.heard, w.unanswered) = (now, 0);
         }
-        w.unanswered += 1;
+        w.unanswered += u32::from(status != Status::Moot);
         if w.unanswered < SUSPECT.1 {
             return;
         }
@@ -883,7 +883,7 @@
     fn wanted(&mut self, key: FunctionId, memory_mb: f64, out: &mut Actions) {
         self.functions.entry(key).or_default().memory_mb = memory_mb;
         let order = self.hash_order(key);
-        let home = self.healthy(order).first().copied().filter(|w| !self.believed_warm(key, *w, false));
+        let home = self.healthy(order).first().copied().filter(|w| !self.believed_warm(key, *w));
         home.into_iter().for_each(|home| self.order_load(home, key, out));
     }
 
@@ -894,6 +894,7 @@
         self.prune();
         self.rerank();
         self.suspect(out);
+        self.watch(out);
         self.darken();
         let fleet = u64::from(self.settings.fleet_size.max(1));
         let lead = self.settings.loading.keep.times(RENEW_AT);
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -79,6 +79,8 @@
     probes,
     /// Those that were not answered in time.
     probes_unanswered,
+    /// Those for all of the fleet whose lease had ended when they were about to be written.
+    probes_held,
     /// Pieces of news of the list of workers.
     list_events,
     /// Connections accepted from clients.
@@ -95,6 +97,8 @@
     panics,
     /// VRRP advertisements dropped as malformed.
     vrrp_dropped,
+    /// Datagrams of the fleet dropped as malformed, of another version or of another fleet.
+    fleet_dropped,
     /// Files taken at SIGHUP.
     conf_loaded,
     /// Files turned down at SIGHUP.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -10,6 +10,7 @@
 
 use crate::brain::Balancer;
 use crate::chain::{self, Chain, Classes, End};
+use crate::fleet::lease::Hold;
 use crate::handover::message::Known;
 use crate::interface::*;
 use crate::ops::bans::{Bans, Done};
@@ -32,6 +33,8 @@
 /// Functions remembered as called: those of the present span, up to a number, and of the one before. Clients may
 /// name ever new ones, and only orders for what is called are of use.
 const CALLED: (Span, usize) = (Span::millis(60_000), 1 << 14);
+/// What is done under a lease is written this long before the lease ends, by a clock read just before.
+const LEASE_MARGIN: Span = Span::millis(20);
 /// A keyed repeat must be written this long before its group forgets.
 const KEY_MARGIN: Span = Span::millis(50);
 
@@ -272,6 +275,13 @@
     decided: Time,
 }
 
+struct Probe {
+    worker: WorkerId,
+    deadline: Time,
+    /// Under this lease, and for all of the fleet.
+    part: Option<u16>,
+}
+
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Wake,
@@ -317,11 +327,14 @@
     names: HashSet<String>,
     attempts: BTreeMap<AttemptId, Attempt>,
     orders: BTreeMap<OrderId, Order>,
-    probes: BTreeMap<ProbeId, (WorkerId, Time)>,
+    probes: BTreeMap<ProbeId, Probe>,
     /// What the list tells of each worker on it.
     told: BTreeMap<WorkerId, Member>,
     /// Who is out by hand whatever the list tells.
     bans: Bans,
+    /// Parts of tasks into which the fleet's are cut, and those that this process holds.
+    parts: u16,
+    held: BTreeMap<(Task, u16), Hold>,
     chains: chain::Machine,
     /// Final answers of chains' steps, which go to the chains; whether those are at work on them.
     step_answers: VecDeque<(Owner, Answer)>,
@@ -357,6 +370,8 @@
             probes: BTreeMap::new(),
             told: BTreeMap::new(),
             bans: Bans::default(),
+            parts: 0,
+            held: BTreeMap::new(),
             chains: chain::Machine::new(seed),
             step_answers: VecDeque::new(),
             in_chains: false,
@@ -746,6 +761,30 @@
         self.settle(now);
     }
 
+    /// A probe that never left, for a reason of our own; see [`Core::attempt_held`].
+    pub fn probe_held(&mut self, now: Time, id: ProbeId) {
+        self.end_probe(id, Status::Moot);
+        self.settle(now);
+    }
+
+    /// This process is one of a fleet whose tasks are cut into so many parts.
+    pub fn join_fleet(&mut self, now: Time, parts: u16) {
+        self.parts = parts;
+        self.step(now, Event::Shares(Shares { parts, own: BTreeSet::new() }));
+    }
+
+    /// A part of one of the fleet's tasks is this process's from now on, until then, or no longer.
+    pub fn hold(&mut self, now: Time, task: Task, part: u16, hold: Option<Hold>) {
+        let had = match hold {
+            Some(hold) => self.held.insert((task, part), hold),
+            None => self.held.remove(&(task, part)),
+        };
+        if had.is_some() != hold.is_some() {
+            let own = self.held.keys().copied().collect();
+            self.step(now, Event::Shares(Shares { parts: self.parts, own }));
+        }
+    }
+
     /// The time told by [`Core::next_due`] has come.
     pub fn wake(&mut self, now: Time) {
         while let Some(&(at, due)) = self.due.first().filter(|(at, _)| *at <= now) {
@@ -832,6 +871,17 @@
         true
     }
 
+    /// Whether a probe may still go out: one for all of the fleet only under its lease. The time is read for this
+    /// question alone.
+    pub fn may_write_probe(&self, now: Time, id: ProbeId) -> bool {
+        let Some(probe) = self.probes.get(&id) else { return false };
+        probe.part.is_none_or(|part| self.holds(now, Task::Probe, part))
+    }
+
+    fn holds(&self, now: Time, task: Task, part: u16) -> bool {
+        self.held.get(&(task, part)).is_some_and(|hold| now + LEASE_MARGIN < hold.until)
+    }
+
     /// An event of the bus counts as told from the moment it is in the bus, which may be long before it was
     /// heard here. So nothing that still waits is written once a drain is known, whatever grace there is.
     fn open_to_work(&self, worker: WorkerId) -> bool {
@@ -892,11 +942,11 @@
                 self.due.insert((now + self.site.load_wait, Due::Order(order)));
                 self.commands.push_back(Command::Stage { order, worker, function, copies });
             }
-            Action::Probe { worker } => {
+            Action::Probe { worker, part } => {
                 let probe = ProbeId(self.next_order);
                 self.next_order += 1;
                 let deadline = now + PROBE_LIMIT;
-                self.probes.insert(probe, (worker, deadline));
+                self.probes.insert(probe, Probe { worker, deadline, part });
                 self.due.insert((deadline, Due::Probe(probe)));
                 self.counters.probes += 1;
                 self.commands.push_back(Command::Probe { probe, worker, deadline });
@@ -971,12 +1021,14 @@
     }
 
     fn end_probe(&mut self, id: ProbeId, status: Status) {
-        let Some((worker, deadline)) = self.probes.remove(&id) else { return };
-        self.due.remove(&(deadline, Due::Probe(id)));
-        if status != Status::Ok {
-            self.counters.probes_unanswered += 1;
+        let Some(probe) = self.probes.remove(&id) else { return };
+        self.due.remove(&(probe.deadline, Due::Probe(id)));
+        match status {
+            Status::Ok => {}
+            Status::Moot => self.counters.probes_held += 1,
+            _ => self.counters.probes_unanswered += 1,
         }
-        self.backlog.push_back(Event::Probed(worker, status));
+        self.backlog.push_back(Event::Probed(probe.worker, status));
     }
 
     fn end_order(&mut self, now: Time, id: OrderId, standing: Standing) {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,5 +1,6 @@
 //! The daemon: the core with its fronts, back ends, bus, clock and signals round it.
 
+mod fleet;
 mod upgrade;
 
 pub use upgrade::fall_back;
@@ -90,6 +91,7 @@
     rpc: Option<(usize, SocketFile)>,
     rpc_clients: BTreeSet<u64>,
     router: Option<Router>,
+    fleet: Option<fleet::Member>,
     /// The pipes of the signals: to end, to print counters, and to read the files anew.
     pipes: (usize, usize, usize),
     /// Since when the daemon is on its way out.
@@ -104,7 +106,11 @@
 
 impl Daemon {
     fn new(mut config: Config, operator: Operator, sources: Sources) -> io::Result<Daemon> {
-        let mut reactor = Reactor::new(SystemClock::new())?;
+        let clock = match operator.fleet {
+            None => SystemClock::new(),
+            Some(_) => SystemClock::counting_sleep(),
+        };
+        let mut reactor = Reactor::new(clock)?;
         let end = signal_pipe(&[SIGTERM, SIGINT])?;
         let print = signal_pipe(&[SIGUSR1])?;
         let reload = signal_pipe(&[SIGHUP])?;
@@ -140,6 +146,10 @@
             None => None,
             Some(setting) => Some(Router::new(setting, &mut reactor)?),
         };
+        let fleet = match operator.fleet.as_ref().filter(|_| upgrade.is_none()) {
+            None => None,
+            Some(setting) => Some(fleet::Member::new(setting, &config, &mut reactor)?),
+        };
         reactor.active = operator.vrrp.is_none();
         let mut core = Core::new(config.site.clone(), config.seed);
         core.chains_until_given_up(operator.chains.until == Until::GivenUp);
@@ -172,6 +182,7 @@
             rpc,
             rpc_clients: BTreeSet::new(),
             router,
+            fleet,
             pipes,
             ending: None,
             told_late: false,
@@ -197,7 +208,8 @@
             let met = self.upgrade.as_ref().and_then(|upgrade| upgrade.machine.due());
             let router = self.router.as_ref().and_then(|router| router.machine.due());
             let until = self.core.next_due().into_iter().chain(self.bus_again);
-            let until = until.chain(self.next_step()).chain(router).chain(met).min();
+            let fleet = self.fleet.as_ref().and_then(|fleet| fleet.machine.due());
+            let until = until.chain(self.next_step()).chain(router).chain(met).chain(fleet).min();
             for signal in self.reactor.turn(until, &mut self.core)? {
                 match signal {
                     Signal::Client(listener) if self.mgmt == Some(listener) => self.accept_callers(listener),
@@ -207,10 +219,12 @@
                     Signal::Pipe(pipe) if pipe == self.pipes.0 => self.begin_end(),
                     Signal::Pipe(pipe) if pipe == self.pipes.1 => self.print(),
                     Signal::Pipe(_) => self.reload(),
+                    Signal::Datagram(socket) if self.is_fleet(socket) => self.hear_fleet(),
                     Signal::Datagram(socket) => self.hear(socket),
                 }
             }
             self.vrrp(Event::Timer);
+            self.fleet(crate::fleet::Event::Timer);
             self.upgrade(handover::Event::Timer);
             self.settle();
             if let Some(why) = self.upgrade.as_ref().and_then(|upgrade| upgrade.failed) {
@@ -228,6 +242,7 @@
     fn open(&mut self) {
         self.reactor.ready = true;
         self.vrrp(Event::Startup);
+        self.join_fleet();
         let at = self.config.listen;
         let mgmt = self.config.mgmt.map(|at| format!(" mgmt={at}")).unwrap_or_default();
         eprintln!(
@@ -430,6 +445,7 @@
             ("zones", config.site.zones != self.config.site.zones),
             ("kinds", config.site.kinds != self.config.site.kinds),
             ("vrrp", operator.vrrp != self.operator.vrrp),
+            ("fleet", operator.fleet != self.operator.fleet),
         ];
         for (what, _) in fixed.iter().filter(|(_, differs)| *differs) {
             eprintln!("mintgate: reload kept what={what}");
@@ -438,8 +454,8 @@
         config.name.clone_from(&self.config.name);
         config.site.zones.clone_from(&self.config.site.zones);
         config.site.kinds.clone_from(&self.config.site.kinds);
-        let vrrp = self.operator.vrrp.take();
-        self.operator = Operator { vrrp, ..operator };
+        let (vrrp, fleet) = (self.operator.vrrp.take(), self.operator.fleet.take());
+        self.operator = Operator { vrrp, fleet, ..operator };
         self.core.chains_until_given_up(self.operator.chains.until == Until::GivenUp);
         let known = std::mem::take(&mut config.known);
         let moved = config.bus != self.config.bus;
@@ -564,6 +580,7 @@
         self.reactor.ready = false;
         self.upgrade(handover::Event::Leaving);
         self.vrrp(Event::Shutdown);
+        self.fleet(crate::fleet::Event::Leave);
         self.leave_all();
     }
 
--- /dev/null
+++ b/src/daemon/fleet.rs
@@ -0,0 +1,122 @@
+//! The daemon as one process of a fleet: the machine's datagrams, its clock, and what it holds.
+
+use super::Daemon;
+use crate::config::{self, Config};
+use crate::fleet::message::{self, LARGEST};
+use crate::fleet::{Do, Event, Machine, Process, Setting, lease};
+use crate::interface::{Span, Task};
+use crate::net::Reactor;
+use std::collections::BTreeMap;
+use std::io;
+
+/// Datagrams taken in one turn of the loop: a flood must not keep calls waiting.
+const TURN: usize = 256;
+
+/// This daemon's place in its fleet.
+pub(super) struct Member {
+    pub(super) machine: Machine,
+    socket: usize,
+    parts: u16,
+    /// Fences of what is held, as last logged.
+    held: BTreeMap<(Task, u16), u64>,
+}
+
+impl Member {
+    pub(super) fn new(setting: &config::Fleet, config: &Config, reactor: &mut Reactor) -> io::Result<Member> {
+        let (socket, _) = reactor.hear(setting.bind)?;
+        // The bus of a site, and what was drawn for this start, make no two starts alike.
+        let now = reactor.now();
+        let process = Process { index: config.site.settings.index, incarnation: draw(config.seed, now.0) };
+        let mut electors: Vec<u32> = setting.electors.iter().map(|elector| elector.index).collect();
+        electors.sort_unstable();
+        let term = Span::millis(setting.term_ms);
+        let longest = Span::millis(setting.longest_ms.unwrap_or(setting.term_ms));
+        let agreed = electors.iter().map(|index| u64::from(*index));
+        let agreed: Vec<u64> =
+            agreed.chain([setting.term_ms, setting.drift_ppm, u64::from(setting.parts)]).collect();
+        let setting = Setting {
+            process,
+            fleet: message::fleet(&setting.name, &agreed),
+            electors: setting.electors.iter().map(|elector| (elector.index, elector.at)).collect(),
+            lease: lease::Setting::new(electors, term, longest, setting.drift_ppm),
+            parts: setting.parts,
+            // Fences grow by far less than one a millisecond. Nothing else here rests on the time of day.
+            guess: now.0 / 1_000_000,
+        };
+        let parts = setting.parts;
+        Ok(Member { machine: Machine::new(now, setting), socket, parts, held: BTreeMap::new() })
+    }
+}
+
+/// A number that no other start has: the system's own randomness, and what is known of this one.
+fn draw(seed: u64, now: u64) -> u64 {
+    use std::hash::{BuildHasher, RandomState};
+    RandomState::new().hash_one((seed, now, std::process::id()))
+}
+
+impl Daemon {
+    /// From now on this daemon does its part of the fleet's tasks.
+    pub(super) fn join_fleet(&mut self) {
+        let Some(member) = &self.fleet else { return };
+        self.core.join_fleet(self.reactor.now(), member.parts);
+        self.fleet(Event::Timer);
+    }
+
+    pub(super) fn is_fleet(&self, socket: usize) -> bool {
+        self.fleet.as_ref().is_some_and(|member| member.socket == socket)
+    }
+
+    /// Hears what waits. The time is read after each datagram was taken: what it says may be granted counts
+    /// from a moment that is no earlier than its sending, however long this process was stopped meanwhile.
+    pub(super) fn hear_fleet(&mut self) {
+        let mut bytes = [0; LARGEST + 1];
+        for _ in 0..TURN {
+            let Some(member) = &self.fleet else { return };
+            let Some((size, from)) = self.reactor.datagram(member.socket, &mut bytes) else { return };
+            self.fleet(Event::Datagram(&bytes[..size], from));
+        }
+        if let Some(member) = &self.fleet {
+            self.reactor.hear_again(member.socket);
+        }
+    }
+
+    /// Tells the machine what has happened, and does what it says.
+    pub(super) fn fleet(&mut self, event: Event) {
+        let now = self.reactor.now();
+        let Some(member) = &mut self.fleet else { return };
+        if matches!(event, Event::Timer) && member.machine.due().is_none_or(|at| at > now) {
+            return;
+        }
+        for what in member.machine.handle(now, event) {
+            match what {
+                Do::Send(to, bytes) => self.reactor.send_datagram(member.socket, &bytes, to),
+                Do::Held(task, part, hold) => {
+                    let name = name(task);
+                    match hold {
+                        Some(hold) if member.held.insert((task, part), hold.fence) != Some(hold.fence) => {
+                            eprintln!("mintgate: fleet holds task={name} part={part} fence={}", hold.fence);
+                        }
+                        Some(_) => {}
+                        None => {
+                            member.held.remove(&(task, part));
+                            eprintln!("mintgate: fleet lost task={name} part={part}");
+                        }
+                    }
+                    self.core.hold(now, task, part, hold);
+                }
+                Do::Dropped(from, odd) => {
+                    self.core.counters().fleet_dropped += 1;
+                    if self.core.may_log(now) {
+                        eprintln!("mintgate: fleet dropped from={from} why={odd:?}");
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn name(task: Task) -> &'static str {
+    match task {
+        Task::Probe => "probe",
+    }
+}
--- /dev/null
+++ b/src/fleet/lease/elector.rs
@@ -0,0 +1,158 @@
+//! The part of an elector: promises, grants, and muteness after a start.
+
+#[cfg(test)]
+use super::Weak;
+use super::{Ballot, LeaseId, Message, Setting};
+use crate::interface::Time;
+use std::collections::BTreeMap;
+
+/// A lease granted to somebody, as one elector knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Grant {
+    /// The ballot that won it here.
+    pub ballot: Ballot,
+    /// Until when it stands.
+    pub until: Time,
+}
+
+/// What an elector remembers of one lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Default)]
+struct Slot {
+    /// No ballot below this one's counter is heeded, nor another of the same.
+    promised: Option<Ballot>,
+    granted: Option<Grant>,
+    /// Ballots up to this counter have been given back.
+    closed: u64,
+}
+
+/// One process's part as an elector, for all leases.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Elector {
+    index: u32,
+    slots: BTreeMap<LeaseId, Slot>,
+    /// Counters that were forgotten are no higher than this, once it votes.
+    floor: u64,
+    mute_until: Time,
+    /// Other electors that have told their floors, and whether they voted.
+    told: BTreeMap<u32, bool>,
+    votes: bool,
+}
+
+impl Elector {
+    /// An elector that has just started and remembers nothing. `guess` is how far counters may have come, for
+    /// the case that a majority has forgotten at once.
+    pub fn new(index: u32, now: Time, guess: u64, setting: &Setting) -> Elector {
+        let (slots, told) = (BTreeMap::new(), BTreeMap::new());
+        Elector { index, slots, floor: guess, mute_until: now + setting.mute, told, votes: false }
+    }
+
+    /// Whether it votes.
+    pub fn votes(&self) -> bool {
+        self.votes
+    }
+
+    /// When it may begin to vote, while it does not.
+    pub fn due(&self) -> Option<Time> {
+        (!self.votes).then_some(self.mute_until)
+    }
+
+    /// Begins to vote once no grant of its past can stand and a majority of electors that vote has told how far
+    /// counters have come. Where so many have forgotten that no majority votes, fences rest on the guess: it
+    /// begins once all have told, or after as long again with a majority of those that forgot.
+    pub fn wake(&mut self, now: Time, setting: &Setting) {
+        if self.votes || now < self.mute_until {
+            return;
+        }
+        let voting = self.told.values().filter(|votes| **votes).count();
+        let heard = self.told.len() + 1;
+        let late = heard >= setting.quorum && now >= self.mute_until + setting.mute;
+        self.votes = voting >= setting.recall || heard >= setting.electors.len() || late;
+    }
+
+    /// How far counters have come here.
+    fn highest(&self) -> u64 {
+        let promised = self.slots.values().filter_map(|slot| slot.promised).map(|ballot| ballot.counter);
+        promised.max().unwrap_or(0).max(self.floor)
+    }
+
+    /// Takes in a message; its answer goes back to the sender.
+    pub fn handle(
+        &mut self,
+        now: Time,
+        from: u32,
+        lease: LeaseId,
+        message: Message,
+        setting: &Setting,
+    ) -> Option<Message> {
+        self.wake(now, setting);
+        match message {
+            Message::Ask => return Some(Message::Floor(self.highest(), self.votes)),
+            Message::Floor(counter, votes) => {
+                if !self.votes && from != self.index && setting.electors.contains(&from) {
+                    self.floor = self.floor.max(counter);
+                    self.told.insert(from, votes);
+                    self.wake(now, setting);
+                }
+                return None;
+            }
+            _ if !self.votes => return None,
+            _ => {}
+        }
+        let floor = self.floor;
+        let slot = self.slots.entry(lease).or_default();
+        slot.granted = slot.granted.filter(|grant| now < grant.until);
+        match message {
+            Message::Prepare(ballot) => Some(slot.prepare(now, ballot, floor, setting)),
+            Message::Propose(ballot, round) => {
+                if !slot.heeds(ballot, floor) {
+                    return Some(Message::Behind(ballot, slot.counter(floor)));
+                }
+                slot.promised = Some(ballot);
+                slot.granted = Some(Grant { ballot, until: now + setting.term });
+                Some(Message::Granted(ballot, round))
+            }
+            Message::Release(ballot) => {
+                let his = |grant: &Grant| {
+                    grant.ballot.process == ballot.process && grant.ballot.counter <= ballot.counter
+                };
+                if slot.granted.is_some_and(|grant| his(&grant)) {
+                    slot.granted = None;
+                    slot.closed = slot.closed.max(ballot.counter);
+                }
+                None
+            }
+            _ => None,
+        }
+    }
+
+    /// What is granted here now.
+    pub fn granted(&self, now: Time, lease: LeaseId) -> Option<Grant> {
+        self.slots.get(&lease)?.granted.filter(|grant| now < grant.until)
+    }
+}
+
+impl Slot {
+    fn counter(&self, floor: u64) -> u64 {
+        self.promised.map_or(0, |promised| promised.counter).max(floor).max(self.closed)
+    }
+
+    /// Whether a ballot is the one that was promised and not given back, or above all that were.
+    fn heeds(&self, ballot: Ballot, floor: u64) -> bool {
+        self.promised == Some(ballot) && ballot.counter > self.closed || ballot.counter > self.counter(floor)
+    }
+
+    fn prepare(&mut self, now: Time, ballot: Ballot, floor: u64, setting: &Setting) -> Message {
+        let other = self.granted.filter(|grant| grant.ballot.process != ballot.process);
+        #[cfg(test)]
+        let other = other.filter(|_| !setting.weak(Weak::PromisesOthers));
+        let _ = setting;
+        if let Some(grant) = other {
+            return Message::Held(ballot, (grant.until - now).0);
+        }
+        if !self.heeds(ballot, floor) {
+            return Message::Behind(ballot, self.counter(floor));
+        }
+        self.promised = Some(ballot);
+        Message::Promise(ballot)
+    }
+}
--- /dev/null
+++ b/src/fleet/lease/mod.rs
@@ -0,0 +1,133 @@
+//! Leases by PaxosLease (Trencseni, Gazso, Reinhardt 2012): who may do a task of the whole fleet, without disk.
+//!
+//! A fixed electorate grants; gossip never shrinks its majority. Time is each process's own clock and nothing
+//! else: one that counts on while the process or its machine is stopped, with a stated bound on its rate.
+//! The invariants, and where each is kept:
+//!
+//! - an elector that has a grant standing promises nobody else anything ([`elector`]);
+//! - an elector grants for a whole term from when the request has come; a holder counts less than a term, by
+//!   what clocks may differ, from before its request left ([`Setting::usable`], [`proposer`]);
+//! - a grant counts for the round of requests that it answers, and for no other ([`proposer`]);
+//! - an elector that has started knows nothing of its grants, so it is mute for the longest term, and until it
+//!   has heard how far counters have come ([`elector`]);
+//! - a fence is the counter of the ballot that won, and a ballot wins only above all that a majority has promised.
+
+pub mod elector;
+pub mod proposer;
+mod seat;
+
+pub use seat::{Out, Seat, To};
+
+use super::Process;
+use crate::interface::{Span, Time};
+use serde::{Deserialize, Serialize};
+
+/// A task of the whole fleet, or a share of one, that one process at a time does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct LeaseId(pub u16);
+
+/// A proposal's place among all of its lease's. No two proposals share one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Ballot {
+    /// Higher ones prevail.
+    pub counter: u64,
+    /// Whose it is.
+    pub process: Process,
+}
+
+/// What processes say to each other about one lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Message {
+    /// To an elector: may this ballot be proposed?
+    Prepare(Ballot),
+    /// From an elector: it may, for nobody else holds the lease and no higher one was promised.
+    Promise(Ballot),
+    /// From an elector: somebody else holds it, for so many nanoseconds at most.
+    Held(Ballot, u64),
+    /// From an elector: a ballot with this counter was promised or granted.
+    Behind(Ballot, u64),
+    /// To an elector: grant the lease for a term from now. The number is that of the round of requests.
+    Propose(Ballot, u32),
+    /// From an elector: granted, in answer to that round.
+    Granted(Ballot, u32),
+    /// To an elector: whoever had this ballot or one before it acts on none of them any more.
+    Release(Ballot),
+    /// To an elector, from one that has started: how far have counters come?
+    Ask,
+    /// From an elector: so far, and whether it votes.
+    Floor(u64, bool),
+}
+
+/// A lease held: while `now < until` nobody else holds it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Hold {
+    /// Higher than that of every holder before.
+    pub fence: u64,
+    /// Until when it is held, by the holder's own clock.
+    pub until: Time,
+}
+
+/// What all processes of a fleet agree on.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Setting {
+    /// The electorate, by index.
+    pub electors: Vec<u32>,
+    /// Grants that make a holder.
+    pub quorum: usize,
+    /// For how long an elector grants, by its clock.
+    pub term: Span,
+    /// For how long a holder holds, by its clock, from before its request left.
+    pub usable: Span,
+    /// For how long an elector that has started is mute: no term was ever longer.
+    pub mute: Span,
+    /// Voting electors that must have told how far counters have come before one that has started votes again.
+    pub recall: usize,
+    /// Pause between attempts of one process, and between processes of neighbouring ranks.
+    pub step: Span,
+    /// Weakened on purpose, so that a checker can be shown to find what a guard keeps out.
+    #[cfg(test)]
+    pub weak: Option<Weak>,
+}
+
+/// Guards that tests take away, beside those that are figures of the setting.
+#[cfg(test)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Weak {
+    /// The term counts from the majority's answers.
+    CountsFromAnswers,
+    /// Any grant of the ballot counts for the latest round.
+    AnyRound,
+    /// A standing grant does not keep an elector from promising.
+    PromisesOthers,
+}
+
+impl Setting {
+    /// Terms of this length over this electorate, with clocks whose rates are off by at most so many millionths,
+    /// and electors that have never granted for longer than `longest`.
+    pub fn new(electors: Vec<u32>, term: Span, longest: Span, drift_ppm: u64) -> Setting {
+        let quorum = electors.len() / 2 + 1;
+        let drift = u128::from(drift_ppm.min(500_000));
+        let (slow, fast) = (1_000_000 - drift, 1_000_000 + drift);
+        // The holder's clock may be the slowest and an elector's the fastest.
+        let usable = Span((u128::from(term.0) * slow / fast) as u64);
+        // A holder of before counts by its own clock, and this elector after its restart by one that may be faster.
+        let mute = Span((u128::from(longest.0) * fast).div_ceil(slow) as u64);
+        let step = Span(term.0 / 16);
+        Setting {
+            electors,
+            quorum,
+            term,
+            usable,
+            mute,
+            recall: quorum,
+            step,
+            #[cfg(test)]
+            weak: None,
+        }
+    }
+
+    #[cfg(test)]
+    fn weak(&self, weak: Weak) -> bool {
+        self.weak == Some(weak)
+    }
+}
--- /dev/null
+++ b/src/fleet/lease/proposer.rs
@@ -0,0 +1,217 @@
+//! The part of a process that wants a lease: to win it, to renew it, and to give it back.
+
+#[cfg(test)]
+use super::Weak;
+use super::{Ballot, Hold, Message, Setting};
+use crate::fleet::Process;
+use crate::interface::{Span, Time};
+
+/// Rounds that may be unanswered at a time: links may take longer than the pause between two of them.
+const ROUNDS: usize = 4;
+
+/// One round of requests to all electors, and who has granted it. A grant counts for the round that it answers
+/// alone: it says that the elector's term began after that round was sent, and nothing of any later one.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Round {
+    number: u32,
+    /// Read before the first request of the round left.
+    sent: Time,
+    granted: Vec<u32>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Phase {
+    /// Nothing is under way.
+    Rest,
+    /// A ballot is out for promises.
+    Prepare { ballot: Ballot, promised: Vec<u32> },
+    /// A ballot that a majority has promised is out for grants, again and again while it holds.
+    Propose { ballot: Ballot, rounds: Vec<Round>, overtaken: bool },
+}
+
+/// One process's wish for one lease.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Proposer {
+    process: Process,
+    phase: Phase,
+    /// The highest counter heard of.
+    counter: u64,
+    hold: Option<Hold>,
+    /// When to act next; none where the lease is not wanted and not held.
+    next: Option<Time>,
+    /// Its place among those that want the lease: later ones wait longer. None: it does not want it.
+    rank: Option<u32>,
+    /// Attempts in a row that came to nothing.
+    failures: u32,
+    round: u32,
+}
+
+impl Proposer {
+    /// Does not want it yet.
+    pub fn new(process: Process) -> Proposer {
+        let (phase, counter, failures, round) = (Phase::Rest, 0, 0, 0);
+        Proposer { process, phase, counter, hold: None, next: None, rank: None, failures, round }
+    }
+
+    /// The lease, while it is held.
+    pub fn holds(&self, now: Time) -> Option<Hold> {
+        self.hold.filter(|hold| now < hold.until)
+    }
+
+    /// When [`Proposer::wake`] is to be called: to act, or to take note that the lease is over.
+    pub fn due(&self) -> Option<Time> {
+        self.next.into_iter().chain(self.hold.map(|hold| hold.until)).min()
+    }
+
+    /// Its rank among those that want the lease, from 0; none where it is not to want it. Who holds it keeps it
+    /// until it is released.
+    pub fn want(&mut self, now: Time, rank: Option<u32>, setting: &Setting) {
+        if self.rank == rank {
+            return;
+        }
+        self.rank = rank;
+        if self.hold.is_none() && self.phase == Phase::Rest {
+            self.next = rank.map(|rank| now + Span(setting.step.0 * u64::from(rank)));
+        }
+    }
+
+    /// Acts no more from now on; electors may grant it to others at once. It is wanted again when
+    /// [`Proposer::want`] says so.
+    pub fn release(&mut self) -> Option<Message> {
+        let held = self.hold.take();
+        self.phase = Phase::Rest;
+        (self.next, self.rank) = (None, None);
+        held.map(|_| Message::Release(Ballot { counter: self.counter, process: self.process }))
+    }
+
+    /// The time of [`Proposer::due`] has come; what it returns goes to all electors.
+    pub fn wake(&mut self, now: Time, setting: &Setting) -> Option<Message> {
+        if self.hold.is_some_and(|hold| hold.until <= now) {
+            // Not renewed in time: somebody else may hold it by now.
+            self.hold = None;
+            self.rest(now, setting);
+        }
+        if self.next.is_none_or(|at| at > now) {
+            return None;
+        }
+        let held = self.hold.is_some();
+        match &mut self.phase {
+            Phase::Propose { ballot, rounds, overtaken: false } if held => {
+                let ballot = *ballot;
+                self.round += 1;
+                rounds.push(Round { number: self.round, sent: now, granted: vec![] });
+                rounds.drain(..rounds.len().saturating_sub(ROUNDS));
+                self.next = Some(now + Span(setting.term.0 / 8));
+                Some(Message::Propose(ballot, self.round))
+            }
+            // Electors that have started anew heed only a higher ballot; the lease goes on.
+            Phase::Propose { .. } | Phase::Prepare { .. } if held => Some(self.prepare(now, setting)),
+            Phase::Rest => Some(self.prepare(now, setting)),
+            // Nothing came of it.
+            Phase::Prepare { .. } | Phase::Propose { .. } => {
+                self.failures += 1;
+                self.rest(now, setting);
+                None
+            }
+        }
+    }
+
+    fn prepare(&mut self, now: Time, setting: &Setting) -> Message {
+        self.counter += 1;
+        let ballot = Ballot { counter: self.counter, process: self.process };
+        self.phase = Phase::Prepare { ballot, promised: vec![] };
+        self.next = Some(now + Span(setting.step.0 * 2));
+        Message::Prepare(ballot)
+    }
+
+    fn rest(&mut self, now: Time, setting: &Setting) {
+        self.phase = Phase::Rest;
+        self.next = self.rank.map(|_| now + self.pause(setting));
+    }
+
+    /// Pause before the next attempt: longer after each that failed, and another for each process.
+    fn pause(&self, setting: &Setting) -> Span {
+        let spread = (self.process.incarnation ^ self.counter).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 61;
+        let rank = u64::from(self.rank.unwrap_or(0));
+        let failed = (setting.step.0 << self.failures.min(3)) - setting.step.0;
+        Span(failed + setting.step.0 * spread / 8 + setting.step.0 * rank)
+    }
+
+    /// An elector has answered; what it returns goes to all electors.
+    pub fn handle(&mut self, now: Time, from: u32, message: Message, setting: &Setting) -> Option<Message> {
+        if !setting.electors.contains(&from) {
+            return None;
+        }
+        match message {
+            Message::Promise(of) => {
+                let Phase::Prepare { ballot, promised } = &mut self.phase else { return None };
+                if of != *ballot || promised.contains(&from) {
+                    return None;
+                }
+                promised.push(from);
+                if promised.len() < setting.quorum {
+                    return None;
+                }
+                self.round += 1;
+                let rounds = vec![Round { number: self.round, sent: now, granted: vec![] }];
+                self.phase = Phase::Propose { ballot: of, rounds, overtaken: false };
+                self.next = Some(now + Span(setting.step.0 * 2));
+                return Some(Message::Propose(of, self.round));
+            }
+            Message::Granted(of, number) => self.granted(now, from, of, number, setting),
+            Message::Held(of, rest) if self.hold.is_none() && self.prepares(of) => {
+                self.failures = 0;
+                self.rest(now, setting);
+                self.next = self.next.map(|next| next + Span(rest.min(setting.term.0)));
+            }
+            Message::Behind(of, counter) => {
+                self.counter = self.counter.max(counter);
+                let held = self.hold.is_some();
+                match &mut self.phase {
+                    Phase::Propose { ballot, overtaken, .. } if *ballot == of && held => *overtaken = true,
+                    Phase::Prepare { ballot, .. } | Phase::Propose { ballot, .. }
+                        if *ballot == of && !held =>
+                    {
+                        self.failures += 1;
+                        self.rest(now, setting);
+                    }
+                    _ => {}
+                }
+            }
+            _ => {}
+        }
+        None
+    }
+
+    fn prepares(&self, of: Ballot) -> bool {
+        matches!(&self.phase, Phase::Prepare { ballot, .. } if *ballot == of)
+    }
+
+    fn granted(&mut self, now: Time, from: u32, of: Ballot, number: u32, setting: &Setting) {
+        let Phase::Propose { ballot, rounds, .. } = &mut self.phase else { return };
+        #[cfg(test)]
+        let number = match (setting.weak(Weak::AnyRound), rounds.last()) {
+            (true, Some(last)) => last.number,
+            _ => number,
+        };
+        let Some(round) = rounds.iter_mut().find(|round| round.number == number) else { return };
+        if of != *ballot || round.granted.contains(&from) {
+            return;
+        }
+        round.granted.push(from);
+        if round.granted.len() != setting.quorum {
+            return;
+        }
+        let since = round.sent;
+        #[cfg(test)]
+        let since = if setting.weak(Weak::CountsFromAnswers) { now } else { since };
+        let until = since + setting.usable;
+        let held = self.hold.filter(|hold| now < hold.until);
+        if until <= now || held.is_some_and(|hold| until <= hold.until) {
+            return;
+        }
+        self.failures = 0;
+        self.hold = Some(Hold { fence: held.map_or(of.counter, |hold| hold.fence), until });
+        self.next = Some(since + Span(setting.term.0 / 3));
+    }
+}
--- /dev/null
+++ b/src/fleet/lease/seat.rs
@@ -0,0 +1,146 @@
+//! One process's seat: its part as an elector, if it is one, and its wishes. What it says to itself stays here.
+
+use super::elector::Elector;
+use super::proposer::Proposer;
+use super::{Hold, LeaseId, Message, Setting};
+use crate::fleet::Process;
+use crate::interface::{Span, Time};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Whom a message is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum To {
+    /// The elector of this index, whichever process that is now.
+    Elector(u32),
+    /// This very process.
+    Process(Process),
+}
+
+/// Messages to be sent.
+pub type Out = Vec<(To, LeaseId, Message)>;
+
+/// See the module's page.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Seat {
+    process: Process,
+    elector: Option<Elector>,
+    proposers: BTreeMap<LeaseId, Proposer>,
+    /// When to ask the others again how far counters have come, while it is mute.
+    ask: Option<Time>,
+}
+
+impl Seat {
+    /// A process that has just started. `guess` is how far fences may have come; see [`Elector::new`].
+    pub fn new(process: Process, now: Time, guess: u64, setting: &Setting) -> Seat {
+        let votes = setting.electors.contains(&process.index);
+        let elector = votes.then(|| Elector::new(process.index, now, guess, setting));
+        Seat { process, elector, proposers: BTreeMap::new(), ask: votes.then_some(now) }
+    }
+
+    /// Its part as an elector.
+    pub fn elector(&self) -> Option<&Elector> {
+        self.elector.as_ref()
+    }
+
+    /// A lease, while this process holds it.
+    pub fn holds(&self, now: Time, lease: LeaseId) -> Option<Hold> {
+        self.proposers.get(&lease)?.holds(now)
+    }
+
+    /// All leases that this process holds.
+    pub fn held(&self, now: Time) -> impl Iterator<Item = (LeaseId, Hold)> + '_ {
+        self.proposers.iter().filter_map(move |(lease, proposer)| Some((*lease, proposer.holds(now)?)))
+    }
+
+    /// When [`Seat::wake`] is to be called.
+    pub fn due(&self) -> Option<Time> {
+        let own = self.elector.as_ref().and_then(Elector::due).into_iter().chain(self.ask);
+        self.proposers.values().filter_map(Proposer::due).chain(own).min()
+    }
+
+    /// Its rank among those that want a lease; see [`Proposer::want`].
+    pub fn want(&mut self, now: Time, lease: LeaseId, rank: Option<u32>, setting: &Setting) {
+        let process = self.process;
+        let proposer = self.proposers.entry(lease).or_insert_with(|| Proposer::new(process));
+        proposer.want(now, rank, setting);
+    }
+
+    /// Gives a lease back, if this process holds it.
+    pub fn release(&mut self, now: Time, lease: LeaseId, setting: &Setting, out: &mut Out) {
+        let message = self.proposers.get_mut(&lease).and_then(Proposer::release);
+        self.ask_electors(now, lease, message, setting, out);
+    }
+
+    /// The time of [`Seat::due`] has come.
+    pub fn wake(&mut self, now: Time, setting: &Setting, out: &mut Out) {
+        if let Some(elector) = &mut self.elector {
+            elector.wake(now, setting);
+            self.ask = self.ask.filter(|_| !elector.votes());
+        }
+        if self.ask.is_some_and(|at| at <= now) {
+            self.ask = Some(now + Span(setting.mute.0.max(8) / 8));
+            let others = setting.electors.iter().filter(|index| **index != self.process.index);
+            out.extend(others.map(|index| (To::Elector(*index), LeaseId(0), Message::Ask)));
+        }
+        let due = |proposer: &Proposer| proposer.due().is_some_and(|at| at <= now);
+        let leases: Vec<LeaseId> =
+            self.proposers.iter().filter(|(_, p)| due(p)).map(|(lease, _)| *lease).collect();
+        for lease in leases {
+            let message = self.proposers.get_mut(&lease).and_then(|proposer| proposer.wake(now, setting));
+            self.ask_electors(now, lease, message, setting, out);
+        }
+    }
+
+    /// Takes in a message of another process.
+    pub fn handle(
+        &mut self,
+        now: Time,
+        from: Process,
+        lease: LeaseId,
+        message: Message,
+        setting: &Setting,
+        out: &mut Out,
+    ) {
+        match message {
+            Message::Promise(ballot)
+            | Message::Held(ballot, _)
+            | Message::Behind(ballot, _)
+            | Message::Granted(ballot, _) => {
+                // Meant for a process of before, if not for this one.
+                if ballot.process != self.process {
+                    return;
+                }
+                let proposer = self.proposers.get_mut(&lease);
+                let message = proposer.and_then(|p| p.handle(now, from.index, message, setting));
+                self.ask_electors(now, lease, message, setting, out);
+            }
+            _ => {
+                let answer =
+                    self.elector.as_mut().and_then(|e| e.handle(now, from.index, lease, message, setting));
+                out.extend(answer.map(|answer| (To::Process(from), lease, answer)));
+            }
+        }
+    }
+
+    /// Sends to all electors; this process's own part answers at once.
+    fn ask_electors(
+        &mut self,
+        now: Time,
+        lease: LeaseId,
+        message: Option<Message>,
+        setting: &Setting,
+        out: &mut Out,
+    ) {
+        let mut waiting = VecDeque::from_iter(message);
+        while let Some(message) = waiting.pop_front() {
+            for index in setting.electors.iter().filter(|index| **index != self.process.index) {
+                out.push((To::Elector(*index), lease, message));
+            }
+            let own = self.elector.as_mut();
+            let answer = own.and_then(|e| e.handle(now, self.process.index, lease, message, setting));
+            let proposer = self.proposers.get_mut(&lease).zip(answer);
+            waiting
+                .extend(proposer.and_then(|(p, answer)| p.handle(now, self.process.index, answer, setting)));
+        }
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,5 +1,6 @@
 //! What goes in and out of the decision module: ids, time, settings, events, actions. No decisions.
 
+use std::collections::BTreeSet;
 use std::ops::{Add, Sub};
 
 macro_rules! id {
@@ -303,6 +304,33 @@
     Failed,
 }
 
+/// Tasks of a whole fleet; one front end at a time does each part of one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[repr(u16)]
+pub enum Task {
+    /// Asking workers whether they live.
+    Probe,
+}
+
+impl Task {
+    /// All of them.
+    pub const ALL: [Task; 1] = [Task::Probe];
+}
+
+/// What one front end does for all of its fleet.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Shares {
+    /// Parts into which each task is cut; 0 where there is no fleet.
+    pub parts: u16,
+    /// The parts that this front end has now.
+    pub own: BTreeSet<(Task, u16)>,
+}
+
+impl Shares {
+    /// Most parts of a task.
+    pub const PARTS: u16 = 64;
+}
+
 /// How an attempt, or an order to load, ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Status {
@@ -422,6 +450,8 @@
     Probed(WorkerId, Status),
     /// A call of this function, with the memory of one copy, is likely to come soon.
     Wanted(FunctionId, f64),
+    /// What this front end does for all of the fleet from now on.
+    Shares(Shares),
     /// A time asked for by [`Action::Wake`] has come.
     Wake,
 }
@@ -477,6 +507,8 @@
     Probe {
         /// Which.
         worker: WorkerId,
+        /// For all of the fleet, as this part of [`Task::Probe`].
+        part: Option<u16>,
     },
     /// Send [`Event::Wake`] after this time.
     Wake {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -78,6 +78,7 @@
 pub mod config;
 pub mod core;
 pub mod daemon;
+pub mod fleet;
 pub mod front;
 pub mod handover;
 mod interface;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -13,23 +13,49 @@
 use std::net::Shutdown;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-/// Unix time at the start plus monotonic time since, so that a set clock moves no deadline.
+/// Unix time at the start plus the time since, so that a set clock moves no deadline.
 #[derive(Clone, Copy, Debug)]
 pub struct SystemClock {
     base: Time,
-    start: Instant,
+    start: Start,
+}
+
+/// What the time since the start is read from.
+#[derive(Clone, Copy, Debug)]
+enum Start {
+    /// A clock that may stand still while the machine sleeps.
+    Monotonic(Instant),
+    /// One that counts that time too, from when the machine came up.
+    Boot(Span),
 }
 
 impl SystemClock {
     /// A clock that starts at the system's present time.
     pub fn new() -> SystemClock {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        SystemClock { base: Time(unix.as_nanos() as u64), start: Instant::now() }
+        SystemClock { base: SystemClock::unix(), start: Start::Monotonic(Instant::now()) }
+    }
+
+    /// The same, but time in which the machine was stopped counts, as leases need it.
+    pub fn counting_sleep() -> SystemClock {
+        SystemClock { base: SystemClock::unix(), start: Start::Boot(SystemClock::boot()) }
+    }
+
+    fn unix() -> Time {
+        Time(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as u64)
+    }
+
+    fn boot() -> Span {
+        let at = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        Span(at.tv_sec as u64 * 1_000_000_000 + at.tv_nsec as u64)
     }
 
     /// The present time.
     pub fn now(&self) -> Time {
-        self.base + Span(self.start.elapsed().as_nanos() as u64)
+        let since = match self.start {
+            Start::Monotonic(start) => Span(start.elapsed().as_nanos() as u64),
+            Start::Boot(start) => Span(SystemClock::boot().0.saturating_sub(start.0)),
+        };
+        self.base + since
     }
 }
 
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -29,8 +29,10 @@
 pub struct Hub<'a> {
     /// The scheduler.
     pub core: &'a mut Core,
-    /// The present time.
+    /// The time at which the callback began.
     pub now: Time,
+    /// For what must know the time at the moment.
+    pub clock: SystemClock,
     /// Whether new calls are taken.
     pub ready: bool,
     /// Whether this daemon takes new calls on fronts of its host; see [`crate::vrrp`].
@@ -272,6 +274,14 @@
         }
     }
 
+    /// Datagrams were left in a socket: it is to be told of again.
+    pub fn hear_again(&mut self, socket: usize) {
+        let token = Token(SOCKETS + socket);
+        if let Some(source) = self.sockets.get_mut(socket) {
+            let _ = self.poll.registry().reregister(source, token, Interest::READABLE);
+        }
+    }
+
     /// Sends a datagram; what the system does not take is lost, as datagrams may be.
     pub fn send_datagram(&self, socket: usize, bytes: &[u8], to: SocketAddr) {
         let _ = self.sockets[socket].send_to(bytes, to);
@@ -331,7 +341,7 @@
     fn call(&mut self, token: Token, core: &mut Core, what: impl FnOnce(&mut Entry, &mut Hub) -> Flow) {
         let (now, ready, active, open) = (self.clock.now(), self.ready, self.active, self.open);
         let Some(entry) = self.entries.get_mut(&token) else { return };
-        let hub = &mut Hub { core, now, ready, active, open };
+        let hub = &mut Hub { core, now, clock: self.clock, ready, active, open };
         let before = entry.link.waiting();
         let flow = catch_unwind(AssertUnwindSafe(|| {
             let mut flow = what(entry, hub);
@@ -384,7 +394,7 @@
             self.timers.remove(&(at, token));
         }
         let (now, ready, active, open) = (self.clock.now(), self.ready, self.active, self.open);
-        let hub = &mut Hub { core, now, ready, active, open };
+        let hub = &mut Hub { core, now, clock: self.clock, ready, active, open };
         let closed = catch_unwind(AssertUnwindSafe(|| entry.connection.closed(&entry.link, hub)));
         if closed.is_err() {
             hub.core.counters().panics += 1;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -57,6 +57,8 @@
     pub connect_limit: Span,
     /// An order to load that has no answer within this time is lost.
     pub load_wait: Span,
+    /// Schedulers may talk to each other.
+    pub peers: bool,
 }
 
 #[derive(Deserialize)]
@@ -99,6 +101,8 @@
     #[serde(default)]
     probes: bool,
     #[serde(default)]
+    peers: bool,
+    #[serde(default)]
     retry_after: bool,
     #[serde(default)]
     max_retry_after_ns: u64,
@@ -186,7 +190,7 @@
     let (zones, kinds) = (text.zones.clone(), text.kinds.clone());
     let (multiplex, max_open) = (text.bounds.multiplex.max(1), text.bounds.max_open);
     let (idle_close, connect_limit) = (Span(text.bounds.idle_close_ns), Span(text.bounds.connect_timeout_ns));
-    let load_wait = Span(text.family_info.load_wait_ns);
+    let (load_wait, peers) = (Span(text.family_info.load_wait_ns), text.bounds.peers);
     Ok(Site {
         settings: read_text(text)?,
         classes: names,
@@ -197,6 +201,7 @@
         idle_close,
         connect_limit,
         load_wait,
+        peers,
     })
 }
 
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -90,7 +90,7 @@
     reply.action(3, &Action::Unload { worker, function });
     reply.action(3, &Action::Cancel { id, attempt: 0 });
     reply.action(3, &Action::Refuse { id: RequestId(0x0e6f_2b19), wait: Span(250_000_000) });
-    reply.action(3, &Action::Probe { worker });
+    reply.action(3, &Action::Probe { worker, part: None });
     let expected = "00000006 00000077 \
          01 00000014 0003 5d3a91c4 0000000004c4b400 0a124a07 1f43 \
          05 00000011 0003 0a124a07 1f43 01 0000007c55d20a01 \
