Prove by model checking that two never hold one lease at once, with every guard shown to matter

Change: src/fleet/lease/model.rs explores the seats with stateright. Every message ever sent may come at any later time, any number of times or never; timers fire late or not at all (a pause of any length); clocks run at a third more or less; an elector or the holder crashes and starts anew. States are told relative to each clock, so time has no horizon.

No two holders, fences rise, and somebody holds after the holder's crash.

--- a/src/fleet/lease/elector.rs
+++ b/src/fleet/lease/elector.rs
@@ -67,6 +67,9 @@
         let heard = self.told.len() + 1;
         let late = heard >= setting.quorum && now >= self.mute_until + setting.mute;
         self.votes = voting >= setting.recall || heard >= setting.electors.len() || late;
+        if self.votes {
+            self.told.clear();
+        }
     }
 
     /// How far counters have come here.
@@ -115,6 +118,11 @@
                 let his = |grant: &Grant| {
                     grant.ballot.process == ballot.process && grant.ballot.counter <= ballot.counter
                 };
+                #[cfg(test)]
+                let his = |grant: &Grant| {
+                    let same = grant.ballot.process == ballot.process;
+                    his(grant) || same && setting.weak(Weak::AnyRelease)
+                };
                 if slot.granted.is_some_and(|grant| his(&grant)) {
                     slot.granted = None;
                     slot.closed = slot.closed.max(ballot.counter);
@@ -156,3 +164,32 @@
         Message::Promise(ballot)
     }
 }
+
+/// What a checker needs of it.
+#[cfg(test)]
+impl Elector {
+    /// Votes as one that has run for long.
+    pub fn settle(&mut self) {
+        self.votes = true;
+    }
+
+    /// Whether a request of this ballot could change anything but by its answer, now or after a new start.
+    pub fn heeds(&self, lease: LeaseId, ballot: Ballot) -> bool {
+        let slot = self.slots.get(&lease).copied().unwrap_or_default();
+        slot.heeds(ballot, self.floor)
+    }
+
+    /// Whether it would learn something from what another one says of counters.
+    pub fn learns(&self, from: u32, counter: u64, votes: bool) -> bool {
+        !self.votes && (counter > self.floor || self.told.get(&from) != Some(&votes))
+    }
+
+    /// See [`super::Seat::shift`].
+    pub fn shift(&mut self, now: Time, ahead: impl Fn(Time) -> Time) {
+        self.mute_until = ahead(self.mute_until);
+        for slot in self.slots.values_mut() {
+            slot.granted = slot.granted.filter(|grant| now < grant.until);
+            slot.granted.iter_mut().for_each(|grant| grant.until = ahead(grant.until));
+        }
+    }
+}
--- a/src/fleet/lease/mod.rs
+++ b/src/fleet/lease/mod.rs
@@ -13,6 +13,8 @@
 //! - a fence is the counter of the ballot that won, and a ballot wins only above all that a majority has promised.
 
 pub mod elector;
+#[cfg(test)]
+mod model;
 pub mod proposer;
 mod seat;
 
@@ -99,6 +101,8 @@
     AnyRound,
     /// A standing grant does not keep an elector from promising.
     PromisesOthers,
+    /// A release frees whatever its sender was granted, also later.
+    AnyRelease,
 }
 
 impl Setting {
--- a/src/fleet/lease/proposer.rs
+++ b/src/fleet/lease/proposer.rs
@@ -5,6 +5,7 @@
 use super::{Ballot, Hold, Message, Setting};
 use crate::fleet::Process;
 use crate::interface::{Span, Time};
+use std::collections::BTreeSet;
 
 /// Rounds that may be unanswered at a time: links may take longer than the pause between two of them.
 const ROUNDS: usize = 4;
@@ -16,7 +17,7 @@
     number: u32,
     /// Read before the first request of the round left.
     sent: Time,
-    granted: Vec<u32>,
+    granted: BTreeSet<u32>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -24,7 +25,7 @@
     /// Nothing is under way.
     Rest,
     /// A ballot is out for promises.
-    Prepare { ballot: Ballot, promised: Vec<u32> },
+    Prepare { ballot: Ballot, promised: BTreeSet<u32> },
     /// A ballot that a majority has promised is out for grants, again and again while it holds.
     Propose { ballot: Ballot, rounds: Vec<Round>, overtaken: bool },
 }
@@ -99,7 +100,7 @@
             Phase::Propose { ballot, rounds, overtaken: false } if held => {
                 let ballot = *ballot;
                 self.round += 1;
-                rounds.push(Round { number: self.round, sent: now, granted: vec![] });
+                rounds.push(Round { number: self.round, sent: now, granted: BTreeSet::new() });
                 rounds.drain(..rounds.len().saturating_sub(ROUNDS));
                 self.next = Some(now + Span(setting.term.0 / 8));
                 Some(Message::Propose(ballot, self.round))
@@ -119,7 +120,7 @@
     fn prepare(&mut self, now: Time, setting: &Setting) -> Message {
         self.counter += 1;
         let ballot = Ballot { counter: self.counter, process: self.process };
-        self.phase = Phase::Prepare { ballot, promised: vec![] };
+        self.phase = Phase::Prepare { ballot, promised: BTreeSet::new() };
         self.next = Some(now + Span(setting.step.0 * 2));
         Message::Prepare(ballot)
     }
@@ -145,15 +146,11 @@
         match message {
             Message::Promise(of) => {
                 let Phase::Prepare { ballot, promised } = &mut self.phase else { return None };
-                if of != *ballot || promised.contains(&from) {
-                    return None;
-                }
-                promised.push(from);
-                if promised.len() < setting.quorum {
+                if of != *ballot || !promised.insert(from) || promised.len() < setting.quorum {
                     return None;
                 }
                 self.round += 1;
-                let rounds = vec![Round { number: self.round, sent: now, granted: vec![] }];
+                let rounds = vec![Round { number: self.round, sent: now, granted: BTreeSet::new() }];
                 self.phase = Phase::Propose { ballot: of, rounds, overtaken: false };
                 self.next = Some(now + Span(setting.step.0 * 2));
                 return Some(Message::Propose(of, self.round));
@@ -195,14 +192,12 @@
             _ => number,
         };
         let Some(round) = rounds.iter_mut().find(|round| round.number == number) else { return };
-        if of != *ballot || round.granted.contains(&from) {
-            return;
-        }
-        round.granted.push(from);
-        if round.granted.len() != setting.quorum {
+        if of != *ballot || !round.granted.insert(from) || round.granted.len() < setting.quorum {
             return;
         }
+        // Those before it end sooner.
         let since = round.sent;
+        rounds.retain(|round| round.number > number);
         #[cfg(test)]
         let since = if setting.weak(Weak::CountsFromAnswers) { now } else { since };
         let until = since + setting.usable;
@@ -215,3 +210,61 @@
         self.next = Some(since + Span(setting.term.0 / 3));
     }
 }
+
+/// What a checker needs of it.
+#[cfg(test)]
+impl Proposer {
+    /// How far its ballots have come.
+    pub fn counter(&self) -> u64 {
+        self.counter
+    }
+
+    /// How many rounds of requests it has sent.
+    pub fn rounds(&self) -> u32 {
+        self.round
+    }
+
+    /// See [`super::Seat::shift`]. A round whose term has passed is of no more use; how long a pause between two
+    /// attempts is matters to nobody's safety.
+    pub fn shift(&mut self, now: Time, to: Time, setting: &Setting) {
+        let ahead = |at: Time| to + (at - now);
+        self.failures = 0;
+        self.next = self.next.map(|_| to);
+        self.hold.iter_mut().for_each(|hold| hold.until = ahead(hold.until));
+        if let Phase::Propose { rounds, .. } = &mut self.phase {
+            rounds.retain(|round| now - round.sent < setting.usable);
+            rounds.iter_mut().for_each(|round| round.sent = to - (now - round.sent));
+        }
+    }
+
+    /// Whether an elector's answer could still change anything: ballots that were given up, and rounds that were
+    /// passed, are not taken up again.
+    pub fn heeds(&self, from: u32, message: Message, setting: &Setting) -> bool {
+        match (message, &self.phase) {
+            (Message::Promise(of), Phase::Prepare { ballot, promised }) => {
+                of == *ballot && !promised.contains(&from)
+            }
+            (Message::Granted(of, number), Phase::Propose { ballot, rounds, .. }) => {
+                let open = |round: &Round| round.number == number && !round.granted.contains(&from);
+                of == *ballot && (rounds.iter().any(open) || setting.weak(Weak::AnyRound))
+            }
+            (Message::Held(of, _), Phase::Prepare { ballot, .. }) => of == *ballot,
+            (Message::Behind(of, counter), Phase::Prepare { ballot, .. } | Phase::Propose { ballot, .. }) => {
+                of == *ballot || counter > self.counter
+            }
+            (Message::Behind(_, counter), Phase::Rest) => counter > self.counter,
+            _ => false,
+        }
+    }
+
+    /// Whether it waits for answers to a request of its own.
+    pub fn waits(&self, message: Message) -> bool {
+        match (message, &self.phase) {
+            (Message::Prepare(of), Phase::Prepare { ballot, .. }) => of == *ballot,
+            (Message::Propose(of, number), Phase::Propose { ballot, rounds, .. }) => {
+                of == *ballot && rounds.iter().any(|round| round.number == number)
+            }
+            _ => false,
+        }
+    }
+}
--- a/src/fleet/lease/seat.rs
+++ b/src/fleet/lease/seat.rs
@@ -37,6 +37,11 @@
         Seat { process, elector, proposers: BTreeMap::new(), ask: votes.then_some(now) }
     }
 
+    /// The process that sits here.
+    pub fn process(&self) -> Process {
+        self.process
+    }
+
     /// Its part as an elector.
     pub fn elector(&self) -> Option<&Elector> {
         self.elector.as_ref()
@@ -144,3 +149,51 @@
         }
     }
 }
+
+/// What a checker needs of it.
+#[cfg(test)]
+impl Seat {
+    /// Makes the elector vote as one that has run for long.
+    pub fn settle(&mut self) {
+        self.ask = None;
+        self.elector.iter_mut().for_each(Elector::settle);
+    }
+
+    /// How far this process's own ballots and rounds have come.
+    pub fn counters(&self, lease: LeaseId) -> (u64, u32) {
+        self.proposers.get(&lease).map_or((0, 0), |proposer| (proposer.counter(), proposer.rounds()))
+    }
+
+    /// Whether a message could still change anything, now or later, as far as this seat alone can say.
+    pub fn heeds(&self, lease: LeaseId, from: Process, message: Message, setting: &Setting) -> bool {
+        match message {
+            Message::Promise(ballot)
+            | Message::Held(ballot, _)
+            | Message::Behind(ballot, _)
+            | Message::Granted(ballot, _) => {
+                ballot.process == self.process && self.proposers[&lease].heeds(from.index, message, setting)
+            }
+            Message::Prepare(ballot) | Message::Propose(ballot, _) => {
+                self.elector.as_ref().is_some_and(|elector| elector.heeds(lease, ballot))
+            }
+            Message::Release(_) | Message::Ask => self.elector.is_some(),
+            Message::Floor(counter, votes) => {
+                self.elector.as_ref().is_some_and(|elector| elector.learns(from.index, counter, votes))
+            }
+        }
+    }
+
+    /// Whether this process still waits for answers to a message of its own.
+    pub fn waits(&self, lease: LeaseId, message: Message) -> bool {
+        self.proposers.get(&lease).is_some_and(|proposer| proposer.waits(message))
+    }
+
+    /// Tells all times as seen from `to`, and those that have passed alike.
+    pub fn shift(&mut self, now: Time, to: Time, setting: &Setting) {
+        let ahead = |at: Time| to + (at - now);
+        // It may ask at any time.
+        self.ask = self.ask.map(|_| to);
+        self.elector.iter_mut().for_each(|elector| elector.shift(now, ahead));
+        self.proposers.values_mut().for_each(|proposer| proposer.shift(now, to, setting));
+    }
+}
