Break the circle of chain, core and settings, and part the core by concern

Change: what all pass on (calls, attempts, orders, their ends, jobs for workers) is in src/call.rs, below all. No decision and no behaviour changed.

--- a/src/backend/agent.rs
+++ b/src/backend/agent.rs
@@ -1,7 +1,7 @@
 //! The node agents' wire: JSON objects, one a line, bodies in base64.
 
 use super::{Codec, Said, Unreadable};
-use crate::core::{Reply, Work};
+use crate::call::{Reply, Work};
 use crate::interface::{FunctionId, Time};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
--- a/src/backend/jsonrpc.rs
+++ b/src/backend/jsonrpc.rs
@@ -1,7 +1,7 @@
 //! Checkers on Unix sockets: JSON-RPC 2.0, one object a line.
 
 use super::{Codec, Said, Unreadable};
-use crate::core::{Reply, Work};
+use crate::call::{Reply, Work};
 use crate::interface::{FunctionId, Time};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -10,53 +10,14 @@
 
 pub use pool::{Endpoint, Pool};
 
-use crate::core::{AttemptId, Broken, OrderId, ProbeId, Reached, Reply, Standing, Work};
+pub use crate::call::Job;
+use crate::call::{AttemptId, Broken, OrderId, ProbeId, Reached, Reply, Standing, Work};
 use crate::interface::{FunctionId, Span, Time};
 use crate::net::{Connection, Flow, Hub, Link};
 use crate::settings::Site;
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 
-/// A command for a worker, waiting for its turn on a connection.
-#[derive(Clone, Debug)]
-pub enum Job {
-    /// Start an attempt.
-    Go {
-        /// Which.
-        attempt: AttemptId,
-        /// What it carries.
-        work: Rc<Work>,
-        /// When its answer is no longer waited for.
-        deadline: Time,
-    },
-    /// Give an attempt up.
-    Halt {
-        /// Which.
-        attempt: AttemptId,
-    },
-    /// Order a load.
-    Stage {
-        /// Which order.
-        order: OrderId,
-        /// What.
-        function: FunctionId,
-        /// How many copies.
-        copies: u8,
-    },
-    /// Ask whether the worker lives.
-    Probe {
-        /// Which probe.
-        probe: ProbeId,
-        /// When its answer is no longer waited for.
-        deadline: Time,
-    },
-    /// Unload the idle copies.
-    Purge {
-        /// What.
-        function: FunctionId,
-    },
-}
-
 /// What a worker's line says.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Said {
@@ -286,10 +247,8 @@
                 hub.core.attempt_ended(hub.now, attempt, reply);
             }
             Some(Open::Order(order)) => {
-                let standing = reply.map(|reply| Standing {
-                    status: crate::core::status_of(&reply),
-                    copies: copies.unwrap_or(0),
-                });
+                let standing =
+                    reply.map(|reply| Standing { status: reply.status(), copies: copies.unwrap_or(0) });
                 hub.core.order_ended(hub.now, order, standing);
             }
             // An answer, but not that it lives.
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -1,7 +1,8 @@
 //! Which connections lead to which worker.
 
 use super::{Codec, Job, Limits, WorkerConnection};
-use crate::core::{AttemptId, Broken, Command, Core, Reached};
+use crate::call::{AttemptId, Broken, Reached};
+use crate::core::{Command, Core};
 use crate::interface::{Span, Time, WorkerId};
 use crate::net::Reactor;
 use std::collections::{BTreeMap, HashMap};
--- /dev/null
+++ b/src/call.rs
@@ -0,0 +1,192 @@
+//! Calls, attempts, orders and their ends, as fronts, the core and back ends pass them on. No decisions, no I/O.
+
+use crate::interface::{FunctionId, RequestId, Span, Status, Time};
+use std::rc::Rc;
+
+/// A call's place at its front: a connection and a number of the front's choosing there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Owner {
+    /// The connection, never used twice.
+    pub connection: u64,
+    /// The call on it.
+    pub stream: u64,
+}
+
+/// A call as a front has read it.
+#[derive(Clone, Debug)]
+pub struct Incoming {
+    /// Where the answer goes.
+    pub owner: Owner,
+    /// The client's name for this try; workers see it unchanged.
+    pub reference: String,
+    /// Name of the class.
+    pub class: String,
+    /// The function called.
+    pub function: FunctionId,
+    /// Idempotency key, in keyed classes.
+    pub key: Option<String>,
+    /// Memory of one copy, in MB.
+    pub memory_mb: f64,
+    /// Calls that one copy runs at a time.
+    pub lanes: f64,
+    /// Usual time of a load, where told.
+    pub load_time: Option<Span>,
+    /// When the client gives up.
+    pub deadline: Time,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// What every attempt of a call carries to a worker.
+#[derive(Debug)]
+pub struct Work {
+    /// The client's name for the try.
+    pub reference: String,
+    /// Name of the class.
+    pub class: String,
+    /// The function.
+    pub function: FunctionId,
+    /// Idempotency key.
+    pub key: Option<String>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// One attempt of one call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptId {
+    /// The call.
+    pub request: RequestId,
+    /// Which of its attempts, from 0.
+    pub number: u16,
+}
+
+/// One order to load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct OrderId(pub u64);
+
+/// One probe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ProbeId(pub u64);
+
+/// How far an attempt or an order had come when it broke. This alone decides whether a repeat is safe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reached {
+    /// No byte was handed to the system.
+    NotSent,
+    /// Some bytes, not all: what arrives cannot be read, so it never ran.
+    PartlyWritten,
+    /// All of it: it may have run.
+    Out,
+    /// An answer came that could not be used.
+    Answered,
+}
+
+/// An attempt or order that ended without a usable answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Broken {
+    /// How far it had come.
+    pub reached: Reached,
+    /// What broke, for the log.
+    pub cause: &'static str,
+}
+
+/// What a worker said of an attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// Done, with its body.
+    Ok(Vec<u8>),
+    /// The function is not loaded there.
+    Miss,
+    /// Turned away unseen.
+    Full,
+    /// It failed and may have run.
+    Error,
+    /// The request was over before it ran.
+    Expired,
+}
+
+impl Reply {
+    /// What it means to the module.
+    pub fn status(&self) -> Status {
+        match self {
+            Reply::Ok(_) => Status::Ok,
+            Reply::Miss => Status::Miss,
+            Reply::Full => Status::Full,
+            Reply::Error => Status::Error,
+            Reply::Expired => Status::Moot,
+        }
+    }
+}
+
+/// What a worker said of an order to load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Standing {
+    /// How it ended.
+    pub status: Status,
+    /// Copies that stand.
+    pub copies: u32,
+}
+
+/// How a call ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// With a worker's body.
+    Served(Vec<u8>),
+    /// Not done; trying again is harmless after the cooldown.
+    Refused {
+        /// How long to stay away.
+        cooldown: Span,
+    },
+    /// Failed, promising nothing.
+    Failed,
+}
+
+/// The one final answer of a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// How it ended.
+    pub verdict: Verdict,
+    /// It ended because its time was up.
+    pub expired: bool,
+}
+
+/// A command for a worker, waiting for its turn on a connection.
+#[derive(Clone, Debug)]
+pub enum Job {
+    /// Start an attempt.
+    Go {
+        /// Which.
+        attempt: AttemptId,
+        /// What it carries.
+        work: Rc<Work>,
+        /// When its answer is no longer waited for.
+        deadline: Time,
+    },
+    /// Give an attempt up.
+    Halt {
+        /// Which.
+        attempt: AttemptId,
+    },
+    /// Order a load.
+    Stage {
+        /// Which order.
+        order: OrderId,
+        /// What.
+        function: FunctionId,
+        /// How many copies.
+        copies: u8,
+    },
+    /// Ask whether the worker lives.
+    Probe {
+        /// Which probe.
+        probe: ProbeId,
+        /// When its answer is no longer waited for.
+        deadline: Time,
+    },
+    /// Unload the idle copies.
+    Purge {
+        /// What.
+        function: FunctionId,
+    },
+}
--- a/src/chain/mod.rs
+++ b/src/chain/mod.rs
@@ -2,7 +2,7 @@
 
 pub mod estimate;
 
-use crate::core::{Answer, Incoming, Owner, Verdict};
+use crate::call::{Answer, Incoming, Owner, Verdict};
 use crate::interface::{FunctionId, Span, Time};
 use estimate::{Ahead, Estimates, Need};
 use std::collections::{BTreeMap, VecDeque};
--- /dev/null
+++ b/src/core/command.rs
@@ -0,0 +1,124 @@
+//! What the core wants done, and what it keeps of what is under way.
+
+use crate::call::*;
+use crate::chain::End;
+use crate::interface::*;
+use std::rc::Rc;
+
+/// What the adapter is to do, in this order.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// Give a call its final answer.
+    Answer {
+        /// Where to.
+        owner: Owner,
+        /// What.
+        answer: Answer,
+    },
+    /// Give a chain its one end.
+    Chain {
+        /// Where to.
+        owner: Owner,
+        /// What.
+        end: End,
+    },
+    /// Start an attempt.
+    Send {
+        /// Which.
+        attempt: AttemptId,
+        /// Where to.
+        worker: WorkerId,
+        /// What it carries.
+        work: Rc<Work>,
+        /// When its answer is no longer waited for.
+        deadline: Time,
+    },
+    /// Give an attempt up.
+    Halt {
+        /// Which.
+        attempt: AttemptId,
+        /// Where it went.
+        worker: WorkerId,
+    },
+    /// Order a load.
+    Stage {
+        /// Which order.
+        order: OrderId,
+        /// Where.
+        worker: WorkerId,
+        /// What.
+        function: FunctionId,
+        /// How many copies are to stand.
+        copies: u8,
+    },
+    /// Ask whether a worker lives.
+    Probe {
+        /// Which probe.
+        probe: ProbeId,
+        /// Where.
+        worker: WorkerId,
+        /// When its answer is no longer waited for.
+        deadline: Time,
+    },
+    /// Unload the idle copies.
+    Purge {
+        /// Where.
+        worker: WorkerId,
+        /// What.
+        function: FunctionId,
+    },
+    /// Nothing new goes out on the connections that lead there: the process at their end may be another now.
+    Renew {
+        /// Where.
+        worker: WorkerId,
+    },
+    /// An operator has left a worker out, or put it back, here: other processes of this scheduler are to know.
+    ByHand {
+        /// Which.
+        worker: WorkerId,
+        /// Out, or back.
+        out: bool,
+    },
+}
+
+pub(super) struct Taken {
+    pub(super) owner: Owner,
+    pub(super) work: Rc<Work>,
+    pub(super) class: usize,
+    pub(super) effect: Effect,
+    pub(super) deadline: Time,
+    pub(super) attempts: u16,
+    /// When the first attempt that may have run was written.
+    pub(super) first_out: Option<Time>,
+}
+
+pub(super) struct Attempt {
+    pub(super) worker: WorkerId,
+    pub(super) class: usize,
+    pub(super) decided: Time,
+    pub(super) deadline: Time,
+    pub(super) written: Option<Time>,
+}
+
+pub(super) struct Order {
+    pub(super) worker: WorkerId,
+    pub(super) function: FunctionId,
+    pub(super) copies: u8,
+    pub(super) decided: Time,
+}
+
+pub(super) struct Probe {
+    pub(super) worker: WorkerId,
+    pub(super) deadline: Time,
+    /// Under this lease, and for all of the fleet.
+    pub(super) part: Option<u16>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Due {
+    Wake,
+    Call(RequestId),
+    Attempt(AttemptId),
+    Order(OrderId),
+    Probe(ProbeId),
+}
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -1,8 +1,8 @@
 //! What the scheduler counts: taken in, sent, answered.
 
-use super::Verdict;
+use super::figures::Ends;
+use crate::call::Verdict;
 use crate::interface::Status;
-use crate::ops::figures::Ends;
 use std::collections::BTreeMap;
 use std::fmt;
 
--- /dev/null
+++ b/src/core/ends.rs
@@ -0,0 +1,136 @@
+//! How attempts, orders and probes end: at their worker, on the way, or before they left.
+
+use super::command::Due;
+use super::{AttemptId, Broken, Core, OrderId, ProbeId, Reached, Reply, Standing, Verdict};
+use crate::chain;
+use crate::interface::*;
+
+impl Core {
+    /// An attempt has been handed to the system whole.
+    pub fn written(&mut self, now: Time, attempt: AttemptId) {
+        let Some(entry) = self.attempts.get_mut(&attempt) else { return };
+        entry.written = Some(now);
+        self.counters.sent += 1;
+        if let Some(taken) = self.requests.get_mut(&attempt.request) {
+            taken.first_out.get_or_insert(now);
+        }
+    }
+
+    /// An attempt has ended at its worker, or broke on the way.
+    pub fn attempt_ended(&mut self, now: Time, id: AttemptId, end: Result<Reply, Broken>) {
+        let Some(attempt) = self.attempts.get(&id) else { return };
+        let (written, mut body) = (attempt.written, None);
+        let status = match end {
+            Ok(reply) => {
+                let status = reply.status();
+                if let Reply::Ok(bytes) = reply {
+                    body = Some(bytes);
+                }
+                status
+            }
+            Err(broken) => match broken.reached {
+                Reached::NotSent | Reached::PartlyWritten => Status::ConnectFailed,
+                Reached::Out => Status::Reset,
+                Reached::Answered => Status::Error,
+            },
+        };
+        self.counters.end(status);
+        if let Some(taken) = self.requests.get_mut(&id.request)
+            && status.never_ran()
+            && taken.first_out == written
+        {
+            taken.first_out = None;
+        }
+        if let Some(bytes) = body
+            && let Some(taken) = self.forget(id.request)
+        {
+            if taken.owner.connection != chain::STEP
+                && let Some(attempt) = self.attempts.get(&id)
+            {
+                let took = now - attempt.decided;
+                self.chains.note(now, taken.work.function, &taken.work.class, took);
+            }
+            self.answer(taken.owner, Some(&taken.work.class), Verdict::Served(bytes), false);
+        }
+        self.end_attempt(now, id, status);
+        self.settle(now);
+    }
+
+    /// An attempt that never left, for a reason of our own: it was no longer allowed, or there was nothing to
+    /// send it on. It says nothing of the worker, unlike a connection that could not be made.
+    pub fn attempt_held(&mut self, now: Time, id: AttemptId) {
+        if self.attempts.contains_key(&id) {
+            self.counters.end(Status::Moot);
+            self.end_attempt(now, id, Status::Moot);
+            self.settle(now);
+        }
+    }
+
+    /// An order to load has ended at its worker, or broke on the way.
+    pub fn order_ended(&mut self, now: Time, id: OrderId, end: Result<Standing, Broken>) {
+        let standing = end.unwrap_or_else(|broken| {
+            let status = match broken.reached {
+                Reached::NotSent | Reached::PartlyWritten => Status::ConnectFailed,
+                Reached::Out => Status::Reset,
+                Reached::Answered => Status::Error,
+            };
+            Standing { status, copies: 0 }
+        });
+        self.end_order(now, id, standing);
+        self.settle(now);
+    }
+
+    /// An order to load that never left, for a reason of our own; see [`Core::attempt_held`].
+    pub fn order_held(&mut self, now: Time, id: OrderId) {
+        self.end_order(now, id, Standing { status: Status::Moot, copies: 0 });
+        self.settle(now);
+    }
+
+    /// A probe has been answered, or broke on the way.
+    pub fn probe_ended(&mut self, now: Time, id: ProbeId, end: Result<(), Broken>) {
+        let status = end.map_or(Status::Reset, |()| Status::Ok);
+        self.end_probe(id, status);
+        self.settle(now);
+    }
+
+    /// A probe that never left, for a reason of our own; see [`Core::attempt_held`].
+    pub fn probe_held(&mut self, now: Time, id: ProbeId) {
+        self.end_probe(id, Status::Moot);
+        self.settle(now);
+    }
+
+    pub(super) fn end_attempt(&mut self, now: Time, id: AttemptId, status: Status) {
+        let Some(attempt) = self.attempts.remove(&id) else { return };
+        self.due.remove(&(attempt.deadline, Due::Attempt(id)));
+        let finished = !self.requests.contains_key(&id.request);
+        self.backlog.push_back(Event::Outcome(Outcome {
+            id: id.request,
+            attempt: id.number,
+            status,
+            latency: now - attempt.decided,
+            finished,
+            copy: CopyNote::Untold,
+            company: 0,
+            report: vec![],
+        }));
+    }
+
+    pub(super) fn end_probe(&mut self, id: ProbeId, status: Status) {
+        let Some(probe) = self.probes.remove(&id) else { return };
+        self.due.remove(&(probe.deadline, Due::Probe(id)));
+        match status {
+            Status::Ok => {}
+            Status::Moot => self.counters.probes_held += 1,
+            _ => self.counters.probes_unanswered += 1,
+        }
+        self.backlog.push_back(Event::Probed(probe.worker, status));
+    }
+
+    pub(super) fn end_order(&mut self, now: Time, id: OrderId, standing: Standing) {
+        let Some(order) = self.orders.remove(&id) else { return };
+        self.due.remove(&(order.decided + self.site.load_wait, Due::Order(id)));
+        let (worker, function) = (order.worker, order.function);
+        let (copies, status, latency) = (standing.copies, standing.status, now - order.decided);
+        self.backlog.push_back(Event::Loaded(Loaded { worker, function, copies, status, latency }));
+    }
+}
--- /dev/null
+++ b/src/core/gates.rs
@@ -0,0 +1,63 @@
+//! Gates that are asked when bytes are about to be written: whatever has queued may be allowed no longer.
+
+use super::{AttemptId, Core, KEY_MARGIN, LEASE_MARGIN, OrderId, ProbeId};
+use crate::interface::*;
+
+impl Core {
+    /// Whether an attempt may still go out: it may have waited for its connection while its request ended,
+    /// its worker began to drain or its key's window passed.
+    pub fn may_write(&self, now: Time, id: AttemptId) -> bool {
+        let Some(attempt) = self.attempts.get(&id).filter(|a| now < a.deadline) else { return false };
+        let Some(taken) = self.requests.get(&id.request) else { return false };
+        let in_window = match (taken.effect, taken.first_out) {
+            (_, None) | (Effect::Safe, _) => true,
+            (Effect::Unsafe, Some(_)) => false,
+            (Effect::Keyed { window, .. }, Some(first)) => now + KEY_MARGIN < first + window,
+        };
+        in_window && self.open_to_work(attempt.worker)
+    }
+
+    /// Whether an order may still go out, and counts it as gone out if so. The ration is looked at here
+    /// too: orders that queued behind a slow connection must not bunch up in one window.
+    pub fn may_write_order(&mut self, now: Time, id: OrderId) -> bool {
+        let Some(order) = self.orders.get(&id) else { return false };
+        if order.copies == 0 {
+            return true;
+        }
+        if !self.open_to_work(order.worker)
+            || !self.called.iter().any(|called| called.contains(&order.function))
+        {
+            return false;
+        }
+        if let Some(ration) = self.site.settings.rules.ration {
+            let since = now - ration.span;
+            self.ordered.retain(|at| *at >= since);
+            self.taken.retain(|at| *at > since);
+            let room = ration.free + ration.share * self.taken.len() as f64;
+            if self.ordered.len() as f64 + 1.0 > room {
+                self.counters.orders_rationed += 1;
+                return false;
+            }
+        }
+        self.ordered.push_back(now);
+        self.counters.orders += 1;
+        true
+    }
+
+    /// Whether a probe may still go out: one for all of the fleet only under its lease. The time is read for this
+    /// question alone.
+    pub fn may_write_probe(&self, now: Time, id: ProbeId) -> bool {
+        let Some(probe) = self.probes.get(&id) else { return false };
+        probe.part.is_none_or(|part| self.holds(now, Task::Probe, part))
+    }
+
+    pub(super) fn holds(&self, now: Time, task: Task, part: u16) -> bool {
+        self.held.get(&(task, part)).is_some_and(|hold| now + LEASE_MARGIN < hold.until)
+    }
+
+    /// An event of the bus counts as told from the moment it is in the bus, which may be long before it was
+    /// heard here. So nothing that still waits is written once a drain is known, whatever grace there is.
+    pub(super) fn open_to_work(&self, worker: WorkerId) -> bool {
+        self.told.get(&worker).is_some_and(|member| self.bans.laid_over(*member).state == State::Ready)
+    }
+}
--- /dev/null
+++ b/src/core/known.rs
@@ -0,0 +1,79 @@
+//! What another process of the same scheduler has to know to go on from here.
+
+use crate::interface::{CellId, KindId, Member, State, Time, WorkerId, ZoneId};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// What the old one knows. Times are Unix nanoseconds.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Known {
+    /// The version that it speaks.
+    pub version: u32,
+    /// The scheduler's name.
+    pub name: String,
+    /// Number of the last event of the bus.
+    pub offset: u64,
+    /// The list as the bus tells it.
+    pub list: Vec<Line>,
+    /// Numbers of the last events, with a sum over each: numbers mean the same to both where a sum agrees.
+    pub events: Vec<(u64, u64)>,
+    /// Workers out by hand.
+    pub out: Vec<u64>,
+    /// Workers that came back, and when.
+    pub back: Vec<(u64, u64)>,
+    /// Orders to load that went out lately.
+    pub orders: Vec<u64>,
+    /// Calls taken lately.
+    pub taken: Vec<u64>,
+    /// Functions that clients have called.
+    pub called: Vec<u64>,
+    /// Descriptors that it goes on holding.
+    pub descriptors: usize,
+}
+
+/// A worker of the list.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Line {
+    id: u64,
+    address: SocketAddr,
+    zone: u8,
+    kind: u8,
+    cell: u16,
+    draining: bool,
+    weight: f64,
+    started: Option<u64>,
+}
+
+impl Line {
+    /// A worker and its address as a line.
+    pub fn of(member: &Member, address: SocketAddr) -> Line {
+        Line {
+            id: member.worker.0,
+            address,
+            zone: member.zone.0,
+            kind: member.kind.0,
+            cell: member.cell.0,
+            draining: member.state != State::Ready,
+            weight: member.weight,
+            started: member.started.map(|at| at.0),
+        }
+    }
+
+    /// The worker.
+    pub fn member(&self) -> Member {
+        Member {
+            worker: WorkerId(self.id),
+            zone: ZoneId(self.zone),
+            cell: CellId(self.cell),
+            state: if self.draining { State::Draining } else { State::Ready },
+            weight: self.weight,
+            started: self.started.map(Time),
+            kind: KindId(self.kind),
+        }
+    }
+
+    /// Its address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
--- /dev/null
+++ b/src/core/tests.rs
@@ -0,0 +1,359 @@
+//! The core against every kind of end and every order of events.
+
+use super::*;
+use proptest::prelude::*;
+
+const MS: fn(u64) -> Time = |ms| Time(1_000_000_000_000 + ms * 1_000_000);
+const FUNCTION: FunctionId = FunctionId(9);
+
+const SITE: &str = r#"{"fleetSize": 1, "index": 0, "tickNs": 2000000, "classes": [
+    {"name": "safe", "deadlineNs": 3000000000, "effect": "retryable", "objectiveNs": 1000000000},
+    {"name": "keyed", "deadlineNs": 3000000000, "effect": "dedup", "group": "all",
+     "repeatWindowNs": 1000000000, "objectiveNs": 1000000000},
+    {"name": "unsafe", "deadlineNs": 3000000000, "effect": "fragile", "objectiveNs": 1000000000}],
+  "bounds": {"mostTries": 9, "mayCancel": true},
+  "contract": {"coldFrom": 0.2, "coldNs": 9000000000, "fallMultiple": 3, "fallNs": 2000000000},
+  "familyInfo": {"keepNs": 9000000000, "notLoaded": "load", "mayOrder": true,
+    "loadSpanNs": 5000000000, "loadsAnyway": 3, "loadPart": 0.3}}"#;
+
+fn site(text: &str) -> Site {
+    crate::settings::read_site(text.as_bytes()).unwrap()
+}
+
+fn core() -> Core {
+    let mut core = Core::new(site(SITE), 7);
+    let member = |n| Member { worker: WorkerId(n), weight: 1.0, ..Member::default() };
+    core.members(MS(0), ListKind::Full, vec![member(1), member(2)]);
+    core
+}
+
+fn call(core: &mut Core, stream: u64, class: &str) -> Vec<Command> {
+    let owner = Owner { connection: 1, stream };
+    let (reference, class) = (format!("{stream:016x}"), class.to_owned());
+    core.call(
+        MS(0),
+        Incoming {
+            owner,
+            reference,
+            class,
+            function: FUNCTION,
+            key: None,
+            memory_mb: 100.0,
+            lanes: 2.0,
+            load_time: None,
+            deadline: MS(3000),
+            body: vec![],
+        },
+    );
+    std::iter::from_fn(|| core.next_command()).collect()
+}
+
+fn sent(commands: &[Command]) -> (AttemptId, WorkerId) {
+    let send = commands.iter().find_map(|command| match command {
+        Command::Send { attempt, worker, .. } => Some((*attempt, *worker)),
+        _ => None,
+    });
+    send.expect("it is sent")
+}
+
+fn broken(reached: Reached) -> Result<Reply, Broken> {
+    Err(Broken { reached, cause: "test" })
+}
+
+fn load(core: &mut Core, now: Time) -> OrderId {
+    core.carry_out(now, Action::Load { worker: WorkerId(1), function: FUNCTION, copies: 1 });
+    match core.next_command() {
+        Some(Command::Stage { order, .. }) => order,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// A send that waited for its connection while its worker began to drain must not go out.
+#[test]
+fn what_queued_is_held_back_after_a_drain() {
+    let mut core = core();
+    let (attempt, worker) = sent(&call(&mut core, 1, "safe"));
+    let order = load(&mut core, MS(0));
+    let draining = |worker| Member { worker, state: State::Draining, ..Member::default() };
+    assert!(core.may_write(MS(9), attempt));
+    core.members(MS(10), ListKind::Delta, vec![draining(worker), draining(WorkerId(1))]);
+    assert!(!core.may_write(MS(11), attempt));
+    assert!(!core.may_write_order(MS(11), order));
+    core.members(MS(12), ListKind::Delta, vec![Member { worker, ..Member::default() }]);
+    assert!(core.may_write(MS(12), attempt));
+    core.members(MS(13), ListKind::Full, vec![]);
+    assert!(!core.may_write(MS(13), attempt), "absent from the whole list is gone");
+}
+
+/// Whatever waits for its connection when its worker is left out by hand stays here: an attempt, the repeat of
+/// one, an order. What comes back is met as a new process.
+#[test]
+fn what_queued_is_held_back_after_a_ban_whatever_the_bus_tells() {
+    let mut core = core();
+    let (attempt, worker) = sent(&call(&mut core, 1, "safe"));
+    let (open, home) = sent(&call(&mut core, 2, "safe"));
+    core.written(MS(1), open);
+    let order = load(&mut core, MS(1));
+    let ready = |worker| Member { worker, weight: 1.0, ..Member::default() };
+    for worker in [worker, home, WorkerId(1)] {
+        core.by_hand(MS(2), worker, true);
+    }
+    assert!(!core.may_write(MS(2), attempt) && !core.may_write_order(MS(2), order));
+    // Gone, back under another address, and the whole list anew: it stays out.
+    core.members(MS(3), ListKind::Delta, vec![Member { state: State::Gone, ..ready(worker) }]);
+    core.members(MS(4), ListKind::Delta, vec![Member { started: Some(MS(3)), ..ready(worker) }]);
+    core.members(MS(5), ListKind::Full, vec![ready(WorkerId(1)), ready(WorkerId(2))]);
+    core.replace_site(MS(6), site(SITE));
+    assert!(!core.may_write(MS(7), attempt) && !core.may_write_order(MS(7), order));
+    // What was open there fails: its repeat goes elsewhere.
+    while core.next_command().is_some() {}
+    core.attempt_ended(MS(8), open, broken(Reached::Out));
+    let other = std::iter::from_fn(|| core.next_command()).find_map(|command| match command {
+        Command::Send { worker, .. } => Some(worker),
+        _ => None,
+    });
+    assert!(other.is_none_or(|other| other != home && other != worker), "{other:?}");
+    core.by_hand(MS(9), worker, false);
+    let renewed = |c: &Command| matches!(c, Command::Renew { worker: w } if *w == worker);
+    assert!(std::iter::from_fn(|| core.next_command()).any(|c| renewed(&c)));
+    assert_eq!(core.bans.laid_over(ready(worker)).started, Some(MS(9)), "cold");
+    assert!(core.open_to_work(worker));
+}
+
+proptest! {
+    #![proptest_config(crate::drawn())]
+
+    /// Whatever lists, calls by hand, settings and ends come in whatever order: each call has one final answer,
+    /// nothing is sent where the list or an operator forbids it, and nothing is left behind.
+    #[test]
+    fn any_order_of_events_leaves_one_answer_each(
+        ops in prop::collection::vec((0u8..8, 0u64..6, 0u64..64, 0u8..12), 1..120)
+    ) {
+        let (mut core, mut now, mut stream) = (core(), MS(0), 10);
+        let retuned = SITE.replace("retryable", "fragile").replace("\"mostTries\": 9", "\"mostTries\": 2");
+        let mut open: Vec<AttemptId> = vec![];
+        let mut orders: Vec<OrderId> = vec![];
+        let (mut asked, mut answered) = (BTreeSet::new(), BTreeSet::new());
+        let member = |id: u64, b: u64, c: u8, now: Time| Member {
+            worker: WorkerId(id),
+            zone: ZoneId(c % 2),
+            state: [State::Ready, State::Draining, State::Gone][usize::from(c % 3)],
+            weight: [1.0, 0.0, 1e9][usize::from(c % 3)],
+            started: [None, Some(now), Some(MS(1 << 40))][b as usize % 3],
+            ..Member::default()
+        };
+        for (op, a, b, c) in ops {
+            match op {
+                0 => {
+                    // Several changes of one worker in one event, and the same told twice.
+                    let changes = vec![member(a, b, c, now), member(a, b / 3, c / 3, now), member(a, b, c, now)];
+                    core.members(now, ListKind::Delta, changes);
+                }
+                1 => {
+                    let listed = (0..6).filter(|id| b >> id & 1 == 1).map(|id| member(id, a, c / 3, now));
+                    core.members(now, ListKind::Full, listed.collect());
+                }
+                2 => {
+                    stream += 1;
+                    let owner = Owner { connection: 1, stream };
+                    asked.insert(owner);
+                    core.call(now, Incoming {
+                        owner,
+                        reference: format!("{:016x}", stream - u64::from(c == 11)),
+                        class: ["safe", "keyed", "unsafe", "other"][usize::from(c % 4)].to_owned(),
+                        function: FunctionId(a),
+                        key: None,
+                        memory_mb: 1e15,
+                        lanes: 0.0,
+                        load_time: None,
+                        deadline: now + Span::millis(b * 40),
+                        body: vec![0; 9],
+                    });
+                }
+                3 => drop(core.by_hand(now, WorkerId(a), c % 2 == 0)),
+                4 if !open.is_empty() => {
+                    let attempt = open.swap_remove(b as usize % open.len());
+                    if c < 8 && core.may_write(now, attempt) {
+                        core.written(now, attempt);
+                    }
+                    match c {
+                        0..4 => core.attempt_ended(now, attempt, Ok(Reply::Ok(vec![]))),
+                        4 => core.attempt_ended(now, attempt, Ok(Reply::Error)),
+                        5 => core.attempt_ended(now, attempt, Ok(Reply::Full)),
+                        6 | 7 => core.attempt_ended(now, attempt, broken(Reached::Out)),
+                        8 => core.attempt_ended(now, attempt, broken(Reached::NotSent)),
+                        _ => core.attempt_held(now, attempt),
+                    }
+                }
+                5 => {
+                    now = now + Span::millis(b * b);
+                    core.wake(now);
+                }
+                6 => core.replace_site(now, site(if c % 2 == 0 { SITE } else { &retuned })),
+                _ => {
+                    for order in orders.drain(..) {
+                        if core.may_write_order(now, order) {
+                            core.order_ended(now, order, Ok(Standing { status: Status::Ok, copies: 1 }));
+                        }
+                    }
+                }
+            }
+            while let Some(command) = core.next_command() {
+                match command {
+                    Command::Send { attempt, worker, .. } => {
+                        prop_assert!(core.open_to_work(worker), "sent where nothing may go");
+                        open.push(attempt);
+                    }
+                    Command::Stage { order, .. } => orders.push(order),
+                    Command::Answer { owner, .. } => prop_assert!(answered.insert(owner), "a second answer"),
+                    _ => {}
+                }
+            }
+        }
+        for _ in 0..400 {
+            now = now + Span::millis(50);
+            core.wake(now);
+        }
+        while let Some(command) = core.next_command() {
+            if let Command::Answer { owner, .. } = command {
+                prop_assert!(answered.insert(owner), "a second answer");
+            }
+        }
+        prop_assert_eq!(asked, answered);
+        prop_assert_eq!((core.owed(), core.attempts.len(), core.bodies, core.names.len()), (0, 0, 0, 0));
+    }
+}
+
+/// Orders that waited behind a slow connection must not bunch up beyond the ration.
+#[test]
+fn the_ration_holds_when_orders_are_written() {
+    let mut core = core();
+    for stream in 0..10 {
+        call(&mut core, stream, "safe");
+    }
+    let orders: Vec<OrderId> = (0..9).map(|_| load(&mut core, MS(0))).collect();
+    let written = orders.iter().filter(|order| core.may_write_order(MS(1), **order)).count();
+    assert_eq!(written, 6, "3 and 30% of 10");
+    let late = load(&mut core, MS(5002));
+    assert!(core.may_write_order(MS(5002), late), "the window has moved on");
+}
+
+#[test]
+fn only_functions_that_were_called_are_loaded() {
+    let mut core = core();
+    let order = load(&mut core, MS(0));
+    assert!(!core.may_write_order(MS(0), order));
+}
+
+/// The window counts from the first attempt that may have run, not from the latest.
+#[test]
+fn repeats_that_queued_keep_to_their_class() {
+    let cases = [
+        ("keyed", Reached::Out, MS(900), true),
+        ("keyed", Reached::Out, MS(960), false),
+        ("keyed", Reached::PartlyWritten, MS(2000), true),
+        ("safe", Reached::Out, MS(2000), true),
+        ("unsafe", Reached::PartlyWritten, MS(2000), true),
+    ];
+    for (class, reached, at, allowed) in cases {
+        let mut core = core();
+        let (first, _) = sent(&call(&mut core, 1, class));
+        core.written(MS(1), first);
+        core.attempt_ended(MS(2), first, broken(reached));
+        let commands: Vec<_> = std::iter::from_fn(|| core.next_command()).collect();
+        assert_eq!(core.may_write(at, sent(&commands).0), allowed, "{class} {reached:?}");
+    }
+}
+
+/// What we held back ourselves says nothing of the worker: it must not be taken for one that refuses
+/// connections, which nothing goes to for a while.
+#[test]
+fn what_never_left_is_not_held_against_its_worker() {
+    let mut core = core();
+    let (first, worker) = sent(&call(&mut core, 1, "safe"));
+    core.attempt_held(MS(1), first);
+    let (again, at) = sent(&std::iter::from_fn(|| core.next_command()).collect::<Vec<_>>());
+    assert_eq!(at, worker, "the function's home still");
+    core.attempt_ended(MS(2), again, broken(Reached::NotSent));
+    let (_, at) = sent(&std::iter::from_fn(|| core.next_command()).collect::<Vec<_>>());
+    assert_ne!(at, worker, "it refused a connection");
+}
+
+/// A new configuration brings other rules: they bind whoever comes after it, and nobody who came before.
+#[test]
+fn calls_keep_the_class_in_which_they_were_taken() {
+    let retuned = SITE.replace("retryable", "fragile").replace("\"mostTries\": 9", "\"mostTries\": 1");
+    let retuned = retuned.replace("keyed", "other");
+    let fails = |core: &mut Core, stream, attempt| {
+        core.written(MS(1), attempt);
+        core.attempt_ended(MS(2), attempt, broken(Reached::Out));
+        let commands: Vec<_> = std::iter::from_fn(|| core.next_command()).collect();
+        let answer = |c: &Command| matches!(c, Command::Answer { owner, .. } if owner.stream == stream);
+        (commands.iter().any(answer), commands)
+    };
+    let mut core = core();
+    let (before, _) = sent(&call(&mut core, 1, "safe"));
+    let (keyed, _) = sent(&call(&mut core, 2, "keyed"));
+    core.replace_site(MS(0), site(&retuned));
+    let (after, _) = sent(&call(&mut core, 3, "safe"));
+    assert!(matches!(
+        &call(&mut core, 4, "keyed")[..],
+        [Command::Answer { answer, .. }] if matches!(answer.verdict, Verdict::Refused { .. })
+    ));
+    assert!(fails(&mut core, 3, after).0, "unsafe, and one attempt");
+    let (answered, commands) = fails(&mut core, 1, before);
+    assert!(!answered && core.may_write(MS(3), sent(&commands).0), "safe, and more attempts");
+    let (answered, commands) = fails(&mut core, 2, keyed);
+    assert!(!answered && core.may_write(MS(3), sent(&commands).0), "inside its window");
+    // The places are used again: configurations that come and go leave nothing behind.
+    let again = sent(&commands).0;
+    core.attempt_ended(MS(4), again, Ok(Reply::Ok(vec![])));
+    for round in 0..20 {
+        core.replace_site(MS(5), site(if round % 2 == 0 { SITE } else { &retuned }));
+    }
+    assert!(core.site.classes.len() <= 7, "{:?}", core.site.classes);
+    let figures = core.figures();
+    assert_eq!(figures.classes["keyed"].answered, 1, "a dropped class keeps its counts");
+    assert!(figures.classes.contains_key("other"));
+}
+
+#[test]
+fn lines_that_clients_cause_are_bounded() {
+    let mut core = core();
+    let lines: Vec<usize> =
+        [0, 1_000, 1_500].map(|ms| (0..25).filter(|_| core.may_log(MS(ms))).count()).to_vec();
+    assert_eq!((lines, core.counters().unlogged), (vec![10, 10, 0], 55));
+}
+
+/// Nothing that goes wrong in the module may leave a call without an answer.
+#[test]
+fn a_call_that_the_module_has_lost_is_failed_after_its_deadline() {
+    let mut core = core();
+    call(&mut core, 1, "safe");
+    core.balancer = Balancer::new(core.site.settings.clone(), 1);
+    core.wake(MS(3019));
+    assert_eq!(core.owed(), 1);
+    core.wake(MS(3021));
+    let answers =
+        |c: &Command| matches!(c, Command::Answer { answer, .. } if answer.verdict == Verdict::Failed);
+    assert_eq!(std::iter::from_fn(|| core.next_command()).filter(answers).count(), 1);
+    assert_eq!((core.owed(), core.counters().overdue), (0, 1));
+}
+
+#[test]
+fn a_call_has_one_answer_whatever_still_comes() {
+    let mut core = core();
+    let (first, worker) = sent(&call(&mut core, 1, "safe"));
+    core.written(MS(1), first);
+    core.wake(MS(2999));
+    let answers = |core: &mut Core| {
+        std::iter::from_fn(|| core.next_command()).filter(|c| matches!(c, Command::Answer { .. })).count()
+    };
+    assert_eq!(answers(&mut core), 1, "at its end");
+    core.attempt_ended(MS(3000), first, Ok(Reply::Ok(vec![])));
+    core.members(MS(3000), ListKind::Delta, vec![Member { worker, ..Member::default() }]);
+    core.wake(MS(9000));
+    assert_eq!((answers(&mut core), core.owed()), (0, 0));
+    let commands = call(&mut core, 2, "no such class");
+    assert!(matches!(&commands[..], [Command::Answer { answer, .. }] if answer.verdict == Verdict::Failed));
+}
--- /dev/null
+++ b/src/core/workers.rs
@@ -0,0 +1,115 @@
+//! The list of workers, who of them is out by hand, and what other processes of this scheduler and of its fleet add.
+
+use super::bans::Done;
+use super::known::Known;
+use super::{Command, Core};
+use crate::fleet::lease::Hold;
+use crate::interface::*;
+use std::collections::BTreeSet;
+
+impl Core {
+    /// News of the list of workers.
+    pub fn members(&mut self, now: Time, kind: ListKind, members: Vec<Member>) {
+        if matches!(kind, ListKind::Full | ListKind::Cached) {
+            let listed: BTreeSet<WorkerId> = members.iter().map(|m| m.worker).collect();
+            self.told.retain(|worker, _| listed.contains(worker));
+        }
+        for member in &members {
+            match member.state {
+                State::Gone => drop(self.told.remove(&member.worker)),
+                _ => drop(self.told.insert(member.worker, *member)),
+            }
+        }
+        self.bans.forget_gone(|worker| self.told.contains_key(&worker));
+        self.counters.list_events += 1;
+        let members = members.into_iter().map(|member| self.bans.laid_over(member)).collect();
+        self.step(now, Event::Members(kind, members));
+    }
+
+    /// An operator leaves a worker out, so that from now on nothing new is written to it whatever the list tells,
+    /// or puts it back.
+    pub fn by_hand(&mut self, now: Time, worker: WorkerId, out: bool) -> Done {
+        let done = self.set_by_hand(now, worker, out, self.told.contains_key(&worker));
+        if done == Done::Changed {
+            self.commands.push_back(Command::ByHand { worker, out });
+        }
+        done
+    }
+
+    /// The same, called at another process of this scheduler, which knew the worker.
+    pub fn by_hand_elsewhere(&mut self, now: Time, worker: WorkerId, out: bool) {
+        self.set_by_hand(now, worker, out, true);
+    }
+
+    pub(super) fn set_by_hand(&mut self, now: Time, worker: WorkerId, out: bool, listed: bool) -> Done {
+        let done = match out {
+            true => self.bans.exclude(worker, listed),
+            false => self.bans.include(now, worker, listed),
+        };
+        if done == Done::Changed {
+            // It has most likely been restarted meanwhile, so nothing that was known of it holds.
+            if !out {
+                self.commands.push_back(Command::Renew { worker });
+            }
+            if let Some(member) = self.told.get(&worker) {
+                let member = self.bans.laid_over(*member);
+                self.step(now, Event::Members(ListKind::Delta, vec![member]));
+            }
+        }
+        done
+    }
+
+    /// What another process of this scheduler has to know; the adapter adds where the workers are.
+    pub fn known(&self) -> Known {
+        Known {
+            out: self.bans.out().map(|worker| worker.0).collect(),
+            back: self.bans.back().map(|(worker, at)| (worker.0, at.0)).collect(),
+            orders: self.ordered.iter().map(|at| at.0).collect(),
+            taken: self.taken.iter().map(|at| at.0).collect(),
+            called: self.called.iter().flatten().map(|function| function.0).collect(),
+            ..Known::default()
+        }
+    }
+
+    /// Takes over what the process before this one knew. The list is told as any other.
+    pub fn take_over(&mut self, now: Time, known: &Known) {
+        let out = known.out.iter().map(|worker| WorkerId(*worker));
+        let back = known.back.iter().map(|(worker, at)| (WorkerId(*worker), Time(*at)));
+        self.bans.take_over(out, back);
+        for (times, more) in [(&mut self.ordered, &known.orders), (&mut self.taken, &known.taken)] {
+            times.extend(more.iter().map(|at| Time(*at).min(now)));
+            times.make_contiguous().sort_unstable();
+        }
+        self.called[1].extend(known.called.iter().map(|function| FunctionId(*function)));
+        let members = self.told.values().map(|member| self.bans.laid_over(*member)).collect();
+        self.step(now, Event::Members(ListKind::Full, members));
+    }
+
+    /// What the list tells of each worker on it.
+    pub fn list(&self) -> impl Iterator<Item = &Member> {
+        self.told.values()
+    }
+
+    /// Whether a call taken now could be placed: some worker may be sent work.
+    pub fn places(&self) -> bool {
+        self.told.keys().any(|worker| self.open_to_work(*worker))
+    }
+
+    /// This process is one of a fleet whose tasks are cut into so many parts.
+    pub fn join_fleet(&mut self, now: Time, parts: u16) {
+        self.parts = parts;
+        self.step(now, Event::Shares(Shares { parts, own: BTreeSet::new() }));
+    }
+
+    /// A part of one of the fleet's tasks is this process's from now on, until then, or no longer.
+    pub fn hold(&mut self, now: Time, task: Task, part: u16, hold: Option<Hold>) {
+        let had = match hold {
+            Some(hold) => self.held.insert((task, part), hold),
+            None => self.held.remove(&(task, part)),
+        };
+        if had.is_some() != hold.is_some() {
+            let own = self.held.keys().copied().collect();
+            self.step(now, Event::Shares(Shares { parts: self.parts, own }));
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -73,6 +73,7 @@
 pub mod backend;
 mod brain;
 pub mod bus;
+pub mod call;
 pub mod chain;
 pub mod client;
 pub mod config;
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -1,8 +1,9 @@
 //! The reactor: one poll, all connections, their timers. Connections are objects that it calls back.
 
 use super::{Link, Stream, SystemClock};
+use crate::call::{Answer, Job};
 use crate::chain::End;
-use crate::core::{Answer, Core};
+use crate::core::Core;
 use crate::interface::{Span, Time};
 use mio::net::{TcpListener, TcpStream, UnixListener, UnixStream};
 use mio::{Events, Interest, Poll, Token};
@@ -70,7 +71,7 @@
         Flow::Go
     }
     /// A job for the worker at the other end.
-    fn job(&mut self, _job: crate::backend::Job, _link: &mut Link, _hub: &mut Hub) -> Flow {
+    fn job(&mut self, _job: Job, _link: &mut Link, _hub: &mut Hub) -> Flow {
         Flow::Go
     }
     /// Whether a job could be given now: its reference is not open here and there is room.
--- a/src/ops/mgmt.rs
+++ b/src/ops/mgmt.rs
@@ -1,7 +1,7 @@
 //! A caller's connection at the second address.
 
-use super::bans::Done;
 use super::http::{self, Call, HEAD, No};
+use crate::core::bans::Done;
 use crate::interface::{Span, Time};
 use crate::net::{Connection, Flow, Hub, Link};
 
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -1,7 +1,5 @@
 //! Daily operation: the second address, its figures, and workers that are out by hand.
 
-pub mod bans;
-pub mod figures;
 pub mod http;
 mod mgmt;
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,5 @@
 //! The settings text of the wire, turned into the library's settings.
 
-use crate::chain::Classes;
 use crate::interface::*;
 use serde::Deserialize;
 
@@ -205,25 +204,6 @@
     })
 }
 
-impl Classes for Site {
-    fn class(&self, name: &str) -> Option<(Span, Option<Span>)> {
-        let class = &self.settings.classes[Site::class(self, name)?];
-        let window = match class.effect {
-            Effect::Keyed { window, .. } => Some(window),
-            _ => None,
-        };
-        Some((class.aim, window))
-    }
-
-    fn keep(&self) -> Span {
-        self.settings.loading.keep
-    }
-
-    fn cooldown(&self) -> Span {
-        self.settings.limits.retry_after.unwrap_or(Span(0))
-    }
-}
-
 impl Site {
     /// The place of a class that new calls may name.
     pub fn class(&self, name: &str) -> Option<usize> {
