Let processes of a fleet know each other by SWIM, and pass on news with its age

Change: src/fleet/membership.rs is SWIM by the foca crate as a machine with now passed in; src/fleet/news.rs hands items on from one process to the next, each with an age that only grows; src/fleet/machine.rs joins them with the leases: three members want a lease at a time, in an order all see alike, and it goes back to the first of them once that one has stayed.

--- a/lab/src/chains.rs
+++ b/lab/src/chains.rs
@@ -186,7 +186,10 @@
                     }
                     self.over(now, chain, served, end.short.is_some());
                 }
-                Command::Purge { .. } | Command::Renew { .. } | Command::ByHand { .. } => {}
+                Command::Purge { .. }
+                | Command::Renew { .. }
+                | Command::ByHand { .. }
+                | Command::Tell { .. } => {}
             }
         }
     }
--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,5 @@
+//! The laboratory: plays what the scheduler decides, in virtual time and with real processes, and reports.
+
+pub mod chains;
+mod fleet;
+pub mod processes;
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -147,7 +147,10 @@
                     target.connections.clear();
                 }
             }
-            Command::Answer { .. } | Command::Chain { .. } | Command::ByHand { .. } => {}
+            Command::Answer { .. }
+            | Command::Chain { .. }
+            | Command::ByHand { .. }
+            | Command::Tell { .. } => {}
         }
     }
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -248,6 +248,7 @@
             Event::Probed(worker, status) => self.probed(worker, status, out),
             Event::Wanted(key, memory_mb) => self.wanted(key, memory_mb, out),
             Event::Shares(shares) => self.shares = shares,
+            Event::Told(..) => {}
             Event::Wake => self.armed = None,
         }
         while let Some(&(at, due)) = self.due.first().filter(|(at, _)| *at <= self.now) {
--- a/src/config.rs
+++ b/src/config.rs
@@ -322,15 +322,18 @@
     /// Parts into which each task is cut.
     #[serde(default = "default_parts")]
     pub parts: u16,
+    /// Processes that are reached elsewhere than they say.
+    #[serde(default)]
+    pub via: Vec<Elector>,
 }
 
-/// A process that grants leases.
+/// A process, and where it is reached.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Elector {
     /// Its index, as its settings tell it.
     pub index: u32,
-    /// Where it hears this process.
+    /// Where it hears others.
     pub at: SocketAddr,
 }
 
@@ -374,7 +377,7 @@
                 return odd(format!("electors names {} at {} twice", elector.index, elector.at));
             }
         }
-        let all = self.electors.iter().map(|elector| elector.at).chain([self.bind]);
+        let all = self.electors.iter().chain(&self.via).map(|elector| elector.at).chain([self.bind]);
         if let Some(at) = all.into_iter().find(|at| !at.ip().is_loopback()) {
             return odd(format!("bind and electors are loopback addresses, and {at} is none"));
         }
--- a/src/core/command.rs
+++ b/src/core/command.rs
@@ -72,6 +72,13 @@
         /// Where.
         worker: WorkerId,
     },
+    /// A probe for all of the fleet was answered, or was not: the others are to hear of it.
+    Tell {
+        /// Which worker.
+        worker: WorkerId,
+        /// Whether it answers.
+        answers: bool,
+    },
     /// An operator has left a worker out, or put it back, here: other processes of this scheduler are to know.
     ByHand {
         /// Which.
--- a/src/core/ends.rs
+++ b/src/core/ends.rs
@@ -1,7 +1,7 @@
 //! How attempts, orders and probes end: at their worker, on the way, or before they left.
 
 use super::command::Due;
-use super::{AttemptId, Broken, Core, OrderId, ProbeId, Reached, Reply, Standing, Verdict};
+use super::{AttemptId, Broken, Command, Core, OrderId, ProbeId, Reached, Reply, Standing, Verdict};
 use crate::chain;
 use crate::interface::*;
 
@@ -117,6 +117,10 @@
 
     pub(super) fn end_probe(&mut self, id: ProbeId, status: Status) {
         let Some(probe) = self.probes.remove(&id) else { return };
+        if probe.part.is_some() && status != Status::Moot {
+            let (worker, answers) = (probe.worker, status == Status::Ok);
+            self.commands.push_back(Command::Tell { worker, answers });
+        }
         self.due.remove(&(probe.deadline, Due::Probe(id)));
         match status {
             Status::Ok => {}
--- a/src/core/workers.rs
+++ b/src/core/workers.rs
@@ -95,6 +95,12 @@
         self.told.keys().any(|worker| self.open_to_work(*worker))
     }
 
+    /// Another process of the fleet has probed a worker; it answered, or did not, at that time at the latest.
+    pub fn told(&mut self, now: Time, worker: WorkerId, answers: bool, at: Time) {
+        let status = if answers { Status::Ok } else { Status::Timeout };
+        self.step(now, Event::Told(worker, status, at));
+    }
+
     /// This process is one of a fleet whose tasks are cut into so many parts.
     pub fn join_fleet(&mut self, now: Time, parts: u16) {
         self.parts = parts;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -9,6 +9,7 @@
 use crate::bus::{self, BusConnection, Inbox, News};
 use crate::config::{self, Config, Operator, Sources, Until};
 use crate::core::{Command, Core};
+use crate::fleet::news::{Subject, Word};
 use crate::front::frames::{self, FrameConnection};
 use crate::front::jsonrpc::RpcConnection;
 use crate::front::socket::{self, SocketFile};
@@ -276,6 +277,10 @@
                         connection.chain_ended(owner.stream, &end, link, hub)
                     });
                 }
+                Command::Tell { worker, answers } => {
+                    let (subject, word) = (Subject::Worker(worker.0), Word::Answers(answers));
+                    self.fleet(crate::fleet::Event::Seen(subject, word));
+                }
                 Command::ByHand { worker, out } => {
                     let worker = worker.0;
                     self.upgrade(handover::Event::ByHand { worker, out });
--- a/src/daemon/fleet.rs
+++ b/src/daemon/fleet.rs
@@ -3,8 +3,9 @@
 use super::Daemon;
 use crate::config::{self, Config};
 use crate::fleet::message::{self, LARGEST};
+use crate::fleet::news::{Subject, Word};
 use crate::fleet::{Do, Event, Machine, Process, Setting, lease};
-use crate::interface::{Span, Task};
+use crate::interface::{Span, Task, WorkerId};
 use crate::net::Reactor;
 use std::collections::BTreeMap;
 use std::io;
@@ -23,7 +24,7 @@
 
 impl Member {
     pub(super) fn new(setting: &config::Fleet, config: &Config, reactor: &mut Reactor) -> io::Result<Member> {
-        let (socket, _) = reactor.hear(setting.bind)?;
+        let (socket, at) = reactor.hear(setting.bind)?;
         // The bus of a site, and what was drawn for this start, make no two starts alike.
         let now = reactor.now();
         let process = Process { index: config.site.settings.index, incarnation: draw(config.seed, now.0) };
@@ -34,10 +35,17 @@
         let agreed = electors.iter().map(|index| u64::from(*index));
         let agreed: Vec<u64> =
             agreed.chain([setting.term_ms, setting.drift_ppm, u64::from(setting.parts)]).collect();
+        let places = |list: &[config::Elector]| list.iter().map(|one| (one.index, one.at)).collect();
         let setting = Setting {
             process,
+            generation: now.0,
+            at,
             fleet: message::fleet(&setting.name, &agreed),
-            electors: setting.electors.iter().map(|elector| (elector.index, elector.at)).collect(),
+            electors: places(&setting.electors),
+            via: places(&setting.via),
+            delay: Span::millis(setting.delay_ms),
+            size: config.site.settings.fleet_size,
+            seed: process.incarnation,
             lease: lease::Setting::new(electors, term, longest, setting.drift_ppm),
             parts: setting.parts,
             // Fences grow by far less than one a millisecond. Nothing else here rests on the time of day.
@@ -104,6 +112,13 @@
                     }
                     self.core.hold(now, task, part, hold);
                 }
+                Do::Heard(Subject::Worker(worker), Word::Answers(answers), at) => {
+                    self.core.told(now, WorkerId(worker), answers, at);
+                }
+                Do::Member(index, up) => {
+                    eprintln!("mintgate: fleet member index={index} {}", if up { "up" } else { "down" });
+                }
+                Do::Double => eprintln!("mintgate: fleet left why=\"another process has this one's index\""),
                 Do::Dropped(from, odd) => {
                     self.core.counters().fleet_dropped += 1;
                     if self.core.may_log(now) {
--- a/src/fleet/lease/elector.rs
+++ b/src/fleet/lease/elector.rs
@@ -36,14 +36,16 @@
     /// Other electors that have told their floors, and whether they voted.
     told: BTreeMap<u32, bool>,
     votes: bool,
+    /// When time alone may change that.
+    look: Option<Time>,
 }
 
 impl Elector {
     /// An elector that has just started and remembers nothing. `guess` is how far counters may have come, for
     /// the case that a majority has forgotten at once.
     pub fn new(index: u32, now: Time, guess: u64, setting: &Setting) -> Elector {
-        let (slots, told) = (BTreeMap::new(), BTreeMap::new());
-        Elector { index, slots, floor: guess, mute_until: now + setting.mute, told, votes: false }
+        let (slots, told, mute_until) = (BTreeMap::new(), BTreeMap::new(), now + setting.mute);
+        Elector { index, slots, floor: guess, mute_until, told, votes: false, look: Some(mute_until) }
     }
 
     /// Whether it votes.
@@ -51,9 +53,9 @@
         self.votes
     }
 
-    /// When it may begin to vote, while it does not.
+    /// When [`Elector::wake`] is to be called: when it may begin to vote for nothing but the time.
     pub fn due(&self) -> Option<Time> {
-        (!self.votes).then_some(self.mute_until)
+        self.look
     }
 
     /// Begins to vote once no grant of its past can stand and a majority of electors that vote has told how far
@@ -63,12 +65,15 @@
         if self.votes || now < self.mute_until {
             return;
         }
+        let last = self.mute_until + setting.mute;
+        self.look = (now < last).then_some(last);
         let voting = self.told.values().filter(|votes| **votes).count();
         let heard = self.told.len() + 1;
-        let late = heard >= setting.quorum && now >= self.mute_until + setting.mute;
+        let late = heard >= setting.quorum && now >= last;
         self.votes = voting >= setting.recall || heard >= setting.electors.len() || late;
         if self.votes {
             self.told.clear();
+            self.look = None;
         }
     }
 
@@ -170,7 +175,7 @@
 impl Elector {
     /// Votes as one that has run for long.
     pub fn settle(&mut self) {
-        self.votes = true;
+        (self.votes, self.look) = (true, None);
     }
 
     /// Whether a request of this ballot could change anything but by its answer, now or after a new start.
@@ -187,6 +192,7 @@
     /// See [`super::Seat::shift`].
     pub fn shift(&mut self, now: Time, ahead: impl Fn(Time) -> Time) {
         self.mute_until = ahead(self.mute_until);
+        self.look = (!self.votes).then_some(ahead(now));
         for slot in self.slots.values_mut() {
             slot.granted = slot.granted.filter(|grant| now < grant.until);
             slot.granted.iter_mut().for_each(|grant| grant.until = ahead(grant.until));
--- a/src/fleet/lease/mod.rs
+++ b/src/fleet/lease/mod.rs
@@ -54,12 +54,22 @@
     Granted(Ballot, u32),
     /// To an elector: whoever had this ballot or one before it acts on none of them any more.
     Release(Ballot),
+    /// To a process that may want the lease: its holder has given it back. A hint, and no more.
+    Free,
     /// To an elector, from one that has started: how far have counters come?
     Ask,
     /// From an elector: so far, and whether it votes.
     Floor(u64, bool),
 }
 
+impl Message {
+    /// Whether it is an elector's word.
+    pub fn is_answer(&self) -> bool {
+        use Message::{Behind, Floor, Granted, Held, Promise};
+        matches!(self, Promise(_) | Held(..) | Behind(..) | Granted(..) | Floor(..))
+    }
+}
+
 /// A lease held: while `now < until` nobody else holds it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Hold {
--- a/src/fleet/lease/proposer.rs
+++ b/src/fleet/lease/proposer.rs
@@ -76,6 +76,13 @@
         }
     }
 
+    /// The holder has given it back: there is nothing to wait for, if nothing is under way.
+    pub fn free(&mut self, now: Time, setting: &Setting) {
+        if self.hold.is_none() && self.phase == Phase::Rest {
+            self.next = self.rank.map(|rank| now + Span(setting.step.0 * u64::from(rank)));
+        }
+    }
+
     /// Acts no more from now on; electors may grant it to others at once. It is wanted again when
     /// [`Proposer::want`] says so.
     pub fn release(&mut self) -> Option<Message> {
--- a/src/fleet/lease/seat.rs
+++ b/src/fleet/lease/seat.rs
@@ -119,6 +119,11 @@
                 let message = proposer.and_then(|p| p.handle(now, from.index, message, setting));
                 self.ask_electors(now, lease, message, setting, out);
             }
+            Message::Free => {
+                if let Some(proposer) = self.proposers.get_mut(&lease) {
+                    proposer.free(now, setting);
+                }
+            }
             _ => {
                 let answer =
                     self.elector.as_mut().and_then(|e| e.handle(now, from.index, lease, message, setting));
@@ -177,6 +182,7 @@
                 self.elector.as_ref().is_some_and(|elector| elector.heeds(lease, ballot))
             }
             Message::Release(_) | Message::Ask => self.elector.is_some(),
+            Message::Free => false,
             Message::Floor(counter, votes) => {
                 self.elector.as_ref().is_some_and(|elector| elector.learns(from.index, counter, votes))
             }
--- /dev/null
+++ b/src/fleet/machine.rs
@@ -0,0 +1,482 @@
+//! What one process of a fleet knows and does: members, leases and news, joined. No sockets, no clock.
+
+use super::lease::{self, Hold, LeaseId, Seat, To};
+use super::membership::{self, Identity, Membership, Who};
+use super::message::{self, Datagram, Odd};
+use super::news::{self, Item, News, Subject, Word};
+use super::{Process, mix};
+use crate::interface::{Shares, Span, Task, Time};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+/// Members that want one lease at a time: enough for some to be alive whatever happens, and few enough for the
+/// electors not to hear from a whole fleet whenever a lease runs out.
+const CANDIDATES: usize = 3;
+/// How often news is told, and to how many members.
+const TELL: (Span, u32) = (Span::millis(250), 2);
+/// Terms for which one that comes back must have stayed, and a holder must have held, before a lease goes back
+/// to whom it is meant for; doubled with each time that one was lost lately, so often at most.
+const SETTLE: (u64, u32) = (3, 3);
+
+/// What a process is set to.
+#[derive(Clone, Debug)]
+pub struct Setting {
+    /// This process.
+    pub process: Process,
+    /// Of two processes with one index, the higher one is the member.
+    pub generation: u64,
+    /// Where it hears others.
+    pub at: SocketAddr,
+    /// Stands for the fleet's name, and for all that its processes must agree on.
+    pub fleet: u64,
+    /// Where the electors are, by index.
+    pub electors: BTreeMap<u32, SocketAddr>,
+    /// Processes that are reached elsewhere than they say.
+    pub via: BTreeMap<u32, SocketAddr>,
+    /// Terms and majorities.
+    pub lease: lease::Setting,
+    /// How long a datagram takes at most, on a link that is well.
+    pub delay: Span,
+    /// How many processes the fleet is likely to have.
+    pub size: u32,
+    /// Parts into which each task is cut.
+    pub parts: u16,
+    /// How far fences may have come, for the case that a majority of the electors has forgotten at once.
+    pub guess: u64,
+    /// Decides all that is drawn.
+    pub seed: u64,
+}
+
+/// What happens to a process.
+#[derive(Clone, Copy, Debug)]
+pub enum Event<'a> {
+    /// A datagram has come. The time is read after it was.
+    Datagram(&'a [u8], SocketAddr),
+    /// The time of [`Machine::due`] has come.
+    Timer,
+    /// This process has seen something that the others are to hear of.
+    Seen(Subject, Word),
+    /// It is about to end: what it holds it gives back, and others are told.
+    Leave,
+    /// Another process takes its place, under its index: what it holds it gives back, and is silent from now on.
+    HandOver,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Do {
+    /// Send a datagram.
+    Send(SocketAddr, Vec<u8>),
+    /// A task's part is held from now on, under this fence, or no longer.
+    Held(Task, u16, Option<Hold>),
+    /// Another process has told something; it was so at that time at the latest.
+    Heard(Subject, Word, Time),
+    /// A process has come into the fleet, or has gone.
+    Member(u32, bool),
+    /// Another process with this one's index is in the fleet: this one does nothing for it any more.
+    Double,
+    /// A datagram was dropped.
+    Dropped(SocketAddr, Odd),
+}
+
+/// Since when a member is up, and how often it was lost before.
+#[derive(Clone, Copy, Debug, Default)]
+struct Stay {
+    since: Time,
+    losses: u32,
+    lost: Time,
+}
+
+/// See the module's page.
+pub struct Machine {
+    setting: Setting,
+    seat: Seat,
+    membership: Membership,
+    news: News,
+    rng: SmallRng,
+    /// What was last said to be held, and since when.
+    held: BTreeMap<LeaseId, (Hold, Time)>,
+    stays: BTreeMap<u32, Stay>,
+    /// When it is told which leases it may want, for the first time: it must have met others to know.
+    ready: Time,
+    ranked: bool,
+    tell: Time,
+    left: bool,
+    sent: (u64, u64),
+}
+
+/// What operators are shown.
+#[derive(Clone, Debug)]
+pub struct Status {
+    /// This process.
+    pub process: Process,
+    /// The others that are up.
+    pub members: Vec<u32>,
+    /// Whether it grants leases now; none where it is no elector.
+    pub votes: Option<bool>,
+    /// All parts of all tasks.
+    pub leases: Vec<LeaseStatus>,
+    /// Datagrams and bytes sent since the start.
+    pub sent: (u64, u64),
+    /// Subjects of which something is known from others or told to them.
+    pub news: usize,
+    /// Whether it has left the fleet, or was put out of it.
+    pub left: bool,
+}
+
+/// A task's part as one process knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseStatus {
+    /// The task.
+    pub task: Task,
+    /// Its part.
+    pub part: u16,
+    /// Held by this process.
+    pub hold: Option<Hold>,
+    /// Granted by this process as an elector: to whom, and for how long yet.
+    pub granted: Option<(Process, Span)>,
+}
+
+/// The name of a task's part among leases.
+fn lease_of(task: Task, part: u16) -> LeaseId {
+    LeaseId(task as u16 * Shares::PARTS + part)
+}
+
+fn part_of(lease: LeaseId) -> Option<(Task, u16)> {
+    Some((*Task::ALL.get(usize::from(lease.0 / Shares::PARTS))?, lease.0 % Shares::PARTS))
+}
+
+impl Machine {
+    /// A process that has just started.
+    pub fn new(now: Time, setting: Setting) -> Machine {
+        let seat = Seat::new(setting.process, now, setting.guess, &setting.lease);
+        let reach = |(index, at): (&u32, &SocketAddr)| (*index, *setting.via.get(index).unwrap_or(at));
+        let contacts = setting.electors.iter().map(reach).collect();
+        let swim = membership::Setting { delay: setting.delay, size: setting.size, contacts };
+        let ready = now + Span(swim.period().0 * 2);
+        let (process, generation, at) = (setting.process, setting.generation, setting.at);
+        let membership =
+            Membership::new(now, Identity { process, generation, at }, mix(setting.seed, 1), swim);
+        Machine {
+            seat,
+            membership,
+            news: News::default(),
+            rng: SmallRng::seed_from_u64(mix(setting.seed, 2)),
+            held: BTreeMap::new(),
+            stays: BTreeMap::new(),
+            ready,
+            ranked: false,
+            tell: now + TELL.0,
+            left: false,
+            sent: (0, 0),
+            setting,
+        }
+    }
+
+    /// When [`Event::Timer`] is to be given.
+    pub fn due(&self) -> Option<Time> {
+        let ready = (!self.ranked).then_some(self.ready);
+        let tell = (!self.news.is_empty()).then_some(self.tell);
+        let all = self.seat.due().into_iter().chain(self.membership.due()).chain(ready).chain(tell);
+        all.min().filter(|_| !self.left)
+    }
+
+    /// Takes in what has happened.
+    pub fn handle(&mut self, now: Time, event: Event) -> Vec<Do> {
+        let mut out = vec![];
+        if self.left {
+            return out;
+        }
+        let (mut leases, mut swim, mut sender) = (vec![], membership::Out::default(), None);
+        match event {
+            Event::Datagram(bytes, from) => match message::read(self.setting.fleet, bytes) {
+                Ok(datagram) => {
+                    sender = Some((datagram.from, from));
+                    self.heard(now, datagram, from, &mut leases, &mut swim, &mut out);
+                }
+                Err(odd) => out.push(Do::Dropped(from, odd)),
+            },
+            Event::Timer => {}
+            Event::Seen(subject, word) => self.news.seen(now, subject, word),
+            Event::Leave | Event::HandOver => {
+                self.give_back(now, &self.setting.lease.clone(), &mut leases);
+                if matches!(event, Event::Leave) {
+                    self.membership.leave(now, &mut swim);
+                }
+                self.left = true;
+            }
+        }
+        if !self.left {
+            self.membership.wake(now, &mut swim);
+            self.meet(now, &swim.news, &mut leases, &mut out);
+            self.seat.wake(now, &self.setting.lease, &mut leases);
+            self.prefer(now, &mut leases);
+        }
+        self.say_held(now, &mut out);
+        self.send(leases, swim, sender, &mut out);
+        if self.tell <= now && !self.left {
+            self.tell = now + TELL.0;
+            self.tell_news(now, &mut out);
+        }
+        out
+    }
+
+    fn heard(
+        &mut self,
+        now: Time,
+        datagram: Datagram,
+        from: SocketAddr,
+        leases: &mut lease::Out,
+        swim: &mut membership::Out,
+        out: &mut Vec<Do>,
+    ) {
+        let sender = datagram.from;
+        if sender == self.setting.process {
+            return;
+        }
+        for (lease, message) in datagram.leases {
+            // An elector is who answers where the operator's file says that it is.
+            let elects =
+                self.setting.electors.contains_key(&sender.index) && self.address(sender.index) == Some(from);
+            if part_of(lease).is_some() && (elects || !message.is_answer()) {
+                self.seat.handle(now, sender, lease, message, &self.setting.lease, leases);
+            }
+        }
+        if let Some(who) = datagram.who {
+            self.membership.who(now, sender, who, swim);
+        }
+        if !datagram.swim.is_empty() && !self.membership.heard(now, &datagram.swim, swim) {
+            out.push(Do::Dropped(from, Odd::Malformed));
+        }
+        for item in datagram.news {
+            if let Some(at) = self.news.heard(now, item, self.setting.delay) {
+                out.push(Do::Heard(item.subject, item.word, at));
+            }
+        }
+    }
+
+    /// Where a process is to be reached; by what the operator's file says, and by hearsay only where it is silent.
+    fn address(&self, index: u32) -> Option<SocketAddr> {
+        let told = self.setting.via.get(&index).or_else(|| self.setting.electors.get(&index)).copied();
+        told.or_else(|| self.membership.members().get(&index).map(|identity| identity.at))
+    }
+
+    // ---- Who is to have which lease
+
+    fn meet(&mut self, now: Time, news: &[membership::News], leases: &mut lease::Out, out: &mut Vec<Do>) {
+        for what in news {
+            match what {
+                membership::News::Up(member) => {
+                    self.stays.entry(member.process.index).or_default().since = now;
+                    out.push(Do::Member(member.process.index, true));
+                }
+                membership::News::Down(member) => {
+                    let stay = self.stays.entry(member.process.index).or_default();
+                    (stay.losses, stay.lost) = ((stay.losses + 1).min(SETTLE.1), now);
+                    out.push(Do::Member(member.process.index, false));
+                }
+                membership::News::Double => {
+                    self.give_back(now, &self.setting.lease.clone(), leases);
+                    self.left = true;
+                    out.push(Do::Double);
+                }
+            }
+        }
+        if !self.ranked && now >= self.ready || self.ranked && !news.is_empty() && !self.left {
+            self.ranked = true;
+            self.rank(now);
+        }
+    }
+
+    /// All parts, and the members that are to have each first, in an order that all see alike.
+    fn order(&self, lease: LeaseId) -> Vec<u32> {
+        let all = self.membership.members().keys().copied().chain([self.setting.process.index]);
+        let mut order: Vec<(u64, u32)> =
+            all.map(|index| (mix(u64::from(lease.0), u64::from(index)), index)).collect();
+        order.sort_unstable();
+        order.into_iter().map(|(_, index)| index).collect()
+    }
+
+    fn leases(&self) -> Vec<LeaseId> {
+        let parts = 0..self.setting.parts;
+        Task::ALL.iter().flat_map(|task| parts.clone().map(|part| lease_of(*task, part))).collect()
+    }
+
+    fn rank(&mut self, now: Time) {
+        for lease in self.leases() {
+            let own = self.order(lease).iter().position(|index| *index == self.setting.process.index);
+            let rank = own.filter(|own| *own < CANDIDATES).map(|own| own as u32);
+            self.seat.want(now, lease, rank, &self.setting.lease);
+        }
+    }
+
+    /// Gives a lease back to whom it is meant for, once that one has stayed for a while. Who was lost again and
+    /// again has to stay for longer, so that a lease does not go to and fro.
+    fn prefer(&mut self, now: Time, out: &mut lease::Out) {
+        let term = self.setting.lease.term;
+        let held: Vec<(LeaseId, Time)> =
+            self.held.iter().map(|(lease, (_, since))| (*lease, *since)).collect();
+        for (lease, since) in held {
+            let first = self.order(lease)[0];
+            let Some(stay) = self.stays.get(&first).filter(|_| first != self.setting.process.index) else {
+                continue;
+            };
+            // What was lost long ago is forgotten.
+            let losses = if now - stay.lost > Span(term.0 * 64) { 0 } else { stay.losses };
+            let long = Span((term.0 * SETTLE.0) << losses);
+            if now - stay.since >= long && now - since >= long {
+                self.seat.release(now, lease, &self.setting.lease, out);
+                out.push((To::Elector(first), lease, lease::Message::Free));
+            }
+        }
+        if held_changed(&self.held, &self.seat, now) {
+            self.rank(now);
+        }
+    }
+
+    fn give_back(&mut self, now: Time, setting: &lease::Setting, out: &mut lease::Out) {
+        for lease in self.leases() {
+            if self.seat.holds(now, lease).is_none() {
+                self.seat.want(now, lease, None, setting);
+                continue;
+            }
+            self.seat.release(now, lease, setting, out);
+            let next = self.order(lease).into_iter().find(|index| *index != self.setting.process.index);
+            out.extend(next.map(|next| (To::Elector(next), lease, lease::Message::Free)));
+        }
+    }
+
+    // ---- What goes out
+
+    /// Says what has changed of what is held.
+    fn say_held(&mut self, now: Time, out: &mut Vec<Do>) {
+        let held: BTreeMap<LeaseId, Hold> = self.seat.held(now).collect();
+        let leases: BTreeSet<LeaseId> = held.keys().chain(self.held.keys()).copied().collect();
+        for lease in leases {
+            let (new, old) = (held.get(&lease).copied(), self.held.get(&lease).copied());
+            let Some((task, part)) = part_of(lease) else { continue };
+            match (new, old) {
+                (Some(new), Some((old, _))) if new == old => continue,
+                (Some(new), Some((old, since))) if new.fence == old.fence => {
+                    self.held.insert(lease, (new, since))
+                }
+                (Some(new), _) => self.held.insert(lease, (new, now)),
+                (None, _) => self.held.remove(&lease),
+            };
+            out.push(Do::Held(task, part, new));
+        }
+    }
+
+    /// Puts what goes to one process into as few datagrams as it fits.
+    fn send(
+        &mut self,
+        leases: lease::Out,
+        swim: membership::Out,
+        sender: Option<(Process, SocketAddr)>,
+        out: &mut Vec<Do>,
+    ) {
+        let mut bundles: BTreeMap<SocketAddr, Vec<(LeaseId, lease::Message)>> = BTreeMap::new();
+        for (to, lease, message) in leases {
+            let address = match to {
+                To::Elector(index) => self.address(index),
+                // Answers go where the question came from.
+                To::Process(process) => sender.filter(|(from, _)| *from == process).map(|(_, at)| at),
+            };
+            if let Some(address) = address {
+                bundles.entry(address).or_default().push((lease, message));
+            }
+        }
+        for (address, leases) in bundles {
+            for leases in leases.chunks(message::LEASES) {
+                self.datagram(address, Datagram { leases: leases.to_vec(), ..self.empty() }, out);
+            }
+        }
+        for (index, who) in swim.who {
+            // Answers go where the question came from, and questions to electors.
+            let answer = matches!(who, Who::Known(..));
+            let asker = sender.filter(|(from, _)| answer && from.index == index).map(|(_, at)| at);
+            if let Some(address) = asker.or_else(|| self.address(index).filter(|_| !answer)) {
+                self.datagram(address, Datagram { who: Some(who), ..self.empty() }, out);
+            }
+        }
+        for (to, packet) in swim.send {
+            let index = to.process.index;
+            let told = self.setting.via.get(&index).or_else(|| self.setting.electors.get(&index));
+            let address = told.copied().unwrap_or(to.at);
+            self.datagram(address, Datagram { swim: packet, ..self.empty() }, out);
+        }
+    }
+
+    fn tell_news(&mut self, now: Time, out: &mut Vec<Do>) {
+        let members: Vec<u32> = self.membership.members().keys().copied().collect();
+        if members.is_empty() {
+            return;
+        }
+        let items: Vec<Item> = self.news.to_tell(now, members.len(), TELL.1);
+        if items.is_empty() {
+            return;
+        }
+        let chosen: Vec<u32> = members.sample(&mut self.rng, TELL.1 as usize).copied().collect();
+        for index in chosen {
+            if let Some(address) = self.address(index) {
+                self.datagram(address, Datagram { news: items.clone(), ..self.empty() }, out);
+            }
+        }
+    }
+
+    fn empty(&self) -> Datagram {
+        Datagram { from: self.setting.process, leases: vec![], swim: vec![], who: None, news: vec![] }
+    }
+
+    fn datagram(&mut self, to: SocketAddr, datagram: Datagram, out: &mut Vec<Do>) {
+        let bytes = message::write(self.setting.fleet, &datagram);
+        self.sent = (self.sent.0 + 1, self.sent.1 + bytes.len() as u64);
+        out.push(Do::Send(to, bytes));
+    }
+
+    // ---- What is asked of it
+
+    /// The lease of a task's part, while this process holds it.
+    pub fn holds(&self, now: Time, task: Task, part: u16) -> Option<Hold> {
+        self.seat.holds(now, lease_of(task, part)).filter(|_| !self.left)
+    }
+
+    /// The others that are up.
+    pub fn members(&self) -> impl Iterator<Item = u32> + '_ {
+        self.membership.members().keys().copied()
+    }
+
+    /// What is known of a subject, and when it was so.
+    pub fn known(&self, now: Time, subject: Subject) -> Option<(Word, Time)> {
+        self.news.known(now, subject)
+    }
+
+    /// What operators are shown.
+    pub fn status(&self, now: Time) -> Status {
+        let elector = self.seat.elector();
+        let lease = |lease: LeaseId| {
+            let (task, part) = part_of(lease)?;
+            let granted = elector.and_then(|elector| elector.granted(now, lease));
+            let granted = granted.map(|grant| (grant.ballot.process, grant.until - now));
+            Some(LeaseStatus { task, part, hold: self.seat.holds(now, lease), granted })
+        };
+        Status {
+            process: self.setting.process,
+            members: self.members().collect(),
+            votes: elector.map(lease::elector::Elector::votes),
+            leases: self.leases().into_iter().filter_map(lease).collect(),
+            sent: self.sent,
+            news: self.news.len(),
+            left: self.left,
+        }
+    }
+}
+
+fn held_changed(held: &BTreeMap<LeaseId, (Hold, Time)>, seat: &Seat, now: Time) -> bool {
+    held.keys().any(|lease| seat.holds(now, *lease).is_none())
+}
+
+const _: () = assert!(news::ITEMS * 26 < message::LARGEST);
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -5,10 +5,14 @@
 
 use super::Process;
 use super::lease::{LeaseId, Message};
+use super::membership::Who;
+use super::news::Item;
 use serde::{Deserialize, Serialize};
 
 /// Largest datagram sent: what passes ordinary links in one piece.
 pub const LARGEST: usize = 1_400;
+/// Messages about leases that fit into one datagram: one takes 40 bytes at most.
+pub const LEASES: usize = 30;
 const MAGIC: &[u8; 3] = b"mgf";
 /// Another layout of what follows has another version.
 pub const VERSION: u8 = 1;
@@ -22,6 +26,12 @@
     pub from: Process,
     /// What of leases.
     pub leases: Vec<(LeaseId, Message)>,
+    /// A packet of the membership, or nothing.
+    pub swim: Vec<u8>,
+    /// Who is known under an index.
+    pub who: Option<Who>,
+    /// What the world is like.
+    pub news: Vec<Item>,
 }
 
 /// Why a datagram is not used.
--- /dev/null
+++ b/src/fleet/news.rs
@@ -0,0 +1,138 @@
+//! What processes tell each other of the world, each item with its age, handed on from one to the next.
+//!
+//! An item is told again by whoever has heard it, so that it reaches all of a fleet within a few rounds, while
+//! what each process sends a second is bounded. Ages are lengths of time: no two processes share a clock. A
+//! datagram takes time, so that what is heard counts as older by the longest that a link takes; an item is never
+//! taken to be younger than it is, however many have passed it on. Only the youngest of a subject is kept, and
+//! nothing that is older than [`LONGEST`].
+
+use crate::interface::{Span, Time};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// No item is kept or told that is older.
+pub const LONGEST: Span = Span::millis(10_000);
+/// Subjects kept at most; beyond them the oldest goes.
+const MOST: usize = 4_096;
+/// How often a process tells an item, beyond the logarithm of the fleet's size.
+const TOLD: u32 = 3;
+/// Items of one datagram: an item takes 26 bytes at most.
+pub const ITEMS: usize = 44;
+
+/// What an item is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Subject {
+    /// A worker, by its id: whether it answers probes.
+    Worker(u64),
+}
+
+/// What is said of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Word {
+    /// It has answered, or has left so many probes in a row unanswered.
+    Answers(bool),
+}
+
+/// An item on its way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Item {
+    /// About what.
+    pub subject: Subject,
+    /// What.
+    pub word: Word,
+    /// How long ago that was so, in milliseconds, rounded up.
+    pub age_ms: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Kept {
+    word: Word,
+    at: Time,
+    told: u32,
+}
+
+/// See the module's page.
+#[derive(Clone, Debug, Default)]
+pub struct News {
+    kept: BTreeMap<Subject, Kept>,
+}
+
+impl News {
+    /// Something that this process has seen itself.
+    pub fn seen(&mut self, now: Time, subject: Subject, word: Word) {
+        self.keep(now, subject, word, now);
+    }
+
+    /// Something that another one tells, by a link that takes `delay` at most; when it was so at the latest, if it
+    /// is news.
+    pub fn heard(&mut self, now: Time, item: Item, delay: Span) -> Option<Time> {
+        let age = Span::millis(u64::from(item.age_ms)).0.saturating_add(delay.0);
+        if age > LONGEST.0 {
+            return None;
+        }
+        self.keep(now, item.subject, item.word, now - Span(age))
+    }
+
+    fn keep(&mut self, now: Time, subject: Subject, word: Word, at: Time) -> Option<Time> {
+        if let Some(kept) = self.kept.get_mut(&subject) {
+            // The same a little later is not worth telling at once, or a worker's every probe would be.
+            if at <= kept.at {
+                return None;
+            }
+            let fresh = kept.word != word || at - kept.at >= Span(LONGEST.0 / 20);
+            *kept = Kept { word, at, told: if fresh { 0 } else { kept.told } };
+            return Some(at);
+        }
+        if self.kept.len() >= MOST {
+            self.forget(now);
+            let oldest =
+                self.kept.iter().min_by_key(|(_, kept)| kept.at).map(|(subject, kept)| (*subject, kept.at));
+            match oldest.filter(|_| self.kept.len() >= MOST) {
+                Some((oldest, since)) if since < at => drop(self.kept.remove(&oldest)),
+                Some(_) => return None,
+                None => {}
+            }
+        }
+        self.kept.insert(subject, Kept { word, at, told: 0 });
+        Some(at)
+    }
+
+    fn forget(&mut self, now: Time) {
+        self.kept.retain(|_, kept| now - kept.at <= LONGEST);
+    }
+
+    /// What to tell next, to `receivers` of so many members: what was told least first, the youngest of it first.
+    pub fn to_tell(&mut self, now: Time, members: usize, receivers: u32) -> Vec<Item> {
+        self.forget(now);
+        let often = TOLD + usize::BITS - members.leading_zeros();
+        let mut open: Vec<_> = self
+            .kept
+            .iter()
+            .filter(|(_, kept)| kept.told < often)
+            .map(|(s, k)| (k.told, now - k.at, *s))
+            .collect();
+        open.sort_unstable();
+        open.truncate(ITEMS);
+        let tell = |(_, age, subject): (u32, Span, Subject)| {
+            let kept = self.kept.get_mut(&subject)?;
+            kept.told += receivers;
+            Some(Item { subject, word: kept.word, age_ms: u32::try_from(age.0.div_ceil(1_000_000)).ok()? })
+        };
+        open.into_iter().filter_map(tell).collect()
+    }
+
+    /// What is known of a subject, and when it was so.
+    pub fn known(&self, now: Time, subject: Subject) -> Option<(Word, Time)> {
+        self.kept.get(&subject).filter(|kept| now - kept.at <= LONGEST).map(|kept| (kept.word, kept.at))
+    }
+
+    /// Subjects kept.
+    pub fn len(&self) -> usize {
+        self.kept.len()
+    }
+
+    /// Whether nothing is known.
+    pub fn is_empty(&self) -> bool {
+        self.kept.is_empty()
+    }
+}
--- /dev/null
+++ b/src/fleet/tests.rs
@@ -0,0 +1,259 @@
+//! A few machines on a perfect link, and what they make of datagrams that are odd.
+
+use super::membership::Who;
+use super::message::{Datagram, Odd};
+use super::news::{Item, LONGEST, News, Subject, Word};
+use super::*;
+use crate::interface::{Span, Task, Time};
+use proptest::prelude::*;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+const MS: fn(u64) -> Time = |ms| Time(1_000_000_000_000 + ms * 1_000_000);
+const TERM: Span = Span::millis(1_000);
+
+fn place(n: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 9_000 + n))
+}
+
+fn setting(index: u32, incarnation: u64, at: u16) -> Setting {
+    let electors = vec![0, 1, 2];
+    Setting {
+        process: Process { index, incarnation },
+        generation: incarnation,
+        at: place(at),
+        fleet: 7,
+        electors: electors.iter().map(|n| (*n, place(*n as u16))).collect(),
+        via: Default::default(),
+        lease: lease::Setting::new(electors, TERM, TERM, 1_000),
+        delay: Span::millis(20),
+        size: 4,
+        parts: 1,
+        guess: 0,
+        seed: incarnation,
+    }
+}
+
+/// Machines at their places, a millisecond apart.
+struct Net {
+    now: u64,
+    machines: Vec<(SocketAddr, Machine)>,
+    seen: Vec<(SocketAddr, Do)>,
+}
+
+impl Net {
+    fn new(settings: Vec<Setting>) -> Net {
+        let machines = settings.into_iter().map(|s| (s.at, Machine::new(MS(0), s))).collect();
+        Net { now: 0, machines, seen: vec![] }
+    }
+
+    fn give(&mut self, to: SocketAddr, event: Event) {
+        let mut waiting: VecDeque<(SocketAddr, SocketAddr, Vec<u8>)> = VecDeque::new();
+        let Some((_, machine)) = self.machines.iter_mut().find(|(at, _)| *at == to) else { return };
+        let mut all: Vec<(SocketAddr, Do)> =
+            machine.handle(MS(self.now), event).into_iter().map(|what| (to, what)).collect();
+        loop {
+            for (at, what) in all.drain(..) {
+                match what {
+                    Do::Send(to, bytes) => waiting.push_back((at, to, bytes)),
+                    other => self.seen.push((at, other)),
+                }
+            }
+            let Some((from, to, bytes)) = waiting.pop_front() else { return };
+            if let Some((_, machine)) = self.machines.iter_mut().find(|(at, _)| *at == to) {
+                let out = machine.handle(MS(self.now), Event::Datagram(&bytes, from));
+                all.extend(out.into_iter().map(|what| (to, what)));
+            }
+        }
+    }
+
+    fn pass(&mut self, ms: u64) {
+        for _ in 0..ms {
+            self.now += 1;
+            for at in self.machines.iter().map(|(at, _)| *at).collect::<Vec<_>>() {
+                self.give(at, Event::Timer);
+            }
+        }
+    }
+
+    fn holders(&self) -> Vec<SocketAddr> {
+        let holds = |machine: &Machine| machine.holds(MS(self.now), Task::Probe, 0).is_some();
+        self.machines.iter().filter(|(_, machine)| holds(machine)).map(|(at, _)| *at).collect()
+    }
+}
+
+#[test]
+fn one_holds_a_task_and_gives_it_back_when_it_leaves() {
+    let mut net = Net::new((0..3).map(|n| setting(n, 10 + u64::from(n), n as u16)).collect());
+    net.pass(900);
+    assert!(net.holders().is_empty(), "electors that have started are mute for a term");
+    net.pass(1_500);
+    let [first] = net.holders()[..] else { panic!("{:?}", net.holders()) };
+    net.pass(20 * TERM.0 / 1_000_000);
+    let [holder] = net.holders()[..] else { panic!("{:?}", net.holders()) };
+    net.give(holder, Event::Leave);
+    net.pass(200);
+    let [next] = net.holders()[..] else { panic!("no other, though it was given back") };
+    assert_ne!(next, holder);
+    let fences: Vec<u64> = net
+        .seen
+        .iter()
+        .filter_map(|(_, what)| match what {
+            Do::Held(_, _, Some(hold)) => Some(hold.fence),
+            _ => None,
+        })
+        .collect();
+    assert!(fences.is_sorted(), "{fences:?}");
+    assert!(first == holder || fences.first() < fences.last());
+}
+
+/// A process comes back after its place was given to another one under the same index: it does nothing any more.
+#[test]
+fn of_two_processes_with_one_index_the_earlier_steps_back() {
+    let mut settings: Vec<Setting> = (0..4).map(|n| setting(n, 10 + u64::from(n), n as u16)).collect();
+    let twin = setting(3, 50, 9);
+    settings.push(twin);
+    let mut net = Net::new(settings);
+    net.pass(6_000);
+    let out = |what: &(SocketAddr, Do)| what.1 == Do::Double;
+    let doubles: Vec<SocketAddr> = net.seen.iter().filter(|what| out(what)).map(|(at, _)| *at).collect();
+    assert_eq!(doubles, [place(3)], "and not the later one");
+    assert_eq!(net.holders().len(), 1);
+}
+
+/// A clock that was set back makes a process that starts anew look older than its place's last one.
+#[test]
+fn a_process_that_looks_older_than_the_one_before_is_taken_in() {
+    let mut net = Net::new((0..3).map(|n| setting(n, 1_000 + u64::from(n), n as u16)).collect());
+    net.pass(2_000);
+    let again = Machine::new(MS(net.now), setting(2, 5, 2));
+    net.machines[2].1 = again;
+    net.pass(5_000);
+    assert!(net.machines.iter().all(|(_, machine)| machine.members().count() == 2));
+    assert!(!net.seen.iter().any(|(_, what)| *what == Do::Double));
+}
+
+#[test]
+fn odd_datagrams_change_nothing() {
+    let mut net = Net::new((0..3).map(|n| setting(n, 10 + u64::from(n), n as u16)).collect());
+    // Until it is held by whom it is meant for.
+    net.pass(9_000);
+    let [holder] = net.holders()[..] else { panic!("{:?}", net.holders()) };
+    let ballot = lease::Ballot { counter: 1 << 40, process: Process { index: 1, incarnation: 99 } };
+    let all = Datagram {
+        from: ballot.process,
+        leases: vec![(lease::LeaseId(0), lease::Message::Granted(ballot, 1))],
+        swim: vec![],
+        who: Some(Who::Known(ballot.process, 3, true)),
+        news: vec![Item { subject: Subject::Worker(1), word: Word::Answers(false), age_ms: u32::MAX }],
+    };
+    let whole = message::write(7, &all);
+    assert_eq!(message::read(7, &whole), Ok(all.clone()));
+    for cut in 0..whole.len() {
+        assert_eq!(message::read(7, &whole[..cut]), Err(Odd::Malformed), "cut at {cut}");
+        let mut changed = whole.clone();
+        changed[cut] ^= 0x20;
+        assert!(message::read(7, &changed).is_err(), "changed at {cut}");
+    }
+    assert_eq!(message::read(8, &whole), Err(Odd::Fleet));
+    let mut later = whole[..whole.len() - 4].to_vec();
+    later[3] += 1;
+    later.extend(crc32fast::hash(&later).to_be_bytes());
+    assert_eq!(message::read(7, &later), Err(Odd::Version));
+    // Whole, and from a stranger: no elector's word counts that does not come from where the elector is; nor does
+    // news that is too old, a lease that no task has, or somebody else's release.
+    let release = lease::Message::Release(lease::Ballot { counter: u64::MAX, process: ballot.process });
+    let strange = Datagram {
+        leases: vec![
+            (lease::LeaseId(9_999), lease::Message::Prepare(ballot)),
+            (lease::LeaseId(0), release),
+            (lease::LeaseId(0), lease::Message::Floor(u64::MAX, true)),
+        ],
+        ..all
+    };
+    let stranger = place(77);
+    for bytes in [whole, message::write(7, &strange), vec![], b"mgf".to_vec(), vec![0xff; 2_000]] {
+        for at in net.machines.iter().map(|(at, _)| *at).collect::<Vec<_>>() {
+            for (_, machine) in net.machines.iter_mut().filter(|(other, _)| *other == at) {
+                let out = machine.handle(MS(net.now), Event::Datagram(&bytes, stranger));
+                assert!(!out.iter().any(|what| matches!(what, Do::Held(..) | Do::Heard(..))), "{out:?}");
+            }
+        }
+    }
+    net.pass(3_000);
+    assert_eq!(net.holders(), [holder], "it holds on");
+}
+
+#[test]
+fn news_is_told_with_its_age_and_the_youngest_counts() {
+    let (mut news, delay) = (News::default(), Span::millis(50));
+    let (one, gone) = (Subject::Worker(1), Word::Answers(false));
+    let item = |word, age_ms| Item { subject: one, word, age_ms };
+    assert_eq!(
+        news.heard(MS(1_000), item(gone, 300), delay),
+        Some(MS(650)),
+        "older by what the link may take"
+    );
+    assert_eq!(
+        news.heard(MS(1_000), item(Word::Answers(true), 400), delay),
+        None,
+        "older than what is known"
+    );
+    assert_eq!(news.to_tell(MS(1_100), 2, 2), [item(gone, 450)], "its age goes on");
+    assert_eq!(news.known(MS(1_100), one), Some((gone, MS(650))));
+    news.seen(MS(1_200), one, Word::Answers(true));
+    assert_eq!(
+        news.to_tell(MS(1_200), 2, 2),
+        [item(Word::Answers(true), 0)],
+        "told anew, for it is another word"
+    );
+    assert_eq!(news.heard(MS(1_300), item(gone, u32::MAX), delay), None, "too old to be true still");
+    for _ in 0..9 {
+        news.to_tell(MS(1_300), 2, 2);
+    }
+    assert!(news.to_tell(MS(1_300), 2, 2).is_empty(), "nothing is told for ever");
+    assert!(news.known(MS(1_200) + LONGEST + Span::millis(1), one).is_none());
+    for n in 0..10_000 {
+        news.seen(MS(2_000 + n), Subject::Worker(n), gone);
+    }
+    assert_eq!(news.len(), 4_096, "bounded");
+    assert!(
+        news.known(MS(12_000), Subject::Worker(9_999)).is_some()
+            && news.known(MS(12_000), Subject::Worker(0)).is_none()
+    );
+}
+
+proptest! {
+    #![proptest_config(crate::drawn())]
+
+    /// Whatever comes, in any order: no crash, and no lease that this process did not win.
+    #[test]
+    fn noise_wins_no_lease(
+        packets in prop::collection::vec((0u8..6, any::<u64>(), 0u32..4, 0u64..40, prop::collection::vec(any::<u8>(), 0..60)), 1..60)
+    ) {
+        let mut machine = Machine::new(MS(0), setting(1, 11, 1));
+        let mut now = 0;
+        for (kind, counter, index, ms, noise) in packets {
+            now += ms * ms;
+            let process = Process { index, incarnation: counter % 3 };
+            let ballot = lease::Ballot { counter, process: Process { index: 1, incarnation: 11 } };
+            let message = match kind {
+                0 => lease::Message::Promise(ballot),
+                1 => lease::Message::Granted(ballot, counter as u32),
+                2 => lease::Message::Held(ballot, counter),
+                3 => lease::Message::Behind(ballot, counter),
+                4 => lease::Message::Floor(counter, true),
+                _ => lease::Message::Propose(lease::Ballot { counter, process }, 1),
+            };
+            let news = vec![Item { subject: Subject::Worker(counter), word: Word::Answers(true), age_ms: index }];
+            let datagram = Datagram { from: process, leases: vec![(lease::LeaseId(0), message)], swim: noise.clone(), who: Some(Who::Ask), news };
+            let bytes = message::write(7, &datagram);
+            // From a stranger, so that no elector has spoken.
+            let out = machine.handle(MS(now), Event::Datagram(&bytes, place(50)));
+            prop_assert!(!out.iter().any(|what| matches!(what, Do::Held(..))), "{:?}", out);
+            machine.handle(MS(now), Event::Datagram(&noise, place(0)));
+            machine.handle(MS(now), Event::Timer);
+            prop_assert!(machine.holds(MS(now), Task::Probe, 0).is_none());
+        }
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -450,6 +450,8 @@
     Probed(WorkerId, Status),
     /// A call of this function, with the memory of one copy, is likely to come soon.
     Wanted(FunctionId, f64),
+    /// Another front end has probed a worker, at that time at the latest: [`Status::Ok`] if it answered.
+    Told(WorkerId, Status, Time),
     /// What this front end does for all of the fleet from now on.
     Shares(Shares),
     /// A time asked for by [`Action::Wake`] has come.
