--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -185,7 +185,7 @@
                     }
                 }
                 Job::Stage { order, function, copies } => {
-                    if !hub.core.may_write_order(hub.now, order) {
+                    if !hub.core.may_write_order(hub.clock.now(), order) {
                         self.open.remove(&Self::order_name(order));
                         hub.core.order_held(hub.now, order);
                         continue;
--- a/src/bin/mintgate-simhost/codec.rs
+++ b/src/bin/mintgate-simhost/codec.rs
@@ -341,7 +341,7 @@
                 self.record(9, instance, &[&id.0.to_be_bytes(), &wait.0.to_be_bytes()]);
             }
             Action::Fail { id } => self.record(10, instance, &[&id.0.to_be_bytes()]),
-            Action::Load { worker, function, copies } => {
+            Action::Load { worker, function, copies, .. } => {
                 self.record(5, instance, &[&worker_bytes(worker), &[*copies], &function.0.to_be_bytes()]);
             }
             Action::Unload { worker, function } => {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -34,6 +34,8 @@
 /// Silence with three calls out, longer with fewer, until a probe; unanswered ones until a worker is lost;
 /// silence until one in our part of the fleet's probes is probed.
 const SUSPECT: (Span, u32, Span) = (Span::millis(800), 2, Span::millis(1000));
+/// How long a peer's word that a worker is silent counts, from when it was so: two rounds of probes.
+const TOLD: Span = Span::millis(2000);
 /// How long calls are out, and how many in a zone of which nothing is heard since, that make it dark.
 const DARK: (Span, usize, u32) = (Span::millis(400), 2, 2);
 /// Calls that break within this time broke with one connection; so many in a row make a worker lost.
@@ -157,6 +159,8 @@
     heard: Time,
     probed: bool,
     unanswered: u32,
+    /// When it was silent as a peer says, if it has said nothing to anybody since.
+    silent: Option<Time>,
     /// The part of the calls at standing copies that failed lately.
     errors: f64,
     /// When a connection broke last, and how many in a row with nothing good between.
@@ -248,7 +252,7 @@
             Event::Probed(worker, status) => self.probed(worker, status, out),
             Event::Wanted(key, memory_mb) => self.wanted(key, memory_mb, out),
             Event::Shares(shares) => self.shares = shares,
-            Event::Told(..) => {}
+            Event::Told(worker, answers, at) => self.told(worker, answers, at),
             Event::Wake => self.armed = None,
         }
         while let Some(&(at, due)) = self.due.first().filter(|(at, _)| *at <= self.now) {
@@ -435,7 +439,7 @@
             if full && self.pending_loads(key) == 0 && warm.len() < copies {
                 let next = order.into_iter().find(|w| !warm.contains(w));
                 if let Some(worker) = next.filter(|w| self.busy(*w) + 1.0 < self.busy(best)) {
-                    self.order_load(worker, key, out);
+                    self.order_load(worker, key, None, out);
                 }
             }
             return;
@@ -457,7 +461,7 @@
             let homes = order.iter().take(copies + 2).copied();
             let first_two: Vec<WorkerId> = homes.filter(|w| self.may_load(*w, key)).take(2).collect();
             let Some(worker) = self.less_busy(&first_two) else { return self.later(id, RETRY) };
-            self.order_load(worker, key, out);
+            self.order_load(worker, key, None, out);
         }
         self.requests.entry(id).and_modify(|request| request.waiting = true);
         self.later(id, LOAD_PATIENCE);
@@ -467,9 +471,8 @@
     fn hold_back(&mut self, id: RequestId, out: &mut Actions) {
         let Some(request) = self.requests.get(&id) else { return };
         let crowded = self.crowding > CROWDED && self.now > request.came + request.aim.times(QUEUE_PART);
-        let effect = self.settings.classes[request.class].effect;
-        let closed = matches!((request.ran, effect), (Some(ran), Effect::Keyed { window, .. })
-            if self.now + KEY_MARGIN >= ran.since + window);
+        let closed = matches!((request.ran, self.settings.classes[request.class].effect),
+            (Some(ran), Effect::Keyed { window, .. }) if self.now + KEY_MARGIN >= ran.since + window);
         // Past this part of its time, or once no repeat is allowed, there is no hope: the client is told now.
         if crowded || closed || self.now > request.came + (request.end - request.came).times(HOPE) {
             return self.give_up(id, out);
@@ -563,7 +566,8 @@
         let slowness = |w: &WorkerId| self.workers[w].slowness(self.now);
         let bound = order.iter().map(slowness).sum::<f64>() / order.len().max(1) as f64 * SLOW_LEFT;
         let dark = |w: &Worker| self.dark.get(&w.member.zone).is_some_and(|dark| dark.1 > self.now);
-        let out = |w: &Worker| w.shun_until > self.now || dark(w) || w.slowness(self.now) > bound;
+        let told = |w: &Worker| w.silent.is_some_and(|at| at > w.heard && self.now - at < TOLD);
+        let out = |w: &Worker| w.shun_until > self.now || told(w) || dark(w) || w.slowness(self.now) > bound;
         let kept: Vec<WorkerId> = order.iter().copied().filter(|w| !out(&self.workers[w])).collect();
         if kept.len() * 2 >= order.len() { kept } else { order }
     }
@@ -575,10 +579,11 @@
         let (Some(request), Some(w)) = (self.requests.get(&id), self.workers.get(&worker)) else {
             return false;
         };
+        let young = |at: Time| self.now - at < self.settings.rules.cold_span;
         if w.member.state != State::Ready
             || request.out.is_some()
             || request.attempts >= self.settings.classes[request.class].max_attempts
-            || !self.cold_room(w)
+            || w.tokens.0 < 1.0 && w.member.started.is_some_and(young)
         {
             return false;
         }
@@ -624,13 +629,11 @@
     /// Ready, not lately failed, one of our load slots free, and inside the ration.
     fn may_load(&self, worker: WorkerId, key: FunctionId) -> bool {
         let Some(w) = self.workers.get(&worker) else { return false };
-        if w.member.state != State::Ready || !self.settings.limits.may_order {
-            return false;
-        }
         let pair = self.pair(key, worker).cloned().unwrap_or_default();
         let slots = if self.bronze(key) { 1 } else { LOADS };
         let starts = pair.warm_until > self.now || self.loads_under_way(w) < slots;
-        if pair.ordered.is_some() || pair.retry_at > self.now || !starts {
+        let able = w.member.state == State::Ready && self.settings.limits.may_order;
+        if !able || pair.ordered.is_some() || pair.retry_at > self.now || !starts {
             return false;
         }
         let Some(ration) = self.settings.rules.ration else { return true };
@@ -640,14 +643,14 @@
         orders + 1.0 <= ration.free + ration.share * calls
     }
 
-    fn order_load(&mut self, worker: WorkerId, key: FunctionId, out: &mut Actions) {
+    fn order_load(&mut self, worker: WorkerId, key: FunctionId, part: Option<u16>, out: &mut Actions) {
         if !self.may_load(worker, key) {
             return;
         }
         let Some(w) = self.workers.get_mut(&worker) else { return };
         w.pairs.entry(key).or_default().ordered = Some(self.now);
         self.orders.push_back(self.now);
-        out.push(Action::Load { worker, function: key, copies: 1 });
+        out.push(Action::Load { worker, function: key, copies: 1, part });
     }
 
     /// Ends a request unserved, at its end of time or before: refused where proven harmless, else failed.
@@ -674,8 +677,7 @@
         self.learn(&outcome, &attempt);
         let Some(request) = self.requests.get_mut(&outcome.id) else { return };
         if outcome.finished {
-            self.requests.remove(&outcome.id);
-            return;
+            return drop(self.requests.remove(&outcome.id));
         }
         request.out = None;
         if !outcome.status.never_ran() && request.ran.is_none() {
@@ -789,6 +791,15 @@
         }
     }
 
+    /// What a peer heard calls nothing off: who was silent is passed by for a while, and found lost sooner.
+    fn told(&mut self, id: WorkerId, answers: bool, at: Time) {
+        let Some(w) = self.workers.get_mut(&id).filter(|w| at > w.heard.max(w.born)) else { return };
+        match answers {
+            true => w.silent = w.silent.filter(|silent| *silent > at),
+            false => (w.silent, w.unanswered) = (w.silent.max(Some(at)), w.unanswered.max(SUSPECT.1 - 1)),
+        }
+    }
+
     /// Asks the workers of our parts, for all of the fleet, whether they live.
     fn watch(&mut self, out: &mut Actions) {
         let (now, shares) = (self.now, &self.shares);
@@ -865,7 +876,7 @@
                 // Its connection broke, or it never went out: that says nothing of the load.
                 (None, _) | (_, Status::Reset | Status::Moot) => {}
                 (Some(pair), _) => {
-                    pair.fail(now);
+                    (pair.retry_at, pair.failures) = (now + backoff(pair.failures), pair.failures + 1);
                     if loaded.copies == 0 {
                         (pair.missed, pair.warm_until) = (Some(now), Time(0));
                     }
@@ -885,7 +896,7 @@
         self.functions.entry(key).or_default().memory_mb = memory_mb;
         let order = self.hash_order(key);
         let home = self.healthy(order).first().copied().filter(|w| !self.believed_warm(key, *w));
-        home.into_iter().for_each(|home| self.order_load(home, key, out));
+        home.into_iter().for_each(|home| self.order_load(home, key, None, out));
     }
 
     // ---- Holds: gold stands everywhere
@@ -902,7 +913,9 @@
         let gold: Vec<_> = self.functions.iter().filter(|(_, f)| f.gold).map(|(id, _)| *id).collect();
         for key in gold {
             for worker in self.hash_order(key) {
-                if mix(key.0.rotate_left(32) ^ worker.0) % fleet != u64::from(self.settings.index) {
+                let whose = (mix(key.0.rotate_left(32) ^ worker.0) % fleet) as u32;
+                let part = self.shares.stands_in(whose);
+                if whose != self.settings.index && part.is_none() {
                     continue;
                 }
                 let w = &self.workers[&worker];
@@ -915,7 +928,7 @@
                 if first && (self.loads_under_way(w) > 0 || self.pending_loads(key) > 0) {
                     continue;
                 }
-                self.order_load(worker, key, out);
+                self.order_load(worker, key, part, out);
             }
         }
     }
@@ -933,12 +946,6 @@
 
     // ---- Cold starts
 
-    /// How long ago a worker that is still cold has started.
-    fn cold_age(&self, worker: WorkerId) -> Option<Span> {
-        let started = self.workers.get(&worker)?.member.started?;
-        Some(self.now - started).filter(|age| *age < self.settings.rules.cold_span)
-    }
-
     /// Lets cold workers have more calls of ours, as their capacity grows: so much of the usual traffic.
     fn fill(&mut self, span: Span) {
         let rules = self.settings.rules.clone();
@@ -952,11 +959,6 @@
             w.tokens = ((w.tokens.0 + more).min((more * 3.0).max(1.0)), self.now);
         }
     }
-
-    /// Whether one more call stays inside our share of what a cold worker bears.
-    fn cold_room(&self, w: &Worker) -> bool {
-        self.cold_age(w.member.worker).is_none() || w.tokens.0 >= 1.0
-    }
 }
 
 impl Function {
@@ -970,11 +972,6 @@
     fn stood(&mut self, until: Time) {
         (self.warm_until, self.missed, self.failures) = (until, None, 0);
     }
-
-    fn fail(&mut self, now: Time) {
-        self.retry_at = now + backoff(self.failures);
-        self.failures += 1;
-    }
 }
 
 impl Worker {
--- a/src/bus.rs
+++ b/src/bus.rs
@@ -156,7 +156,7 @@
                 }
                 Err(why) => {
                     hub.core.counters().unreadable += 1;
-                    eprintln!("mintgate: bus unreadable why=\"{why}\"");
+                    tracing::warn!(why, "bus unreadable");
                     return Flow::Close;
                 }
             }
@@ -167,7 +167,7 @@
 
     fn due(&mut self, _link: &mut Link, hub: &mut Hub) -> Flow {
         if self.silent_at <= hub.now {
-            eprintln!("mintgate: bus silent");
+            tracing::warn!("bus silent");
             return Flow::Close;
         }
         Flow::Go
--- a/src/core/command.rs
+++ b/src/core/command.rs
@@ -112,6 +112,8 @@
     pub(super) function: FunctionId,
     pub(super) copies: u8,
     pub(super) decided: Time,
+    /// Under this lease, and in the place of a process that is gone.
+    pub(super) part: Option<u16>,
 }
 
 pub(super) struct Probe {
--- a/src/core/gates.rs
+++ b/src/core/gates.rs
@@ -18,13 +18,15 @@
     }
 
     /// Whether an order may still go out, and counts it as gone out if so. The ration is looked at here
-    /// too: orders that queued behind a slow connection must not bunch up in one window.
+    /// too: orders that queued behind a slow connection must not bunch up in one window. One in the place of
+    /// another process goes out only under its lease.
     pub fn may_write_order(&mut self, now: Time, id: OrderId) -> bool {
         let Some(order) = self.orders.get(&id) else { return false };
         if order.copies == 0 {
             return true;
         }
         if !self.open_to_work(order.worker)
+            || order.part.is_some_and(|part| !self.holds(now, Task::Renew, part))
             || !self.called.iter().any(|called| called.contains(&order.function))
         {
             return false;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -92,6 +92,8 @@
     /// Parts of tasks into which the fleet's are cut, and those that this process holds.
     parts: u16,
     held: BTreeMap<(Task, u16), Hold>,
+    /// Processes of the fleet that are gone.
+    gone: BTreeSet<u32>,
     chains: chain::Machine,
     /// Final answers of chains' steps, which go to the chains; whether those are at work on them.
     step_answers: VecDeque<(Owner, Answer)>,
@@ -129,6 +131,7 @@
             bans: Bans::default(),
             parts: 0,
             held: BTreeMap::new(),
+            gone: BTreeSet::new(),
             chains: chain::Machine::new(seed),
             step_answers: VecDeque::new(),
             in_chains: false,
@@ -388,10 +391,10 @@
             }
             Action::Refuse { id, wait } => self.conclude(now, id, Verdict::Refused { cooldown: wait }),
             Action::Fail { id } => self.conclude(now, id, Verdict::Failed),
-            Action::Load { worker, function, copies } => {
+            Action::Load { worker, function, copies, part } => {
                 let order = OrderId(self.next_order);
                 self.next_order += 1;
-                self.orders.insert(order, Order { worker, function, copies, decided: now });
+                self.orders.insert(order, Order { worker, function, copies, decided: now, part });
                 self.due.insert((now + self.site.load_wait, Due::Order(order)));
                 self.commands.push_back(Command::Stage { order, worker, function, copies });
             }
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -61,7 +61,7 @@
 }
 
 fn load(core: &mut Core, now: Time) -> OrderId {
-    core.carry_out(now, Action::Load { worker: WorkerId(1), function: FUNCTION, copies: 1 });
+    core.carry_out(now, Action::Load { worker: WorkerId(1), function: FUNCTION, copies: 1, part: None });
     match core.next_command() {
         Some(Command::Stage { order, .. }) => order,
         other => panic!("{other:?}"),
--- a/src/core/workers.rs
+++ b/src/core/workers.rs
@@ -97,14 +97,24 @@
 
     /// Another process of the fleet has probed a worker; it answered, or did not, at that time at the latest.
     pub fn told(&mut self, now: Time, worker: WorkerId, answers: bool, at: Time) {
-        let status = if answers { Status::Ok } else { Status::Timeout };
-        self.step(now, Event::Told(worker, status, at));
+        self.step(now, Event::Told(worker, answers, at));
     }
 
     /// This process is one of a fleet whose tasks are cut into so many parts.
     pub fn join_fleet(&mut self, now: Time, parts: u16) {
         self.parts = parts;
-        self.step(now, Event::Shares(Shares { parts, own: BTreeSet::new() }));
+        self.step(now, Event::Shares(Shares { parts, ..Shares::default() }));
+    }
+
+    /// These processes of the fleet are gone now, and no others.
+    pub fn gone(&mut self, now: Time, gone: BTreeSet<u32>) {
+        self.gone = gone;
+        self.share(now);
+    }
+
+    fn share(&mut self, now: Time) {
+        let (own, gone) = (self.held.keys().copied().collect(), self.gone.clone());
+        self.step(now, Event::Shares(Shares { parts: self.parts, own, gone }));
     }
 
     /// A part of one of the fleet's tasks is this process's from now on, until then, or no longer.
@@ -114,8 +124,7 @@
             None => self.held.remove(&(task, part)),
         };
         if had.is_some() != hold.is_some() {
-            let own = self.held.keys().copied().collect();
-            self.step(now, Event::Shares(Shares { parts: self.parts, own }));
+            self.share(now);
         }
     }
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -26,6 +26,7 @@
 use std::os::unix::net::UnixStream;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
+use tracing::{error, info, warn};
 use upgrade::Upgrade;
 
 /// After SIGTERM clients still come for a while; nothing ends before this.
@@ -93,6 +94,8 @@
     rpc_clients: BTreeSet<u64>,
     router: Option<Router>,
     fleet: Option<fleet::Member>,
+    /// When to try again to take the fleet's address over from the old process.
+    fleet_again: Option<Time>,
     /// The pipes of the signals: to end, to print counters, and to read the files anew.
     pipes: (usize, usize, usize),
     /// Since when the daemon is on its way out.
@@ -184,6 +187,7 @@
             rpc_clients: BTreeSet::new(),
             router,
             fleet,
+            fleet_again: None,
             pipes,
             ending: None,
             told_late: false,
@@ -209,7 +213,7 @@
             let met = self.upgrade.as_ref().and_then(|upgrade| upgrade.machine.due());
             let router = self.router.as_ref().and_then(|router| router.machine.due());
             let until = self.core.next_due().into_iter().chain(self.bus_again);
-            let fleet = self.fleet.as_ref().and_then(|fleet| fleet.machine.due());
+            let fleet = self.fleet_due();
             let until = until.chain(self.next_step()).chain(router).chain(met).chain(fleet).min();
             for signal in self.reactor.turn(until, &mut self.core)? {
                 match signal {
@@ -225,6 +229,7 @@
                 }
             }
             self.vrrp(Event::Timer);
+            self.take_fleet();
             self.fleet(crate::fleet::Event::Timer);
             self.upgrade(handover::Event::Timer);
             self.settle();
@@ -233,7 +238,7 @@
             }
             if self.ended() {
                 self.print();
-                eprintln!("mintgate: ended name={}", self.config.name);
+                info!(name = %self.config.name, "ended");
                 return Ok(());
             }
         }
@@ -244,13 +249,8 @@
         self.reactor.ready = true;
         self.vrrp(Event::Startup);
         self.join_fleet();
-        let at = self.config.listen;
-        let mgmt = self.config.mgmt.map(|at| format!(" mgmt={at}")).unwrap_or_default();
-        eprintln!(
-            "mintgate: serving name={} listen={at}{mgmt} offset={}",
-            self.config.name,
-            self.inbox.borrow().offset
-        );
+        let (listen, mgmt, offset) = (self.config.listen, self.config.mgmt, self.inbox.borrow().offset);
+        info!(name = %self.config.name, %listen, mgmt = mgmt.map(tracing::field::display), offset, "serving");
     }
 
     /// Acts on everything that waits, until nothing does.
@@ -262,7 +262,7 @@
             let woken = catch_unwind(AssertUnwindSafe(|| self.core.wake(now)));
             if woken.is_err() {
                 self.core.counters().panics += 1;
-                eprintln!("mintgate: panic timer");
+                error!("panic timer");
             }
         }
         while let Some(command) = self.core.next_command() {
@@ -306,11 +306,11 @@
                     self.reactor.add(stream, connection, true, frames::LIMITS, &mut self.core);
                 }
                 Ok(Some(_)) if !self.core.may_log(self.reactor.now()) => {}
-                Ok(Some(_)) => eprintln!("mintgate: accept dropped why=\"no descriptors left\""),
+                Ok(Some(_)) => warn!(why = "no descriptors left", "accept dropped"),
                 Ok(None) => return,
                 Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
                 Err(e) => {
-                    eprintln!("mintgate: accept failed why=\"{e}\"");
+                    warn!(why = %e, "accept failed");
                     return;
                 }
             }
@@ -334,8 +334,8 @@
     }
 
     fn print(&mut self) {
-        eprintln!("mintgate: figures {}", self.core.figures().to_string().trim_end().replace('\n', " "));
-        eprintln!("mintgate: {}", self.core.counters());
+        info!("figures {}", self.core.figures().to_string().trim_end().replace('\n', " "));
+        info!("{}", self.core.counters());
     }
 
     fn accept_rpc(&mut self, now: Time, stream: Stream) {
@@ -354,7 +354,7 @@
             return;
         }
         if self.rpc_clients.len() >= front.max_clients {
-            return eprintln!("mintgate: accept dropped why=\"max_clients\"");
+            return warn!(why = "max_clients", "accept dropped");
         }
         let connection = Box::new(RpcConnection::new(now, front.max_line));
         let limits = RpcConnection::limits(front.max_line);
@@ -435,9 +435,8 @@
         let (mut config, operator) = match read.and_then(fronts) {
             Ok(read) => read,
             Err(why) => {
-                let why = why.replace('"', "'");
                 self.core.counters().conf_invalid += 1;
-                return eprintln!("mintgate: reload refused why=\"{why}\"");
+                return warn!(%why, "reload refused");
             }
         };
         self.core.counters().conf_loaded += 1;
@@ -453,7 +452,7 @@
             ("fleet", operator.fleet != self.operator.fleet),
         ];
         for (what, _) in fixed.iter().filter(|(_, differs)| *differs) {
-            eprintln!("mintgate: reload kept what={what}");
+            warn!(what, "reload kept");
         }
         (config.listen, config.mgmt) = (self.config.listen, self.config.mgmt);
         config.name.clone_from(&self.config.name);
@@ -482,7 +481,7 @@
             self.move_bus(now);
         }
         self.keep();
-        eprintln!("mintgate: reloaded offset={}", self.inbox.borrow().offset);
+        info!(offset = self.inbox.borrow().offset, "reloaded");
     }
 
     /// The bus has another address: the old one tells nothing more. The new one is asked at once, from the
@@ -547,7 +546,7 @@
         let state = router.machine.state();
         self.reactor.active = state == vrrp::State::Active;
         if state != before {
-            eprintln!("mintgate: vrrp vrid={} state={state:?} was={before:?}", router.setting.vrid);
+            info!(vrid = router.setting.vrid, ?state, was = ?before, "vrrp");
         }
     }
 
@@ -567,7 +566,7 @@
                 Ok(_) => self.core.counters().vrrp_dropped += 1,
                 Err(why) => {
                     self.core.counters().vrrp_dropped += 1;
-                    eprintln!("mintgate: vrrp dropped from={from} why=\"{why}\"");
+                    warn!(%from, why, "vrrp dropped");
                 }
             }
         }
@@ -580,7 +579,7 @@
         if self.ending.is_some() {
             return;
         }
-        eprintln!("mintgate: ending name={} owed={}", self.config.name, self.core.owed());
+        info!(name = %self.config.name, owed = self.core.owed(), "ending");
         self.ending = Some(self.reactor.now());
         self.reactor.ready = false;
         self.upgrade(handover::Event::Leaving);
--- a/src/daemon/fleet.rs
+++ b/src/daemon/fleet.rs
@@ -5,17 +5,22 @@
 use crate::fleet::message::{self, LARGEST};
 use crate::fleet::news::{Subject, Word};
 use crate::fleet::{Do, Event, Machine, Process, Setting, lease};
-use crate::interface::{Span, Task, WorkerId};
+use crate::interface::{Span, Task, Time, WorkerId};
 use crate::net::Reactor;
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io;
+use std::rc::Rc;
+use tracing::{error, info, warn};
 
 /// Datagrams taken in one turn of the loop: a flood must not keep calls waiting.
 const TURN: usize = 256;
+/// Pause before the fleet's address is tried again, while the old process has it.
+const AGAIN: Span = Span::millis(50);
 
 /// This daemon's place in its fleet.
 pub(super) struct Member {
-    pub(super) machine: Machine,
+    machine: Rc<RefCell<Machine>>,
     socket: usize,
     parts: u16,
     /// Fences of what is held, as last logged.
@@ -25,7 +30,6 @@
 impl Member {
     pub(super) fn new(setting: &config::Fleet, config: &Config, reactor: &mut Reactor) -> io::Result<Member> {
         let (socket, at) = reactor.hear(setting.bind)?;
-        // The bus of a site, and what was drawn for this start, make no two starts alike.
         let now = reactor.now();
         let process = Process { index: config.site.settings.index, incarnation: draw(config.seed, now.0) };
         let mut electors: Vec<u32> = setting.electors.iter().map(|elector| elector.index).collect();
@@ -52,7 +56,12 @@
             guess: now.0 / 1_000_000,
         };
         let parts = setting.parts;
-        Ok(Member { machine: Machine::new(now, setting), socket, parts, held: BTreeMap::new() })
+        Ok(Member {
+            machine: Rc::new(RefCell::new(Machine::new(now, setting))),
+            socket,
+            parts,
+            held: BTreeMap::new(),
+        })
     }
 }
 
@@ -66,10 +75,52 @@
     /// From now on this daemon does its part of the fleet's tasks.
     pub(super) fn join_fleet(&mut self) {
         let Some(member) = &self.fleet else { return };
+        self.reactor.fleet = Some(member.machine.clone());
         self.core.join_fleet(self.reactor.now(), member.parts);
         self.fleet(Event::Timer);
     }
 
+    /// The scheduler's place in the fleet is that of the process that takes the clients: an old one gives it up
+    /// when it shuts its door, and takes it again if the new one ends first.
+    pub(super) fn give_fleet(&mut self, open: bool) {
+        if self.operator.fleet.is_none() {
+            return;
+        }
+        if !open && let Some(member) = &self.fleet {
+            let socket = member.socket;
+            self.fleet(Event::HandOver);
+            self.reactor.unhear(socket);
+            (self.fleet, self.reactor.fleet, self.fleet_again) = (None, None, None);
+        }
+        if open {
+            self.fleet_again = Some(self.reactor.now());
+        }
+    }
+
+    /// Tries to take the fleet's address, for as long as another process has it.
+    pub(super) fn take_fleet(&mut self) {
+        let now = self.reactor.now();
+        let Some(setting) = self.operator.fleet.clone().filter(|_| self.fleet.is_none()) else { return };
+        if self.fleet_again.is_none_or(|at| at > now) || self.ending.is_some() {
+            return;
+        }
+        self.fleet_again = None;
+        match Member::new(&setting, &self.config, &mut self.reactor) {
+            Ok(member) => {
+                self.fleet = Some(member);
+                self.join_fleet();
+            }
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse => self.fleet_again = Some(now + AGAIN),
+            Err(why) => warn!(%why, "upgrade no fleet"),
+        }
+    }
+
+    /// When the fleet wants to be turned to next.
+    pub(super) fn fleet_due(&self) -> Option<Time> {
+        let due = self.fleet.as_ref().and_then(|member| member.machine.borrow().due());
+        due.into_iter().chain(self.fleet_again).min()
+    }
+
     pub(super) fn is_fleet(&self, socket: usize) -> bool {
         self.fleet.as_ref().is_some_and(|member| member.socket == socket)
     }
@@ -92,22 +143,23 @@
     pub(super) fn fleet(&mut self, event: Event) {
         let now = self.reactor.now();
         let Some(member) = &mut self.fleet else { return };
-        if matches!(event, Event::Timer) && member.machine.due().is_none_or(|at| at > now) {
+        if matches!(event, Event::Timer) && member.machine.borrow().due().is_none_or(|at| at > now) {
             return;
         }
-        for what in member.machine.handle(now, event) {
+        let all = member.machine.borrow_mut().handle(now, event);
+        for what in all {
             match what {
                 Do::Send(to, bytes) => self.reactor.send_datagram(member.socket, &bytes, to),
                 Do::Held(task, part, hold) => {
-                    let name = name(task);
+                    let name = task.name();
                     match hold {
                         Some(hold) if member.held.insert((task, part), hold.fence) != Some(hold.fence) => {
-                            eprintln!("mintgate: fleet holds task={name} part={part} fence={}", hold.fence);
+                            info!(task = name, part, fence = hold.fence, "fleet holds");
                         }
                         Some(_) => {}
                         None => {
                             member.held.remove(&(task, part));
-                            eprintln!("mintgate: fleet lost task={name} part={part}");
+                            info!(task = name, part, "fleet lost");
                         }
                     }
                     self.core.hold(now, task, part, hold);
@@ -116,22 +168,17 @@
                     self.core.told(now, WorkerId(worker), answers, at);
                 }
                 Do::Member(index, up) => {
-                    eprintln!("mintgate: fleet member index={index} {}", if up { "up" } else { "down" });
+                    info!(index, state = if up { "up" } else { "down" }, "fleet member");
                 }
-                Do::Double => eprintln!("mintgate: fleet left why=\"another process has this one's index\""),
+                Do::Gone(gone) => self.core.gone(now, gone),
+                Do::Double => error!(why = "another process has this one's index", "fleet left"),
                 Do::Dropped(from, odd) => {
                     self.core.counters().fleet_dropped += 1;
                     if self.core.may_log(now) {
-                        eprintln!("mintgate: fleet dropped from={from} why={odd:?}");
+                        warn!(%from, why = ?odd, "fleet dropped");
                     }
                 }
             }
         }
     }
 }
-
-fn name(task: Task) -> &'static str {
-    match task {
-        Task::Probe => "probe",
-    }
-}
--- a/src/daemon/upgrade.rs
+++ b/src/daemon/upgrade.rs
@@ -14,6 +14,7 @@
 use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
 use std::rc::Rc;
+use tracing::{info, warn};
 
 /// Descriptors that a process goes on needing beside those it holds when another comes.
 const SPARE: usize = 8;
@@ -155,7 +156,7 @@
                     .and_then(|(listener, file)| Ok((self.reactor.listen_unix(listener)?, file)))
                 {
                     Ok(listener) => upgrade.listener = Some(listener),
-                    Err(e) => eprintln!("mintgate: upgrade no meeting place why=\"{e}\""),
+                    Err(e) => warn!(why = %e, "upgrade no meeting place"),
                 }
                 self.door(true);
                 self.open();
@@ -163,7 +164,7 @@
                 self.keep();
             }
             Do::Door(open) => {
-                eprintln!("mintgate: upgrade door={}", if open { "open" } else { "shut" });
+                info!(door = if open { "open" } else { "shut" }, "upgrade");
                 self.door(open);
             }
             Do::ByHand { worker, out, at } => self.core.by_hand_elsewhere(at.min(now), WorkerId(worker), out),
@@ -172,7 +173,7 @@
                 self.take_router();
             }
             Do::Drop(peer, why) => {
-                eprintln!("mintgate: upgrade peer dropped why=\"{why}\"");
+                warn!(why, "upgrade peer dropped");
                 self.reactor.end(peer, &mut self.core);
             }
             Do::Fail(why) => upgrade.failed = Some(why),
@@ -194,7 +195,7 @@
             let taken = socket::replace(&front.socket, front.mode);
             match taken.and_then(|(listener, file)| Ok((self.reactor.listen_unix(listener)?, file))) {
                 Ok(rpc) => self.rpc = Some(rpc),
-                Err(e) => eprintln!("mintgate: upgrade no second front why=\"{e}\""),
+                Err(e) => warn!(why = %e, "upgrade no second front"),
             }
         }
         self.take_router();
@@ -207,7 +208,7 @@
         let kept =
             std::fs::write(&new, &self.config.text).and_then(|()| std::fs::rename(&new, &upgrade.kept));
         if let Err(e) = kept {
-            eprintln!("mintgate: upgrade configuration not kept why=\"{e}\"");
+            warn!(why = %e, "upgrade configuration not kept");
         }
     }
 
@@ -223,7 +224,7 @@
                 self.vrrp(crate::vrrp::Event::Startup);
             }
             Err(e) if e.kind() == io::ErrorKind::AddrInUse => {}
-            Err(e) => eprintln!("mintgate: upgrade no vrrp why=\"{e}\""),
+            Err(e) => warn!(why = %e, "upgrade no vrrp"),
         }
     }
 
@@ -231,6 +232,7 @@
         if self.door.1 != open && self.reactor.take_from(self.door.0, open).is_ok() {
             self.door.1 = open;
             self.reactor.open = open;
+            self.give_fleet(open);
         }
     }
 
@@ -261,7 +263,7 @@
             self.inbox.borrow_mut().offset = known.offset;
             self.learn(now, News { offset: known.offset, kind: ListKind::Full, entries });
         }
-        eprintln!("mintgate: upgrade took over offset={} out={}", known.offset, known.out.len());
+        info!(offset = known.offset, out = known.out.len(), "upgrade took over");
     }
 }
 
@@ -273,7 +275,7 @@
     let kept = || config::read(&std::fs::read(kept_place(name)).ok()?).ok();
     let Some(kept) = sources.passed.and_then(|_| kept()).filter(|_| serves()) else { return read };
     read.and_then(|(new, operator)| config::check(&new, &kept).map(|()| (new, operator))).or_else(|why| {
-        eprintln!("mintgate: upgrade configuration of the old process why=\"{}\"", why.replace('"', "'"));
+        warn!(%why, "upgrade configuration of the old process");
         Ok((Config { mgmt: sources.mgmt.or(kept.mgmt), ..kept }, sources.operator()?))
     })
 }
--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -10,6 +10,7 @@
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::net::SocketAddr;
 
 /// Members that want one lease at a time: enough for some to be alive whatever happens, and few enough for the
@@ -20,6 +21,8 @@
 /// Terms for which one that comes back must have stayed, and a holder must have held, before a lease goes back
 /// to whom it is meant for; doubled with each time that one was lost lately, so often at most.
 const SETTLE: (u64, u32) = (3, 3);
+/// Indices of which it is known whether their processes are gone.
+const LARGEST_FLEET: u32 = 4096;
 
 /// What a process is set to.
 #[derive(Clone, Debug)]
@@ -76,6 +79,8 @@
     Heard(Subject, Word, Time),
     /// A process has come into the fleet, or has gone.
     Member(u32, bool),
+    /// These processes, and no others, are gone: for so long that others do what they did.
+    Gone(BTreeSet<u32>),
     /// Another process with this one's index is in the fleet: this one does nothing for it any more.
     Double,
     /// A datagram was dropped.
@@ -100,6 +105,10 @@
     /// What was last said to be held, and since when.
     held: BTreeMap<LeaseId, (Hold, Time)>,
     stays: BTreeMap<u32, Stay>,
+    /// Processes that are not up, and since when, or since this one started.
+    absent: BTreeMap<u32, Time>,
+    /// Those of them that were last said to be gone.
+    gone: BTreeSet<u32>,
     /// When it is told which leases it may want, for the first time: it must have met others to know.
     ready: Time,
     ranked: bool,
@@ -127,6 +136,46 @@
     pub left: bool,
 }
 
+impl Status {
+    /// The same as figures: a line each.
+    pub fn figures(&self) -> String {
+        let held = self.leases.iter().filter_map(|lease| lease.hold);
+        let (count, fence) = held.fold((0, 0), |(count, fence), hold| (count + 1, hold.fence.max(fence)));
+        let lines = [
+            ("members", self.members.len() as u64 + u64::from(!self.left)),
+            ("votes", u64::from(self.votes == Some(true))),
+            ("leases", count),
+            ("fence", fence),
+            ("news", self.news as u64),
+            ("datagrams", self.sent.0),
+            ("bytes", self.sent.1),
+        ];
+        lines.iter().map(|(name, value)| format!("scheduler.fleet.{name}={value}\n")).collect()
+    }
+}
+
+impl fmt::Display for Status {
+    /// A line for the process, one for the others, and one for each part of a task.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let votes = match self.votes {
+            _ if self.left => "left the fleet",
+            None => "no elector",
+            Some(true) => "votes",
+            Some(false) => "does not vote yet",
+        };
+        writeln!(f, "process {} ({:016x}): {votes}", self.process.index, self.process.incarnation)?;
+        writeln!(f, "others up: {}", self.members.iter().map(u32::to_string).collect::<Vec<_>>().join(" "))?;
+        for lease in &self.leases {
+            let held = lease.hold.map(|hold| format!(" held here, fence {}", hold.fence)).unwrap_or_default();
+            let granted = lease
+                .granted
+                .map(|(to, rest)| format!(" granted to {}, {} ms left", to.index, rest.0 / 1_000_000));
+            writeln!(f, "{} {}:{held}{}", lease.task.name(), lease.part, granted.unwrap_or_default())?;
+        }
+        Ok(())
+    }
+}
+
 /// A task's part as one process knows it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeaseStatus {
@@ -167,6 +216,11 @@
             rng: SmallRng::seed_from_u64(mix(setting.seed, 2)),
             held: BTreeMap::new(),
             stays: BTreeMap::new(),
+            absent: (0..setting.size.min(LARGEST_FLEET))
+                .filter(|index| *index != process.index)
+                .map(|index| (index, now))
+                .collect(),
+            gone: BTreeSet::new(),
             ready,
             ranked: false,
             tell: now + TELL.0,
@@ -180,7 +234,10 @@
     pub fn due(&self) -> Option<Time> {
         let ready = (!self.ranked).then_some(self.ready);
         let tell = (!self.news.is_empty()).then_some(self.tell);
-        let all = self.seat.due().into_iter().chain(self.membership.due()).chain(ready).chain(tell);
+        let missed = self.absent.iter().filter(|(index, _)| !self.gone.contains(index));
+        let missed = missed.map(|(_, since)| self.gone_at(*since)).min();
+        let all =
+            self.seat.due().into_iter().chain(self.membership.due()).chain(ready).chain(tell).chain(missed);
         all.min().filter(|_| !self.left)
     }
 
@@ -214,6 +271,7 @@
             self.meet(now, &swim.news, &mut leases, &mut out);
             self.seat.wake(now, &self.setting.lease, &mut leases);
             self.prefer(now, &mut leases);
+            self.miss(now, &mut out);
         }
         self.say_held(now, &mut out);
         self.send(leases, swim, sender, &mut out);
@@ -271,11 +329,15 @@
             match what {
                 membership::News::Up(member) => {
                     self.stays.entry(member.process.index).or_default().since = now;
+                    self.absent.remove(&member.process.index);
                     out.push(Do::Member(member.process.index, true));
                 }
                 membership::News::Down(member) => {
                     let stay = self.stays.entry(member.process.index).or_default();
                     (stay.losses, stay.lost) = ((stay.losses + 1).min(SETTLE.1), now);
+                    if member.process.index < self.setting.size.min(LARGEST_FLEET) {
+                        self.absent.insert(member.process.index, now);
+                    }
                     out.push(Do::Member(member.process.index, false));
                 }
                 membership::News::Double => {
@@ -349,6 +411,20 @@
         }
     }
 
+    /// From when on a process that is absent counts as gone: a restart, or an upgrade, takes less.
+    fn gone_at(&self, since: Time) -> Time {
+        since + self.setting.lease.term
+    }
+
+    fn miss(&mut self, now: Time, out: &mut Vec<Do>) {
+        let over = self.absent.iter().filter(|(_, since)| self.gone_at(**since) <= now);
+        let gone: BTreeSet<u32> = over.map(|(index, _)| *index).collect();
+        if gone != self.gone {
+            self.gone.clone_from(&gone);
+            out.push(Do::Gone(gone));
+        }
+    }
+
     // ---- What goes out
 
     /// Says what has changed of what is held.
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -257,3 +257,24 @@
         }
     }
 }
+
+/// Guards that who is away for less than a restart takes is not taken for gone, and who stays away is.
+#[test]
+fn a_process_that_stays_away_is_gone_after_a_term() {
+    let mut net = Net::new((0..3).map(|n| setting(n, 10 + u64::from(n), n as u16)).collect());
+    net.pass(5_000);
+    let gone = |net: &Net| {
+        let of = |(at, what): &(SocketAddr, Do)| match what {
+            Do::Gone(gone) if *at == place(0) => Some(gone.iter().copied().collect::<Vec<u32>>()),
+            _ => None,
+        };
+        net.seen.iter().filter_map(of).collect::<Vec<_>>()
+    };
+    assert_eq!(gone(&net), [vec![3]], "the fourth was never there");
+    let machine = net.machines.pop().unwrap();
+    net.pass(10_000);
+    assert_eq!(gone(&net), [vec![3], vec![2, 3]]);
+    net.machines.push(machine);
+    net.pass(5_000);
+    assert_eq!(gone(&net), [vec![3], vec![2, 3], vec![3]]);
+}
--- a/src/front/frames.rs
+++ b/src/front/frames.rs
@@ -321,7 +321,7 @@
     fn malformed(&mut self, why: &str, link: &mut Link, hub: &mut Hub) -> Flow {
         hub.core.counters().malformed += 1;
         if hub.core.may_log(hub.now) {
-            eprintln!("mintgate: malformed front=frames connection={} why=\"{why}\"", link.id());
+            tracing::warn!(front = "frames", connection = link.id(), why, "malformed");
         }
         let mut bytes = Vec::new();
         put_answer(0, &Verdict::Failed, &mut bytes);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -310,11 +310,21 @@
 pub enum Task {
     /// Asking workers whether they live.
     Probe,
+    /// Renewing the gold copies of front ends that are gone.
+    Renew,
 }
 
 impl Task {
     /// All of them.
-    pub const ALL: [Task; 1] = [Task::Probe];
+    pub const ALL: [Task; 2] = [Task::Probe, Task::Renew];
+
+    /// As operators read it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Task::Probe => "probe",
+            Task::Renew => "renew",
+        }
+    }
 }
 
 /// What one front end does for all of its fleet.
@@ -324,11 +334,19 @@
     pub parts: u16,
     /// The parts that this front end has now.
     pub own: BTreeSet<(Task, u16)>,
+    /// Indices of front ends that are gone.
+    pub gone: BTreeSet<u32>,
 }
 
 impl Shares {
     /// Most parts of a task.
     pub const PARTS: u16 = 64;
+
+    /// The part of the task under which this front end renews the gold copies of another that is gone.
+    pub fn stands_in(&self, index: u32) -> Option<u16> {
+        let part = (index % u32::from(self.parts.max(1))) as u16;
+        Some(part).filter(|part| self.gone.contains(&index) && self.own.contains(&(Task::Renew, *part)))
+    }
 }
 
 /// How an attempt, or an order to load, ended.
@@ -450,8 +468,8 @@
     Probed(WorkerId, Status),
     /// A call of this function, with the memory of one copy, is likely to come soon.
     Wanted(FunctionId, f64),
-    /// Another front end has probed a worker, at that time at the latest: [`Status::Ok`] if it answered.
-    Told(WorkerId, Status, Time),
+    /// Another front end has probed a worker, at that time at the latest: whether it answered.
+    Told(WorkerId, bool, Time),
     /// What this front end does for all of the fleet from now on.
     Shares(Shares),
     /// A time asked for by [`Action::Wake`] has come.
@@ -497,6 +515,8 @@
         function: FunctionId,
         /// How many copies.
         copies: u8,
+        /// Under this lease, in the place of a front end that is gone.
+        part: Option<u16>,
     },
     /// Give back the idle copies there.
     Unload {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -83,6 +83,7 @@
 pub mod front;
 pub mod handover;
 mod interface;
+pub mod log;
 pub mod net;
 pub mod ops;
 pub mod settings;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,35 +1,123 @@
 //! The scheduler as a program: reads its configuration and serves until a signal ends it.
 #![forbid(unsafe_code)]
 
+use clap::{Parser, Subcommand, ValueEnum};
 use mintgate::config::Sources;
-use mintgate::daemon;
+use mintgate::{daemon, log};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::str::FromStr;
+use std::time::Duration;
+
+/// Schedules short calls over workers that load programs on demand.
+///
+/// Without a command it serves until a signal ends it. GW_CONFIG names its configuration.
+#[derive(Parser)]
+#[command(version)]
+struct Arguments {
+    /// The operator's file.
+    #[arg(long, global = true, value_name = "FILE")]
+    operator: Option<PathBuf>,
+    /// How log lines are written.
+    #[arg(long, value_enum, default_value_t = Form::Lines)]
+    log: Form,
+    #[command(subcommand)]
+    command: Option<What>,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Form {
+    /// As docs/on-call.md shows them.
+    Lines,
+    /// One JSON object a line.
+    Json,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Reads the configuration and the operator's file, and says whether it would start with them.
+    Check,
+    /// Asks a scheduler that runs about its fleet.
+    Fleet {
+        #[command(subcommand)]
+        what: Fleet,
+    },
+}
+
+#[derive(Subcommand)]
+enum Fleet {
+    /// Who is in the fleet, and who holds which task.
+    Status {
+        /// The scheduler's second address.
+        #[arg(long, value_name = "ADDRESS")]
+        at: SocketAddr,
+    },
+}
 
 fn main() -> ExitCode {
-    match start() {
+    let arguments = Arguments::parse();
+    log::start(match arguments.log {
+        Form::Lines => log::Form::Lines,
+        Form::Json => log::Form::Json,
+    });
+    let done = match arguments.command {
+        None => serve(arguments.operator),
+        Some(What::Check) => check(arguments.operator),
+        Some(What::Fleet { what: Fleet::Status { at } }) => ask(at, "/api/fleet"),
+    };
+    match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(text) => {
-            eprintln!("mintgate: {text}");
+            tracing::error!("{text}");
             ExitCode::FAILURE
         }
     }
 }
 
-fn start() -> Result<(), String> {
-    let operator = match std::env::args_os().skip(1).collect::<Vec<_>>().as_slice() {
-        [] => None,
-        [flag, path] if flag == "--operator" => Some(path.into()),
-        _ => return Err("usage: mintgate [--operator FILE]".to_owned()),
-    };
-    let config = std::env::var_os("GW_CONFIG").ok_or("GW_CONFIG names no configuration")?.into();
-    let (mgmt, passed) = (told("GW_MGMT", "address")?, told("GW_PASSED_SOCKET", "number")?);
-    let sources = Sources { config, operator, mgmt, passed };
+fn serve(operator: Option<PathBuf>) -> Result<(), String> {
+    let sources = sources(operator)?;
     let name = std::env::var("GW_NAME").unwrap_or_default();
     let (config, operator) = daemon::fall_back(&sources, &name)?;
     daemon::run(config, operator, sources).map_err(|e| format!("cannot serve: {e}"))
 }
 
+fn check(operator: Option<PathBuf>) -> Result<(), String> {
+    let (config, operator) = sources(operator)?.read()?;
+    println!("configuration: good, {} classes", config.site.settings.classes.len());
+    if let Some(fleet) = operator.fleet {
+        println!("fleet {}: {} electors, term {} ms", fleet.name, fleet.electors.len(), fleet.term_ms);
+    }
+    Ok(())
+}
+
+fn sources(operator: Option<PathBuf>) -> Result<Sources, String> {
+    let config = std::env::var_os("GW_CONFIG").ok_or("GW_CONFIG names no configuration")?.into();
+    let (mgmt, passed) = (told("GW_MGMT", "address")?, told("GW_PASSED_SOCKET", "number")?);
+    Ok(Sources { config, operator, mgmt, passed })
+}
+
+/// One call at a second address; its answer goes to standard output.
+fn ask(at: SocketAddr, path: &str) -> Result<(), String> {
+    let limit = Duration::from_secs(2);
+    let answer = || -> std::io::Result<String> {
+        let mut stream = TcpStream::connect_timeout(&at, limit)?;
+        stream.set_read_timeout(Some(limit))?;
+        write!(stream, "GET {path} HTTP/1.1\r\nHost: {at}\r\n\r\n")?;
+        let mut text = String::new();
+        stream.read_to_string(&mut text)?;
+        Ok(text)
+    };
+    let text = answer().map_err(|e| format!("no answer from {at}: {e}"))?;
+    let (head, body) = text.split_once("\r\n\r\n").ok_or_else(|| format!("no answer from {at}"))?;
+    if head.split(' ').nth(1) != Some("200") {
+        return Err(format!("{at} says no: {}", body.trim_end()));
+    }
+    print!("{body}");
+    Ok(())
+}
+
 /// What the environment says under this name, if anything.
 fn told<T: FromStr>(name: &str, what: &str) -> Result<Option<T>, String> {
     match std::env::var(name) {
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -4,15 +4,18 @@
 use crate::call::{Answer, Job};
 use crate::chain::End;
 use crate::core::Core;
+use crate::fleet::Machine;
 use crate::interface::{Span, Time};
 use mio::net::{TcpListener, TcpStream, UnixListener, UnixStream};
 use mio::{Events, Interest, Poll, Token};
+use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap};
 use std::io;
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream as StdUnixStream;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::Path;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Whether a connection goes on after a callback.
@@ -40,6 +43,8 @@
     pub active: bool,
     /// Whether clients are taken from the door; see [`crate::handover`].
     pub open: bool,
+    /// This process's place in its fleet, if it has one.
+    pub fleet: Option<Rc<RefCell<Machine>>>,
 }
 
 /// A connection as an object: the reactor calls it back with what happens to it.
@@ -140,7 +145,7 @@
     clock: SystemClock,
     listeners: Vec<Option<Listener>>,
     pipes: Vec<mio::net::UnixStream>,
-    sockets: Vec<mio::net::UdpSocket>,
+    sockets: Vec<Option<mio::net::UdpSocket>>,
     entries: HashMap<Token, Entry>,
     next: usize,
     timers: BTreeSet<(Time, Token)>,
@@ -154,6 +159,8 @@
     pub active: bool,
     /// And this; false while another process takes the clients.
     pub open: bool,
+    /// And this; none where there is no fleet.
+    pub fleet: Option<Rc<RefCell<Machine>>>,
 }
 
 impl Reactor {
@@ -174,6 +181,7 @@
             ready: false,
             active: true,
             open: true,
+            fleet: None,
         })
     }
 
@@ -257,14 +265,22 @@
         let mut socket = mio::net::UdpSocket::bind(at)?;
         let (number, at) = (self.sockets.len(), socket.local_addr()?);
         self.poll.registry().register(&mut socket, Token(SOCKETS + number), Interest::READABLE)?;
-        self.sockets.push(socket);
+        self.sockets.push(Some(socket));
         Ok((number, at))
     }
 
+    /// Hears nothing there any more: its address is free for others.
+    pub fn unhear(&mut self, socket: usize) {
+        if let Some(mut socket) = self.sockets.get_mut(socket).and_then(Option::take) {
+            let _ = self.poll.registry().deregister(&mut socket);
+        }
+    }
+
     /// The next datagram of a socket, with its sender and size, if there is one.
     pub fn datagram(&self, socket: usize, into: &mut [u8]) -> Option<(usize, SocketAddr)> {
+        let socket = self.sockets.get(socket)?.as_ref()?;
         loop {
-            match self.sockets[socket].recv_from(into) {
+            match socket.recv_from(into) {
                 Ok(taken) => return Some(taken),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return None,
                 // A peer that is down shows as an error of the socket; what else waits is still there.
@@ -278,14 +294,16 @@
     /// Datagrams were left in a socket: it is to be told of again.
     pub fn hear_again(&mut self, socket: usize) {
         let token = Token(SOCKETS + socket);
-        if let Some(source) = self.sockets.get_mut(socket) {
+        if let Some(Some(source)) = self.sockets.get_mut(socket) {
             let _ = self.poll.registry().reregister(source, token, Interest::READABLE);
         }
     }
 
     /// Sends a datagram; what the system does not take is lost, as datagrams may be.
     pub fn send_datagram(&self, socket: usize, bytes: &[u8], to: SocketAddr) {
-        let _ = self.sockets[socket].send_to(bytes, to);
+        if let Some(Some(socket)) = self.sockets.get(socket) {
+            let _ = socket.send_to(bytes, to);
+        }
     }
 
     /// Takes the next client of a listener, if one waits.
@@ -342,7 +360,7 @@
     fn call(&mut self, token: Token, core: &mut Core, what: impl FnOnce(&mut Entry, &mut Hub) -> Flow) {
         let (now, ready, active, open) = (self.clock.now(), self.ready, self.active, self.open);
         let Some(entry) = self.entries.get_mut(&token) else { return };
-        let hub = &mut Hub { core, now, clock: self.clock, ready, active, open };
+        let hub = &mut Hub { core, now, clock: self.clock, ready, active, open, fleet: self.fleet.clone() };
         let before = entry.link.waiting();
         let flow = catch_unwind(AssertUnwindSafe(|| {
             let mut flow = what(entry, hub);
@@ -358,7 +376,7 @@
         }));
         let flow = flow.unwrap_or_else(|_| {
             hub.core.counters().panics += 1;
-            eprintln!("mintgate: panic connection={} closed", token.0);
+            tracing::error!("panic connection={} closed", token.0);
             Flow::Close
         });
         let after = entry.link.waiting();
@@ -395,7 +413,7 @@
             self.timers.remove(&(at, token));
         }
         let (now, ready, active, open) = (self.clock.now(), self.ready, self.active, self.open);
-        let hub = &mut Hub { core, now, clock: self.clock, ready, active, open };
+        let hub = &mut Hub { core, now, clock: self.clock, ready, active, open, fleet: self.fleet.clone() };
         let closed = catch_unwind(AssertUnwindSafe(|| entry.connection.closed(&entry.link, hub)));
         if closed.is_err() {
             hub.core.counters().panics += 1;
--- a/src/ops/http.rs
+++ b/src/ops/http.rs
@@ -15,6 +15,8 @@
     Ready,
     /// The figures.
     Figures,
+    /// Who is in the fleet, and who holds which task.
+    Fleet,
     /// Leave a worker out.
     Exclude(WorkerId),
     /// Put it back.
@@ -59,9 +61,10 @@
     match (method, path) {
         ("GET", "/api/ready") => Ok(Call::Ready),
         ("GET", "/api/telemetry") => Ok(Call::Figures),
+        ("GET", "/api/fleet") => Ok(Call::Fleet),
         ("POST", "/api/exclude") => read_name(query).map(Call::Exclude),
         ("POST", "/api/include") => read_name(query).map(Call::Include),
-        (_, "/api/ready" | "/api/telemetry") => Err(No(405, "GET is meant")),
+        (_, "/api/ready" | "/api/telemetry" | "/api/fleet") => Err(No(405, "GET is meant")),
         (_, "/api/exclude" | "/api/include") => Err(No(405, "POST is meant")),
         _ => Err(No(404, "no such path")),
     }
@@ -118,6 +121,8 @@
             ("GET /api/ready", Ok(Call::Ready)),
             ("GET /api/telemetry", Ok(Call::Figures)),
             ("GET /api/telemetry?x=1", Ok(Call::Figures)),
+            ("GET /api/fleet", Ok(Call::Fleet)),
+            ("POST /api/fleet", Err(405)),
             ("POST /api/exclude?name=s-00c41f7a", Ok(Call::Exclude(BOX))),
             ("POST /api/include?name=s-00c41f7a", Ok(Call::Include(BOX))),
             ("POST /api/ready", Err(405)),
--- a/src/ops/mgmt.rs
+++ b/src/ops/mgmt.rs
@@ -28,7 +28,15 @@
         let done = match call {
             Call::Ready if hub.ready && hub.open && hub.core.places() => return Ok("ready\n".to_owned()),
             Call::Ready => return Err(No(503, "not ready")),
-            Call::Figures => return Ok(hub.core.figures().to_string()),
+            Call::Figures => {
+                let fleet = hub.fleet.as_ref().map(|fleet| fleet.borrow().status(hub.now));
+                let fleet = fleet.map(|status| status.figures()).unwrap_or_default();
+                return Ok(hub.core.figures().to_string() + &fleet);
+            }
+            Call::Fleet => {
+                let fleet = hub.fleet.as_ref().ok_or(No(404, "this scheduler is in no fleet"))?;
+                return Ok(fleet.borrow().status(hub.now).to_string());
+            }
             Call::Exclude(worker) => hub.core.by_hand(hub.now, worker, true),
             Call::Include(worker) => hub.core.by_hand(hub.now, worker, false),
         };
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -86,7 +86,7 @@
     let (worker, function) = (WorkerId(0x0a12_4a07_1f43), FunctionId(0x7c_55d2_0a01));
     let id = RequestId(0x5d3a_91c4);
     reply.action(3, &Action::Send { id, worker, timeout: Span(80_000_000) });
-    reply.action(3, &Action::Load { worker, copies: 1, function });
+    reply.action(3, &Action::Load { worker, copies: 1, function, part: None });
     reply.action(3, &Action::Unload { worker, function });
     reply.action(3, &Action::Cancel { id, attempt: 0 });
     reply.action(3, &Action::Refuse { id: RequestId(0x0e6f_2b19), wait: Span(250_000_000) });
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -582,3 +582,114 @@
     rig.outcome(RequestId(2), 0, Status::ConnectFailed);
     assert!(rig.balancer.avoided() >= 1);
 }
+
+fn silent_as_told(rig: &mut Rig, worker: u64, at: Time) {
+    rig.give(Event::Told(WorkerId(worker), false, at));
+}
+
+/// Guards that what peers say of a worker keeps new calls from it, and never calls off what is out there.
+#[test]
+fn a_worker_that_a_peer_found_silent_is_passed_by_until_it_is_heard_of_again() {
+    let mut rig = Rig::new(settings(OnMiss::Load), 4);
+    rig.give(Event::Call(call(1, 7, 0)));
+    let home = rig.sent[0].2;
+    rig.pass(Span::millis(500));
+    let now = rig.now;
+    let out = rig.give(Event::Told(home, false, now));
+    assert!(!out.iter().any(|action| matches!(action, Action::Cancel { .. })), "{out:?}");
+    rig.answer(Status::Ok);
+    rig.pass(Span::millis(500));
+    let told = rig.now - Span::millis(100);
+    silent_as_told(&mut rig, home.0, told);
+    rig.give(Event::Call(call(2, 7, 0)));
+    assert_ne!(rig.sent[1].2, home);
+    rig.answer(Status::Ok);
+    assert_eq!(rig.balancer.avoided(), 1);
+    // What another peer heard earlier says nothing, and what it heard later prevails.
+    rig.give(Event::Told(home, true, told - Span::millis(10)));
+    assert_eq!(rig.balancer.avoided(), 1);
+    rig.give(Event::Told(home, true, told + Span::millis(10)));
+    assert_eq!(rig.balancer.avoided(), 0);
+}
+
+#[test]
+fn own_evidence_outweighs_what_peers_say_and_their_word_grows_old() {
+    let mut rig = Rig::new(settings(OnMiss::Load), 4);
+    rig.give(Event::Call(call(1, 7, 0)));
+    let home = rig.sent[0].2;
+    rig.pass(Span::millis(100));
+    rig.answer(Status::Ok);
+    // Older than what was heard here.
+    let past = rig.now - Span::millis(50);
+    silent_as_told(&mut rig, home.0, past);
+    rig.give(Event::Call(call(2, 7, 0)));
+    assert_eq!(rig.sent[1].2, home);
+    rig.answer(Status::Ok);
+    rig.pass(Span::millis(50));
+    let now = rig.now;
+    silent_as_told(&mut rig, home.0, now);
+    rig.pass(Span::millis(2_100));
+    rig.give(Event::Call(call(3, 7, 0)));
+    assert_eq!(rig.sent[2].2, home, "two seconds on it counts no more");
+}
+
+/// A peer that says of every worker that it is silent costs nothing: more than half are never left out.
+#[test]
+fn a_peer_that_finds_everybody_silent_changes_nothing() {
+    let mut rig = Rig::new(settings(OnMiss::Load), 6);
+    rig.give(Event::Call(call(1, 7, 0)));
+    let home = rig.sent[0].2;
+    rig.answer(Status::Ok);
+    rig.pass(Span::millis(300));
+    let now = rig.now;
+    (1..=6).for_each(|worker| silent_as_told(&mut rig, worker, now));
+    rig.give(Event::Call(call(2, 7, 0)));
+    assert_eq!(rig.sent[1].2, home);
+}
+
+/// A function of which each of three front ends renews some copies.
+const GOLD: u64 = 8;
+
+/// Calls one function until it is gold, answers all orders, and counts those to each worker over ten seconds.
+fn renewed(index: u32, shares: Option<Shares>) -> Vec<WorkerId> {
+    let mut settings = settings(OnMiss::Load);
+    (settings.fleet_size, settings.index) = (3, index);
+    let mut rig = Rig::new(settings, 9);
+    if let Some(shares) = shares {
+        rig.give(Event::Shares(shares));
+    }
+    let mut ordered = std::collections::BTreeSet::new();
+    for n in 0..1_400 {
+        let mut actions = rig.give(Event::Call(call(n, GOLD, 0)));
+        rig.answer(Status::Ok);
+        actions.extend(rig.pass(Span::millis(10)));
+        for (worker, function) in loads(&actions) {
+            ordered.insert(worker);
+            rig.stands(worker, function.0, Status::Ok);
+        }
+    }
+    ordered.into_iter().collect()
+}
+
+/// Guards that gold copies of a front end that is gone are renewed by the one that holds that part, and no other.
+#[test]
+fn gold_of_a_front_end_that_is_gone_is_renewed_under_the_lease_of_its_part() {
+    let shares = |own: &[u16], gone: &[u32]| {
+        let own = own.iter().map(|part| (Task::Renew, *part)).collect();
+        Some(Shares { parts: 2, own, gone: gone.iter().copied().collect() })
+    };
+    let each: Vec<Vec<WorkerId>> = (0..3).map(|index| renewed(index, None)).collect();
+    let all: std::collections::BTreeSet<WorkerId> = each.iter().flatten().copied().collect();
+    assert_eq!(all.len(), 8, "every worker is somebody's, but the home, which calls keep: {each:?}");
+    assert!(each.iter().all(|workers| !workers.is_empty()), "{each:?}");
+    let both = |one: usize, other: usize| {
+        let mut both = [each[one].clone(), each[other].clone()].concat();
+        both.sort();
+        both
+    };
+    assert_eq!(renewed(0, shares(&[0], &[2])), both(0, 2), "part 0 of 2 is index 2's");
+    assert_eq!(renewed(0, shares(&[1], &[2])), each[0], "another part");
+    assert_eq!(renewed(0, shares(&[0], &[])), each[0], "nobody is gone");
+    assert_eq!(renewed(0, shares(&[], &[2])), each[0], "no lease");
+    assert_eq!(renewed(0, shares(&[1], &[1])), both(0, 1));
+}
