Rehearse real schedulers while processes and links between them fail, with an audit

Need: only one test had several processes, on perfect links. Whether two ever act under one lease while a holder is stopped, cut off in one direction, upgraded or restarted was shown in virtual time only.

Change: - `lab rehearse`: N real schedulers, a relay on every link (datagrams between them, streams to run boxes, each direction on its own: loss, delay, jitter, repeats, cut), stand-in run boxes (lanes, queue, loads from one store, cold start), the bus and open-loop clients, all turned by one thread. Plays are TOML files drawn from a seed; twelve come with it. Figures as a table, JSON and a plot. - The audit: acts under a lease carry part and fence in the name of their probe or order. Of two acts one counts as later only if it was read after the round in which the other was read began, so that the verdict does not hang on how threads run. Also: one final answer, bodies, drains, ration, cold run boxes, panics, ends. A test breaks each. - An act decided under one hold is not written under a later one (`Fenced`, `gates.rs`): before, only task and part were compared.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod chains;
 mod fleet;
 pub mod processes;
+pub mod rig;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,13 +1,17 @@
-//! The laboratory: plays what the scheduler decides, in virtual time, and reports.
+//! The laboratory: plays what the scheduler decides, in virtual time and with real processes, and reports.
 
 use clap::{Parser, Subcommand};
 use lab::chains;
 use lab::processes::{self, Plan};
+use lab::rig::scenario::{self, Scenario};
+use lab::rig::world::{self, Options};
 use mintgate::Span;
+use mintgate::config::Sources;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 #[derive(Parser)]
-#[command(about = "Plays what mintgate decides in virtual time, and reports")]
+#[command(about = "Plays what mintgate decides, in virtual time and with real processes, and reports")]
 struct Arguments {
     #[command(subcommand)]
     what: What,
@@ -15,6 +19,33 @@
 
 #[derive(Subcommand)]
 enum What {
+    /// Real schedulers with stand-ins for all that is round them, while links and processes fail; fails where a
+    /// rule is broken.
+    Rehearse {
+        /// A play that comes with it, or a file; without one a short day of three schedulers with one crash.
+        name: Option<String>,
+        /// Decides all that is drawn.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many seeds, from that one on.
+        #[arg(long, default_value_t = 1)]
+        seeds: u64,
+        /// Plays without `[fleet]`, to compare.
+        #[arg(long)]
+        alone: bool,
+        /// Where the figures go as JSON, a line for each seed.
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+        /// Where the plot of the last seed goes, as an SVG.
+        #[arg(long, value_name = "FILE")]
+        plot: Option<PathBuf>,
+        /// Where the logs of the schedulers go.
+        #[arg(long, value_name = "FOLDER")]
+        logs: Option<PathBuf>,
+        /// Lists the plays.
+        #[arg(long)]
+        list: bool,
+    },
     /// Chains under one deadline, against the same steps as separate calls and against estimates without loads.
     Chains {
         /// Chains to play at each load.
@@ -54,16 +85,85 @@
         #[arg(long, default_value_t = 1.0)]
         drift: f64,
     },
+    /// One scheduler of a rehearsal.
+    #[command(hide = true)]
+    Scheduler {
+        /// The operator's file.
+        #[arg(long)]
+        operator: PathBuf,
+    },
 }
 
 fn main() -> ExitCode {
-    match Arguments::parse().what {
+    let done = match Arguments::parse().what {
         What::Processes { processes, electors, faults, seconds, calm, seed, seeds, drift } => {
             let (length, calm) = (Span::millis(seconds * 1_000), Span::millis(calm * 1_000));
             let plan = Plan { processes, electors, faults, length, calm, drift, ..Plan::default() };
             return processes::report(&plan, seed..seed + seeds);
         }
-        What::Chains { chains, seed, rates } => print!("{}", chains::report(chains, seed, &rates)),
+        What::Chains { chains, seed, rates } => {
+            print!("{}", chains::report(chains, seed, &rates));
+            Ok(true)
+        }
+        What::Rehearse { list: true, .. } => list(),
+        What::Rehearse { name, seed, seeds, alone, json, plot, logs, .. } => {
+            let name = name.unwrap_or_else(|| "short-day".to_owned());
+            rehearse(&name, seed..seed + seeds, alone, json, plot, logs)
+        }
+        What::Scheduler { operator } => serve(operator).map(|()| true),
+    };
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(why) => {
+            eprintln!("{why}");
+            ExitCode::FAILURE
+        }
     }
-    ExitCode::SUCCESS
+}
+
+fn list() -> Result<bool, String> {
+    for name in scenario::names() {
+        println!("{name:<20} {}", Scenario::find(name)?.about);
+    }
+    Ok(true)
+}
+
+fn rehearse(
+    name: &str,
+    seeds: std::ops::Range<u64>,
+    alone: bool,
+    json: Option<PathBuf>,
+    plot: Option<PathBuf>,
+    logs: Option<PathBuf>,
+) -> Result<bool, String> {
+    let mut scenario = Scenario::find(name)?;
+    scenario.fleet &= !alone;
+    let program = std::env::current_exe().map_err(|e| format!("cannot find this program: {e}"))?;
+    let (mut well, mut lines) = (true, String::new());
+    for seed in seeds {
+        let options = Options { program: program.clone(), seed, progress: true, logs: logs.clone() };
+        let report = world::play(name, scenario.clone(), options)?;
+        well &= report.broken.is_empty();
+        println!("{}", report.table());
+        lines.push_str(&serde_json::to_string(&report).map_err(|e| e.to_string())?);
+        lines.push('\n');
+        if let Some(path) = &plot {
+            report.plot(path)?;
+        }
+    }
+    if let Some(path) = json {
+        std::fs::write(&path, lines).map_err(|e| format!("cannot write {}: {e}", path.display()))?;
+    }
+    Ok(well)
+}
+
+fn serve(operator: PathBuf) -> Result<(), String> {
+    mintgate::log::start(mintgate::log::Form::Lines);
+    let config = std::env::var_os("GW_CONFIG").ok_or("GW_CONFIG names no configuration")?.into();
+    let passed = std::env::var("GW_PASSED_SOCKET").ok().and_then(|number| number.parse().ok());
+    let sources = Sources { config, operator: Some(operator), mgmt: None, passed };
+    let name = std::env::var("GW_NAME").unwrap_or_default();
+    let (config, operator) = mintgate::daemon::fall_back(&sources, &name)?;
+    mintgate::daemon::run(config, operator, sources).map_err(|e| format!("mintgate: cannot serve: {e}"))
 }
--- /dev/null
+++ b/lab/src/rig/audit.rs
@@ -0,0 +1,210 @@
+//! Rules that are never broken, checked on what the stand-ins saw. Times are those of the rig, and a verdict does
+//! not hang on how threads run: of two acts one was later only if it was read after the round of the rig in which
+//! the other had been read began.
+
+use super::{Moment, SECOND};
+use serde::Serialize;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// A rule that was broken, and by what.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Broken {
+    /// The rule.
+    pub rule: &'static str,
+    /// What broke it, with ids and times.
+    pub what: String,
+}
+
+/// What is done under a lease, as it stands in the name of a probe or an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Act {
+    /// The task: 0 for probes, 1 for renewals.
+    pub task: u8,
+    /// Its part.
+    pub part: u16,
+    /// The fence.
+    pub fence: u64,
+}
+
+impl Act {
+    /// Reads `probe-17-2.40` and `load-17-2.40`; names without a fence are no acts for a fleet.
+    pub fn read(rid: &str) -> Option<Act> {
+        let mut words = rid.split('-');
+        let task = match words.next()? {
+            "probe" => 0,
+            "load" => 1,
+            _ => return None,
+        };
+        let (part, fence) = words.nth(1)?.split_once('.')?;
+        Some(Act { task, part: part.parse().ok()?, fence: fence.parse().ok()? })
+    }
+}
+
+/// Orders to load that are allowed: so many, and this part of the calls, in such a time.
+#[derive(Clone, Copy, Debug)]
+pub struct Ration {
+    /// Orders that are free.
+    pub free: f64,
+    /// More for each call.
+    pub share: f64,
+    /// The time.
+    pub span: Moment,
+}
+
+#[derive(Default)]
+struct Ordered {
+    calls: VecDeque<Moment>,
+    orders: VecDeque<Moment>,
+}
+
+/// See the module's page.
+pub struct Audit {
+    ration: Ration,
+    /// For each task and part: who acted under each fence, and when it was first read.
+    acts: BTreeMap<(u8, u16), BTreeMap<u64, (usize, Moment)>>,
+    called: BTreeSet<String>,
+    rations: BTreeMap<usize, Ordered>,
+    /// What was found.
+    pub broken: Vec<Broken>,
+    /// Acts under leases, by scheduler.
+    pub acted: BTreeMap<usize, u64>,
+}
+
+/// Found once, a rule is not reported over and over.
+const MOST: usize = 20;
+
+impl Audit {
+    /// One that has seen nothing.
+    pub fn new(ration: Ration) -> Audit {
+        Audit {
+            ration,
+            acts: BTreeMap::new(),
+            called: BTreeSet::new(),
+            rations: BTreeMap::new(),
+            broken: vec![],
+            acted: BTreeMap::new(),
+        }
+    }
+
+    /// A rule is broken.
+    pub fn report(&mut self, rule: &'static str, what: String) {
+        if self.broken.len() < MOST {
+            self.broken.push(Broken { rule, what });
+        }
+    }
+
+    /// A scheduler did something for the fleet. It was read at `now`, and had not come by `since`.
+    pub fn act(&mut self, scheduler: usize, act: Act, since: Moment, now: Moment) {
+        *self.acted.entry(scheduler).or_default() += 1;
+        let fences = self.acts.entry((act.task, act.part)).or_default();
+        let (first, _) = *fences.entry(act.fence).or_insert((scheduler, now));
+        let later = fences.range(act.fence + 1..).find(|(_, (_, at))| *at < since);
+        let later = later.map(|(fence, (other, at))| (*fence, *other, *at));
+        let ms = |at: Moment| at / 1_000_000;
+        if first != scheduler {
+            let what = format!("{act:?} by {first} and by {scheduler}, at {} ms", ms(now));
+            self.report("two holders of one fence", what);
+        }
+        if let Some((fence, other, at)) = later {
+            let what = format!(
+                "{act:?} by {scheduler} at {} to {} ms, after {other} had acted under {fence} at {} ms",
+                ms(since),
+                ms(now),
+                ms(at)
+            );
+            self.report("an act under an old fence", what);
+        }
+    }
+
+    /// A client has called a function at a scheduler.
+    pub fn call(&mut self, now: Moment, scheduler: usize, function: &str) {
+        self.called.insert(function.to_owned());
+        self.rations.entry(scheduler).or_default().calls.push_back(now);
+    }
+
+    /// A scheduler has ordered a load. Calls that came while it was stopped count from when it went on, so so much
+    /// is added to the time over which they are counted.
+    pub fn order(&mut self, now: Moment, scheduler: usize, function: &str, stopped: Moment) {
+        if !self.called.contains(function) {
+            self.report("a load of what nobody has called", format!("{function} by {scheduler}"));
+        }
+        let Ration { free, share, span } = self.ration;
+        let of = self.rations.entry(scheduler).or_default();
+        of.orders.push_back(now);
+        of.orders.retain(|at| *at + span > now);
+        let longer = span + stopped + SECOND / 2;
+        of.calls.retain(|at| *at + longer > now);
+        // The platform's own widening for sockets.
+        let most = (free + share * of.calls.len() as f64) * 1.15 + 1.0;
+        if of.orders.len() as f64 > most {
+            let what = format!("{} orders by {scheduler} for {most:.1}", of.orders.len());
+            self.report("more loads than the ration", what);
+        }
+    }
+
+    /// Fences under which somebody acted, of each task and part.
+    pub fn fences(&self) -> BTreeMap<(u8, u16), Vec<u64>> {
+        self.acts.iter().map(|(of, fences)| (*of, fences.keys().copied().collect())).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn audit() -> Audit {
+        Audit::new(Ration { free: 2.0, share: 0.5, span: SECOND })
+    }
+
+    fn act(fence: u64) -> Act {
+        Act { task: 0, part: 2, fence }
+    }
+
+    #[test]
+    fn names_with_fences_are_read() {
+        assert_eq!(Act::read("probe-17-2.40"), Some(act(40)));
+        assert_eq!(Act::read("load-17-2.40"), Some(Act { task: 1, ..act(40) }));
+        for name in
+            ["probe-17", "load-3", "", "probe", "9b1f03aa5c7e2d41", "probe-1-2", "probe-1-2.x", "halt-1-2.3"]
+        {
+            assert_eq!(Act::read(name), None, "{name}");
+        }
+    }
+
+    /// A check that cannot fail proves nothing: each rule is broken once.
+    #[test]
+    fn two_holders_are_found() {
+        let mut found = audit();
+        found.act(0, act(5), 0, 10);
+        found.act(1, act(6), 10, 20);
+        found.act(1, act(7), 20, 30);
+        assert_eq!(found.broken, []);
+        found.act(0, act(5), 25, 35);
+        assert_eq!(found.broken.len(), 1, "0 acts after 1 has under a later fence");
+        found.act(2, act(7), 40, 50);
+        assert_eq!(found.broken.last().unwrap().rule, "two holders of one fence");
+        assert_eq!(found.fences()[&(0, 2)], [5, 6, 7]);
+    }
+
+    /// Read in one round, or one after the other: nobody knows which was first.
+    #[test]
+    fn acts_that_may_have_been_in_order_are_no_fault() {
+        let mut found = audit();
+        found.act(1, act(6), 0, 20);
+        found.act(0, act(5), 0, 20);
+        found.act(0, act(5), 20, 30);
+        assert_eq!(found.broken, []);
+    }
+
+    #[test]
+    fn loads_beyond_the_ration_and_of_what_nobody_called_are_found() {
+        let mut found = audit();
+        found.call(0, 1, "f");
+        (0..3).for_each(|_| found.order(1, 1, "f", 0));
+        assert_eq!(found.broken, []);
+        found.order(1, 1, "f", 0);
+        assert_eq!(found.broken.pop().unwrap().rule, "more loads than the ration");
+        found.order(1, 2, "g", 0);
+        assert_eq!(found.broken.pop().unwrap().rule, "a load of what nobody has called");
+    }
+}
--- /dev/null
+++ b/lab/src/rig/client.rs
@@ -0,0 +1,347 @@
+//! Clients that call whatever comes of it (open loop), over the binary front, and what came of each call.
+
+use super::{MS, Moment, SECOND};
+use rand::RngExt;
+use rand::rngs::SmallRng;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+/// Open requests that one connection carries.
+const OPEN: usize = 32;
+/// How long a client waits for its answer.
+pub const ALLOW: u64 = 3 * SECOND;
+/// How much later than that an answer may come on the way.
+const SLACK: u64 = 5 * SECOND;
+/// A request that crosses a close within this time is sent again, once.
+const CROSSED: u64 = 50 * MS;
+/// Connections without an open request are closed after this.
+const IDLE: u64 = 4 * SECOND;
+
+/// What came of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum End {
+    /// Served.
+    Served,
+    /// Refused.
+    Refused,
+    /// Failed.
+    Failed,
+    /// No answer, and the scheduler was killed, stopped or away meanwhile.
+    Lost,
+    /// No answer, though its scheduler was there all the time.
+    Owed,
+}
+
+/// A call that has ended.
+#[derive(Clone, Debug)]
+pub struct Done {
+    /// Which call.
+    pub id: u64,
+    /// At which scheduler.
+    pub scheduler: usize,
+    /// Its class, by number.
+    pub class: usize,
+    /// When it was sent.
+    pub sent: Moment,
+    /// How long it took.
+    pub took: u64,
+    /// What came of it.
+    pub end: End,
+}
+
+/// A call that a client makes.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Which.
+    pub id: u64,
+    /// The function's name.
+    pub function: String,
+    /// The class, by number.
+    pub class: usize,
+    sent: Moment,
+    again: bool,
+}
+
+/// Names of the classes.
+pub const CLASSES: [&str; 2] = ["practice-check", "credit-submit"];
+
+struct Connection {
+    scheduler: usize,
+    stream: TcpStream,
+    inbox: Vec<u8>,
+    outbox: Vec<u8>,
+    next: u32,
+    open: BTreeMap<u32, Call>,
+    /// Given up by the client: an answer may have crossed that.
+    given_up: BTreeSet<u32>,
+    /// It was told to leave, or has been told of no use.
+    leaves: bool,
+    used: Moment,
+}
+
+/// All clients.
+pub struct Clients {
+    connections: Vec<Connection>,
+    next: u64,
+    due: Moment,
+    /// Calls a second, over all.
+    pub rate: f64,
+    weights: Vec<f64>,
+    /// Calls that have ended since last asked.
+    pub done: Vec<Done>,
+    /// Second answers, and bodies that no run box made.
+    pub odd: Vec<String>,
+}
+
+fn frame(kind: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
+    let length = 5 + payload.len() as u32;
+    [&length.to_be_bytes()[..], &[kind], &stream.to_be_bytes(), payload].concat()
+}
+
+fn request(call: &Call) -> Vec<u8> {
+    let list = [
+        ("service", CLASSES[call.class].to_owned()),
+        ("ref", format!("{:016x}", call.id << 1 | u64::from(call.again))),
+        ("allow", (ALLOW / MS).to_string()),
+        ("lookup", call.function.clone()),
+        ("replay", format!("{:032x}", call.id)),
+        ("spec", "memory_mb:256;lanes:2;load_ms:300".to_owned()),
+    ];
+    let mut out = vec![list.len() as u8];
+    for (name, value) in list {
+        out.push(name.len() as u8);
+        out.extend(name.as_bytes());
+        out.extend((value.len() as u16).to_be_bytes());
+        out.extend(value.as_bytes());
+    }
+    out.extend(body(call.id));
+    out
+}
+
+fn body(id: u64) -> Vec<u8> {
+    format!("call {id}").into_bytes()
+}
+
+/// The code and the body of an answer's payload.
+fn answer(payload: &[u8]) -> Option<(u8, &[u8])> {
+    let (code, mut rest) = payload.split_first()?;
+    let (count, after) = rest.split_first()?;
+    rest = after;
+    for _ in 0..*count {
+        let name = usize::from(*rest.first()?);
+        let size = rest.get(1 + name..3 + name)?;
+        let size = usize::from(u16::from_be_bytes(size.try_into().ok()?));
+        rest = rest.get(3 + name + size..)?;
+    }
+    Some((*code, rest))
+}
+
+impl Clients {
+    /// Clients that call functions of uneven popularity.
+    pub fn new(rate: f64, functions: usize) -> Clients {
+        let weights = (1..=functions).map(|n| 1.0 / n as f64).collect();
+        let (connections, done, odd) = Default::default();
+        Clients { connections, next: 1, due: 0, rate, weights, done, odd }
+    }
+
+    fn draw(&mut self, now: Moment, rng: &mut SmallRng) -> Call {
+        let mut left = rng.random_range(0.0..self.weights.iter().sum());
+        let mut function = 0;
+        while function + 1 < self.weights.len() && left > self.weights[function] {
+            left -= self.weights[function];
+            function += 1;
+        }
+        let class = usize::from(rng.random_bool(0.3));
+        let id = self.next;
+        self.next += 1;
+        Call {
+            id,
+            function: format!("{:016x}", 0x7f3a_9c21_0000_0000 + function as u64),
+            class,
+            sent: now,
+            again: false,
+        }
+    }
+
+    /// Makes the calls whose time has come, at one of these schedulers each. Returns them.
+    pub fn call(
+        &mut self,
+        now: Moment,
+        at: &[(usize, SocketAddr)],
+        rng: &mut SmallRng,
+    ) -> Vec<(usize, Call)> {
+        let mut made = vec![];
+        // Calls of a time in which nobody was to call are not made up for.
+        self.due = self.due.max(now.saturating_sub(SECOND / 10));
+        while self.due <= now && self.rate > 0.0 {
+            let unit: f64 = rng.random_range(f64::EPSILON..1.0);
+            self.due += (-unit.ln() / self.rate * SECOND as f64) as u64;
+            let call = self.draw(now, rng);
+            if at.is_empty() {
+                continue;
+            }
+            let (scheduler, place) = at[rng.random_range(0..at.len())];
+            made.push((scheduler, call.clone()));
+            self.send(now, scheduler, place, call);
+        }
+        made
+    }
+
+    fn send(&mut self, now: Moment, scheduler: usize, place: SocketAddr, call: Call) {
+        let usable = |c: &Connection| c.scheduler == scheduler && !c.leaves && c.open.len() < OPEN;
+        let found = match self.connections.iter().position(usable) {
+            Some(found) => found,
+            None => {
+                let Ok(stream) = TcpStream::connect(place) else {
+                    return self.end(now, scheduler, call, End::Lost);
+                };
+                if stream.set_nonblocking(true).is_err() {
+                    return self.end(now, scheduler, call, End::Lost);
+                }
+                let _ = stream.set_nodelay(true);
+                let (inbox, outbox, open, given_up) = Default::default();
+                let connection = Connection {
+                    scheduler,
+                    stream,
+                    inbox,
+                    outbox,
+                    next: 1,
+                    open,
+                    given_up,
+                    leaves: false,
+                    used: now,
+                };
+                self.connections.push(connection);
+                self.connections.len() - 1
+            }
+        };
+        let connection = &mut self.connections[found];
+        connection.outbox.extend(frame(0, connection.next, &request(&call)));
+        connection.open.insert(connection.next, call);
+        connection.next += 1;
+        connection.used = now;
+    }
+
+    fn end(&mut self, now: Moment, scheduler: usize, call: Call, end: End) {
+        let took = now - call.sent;
+        self.done.push(Done { id: call.id, scheduler, class: call.class, sent: call.sent, took, end });
+    }
+
+    /// Calls that wait for an answer.
+    pub fn open(&self) -> usize {
+        self.connections.iter().map(|connection| connection.open.len()).sum()
+    }
+
+    /// Reads and writes all that can be. `away` says whether a scheduler was killed, stopped or away at some time
+    /// between two moments.
+    pub fn turn(
+        &mut self,
+        now: Moment,
+        away: impl Fn(usize, Moment, Moment) -> bool,
+        place: impl Fn(usize) -> Option<SocketAddr>,
+    ) {
+        let mut again = vec![];
+        let mut connections = std::mem::take(&mut self.connections);
+        connections.retain_mut(|connection| {
+            let alive = connection.write() && connection.read();
+            self.frames(now, connection);
+            let scheduler = connection.scheduler;
+            let given_up: Vec<u32> = connection
+                .open
+                .iter()
+                .filter(|(_, c)| c.sent + ALLOW + SLACK <= now)
+                .map(|(n, _)| *n)
+                .collect();
+            for stream in given_up {
+                let Some(call) = connection.open.remove(&stream) else { continue };
+                let end = if away(scheduler, call.sent, now) { End::Lost } else { End::Owed };
+                self.end(now, scheduler, call, end);
+                // Nobody waits any more.
+                connection.given_up.insert(stream);
+                connection.outbox.extend(frame(2, stream, &[]));
+            }
+            if alive {
+                let idle = connection.open.is_empty() && (connection.leaves || connection.used + IDLE <= now);
+                return !idle;
+            }
+            for (_, call) in std::mem::take(&mut connection.open) {
+                let crossed = call.sent + CROSSED > now && !call.again;
+                match (away(scheduler, call.sent, now), place(scheduler)) {
+                    (false, Some(place)) if crossed => {
+                        again.push((scheduler, place, Call { again: true, ..call }))
+                    }
+                    (true, _) => self.end(now, scheduler, call, End::Lost),
+                    (false, _) => self.end(now, scheduler, call, End::Owed),
+                }
+            }
+            false
+        });
+        self.connections.append(&mut connections);
+        for (scheduler, place, call) in again {
+            self.send(now, scheduler, place, call);
+        }
+    }
+
+    fn frames(&mut self, now: Moment, connection: &mut Connection) {
+        while let Some(head) = connection.inbox.first_chunk::<4>() {
+            let length = u32::from_be_bytes(*head) as usize;
+            let Some(rest) = connection.inbox.get(4..4 + length) else { return };
+            let (kind, stream) = (rest[0], u32::from_be_bytes([rest[1], rest[2], rest[3], rest[4]]));
+            let payload = rest[5..].to_vec();
+            connection.inbox.drain(..4 + length);
+            match kind {
+                1 => match (connection.open.remove(&stream), answer(&payload)) {
+                    (Some(call), Some((code, got))) => {
+                        let end = match code {
+                            79 => End::Served,
+                            66 => End::Refused,
+                            _ => End::Failed,
+                        };
+                        if end == End::Served && got != body(call.id) {
+                            self.odd
+                                .push(format!("call {}: served with what no run box made for it", call.id));
+                        }
+                        self.end(now, connection.scheduler, call, end);
+                    }
+                    (None, _) if connection.given_up.remove(&stream) => {}
+                    (None, _) if stream < connection.next && stream > 0 => {
+                        self.odd.push(format!(
+                            "scheduler {}: a second answer on stream {stream}",
+                            connection.scheduler
+                        ));
+                    }
+                    _ => self.odd.push(format!("scheduler {}: an odd answer", connection.scheduler)),
+                },
+                9 => connection.leaves = true,
+                _ => {}
+            }
+        }
+    }
+}
+
+impl Connection {
+    fn write(&mut self) -> bool {
+        while !self.outbox.is_empty() {
+            match self.stream.write(&self.outbox) {
+                Ok(0) => return false,
+                Ok(n) => drop(self.outbox.drain(..n)),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return true,
+                Err(_) => return false,
+            }
+        }
+        true
+    }
+
+    fn read(&mut self) -> bool {
+        let mut bytes = [0; 16_384];
+        loop {
+            match self.stream.read(&mut bytes) {
+                Ok(0) => return false,
+                Ok(n) => self.inbox.extend(&bytes[..n]),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return true,
+                Err(_) => return false,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/rig/process.rs
@@ -0,0 +1,124 @@
+//! Real schedulers: started, stopped, killed, and listened to.
+
+use serde_json::Value;
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::Sender;
+use std::thread;
+
+/// A line of a process's log: of which scheduler, of which of its processes, and the text.
+pub type Logged = (usize, u32, String);
+
+/// A folder of the rig's own, removed with it.
+pub struct Folder(pub PathBuf);
+
+impl Folder {
+    /// A new one.
+    pub fn new(seed: u64) -> std::io::Result<Folder> {
+        static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+        let number = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("mintgate-rig-{}-{number}-{seed}", std::process::id()));
+        std::fs::create_dir_all(&path)?;
+        Ok(Folder(path))
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// One process.
+pub struct Process {
+    child: Child,
+    /// Which of its scheduler's processes, from 0.
+    pub number: u32,
+    /// It is ready for clients.
+    pub serves: bool,
+    /// SIGSTOP was sent, and no SIGCONT since.
+    pub stopped: bool,
+    /// SIGTERM was sent.
+    pub ending: bool,
+}
+
+impl Process {
+    /// Sends it a signal.
+    pub fn signal(&self, name: &str) {
+        let _ = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status();
+    }
+
+    /// Whether it has ended, and whether that went well.
+    pub fn ended(&mut self) -> Option<bool> {
+        self.child.try_wait().ok().flatten().map(|status| status.success())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// One scheduler: its door, which outlives its processes, and those.
+pub struct Scheduler {
+    index: usize,
+    folder: PathBuf,
+    program: PathBuf,
+    door: TcpListener,
+    /// Where clients connect.
+    pub at: SocketAddr,
+    /// The youngest comes last.
+    pub processes: Vec<Process>,
+    started: u32,
+}
+
+impl Scheduler {
+    /// One whose files are in a folder of its own, and which is not started yet.
+    pub fn new(
+        index: usize,
+        folder: &Path,
+        program: &Path,
+        config: impl FnOnce(SocketAddr) -> Value,
+        operator: &str,
+    ) -> std::io::Result<Scheduler> {
+        let folder = folder.join(index.to_string());
+        std::fs::create_dir(&folder)?;
+        let door = TcpListener::bind("127.0.0.1:0")?;
+        let at = door.local_addr()?;
+        std::fs::write(folder.join("config.json"), config(at).to_string())?;
+        std::fs::write(folder.join("operator.toml"), operator)?;
+        let (program, processes) = (program.to_owned(), vec![]);
+        Ok(Scheduler { index, folder, program, door, at, processes, started: 0 })
+    }
+
+    /// Starts a process, as the platform does: the door is passed to it.
+    pub fn start(&mut self, log: &Sender<Logged>) -> std::io::Result<()> {
+        let (index, number) = (self.index, self.started);
+        self.started += 1;
+        let mut command = Command::new(&self.program);
+        command.args(["scheduler", "--operator"]).arg(self.folder.join("operator.toml"));
+        command.env("GW_CONFIG", self.folder.join("config.json")).env("GW_NAME", format!("n{index}"));
+        command.env("TMPDIR", &self.folder).env("GW_PASSED_SOCKET", "0");
+        command.stdin(std::os::fd::OwnedFd::from(self.door.try_clone()?)).stderr(Stdio::piped());
+        let mut child = command.spawn()?;
+        let error = child.stderr.take();
+        self.processes.push(Process { child, number, serves: false, stopped: false, ending: false });
+        let log = log.clone();
+        thread::spawn(move || {
+            for line in BufReader::new(error?).lines().map_while(Result::ok) {
+                log.send((index, number, line)).ok()?;
+            }
+            Some(())
+        });
+        Ok(())
+    }
+
+    /// The process that clients reach.
+    pub fn serving(&self) -> Option<&Process> {
+        self.processes.iter().rfind(|process| process.serves)
+    }
+}
--- /dev/null
+++ b/lab/src/rig/scenario.rs
@@ -0,0 +1,327 @@
+//! What is played: TOML files, with what is left open drawn from a seed.
+
+use super::agent::Kind;
+use super::{MS, Moment};
+use rand::RngExt;
+use rand::rngs::SmallRng;
+use serde::Deserialize;
+
+/// A play, as its file says.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// What it shows.
+    pub about: String,
+    /// Schedulers.
+    #[serde(default = "three")]
+    pub schedulers: usize,
+    /// Run boxes.
+    #[serde(default = "twelve")]
+    pub run_boxes: usize,
+    /// Seconds with calls.
+    #[serde(default = "twenty")]
+    pub seconds: f64,
+    /// Calls a second, over all clients.
+    #[serde(default = "hundred")]
+    pub calls: f64,
+    /// Functions that are called, the first far more often than the last.
+    #[serde(default = "forty")]
+    pub functions: usize,
+    /// The schedulers are one fleet.
+    #[serde(default = "yes")]
+    pub fleet: bool,
+    /// Those of them that grant leases.
+    #[serde(default = "three")]
+    pub electors: usize,
+    /// For how long leases are granted.
+    #[serde(default = "term")]
+    pub term_ms: u64,
+    /// How long a datagram may take, as schedulers are told.
+    #[serde(default = "delay")]
+    pub delay_ms: u64,
+    /// Parts of each task.
+    #[serde(default = "two")]
+    pub parts: u16,
+    /// What run boxes are like.
+    #[serde(default)]
+    pub run_box: Kind,
+    /// What goes wrong.
+    #[serde(default)]
+    pub fault: Vec<Fault>,
+}
+
+fn two() -> u16 {
+    2
+}
+fn three() -> usize {
+    3
+}
+fn twelve() -> usize {
+    12
+}
+fn forty() -> usize {
+    40
+}
+fn twenty() -> f64 {
+    20.0
+}
+fn hundred() -> f64 {
+    100.0
+}
+fn yes() -> bool {
+    true
+}
+fn term() -> u64 {
+    1_000
+}
+fn delay() -> u64 {
+    20
+}
+
+/// Something that goes wrong, and is mended after a while.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    /// When, in seconds.
+    pub at: f64,
+    /// It may come later than that, by so many seconds at most.
+    #[serde(default)]
+    pub spread: f64,
+    /// For how long.
+    #[serde(default = "one")]
+    pub lasts: f64,
+    /// How often, one after another.
+    #[serde(default = "once")]
+    pub times: u32,
+    /// Time from one to the next.
+    #[serde(default = "one")]
+    pub every: f64,
+    /// What.
+    pub what: What,
+    /// To whom.
+    #[serde(default)]
+    pub who: Who,
+    /// On which links.
+    #[serde(default)]
+    pub links: Links,
+    /// In which direction, as seen by whom it happens to.
+    #[serde(default)]
+    pub way: Way,
+    /// How bad: a part of the datagrams lost, milliseconds of delay, how many times slower.
+    #[serde(default)]
+    pub much: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+fn once() -> u32 {
+    1
+}
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum What {
+    /// SIGKILL; started again when it is over.
+    Kill,
+    /// SIGSTOP; SIGCONT when it is over.
+    Stop,
+    /// SIGTERM; started again when it is over.
+    Term,
+    /// A new process beside the old one, which is sent SIGTERM when the new one serves.
+    Upgrade,
+    /// Nothing passes.
+    Cut,
+    /// A part of what passes is lost.
+    Loss,
+    /// All takes longer, and datagrams overtake each other.
+    Delay,
+    /// A part of the datagrams comes twice.
+    Repeat,
+    /// Connections to run boxes break.
+    Reset,
+    /// Run boxes die, and start again cold.
+    BoxDies,
+    /// Run boxes are cut off from all.
+    BoxCut,
+    /// Run boxes drain, and are gone when it is over.
+    BoxDrains,
+    /// The store is slower.
+    StoreSlow,
+}
+
+/// To whom it happens.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Who {
+    /// One that the seed draws.
+    #[default]
+    Any,
+    /// Who holds the first task then.
+    Holder,
+    /// One that does not.
+    Other,
+    /// Two that the seed draws.
+    Two,
+    /// A third of them.
+    Third,
+    /// All.
+    All,
+}
+
+/// Which links.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Links {
+    /// To other schedulers.
+    #[default]
+    Peers,
+    /// To run boxes.
+    Boxes,
+    /// All.
+    Both,
+}
+
+/// In which direction.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Way {
+    /// Both.
+    #[default]
+    Both,
+    /// What comes to it.
+    In,
+    /// What it sends.
+    Out,
+}
+
+/// A fault with its time drawn, and a number that decides whom it hits.
+#[derive(Clone, Debug)]
+pub struct Drawn {
+    /// When it begins.
+    pub at: Moment,
+    /// When it is over.
+    pub until: Moment,
+    /// What the file says.
+    pub fault: Fault,
+    /// Drawn from the seed.
+    pub draw: u64,
+}
+
+/// Plays that come with the rig.
+const KNOWN: [(&str, &str); 12] = [
+    ("short-day", include_str!("../../scenarios/short-day.toml")),
+    ("holder-killed", include_str!("../../scenarios/holder-killed.toml")),
+    ("holder-stopped", include_str!("../../scenarios/holder-stopped.toml")),
+    ("holder-cut", include_str!("../../scenarios/holder-cut.toml")),
+    ("one-way", include_str!("../../scenarios/one-way.toml")),
+    ("flapping", include_str!("../../scenarios/flapping.toml")),
+    ("elector-restarted", include_str!("../../scenarios/elector-restarted.toml")),
+    ("two-killed", include_str!("../../scenarios/two-killed.toml")),
+    ("all-restarted", include_str!("../../scenarios/all-restarted.toml")),
+    ("planned", include_str!("../../scenarios/planned.toml")),
+    ("rough", include_str!("../../scenarios/rough.toml")),
+    ("boxes", include_str!("../../scenarios/boxes.toml")),
+];
+
+/// Names of the plays that come with the rig.
+pub fn names() -> impl Iterator<Item = &'static str> {
+    KNOWN.iter().map(|(name, _)| *name)
+}
+
+impl Scenario {
+    /// Reads a play that comes with the rig, or one from a file.
+    pub fn find(name: &str) -> Result<Scenario, String> {
+        let known = KNOWN.iter().find(|(known, _)| *known == name);
+        let text = match known {
+            Some((_, text)) => (*text).to_owned(),
+            None if name.contains('.') => {
+                std::fs::read_to_string(name).map_err(|e| format!("cannot read {name}: {e}"))?
+            }
+            None => {
+                let names: Vec<&str> = names().collect();
+                return Err(format!(
+                    "no play is called {name}; there are {}, or name a file",
+                    names.join(", ")
+                ));
+            }
+        };
+        let scenario: Scenario = toml::from_str(&text).map_err(|e| format!("{name}: {e}"))?;
+        scenario.check().map_err(|why| format!("{name}: {why}"))?;
+        Ok(scenario)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        if self.schedulers == 0 || self.run_boxes == 0 || self.functions == 0 {
+            return Err("schedulers, run_boxes and functions are not 0".to_owned());
+        }
+        if self.schedulers > 32 || self.run_boxes > 64 {
+            return Err("32 schedulers and 64 run boxes are the most".to_owned());
+        }
+        if self.fleet && (self.electors > self.schedulers || ![3, 5, 7].contains(&self.electors)) {
+            return Err("electors is 3, 5 or 7, and no more than schedulers".to_owned());
+        }
+        let late = |fault: &Fault| fault.at + fault.spread + f64::from(fault.times - 1) * fault.every;
+        if let Some(fault) = self.fault.iter().find(|fault| fault.times == 0 || late(fault) > self.seconds) {
+            return Err(format!("{:?} never comes, or after the end", fault.what));
+        }
+        Ok(())
+    }
+
+    /// The faults in the order in which they come: the same for the same seed.
+    pub fn draw(&self, rng: &mut SmallRng) -> Vec<Drawn> {
+        let moment = |seconds: f64| (seconds * 1e3) as u64 * MS;
+        let mut all = vec![];
+        for fault in &self.fault {
+            let spread = if fault.spread > 0.0 { rng.random_range(0.0..fault.spread) } else { 0.0 };
+            for n in 0..fault.times {
+                let at = moment(fault.at + spread + f64::from(n) * fault.every);
+                let until = at + moment(fault.lasts);
+                all.push(Drawn { at, until, fault: fault.clone(), draw: rng.random() });
+            }
+        }
+        all.sort_by_key(|drawn| drawn.at);
+        all
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::SeedableRng;
+
+    #[test]
+    fn all_plays_are_read_and_one_seed_draws_the_same() {
+        for name in names() {
+            let play = Scenario::find(name).unwrap();
+            let draw = |seed| {
+                let all = play.draw(&mut SmallRng::seed_from_u64(seed));
+                all.iter().map(|d| (d.at, d.until, d.draw)).collect::<Vec<_>>()
+            };
+            assert_eq!(draw(3), draw(3));
+            assert!(!draw(3).is_empty(), "{name}");
+            assert_ne!(draw(3), draw(4), "{name}");
+        }
+    }
+
+    #[test]
+    fn odd_plays_are_refused_with_the_reason() {
+        let cases = [
+            ("about = 'x'\nschedulers = 0", "not 0"),
+            ("about = 'x'\nelectors = 4", "electors"),
+            ("about = 'x'\nschedulers = 2", "electors"),
+            ("about = 'x'\nseconds = 5\n[[fault]]\nat = 6\nwhat = 'kill'", "after the end"),
+            ("about = 'x'\n[[fault]]\nat = 6\nwhat = 'kill'\ntimes = 0", "never comes"),
+            ("about = 'x'\nspeed = 3", "unknown field"),
+            ("about = 'x'\n[[fault]]\nat = 6\nwhat = 'burn'", "unknown variant"),
+        ];
+        for (text, why) in cases {
+            let read = toml::from_str::<Scenario>(text).map_err(|e| e.to_string());
+            let found = read.and_then(|play| play.check()).unwrap_err();
+            assert!(found.contains(why), "{text}: {found}");
+        }
+        assert!(Scenario::find("nothing").unwrap_err().contains("short-day"));
+    }
+}
--- /dev/null
+++ b/lab/src/rig/weather.rs
@@ -0,0 +1,125 @@
+//! What happens to what is on its way, in one direction of one link.
+
+use super::{MS, Moment};
+use rand::RngExt;
+use rand::rngs::SmallRng;
+use std::collections::VecDeque;
+
+/// How long a lost piece of a stream takes longer: it is sent again by the system.
+const AGAIN: u64 = 200 * MS;
+
+/// The state of one direction.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Weather {
+    /// Nothing passes. Streams keep what they carry until it does; datagrams are lost.
+    pub cut: bool,
+    /// The part of the datagrams that is lost. Pieces of streams come late instead.
+    pub loss: f64,
+    /// How much longer everything takes, in nanoseconds.
+    pub delay: u64,
+    /// How much longer than that at most, drawn anew each time: datagrams overtake each other.
+    pub jitter: u64,
+    /// The part of the datagrams that comes twice.
+    pub repeat: f64,
+}
+
+impl Weather {
+    fn late(&self, rng: &mut SmallRng) -> u64 {
+        self.delay + if self.jitter > 0 { rng.random_range(0..=self.jitter) } else { 0 }
+    }
+
+    fn chance(part: f64, rng: &mut SmallRng) -> bool {
+        part > 0.0 && rng.random_bool(part.min(1.0))
+    }
+}
+
+/// A direction of a stream: in order, and nothing lost.
+#[derive(Default)]
+pub struct Stream {
+    waiting: VecDeque<(Moment, Vec<u8>)>,
+    last: Moment,
+}
+
+impl Stream {
+    /// Bytes have entered the link.
+    pub fn put(&mut self, now: Moment, bytes: Vec<u8>, weather: &Weather, rng: &mut SmallRng) {
+        let lost = if Weather::chance(weather.loss, rng) { AGAIN } else { 0 };
+        self.last = self.last.max(now + weather.late(rng) + lost);
+        self.waiting.push_back((self.last, bytes));
+    }
+
+    /// The next bytes that leave it, if it is time.
+    pub fn take(&mut self, now: Moment, weather: &Weather) -> Option<Vec<u8>> {
+        if !self.is_due(now, weather) {
+            return None;
+        }
+        self.waiting.pop_front().map(|(_, bytes)| bytes)
+    }
+
+    /// Whether anything is on its way and may leave.
+    pub fn is_due(&self, now: Moment, weather: &Weather) -> bool {
+        !weather.cut && self.waiting.front().is_some_and(|(at, _)| *at <= now)
+    }
+}
+
+/// A direction between two that exchange datagrams.
+#[derive(Default)]
+pub struct Datagrams {
+    waiting: Vec<(Moment, Vec<u8>)>,
+    /// How many were lost here.
+    pub lost: u64,
+}
+
+impl Datagrams {
+    /// A datagram has entered the link.
+    pub fn put(&mut self, now: Moment, bytes: &[u8], weather: &Weather, rng: &mut SmallRng) {
+        if weather.cut || Weather::chance(weather.loss, rng) {
+            self.lost += 1;
+            return;
+        }
+        let times = if Weather::chance(weather.repeat, rng) { 2 } else { 1 };
+        for _ in 0..times {
+            self.waiting.push((now + weather.late(rng), bytes.to_vec()));
+        }
+    }
+
+    /// Those whose time has come, the earliest first.
+    pub fn take(&mut self, now: Moment) -> Vec<Vec<u8>> {
+        let mut due: Vec<(Moment, Vec<u8>)> = self.waiting.extract_if(.., |(at, _)| *at <= now).collect();
+        due.sort_by_key(|(at, _)| *at);
+        due.into_iter().map(|(_, bytes)| bytes).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::SeedableRng;
+
+    #[test]
+    fn a_cut_keeps_what_streams_carry_and_loses_datagrams() {
+        let mut rng = SmallRng::seed_from_u64(1);
+        let (cut, fair) = (Weather { cut: true, ..Weather::default() }, Weather::default());
+        let (mut stream, mut datagrams) = (Stream::default(), Datagrams::default());
+        stream.put(0, vec![1], &cut, &mut rng);
+        datagrams.put(0, &[1], &cut, &mut rng);
+        assert!(!stream.is_due(5, &cut));
+        assert_eq!(stream.take(5, &fair), Some(vec![1]));
+        assert_eq!((datagrams.take(5).len(), datagrams.lost), (0, 1));
+    }
+
+    #[test]
+    fn streams_keep_their_order_and_datagrams_do_not() {
+        let mut rng = SmallRng::seed_from_u64(1);
+        let rough = Weather { jitter: 50 * MS, ..Weather::default() };
+        let (mut stream, mut datagrams) = (Stream::default(), Datagrams::default());
+        for n in 0..100 {
+            stream.put(n, vec![n as u8], &rough, &mut rng);
+            datagrams.put(n, &[n as u8], &rough, &mut rng);
+        }
+        let all: Vec<u8> = std::iter::from_fn(|| stream.take(100 * MS, &rough)).flatten().collect();
+        assert!(all.is_sorted() && all.len() == 100);
+        let all: Vec<u8> = datagrams.take(100 * MS).into_iter().flatten().collect();
+        assert!(!all.is_sorted() && all.len() == 100);
+    }
+}
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -11,7 +11,7 @@
 pub use pool::{Endpoint, Pool};
 
 pub use crate::call::Job;
-use crate::call::{AttemptId, Broken, OrderId, ProbeId, Reached, Reply, Standing, Work};
+use crate::call::{AttemptId, Broken, Fenced, OrderId, ProbeId, Reached, Reply, Standing, Work};
 use crate::interface::{FunctionId, Span, Time};
 use crate::net::{Connection, Flow, Hub, Link};
 use crate::settings::Site;
@@ -153,11 +153,11 @@
     }
 
     fn order_name(order: OrderId) -> String {
-        format!("load-{}", order.0)
+        format!("load-{}{}", order.0, Fenced::suffix(order.1))
     }
 
     fn probe_name(probe: ProbeId) -> String {
-        format!("probe-{}", probe.0)
+        format!("probe-{}{}", probe.0, Fenced::suffix(probe.1))
     }
 
     /// Writes commands one after another, each once the one before has gone whole.
--- a/src/call.rs
+++ b/src/call.rs
@@ -61,13 +61,30 @@
     pub number: u16,
 }
 
+/// The lease under which something is done for the whole fleet: it is done under this fence, or not at all.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Fenced {
+    /// The task's part.
+    pub part: u16,
+    /// The fence of the hold at the moment of the decision.
+    pub fence: u64,
+}
+
+impl Fenced {
+    /// What it adds to the name under which something is written to a worker: receivers that know fences can
+    /// refuse an old one, and others do not look at names.
+    pub fn suffix(fenced: Option<Fenced>) -> String {
+        fenced.map(|fenced| format!("-{}.{}", fenced.part, fenced.fence)).unwrap_or_default()
+    }
+}
+
 /// One order to load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct OrderId(pub u64);
+pub struct OrderId(pub u64, pub Option<Fenced>);
 
 /// One probe.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ProbeId(pub u64);
+pub struct ProbeId(pub u64, pub Option<Fenced>);
 
 /// How far an attempt or an order had come when it broke. This alone decides whether a repeat is safe.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/core/command.rs
+++ b/src/core/command.rs
@@ -112,15 +112,11 @@
     pub(super) function: FunctionId,
     pub(super) copies: u8,
     pub(super) decided: Time,
-    /// Under this lease, and in the place of a process that is gone.
-    pub(super) part: Option<u16>,
 }
 
 pub(super) struct Probe {
     pub(super) worker: WorkerId,
     pub(super) deadline: Time,
-    /// Under this lease, and for all of the fleet.
-    pub(super) part: Option<u16>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
--- a/src/core/ends.rs
+++ b/src/core/ends.rs
@@ -117,7 +117,7 @@
 
     pub(super) fn end_probe(&mut self, id: ProbeId, status: Status) {
         let Some(probe) = self.probes.remove(&id) else { return };
-        if probe.part.is_some() && status != Status::Moot {
+        if id.1.is_some() && status != Status::Moot {
             let (worker, answers) = (probe.worker, status == Status::Ok);
             self.commands.push_back(Command::Tell { worker, answers });
         }
--- a/src/core/gates.rs
+++ b/src/core/gates.rs
@@ -1,6 +1,6 @@
 //! Gates that are asked when bytes are about to be written: whatever has queued may be allowed no longer.
 
-use super::{AttemptId, Core, KEY_MARGIN, LEASE_MARGIN, OrderId, ProbeId};
+use super::{AttemptId, Core, Fenced, KEY_MARGIN, LEASE_MARGIN, OrderId, ProbeId};
 use crate::interface::*;
 
 impl Core {
@@ -26,7 +26,7 @@
             return true;
         }
         if !self.open_to_work(order.worker)
-            || order.part.is_some_and(|part| !self.holds(now, Task::Renew, part))
+            || id.1.is_some_and(|fenced| !self.holds(now, Task::Renew, fenced))
             || !self.called.iter().any(|called| called.contains(&order.function))
         {
             return false;
@@ -49,12 +49,19 @@
     /// Whether a probe may still go out: one for all of the fleet only under its lease. The time is read for this
     /// question alone.
     pub fn may_write_probe(&self, now: Time, id: ProbeId) -> bool {
-        let Some(probe) = self.probes.get(&id) else { return false };
-        probe.part.is_none_or(|part| self.holds(now, Task::Probe, part))
+        self.probes.contains_key(&id) && id.1.is_none_or(|fenced| self.holds(now, Task::Probe, fenced))
     }
 
-    pub(super) fn holds(&self, now: Time, task: Task, part: u16) -> bool {
-        self.held.get(&(task, part)).is_some_and(|hold| now + LEASE_MARGIN < hold.until)
+    /// A hold that was lost and won again has another fence: what was decided under the old one is not done.
+    fn holds(&self, now: Time, task: Task, fenced: Fenced) -> bool {
+        let hold = self.held.get(&(task, fenced.part)).filter(|hold| hold.fence == fenced.fence);
+        hold.is_some_and(|hold| now + LEASE_MARGIN < hold.until)
+    }
+
+    /// The fence under which a task's part is held now; 0, which no hold has, where it is not.
+    pub(super) fn fenced(&self, task: Task, part: Option<u16>) -> Option<Fenced> {
+        let fence = |part| self.held.get(&(task, part)).map_or(0, |hold| hold.fence);
+        part.map(|part| Fenced { part, fence: fence(part) })
     }
 
     /// An event of the bus counts as told from the moment it is in the bus, which may be long before it was
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -392,17 +392,17 @@
             Action::Refuse { id, wait } => self.conclude(now, id, Verdict::Refused { cooldown: wait }),
             Action::Fail { id } => self.conclude(now, id, Verdict::Failed),
             Action::Load { worker, function, copies, part } => {
-                let order = OrderId(self.next_order);
+                let order = OrderId(self.next_order, self.fenced(Task::Renew, part));
                 self.next_order += 1;
-                self.orders.insert(order, Order { worker, function, copies, decided: now, part });
+                self.orders.insert(order, Order { worker, function, copies, decided: now });
                 self.due.insert((now + self.site.load_wait, Due::Order(order)));
                 self.commands.push_back(Command::Stage { order, worker, function, copies });
             }
             Action::Probe { worker, part } => {
-                let probe = ProbeId(self.next_order);
+                let probe = ProbeId(self.next_order, self.fenced(Task::Probe, part));
                 self.next_order += 1;
                 let deadline = now + PROBE_LIMIT;
-                self.probes.insert(probe, Probe { worker, deadline, part });
+                self.probes.insert(probe, Probe { worker, deadline });
                 self.due.insert((deadline, Due::Probe(probe)));
                 self.counters.probes += 1;
                 self.commands.push_back(Command::Probe { probe, worker, deadline });
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -357,3 +357,44 @@
     let commands = call(&mut core, 2, "no such class");
     assert!(matches!(&commands[..], [Command::Answer { answer, .. }] if answer.verdict == Verdict::Failed));
 }
+
+/// What was decided under a lease goes out under that hold of it, with time left, and under no later one: a
+/// process that was stopped between the two must not act beside the next holder.
+#[test]
+fn what_queued_under_a_lease_is_held_back_once_that_hold_has_ended() {
+    let mut core = core();
+    call(&mut core, 1, "safe");
+    core.join_fleet(MS(0), 2);
+    let hold = |fence, ms| Some(Hold { fence, until: MS(ms) });
+    let decide = |core: &mut Core| {
+        while core.next_command().is_some() {}
+        core.carry_out(MS(1), Action::Probe { worker: WorkerId(1), part: Some(1) });
+        let Some(Command::Probe { probe, .. }) = core.next_command() else { panic!("a probe") };
+        let load = Action::Load { worker: WorkerId(1), function: FUNCTION, copies: 1, part: Some(1) };
+        core.carry_out(MS(1), load);
+        let Some(Command::Stage { order, .. }) = core.next_command() else { panic!("an order") };
+        (probe, order)
+    };
+    let may = |core: &mut Core, ms, (probe, order): (ProbeId, OrderId)| {
+        let may = core.may_write_probe(MS(ms), probe);
+        assert_eq!(core.may_write_order(MS(ms), order), may);
+        may
+    };
+    for task in Task::ALL {
+        core.hold(MS(0), task, 1, hold(5, 1_000));
+        core.hold(MS(0), task, 0, hold(9, 9_000));
+    }
+    let decided = decide(&mut core);
+    assert!(may(&mut core, 900, decided));
+    assert!(!may(&mut core, 1_000 - LEASE_MARGIN.0 / 1_000_000, decided), "too close to its end");
+    Task::ALL.iter().for_each(|task| core.hold(MS(10), *task, 1, hold(5, 2_000)));
+    assert!(may(&mut core, 1_500, decided), "renewed");
+    Task::ALL.iter().for_each(|task| core.hold(MS(20), *task, 1, None));
+    assert!(!may(&mut core, 30, decided), "given back");
+    let homeless = decide(&mut core);
+    Task::ALL.iter().for_each(|task| core.hold(MS(40), *task, 1, hold(6, 3_000)));
+    assert!(!may(&mut core, 50, decided), "won again, under another fence");
+    assert!(!may(&mut core, 50, homeless), "decided while nothing was held");
+    let again = decide(&mut core);
+    assert!(may(&mut core, 60, again));
+}
