Show parts that nobody holds, and give tests and the rig one set of stand-ins

Need: figures had no count of tasks that fall back; the rig and the tests wrote frames, settings and the bus twice.

Change: `scheduler.fleet.fallbacks`, at an elector; tests of `/api/fleet`, `fleet status` and a lost majority with real processes. What `tests/rig` had besides the daemon is `lab/src/stand_ins.rs`, used by the rig too.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -4,3 +4,4 @@
 mod fleet;
 pub mod processes;
 pub mod rig;
+pub mod stand_ins;
--- a/lab/src/rig/client.rs
+++ b/lab/src/rig/client.rs
@@ -1,6 +1,7 @@
 //! Clients that call whatever comes of it (open loop), over the binary front, and what came of each call.
 
 use super::{MS, Moment, SECOND};
+use crate::stand_ins::{self, frame};
 use rand::RngExt;
 use rand::rngs::SmallRng;
 use std::collections::{BTreeMap, BTreeSet};
@@ -99,29 +100,19 @@
     pub odd: Vec<String>,
 }
 
-fn frame(kind: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
-    let length = 5 + payload.len() as u32;
-    [&length.to_be_bytes()[..], &[kind], &stream.to_be_bytes(), payload].concat()
-}
-
 fn request(call: &Call) -> Vec<u8> {
+    let (reference, allow) =
+        (format!("{:016x}", call.id << 1 | u64::from(call.again)), (ALLOW / MS).to_string());
+    let key = format!("{:032x}", call.id);
     let list = [
-        ("service", CLASSES[call.class].to_owned()),
-        ("ref", format!("{:016x}", call.id << 1 | u64::from(call.again))),
-        ("allow", (ALLOW / MS).to_string()),
-        ("lookup", call.function.clone()),
-        ("replay", format!("{:032x}", call.id)),
-        ("spec", "memory_mb:256;lanes:2;load_ms:300".to_owned()),
+        ("service", CLASSES[call.class]),
+        ("ref", &reference),
+        ("allow", &allow),
+        ("lookup", &call.function),
+        ("replay", &key),
+        ("spec", "memory_mb:256;lanes:2;load_ms:300"),
     ];
-    let mut out = vec![list.len() as u8];
-    for (name, value) in list {
-        out.push(name.len() as u8);
-        out.extend(name.as_bytes());
-        out.extend((value.len() as u16).to_be_bytes());
-        out.extend(value.as_bytes());
-    }
-    out.extend(body(call.id));
-    out
+    stand_ins::request(&list, &body(call.id))
 }
 
 fn body(id: u64) -> Vec<u8> {
--- a/lab/src/rig/process.rs
+++ b/lab/src/rig/process.rs
@@ -11,26 +11,6 @@
 /// A line of a process's log: of which scheduler, of which of its processes, and the text.
 pub type Logged = (usize, u32, String);
 
-/// A folder of the rig's own, removed with it.
-pub struct Folder(pub PathBuf);
-
-impl Folder {
-    /// A new one.
-    pub fn new(seed: u64) -> std::io::Result<Folder> {
-        static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
-        let number = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-        let path = std::env::temp_dir().join(format!("mintgate-rig-{}-{number}-{seed}", std::process::id()));
-        std::fs::create_dir_all(&path)?;
-        Ok(Folder(path))
-    }
-}
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
 /// One process.
 pub struct Process {
     child: Child,
--- a/lab/src/rig/world.rs
+++ b/lab/src/rig/world.rs
@@ -4,11 +4,12 @@
 use super::agent::{NodeAgent, Said, Store};
 use super::audit::{Act, Audit, Ration};
 use super::client::{self, Clients, End};
-use super::process::{Folder, Logged, Scheduler};
+use super::process::{Logged, Scheduler};
 use super::report::{self, Held, Report};
 use super::scenario::{Drawn, Links, Scenario, Way, What, Who};
 use super::weather::{Datagrams, Stream, Weather};
 use super::{MS, Moment, SECOND};
+use crate::stand_ins::{self, Folder};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use serde_json::{Value, json};
@@ -92,7 +93,8 @@
     between: Vec<Between>,
     places: Vec<SocketAddr>,
     buses: Vec<Bus>,
-    events: Vec<(u64, Vec<u8>)>,
+    /// What the bus tells: of which run box, the id that it had, its state, and when it started.
+    events: Vec<(usize, u32, u8, u64)>,
     beat: Moment,
     schedulers: Vec<Scheduler>,
     log: (Sender<Logged>, Receiver<Logged>),
@@ -125,27 +127,26 @@
 
 /// Plays a scenario to its end.
 pub fn play(name: &str, scenario: Scenario, options: Options) -> Result<Report, String> {
-    let folder = Folder::new(options.seed).map_err(|e| format!("no folder for the play: {e}"))?;
+    let folder = Folder::new();
     let mut world = World::new(scenario, options, &folder.0).map_err(|e| format!("cannot begin: {e}"))?;
     world.run(name).map_err(|e| format!("cannot go on: {e}"))
 }
 
 fn settings(scenario: &Scenario, index: usize) -> Value {
-    let class = |name: &str, effect: &str, worth: f64| {
-        json!({"name": name, "deadlineNs": client::ALLOW, "objectiveNs": 1_000_000_000u64, "worth": worth,
-            "effect": effect, "group": "all", "repeatWindowNs": 6_000_000_000u64})
-    };
-    let kind = &scenario.run_box;
-    json!({"fleetSize": scenario.schedulers, "index": index, "zone": 0, "tickNs": 2_000_000, "zones": ["a"], "kinds": ["std"],
-        "classes": [class(client::CLASSES[0], "retryable", 1.0), class(client::CLASSES[1], "dedup", 4.0)],
-        "bounds": {"mostTries": 3, "mayCancel": true, "probes": true, "peers": scenario.fleet, "retryAfter": true,
-            "maxRetryAfterNs": 500_000_000, "multiplex": 100, "maxOpen": 1000, "idleCloseNs": 15_000_000_000u64,
-            "connectTimeoutNs": 250_000_000},
-        "contract": {"coldFrom": kind.cold_from, "coldNs": kind.cold_ms * MS, "fallMultiple": kind.fall_multiple,
-            "fallNs": kind.fall_ms * MS, "drainGraceNs": 2_000_000_000},
-        "familyInfo": {"keepNs": super::agent::KEEP, "notLoaded": "load", "mayOrder": true,
-            "loadSpanNs": RATION.span, "loadsAnyway": RATION.free, "loadPart": RATION.share,
-            "loadWaitNs": 10_000_000_000u64, "memoryMbByKind": [18432.0]}})
+    let (mut settings, kind) = (stand_ins::settings(), &scenario.run_box);
+    (settings["fleetSize"], settings["index"]) = (json!(scenario.schedulers), json!(index));
+    for (class, worth) in [1.0, 4.0].into_iter().enumerate() {
+        settings["classes"][class]["name"] = json!(client::CLASSES[class]);
+        settings["classes"][class]["deadlineNs"] = json!(client::ALLOW);
+        settings["classes"][class]["worth"] = json!(worth);
+    }
+    (settings["bounds"]["probes"], settings["bounds"]["peers"]) = (json!(true), json!(scenario.fleet));
+    settings["contract"] = json!({"coldFrom": kind.cold_from, "coldNs": kind.cold_ms * MS,
+        "fallMultiple": kind.fall_multiple, "fallNs": kind.fall_ms * MS, "drainGraceNs": 2_000_000_000});
+    let family = &mut settings["familyInfo"];
+    (family["keepNs"], family["loadSpanNs"]) = (json!(super::agent::KEEP), json!(RATION.span));
+    (family["loadsAnyway"], family["loadPart"]) = (json!(RATION.free), json!(RATION.share));
+    settings
 }
 
 fn operator(
@@ -223,10 +224,7 @@
         for (n, bus) in buses.iter().enumerate() {
             let targets: Vec<Value> = run_boxes
                 .iter()
-                .map(|run_box| {
-                    json!({"uid": format!("s-{:08x}", run_box.uid), "endpoint": run_box.at[n].to_string(), "az": "a",
-                        "model": "std", "pod_group": 0, "state": "SERVING", "capacity_hint": 4, "boot_ms": 0})
-                })
+                .map(|run_box| stand_ins::target(run_box.uid, run_box.at[n], "SERVING"))
                 .collect();
             let bus = bus.door.local_addr()?;
             let config = |at: SocketAddr| {
@@ -634,16 +632,9 @@
 
     /// Puts an event of a run box into the bus: 0 ready, 1 draining, 2 gone.
     fn tell(&mut self, n: usize, state: u8) {
-        let offset = self.events.len() as u64 + 2;
-        // The address differs by scheduler, and is put in when it is sent.
         let run_box = &self.boxes[n];
-        let mut record = run_box.uid.to_be_bytes().to_vec();
-        record.extend([0; 6]);
-        record.extend([state, 0, 0, 0, 0]);
-        record.extend(4_000u32.to_be_bytes());
-        record.extend(run_box.agent.started.map_or(0, |at| self.unix_ms + at / MS).to_be_bytes());
-        record.push(n as u8);
-        self.events.push((offset, record));
+        let started = run_box.agent.started.map_or(0, |at| self.unix_ms + at / MS);
+        self.events.push((n, run_box.uid, state, started));
     }
 
     fn bus(&mut self) -> std::io::Result<()> {
@@ -666,18 +657,13 @@
                 }
                 let Some(told) = told else { return true };
                 let mut out = vec![];
-                for (offset, record) in events.iter().filter(|(offset, _)| *offset > *told) {
-                    let run_box = &boxes[usize::from(record[27])];
-                    let SocketAddr::V4(at) = run_box.at[n] else { continue };
-                    out.extend((9 + 27u32).to_be_bytes());
-                    out.extend(offset.to_be_bytes());
-                    out.push(2);
-                    out.extend(&record[..4]);
-                    out.extend(at.ip().octets());
-                    out.extend(at.port().to_be_bytes());
-                    out.extend(&record[10..27]);
+                // Number 1 stands in the configuration.
+                for (offset, (run_box, uid, state, started)) in
+                    (2..).zip(events).filter(|(offset, _)| offset > told)
+                {
+                    out.extend(stand_ins::change(offset, *uid, boxes[*run_box].at[n], *state, *started));
                 }
-                *told = events.last().map_or(*told, |(offset, _)| *offset.max(told));
+                *told = (*told).max(events.len() as u64 + 1);
                 if beat {
                     out.extend(9u32.to_be_bytes());
                     out.extend([0; 9]);
--- /dev/null
+++ b/lab/src/stand_ins.rs
@@ -0,0 +1,428 @@
+//! Stand-ins for what a scheduler meets, that do what they are told: workers, a bus, clients. Tests of one daemon
+//! use them, and the rig takes from here how things are written on the wire.
+
+use serde_json::{Value, json};
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::{Path, PathBuf};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// No wait of a test is longer; it ends a test that would hang, and decides nothing else.
+pub const LONG: Duration = Duration::from_secs(20);
+/// A function that every test may call.
+pub const FUNCTION: &str = "7f3a9c21e0b4d655";
+
+/// A stream of either kind.
+pub trait Wire: Read + Write + Send {
+    /// Another handle of it.
+    fn twin(&self) -> Box<dyn Wire>;
+    /// Ends it in both directions.
+    fn end(&self);
+}
+
+impl Wire for TcpStream {
+    fn twin(&self) -> Box<dyn Wire> {
+        Box::new(self.try_clone().unwrap())
+    }
+    fn end(&self) {
+        let _ = self.shutdown(std::net::Shutdown::Both);
+    }
+}
+
+impl Wire for UnixStream {
+    fn twin(&self) -> Box<dyn Wire> {
+        Box::new(self.try_clone().unwrap())
+    }
+    fn end(&self) {
+        let _ = self.shutdown(std::net::Shutdown::Both);
+    }
+}
+
+/// A line that a worker was sent, and the connection to answer on.
+pub struct Heard {
+    /// The line.
+    pub line: Value,
+    /// The number of its connection, from 0.
+    pub connection: usize,
+    wire: Box<dyn Wire>,
+}
+
+impl Heard {
+    /// Writes a line.
+    pub fn say(&mut self, answer: Value) {
+        let _ = self.wire.write_all(format!("{answer}\n").as_bytes());
+    }
+
+    /// Ends the connection.
+    pub fn end(&self) {
+        self.wire.end();
+    }
+
+    /// Writes bytes as they are.
+    pub fn raw(&mut self, bytes: &[u8]) {
+        let _ = self.wire.write_all(bytes);
+    }
+
+    /// `go`, `halt`, `stage`, ... whichever wire it came by.
+    pub fn word(&self) -> &str {
+        match self.line["verb"].as_str().or(self.line["method"].as_str()).unwrap() {
+            "call" => "go",
+            "cancel" => "halt",
+            "load" => "stage",
+            other => other,
+        }
+    }
+
+    /// The name under which an answer goes back.
+    pub fn name(&self) -> String {
+        let name = if self.line.get("verb").is_some() { &self.line["rid"] } else { &self.line["id"] };
+        name.as_str().unwrap().to_owned()
+    }
+
+    /// Answers in the words of its wire: a body, or a status of the agents' wire.
+    pub fn answer(&mut self, status: &str, content: &str) {
+        let answer = match self.line.get("verb") {
+            Some(_) => {
+                json!({"verb": status, "rid": self.name(), "content": content, "attrs": {"replicas": 1}})
+            }
+            None if status == "200" && self.word() == "stage" => {
+                json!({"jsonrpc": "2.0", "id": self.name(), "result": {"copies": 1}})
+            }
+            None if status == "200" => {
+                json!({"jsonrpc": "2.0", "id": self.name(), "result": {"body": content}})
+            }
+            None => {
+                let code = match status {
+                    "404" => -32010,
+                    "503" => -32011,
+                    "504" => -32012,
+                    _ => -32000,
+                };
+                json!({"jsonrpc": "2.0", "id": self.name(), "error": {"code": code, "message": status}})
+            }
+        };
+        self.say(answer);
+    }
+}
+
+/// Where a worker listens.
+pub enum At {
+    /// A node agent.
+    Tcp(SocketAddr),
+    /// A checker.
+    Unix(PathBuf),
+}
+
+/// A worker that hands every line to the test.
+pub struct Worker {
+    /// Where it listens.
+    pub at: At,
+    heard: Receiver<Heard>,
+}
+
+fn hear(wire: Box<dyn Wire>, connection: usize, to: Sender<Heard>) {
+    thread::spawn(move || {
+        let write = wire.twin();
+        for line in BufReader::new(wire).lines() {
+            let Ok(line) = line else { return };
+            let line = serde_json::from_str(&line).expect("every line is JSON");
+            if to.send(Heard { line, connection, wire: write.twin() }).is_err() {
+                return;
+            }
+        }
+    });
+}
+
+impl Worker {
+    /// A node agent.
+    pub fn agent() -> Worker {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let at = At::Tcp(listener.local_addr().unwrap());
+        let (to, heard) = channel();
+        thread::spawn(move || {
+            for (number, stream) in listener.incoming().enumerate() {
+                hear(Box::new(stream.unwrap()), number, to.clone());
+            }
+        });
+        Worker { at, heard }
+    }
+
+    /// A checker at a socket of this path.
+    pub fn checker(path: &Path) -> Worker {
+        let listener = UnixListener::bind(path).unwrap();
+        let (to, heard) = channel();
+        thread::spawn(move || {
+            for (number, stream) in listener.incoming().enumerate() {
+                hear(Box::new(stream.unwrap()), number, to.clone());
+            }
+        });
+        Worker { at: At::Unix(path.to_owned()), heard }
+    }
+
+    /// The next line; orders to load are answered on the way, and counted.
+    pub fn next(&self) -> Heard {
+        self.heard.recv_timeout(LONG).expect("the worker hears something")
+    }
+
+    /// A line, if one has come.
+    pub fn poll(&self) -> Option<Heard> {
+        thread::sleep(Duration::from_millis(1));
+        self.heard.try_recv().ok()
+    }
+
+    /// A node agent's address.
+    pub fn address(&self) -> SocketAddr {
+        let At::Tcp(address) = self.at else { panic!("an agent") };
+        address
+    }
+
+    /// Whether nothing has come that the daemon sent before it answered what the caller has just read.
+    pub fn quiet(&self) -> bool {
+        self.heard.try_recv().is_err()
+    }
+
+    /// Answers every line as `how` says, for as long as the test lasts; the lines are kept.
+    pub fn serve(self, how: impl Fn(&Heard) -> Option<(&'static str, String)> + Send + 'static) -> Lines {
+        let lines = Lines::default();
+        let kept = lines.clone();
+        thread::spawn(move || {
+            while let Ok(mut heard) = self.heard.recv() {
+                kept.0.lock().unwrap().push(heard.line.clone());
+                if let Some((status, content)) = how(&heard) {
+                    heard.answer(status, &content);
+                }
+            }
+        });
+        lines
+    }
+}
+
+/// Lines that a worker was sent.
+#[derive(Clone, Default)]
+pub struct Lines(pub Arc<Mutex<Vec<Value>>>);
+
+/// A folder of the test's own, removed with it.
+pub struct Folder(pub PathBuf);
+
+impl Folder {
+    /// A new one.
+    pub fn new() -> Folder {
+        static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+        let number = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("mintgate-{}-{number}", std::process::id()));
+        std::fs::create_dir(&path).unwrap();
+        Folder(path)
+    }
+
+    /// A path in it.
+    pub fn at(&self, name: &str) -> PathBuf {
+        self.0.join(name)
+    }
+}
+
+impl Default for Folder {
+    fn default() -> Folder {
+        Folder::new()
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// A run box as the configuration tells of it.
+pub fn target(uid: u32, address: SocketAddr, state: &str) -> Value {
+    json!({"uid": format!("s-{uid:08x}"), "endpoint": address.to_string(), "az": "a", "model": "std",
+        "pod_group": 0, "state": state, "capacity_hint": 4, "boot_ms": 0})
+}
+
+/// Settings of a site with one zone, one kind and two classes.
+pub fn settings() -> Value {
+    let class = |name: &str, effect: &str| {
+        json!({"name": name, "deadlineNs": 3_000_000_000u64, "objectiveNs": 1_000_000_000u64, "worth": 1.0,
+            "effect": effect, "group": "all", "repeatWindowNs": 6_000_000_000u64})
+    };
+    json!({"fleetSize": 1, "index": 0, "zone": 0, "tickNs": 2_000_000, "zones": ["a"], "kinds": ["std"],
+        "classes": [class("practice-check", "retryable"), class("credit-submit", "dedup")],
+        "bounds": {"mostTries": 3, "mayCancel": true, "retryAfter": true, "maxRetryAfterNs": 500_000_000,
+            "multiplex": 100, "maxOpen": 1000, "idleCloseNs": 15_000_000_000u64, "connectTimeoutNs": 250_000_000},
+        "contract": {"coldFrom": 0.15, "coldNs": 15_000_000_000u64, "fallMultiple": 3.0, "fallNs": 2_000_000_000,
+            "drainGraceNs": 2_000_000_000},
+        "familyInfo": {"keepNs": 8_700_000_000u64, "notLoaded": "load", "mayOrder": true, "loadSpanNs": 5_000_000_000u64,
+            "loadsAnyway": 3.0, "loadPart": 0.3, "loadWaitNs": 10_000_000_000u64, "memoryMbByKind": [18432.0]}})
+}
+
+/// What the second address says to these bytes: the status, 0 for a close, and what follows the head.
+pub fn operate(at: SocketAddr, bytes: &[u8]) -> (u16, String) {
+    let mut stream = TcpStream::connect(at).unwrap();
+    stream.set_read_timeout(Some(LONG)).unwrap();
+    stream.write_all(bytes).unwrap();
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    let (head, body) = text.split_once("\r\n\r\n").unwrap_or_default();
+    (head.split(' ').nth(1).map_or(0, |status| status.parse().unwrap()), body.to_owned())
+}
+
+/// A client of the binary front.
+pub struct Frames(pub TcpStream);
+
+/// A frame of the binary front.
+pub fn frame(kind: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
+    let length = 5 + payload.len() as u32;
+    [&length.to_be_bytes()[..], &[kind], &stream.to_be_bytes(), payload].concat()
+}
+
+/// The payload of a request, with these fields.
+pub fn request(list: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut out = vec![list.len() as u8];
+    for (name, value) in list {
+        out.push(name.len() as u8);
+        out.extend(name.as_bytes());
+        out.extend((value.len() as u16).to_be_bytes());
+        out.extend(value.as_bytes());
+    }
+    out.extend(body);
+    out
+}
+
+/// The payload of a plain call.
+pub fn call(class: &str, reference: &str, allow: u64, body: &[u8]) -> Vec<u8> {
+    let allow = allow.to_string();
+    let list = [
+        ("service", class),
+        ("ref", reference),
+        ("allow", &allow),
+        ("lookup", FUNCTION),
+        ("replay", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"),
+        ("spec", "memory_mb:512;lanes:2;load_ms:640"),
+    ];
+    request(&list, body)
+}
+
+impl Frames {
+    /// Connects to a daemon's door.
+    pub fn connect(at: SocketAddr) -> Frames {
+        let stream = TcpStream::connect(at).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        Frames(stream)
+    }
+
+    /// Writes bytes.
+    pub fn send(&mut self, bytes: &[u8]) {
+        self.0.write_all(bytes).unwrap();
+    }
+
+    /// The next frame's type, stream and payload; none at the end.
+    #[expect(clippy::should_implement_trait, reason = "it waits, and is no sequence to go through")]
+    pub fn next(&mut self) -> Option<(u8, u32, Vec<u8>)> {
+        let mut head = [0; 4];
+        self.0.read_exact(&mut head).ok()?;
+        let mut rest = vec![0; u32::from_be_bytes(head) as usize];
+        self.0.read_exact(&mut rest).ok()?;
+        Some((rest[0], u32::from_be_bytes(rest[1..5].try_into().unwrap()), rest[5..].to_vec()))
+    }
+}
+
+/// A client of the JSON-RPC front.
+pub struct Rpc(pub BufReader<UnixStream>);
+
+impl Rpc {
+    /// Connects to a daemon's socket.
+    pub fn connect(path: &Path) -> Rpc {
+        let stream = UnixStream::connect(path).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        Rpc(BufReader::new(stream))
+    }
+
+    /// Writes a line.
+    pub fn send(&mut self, text: &str) {
+        self.0.get_mut().write_all(format!("{text}\n").as_bytes()).unwrap();
+    }
+
+    /// The next line.
+    #[expect(clippy::should_implement_trait, reason = "it waits, and is no sequence to go through")]
+    pub fn next(&mut self) -> Value {
+        let mut line = String::new();
+        self.0.read_line(&mut line).unwrap();
+        serde_json::from_str(&line).unwrap_or_else(|_| panic!("a line of JSON, not '{line}'"))
+    }
+}
+
+/// A call on the JSON-RPC front.
+pub fn rpc_call(id: &Value, class: &str, reference: &str, allow: u64, body: &str) -> Value {
+    json!({"jsonrpc": "2.0", "id": id, "method": "call", "params": {"class": class, "function": FUNCTION,
+        "ref": reference, "allow_ms": allow, "key": "5c0f6e1a2b3d4c59a8b7c6d5e4f30211",
+        "memory_mb": 512, "lanes": 2, "load_ms": 640, "body": body}})
+}
+
+/// Answers with the body it was sent; orders stand.
+pub fn echo(heard: &Heard) -> Option<(&'static str, String)> {
+    match heard.word() {
+        "go" => {
+            let line = &heard.line;
+            let body = line.get("content").or(line.pointer("/params/body")).unwrap().as_str().unwrap();
+            Some(("200", body.to_owned()))
+        }
+        "stage" => Some(("200", String::new())),
+        _ => None,
+    }
+}
+
+/// Counts of the words heard.
+pub fn tally(lines: &Lines) -> HashMap<String, usize> {
+    let mut counts = HashMap::new();
+    for line in lines.0.lock().unwrap().iter() {
+        let word = line["verb"].as_str().or(line["method"].as_str()).unwrap();
+        *counts.entry(word.to_owned()).or_default() += 1;
+    }
+    counts
+}
+
+/// A bus that the test plays by hand.
+pub struct Bus(pub TcpListener);
+
+impl Default for Bus {
+    fn default() -> Bus {
+        Bus::new()
+    }
+}
+
+impl Bus {
+    /// A new one.
+    pub fn new() -> Bus {
+        Bus(TcpListener::bind("127.0.0.1:0").unwrap())
+    }
+
+    /// The next connection and the offset from which it wants to go on.
+    pub fn accept(&self) -> (TcpStream, u64) {
+        let (mut stream, _) = self.0.accept().unwrap();
+        let mut offset = [0; 8];
+        stream.read_exact(&mut offset).unwrap();
+        (stream, u64::from_be_bytes(offset))
+    }
+}
+
+/// A change of one worker, as the bus writes it: state 0 ready, 1 draining, 2 gone; started at a Unix millisecond,
+/// or 0 for long ago.
+pub fn change(offset: u64, id: u32, address: SocketAddr, state: u8, started: u64) -> Vec<u8> {
+    let SocketAddr::V4(address) = address else { panic!("the bus knows IPv4 only") };
+    let mut record = id.to_be_bytes().to_vec();
+    record.extend(address.ip().octets());
+    record.extend(address.port().to_be_bytes());
+    record.extend([state, 0, 0, 0, 0]);
+    record.extend(4000u32.to_be_bytes());
+    record.extend(started.to_be_bytes());
+    [&(9 + record.len() as u32).to_be_bytes()[..], &offset.to_be_bytes(), &[2], &record].concat()
+}
+
+/// The same of a worker that has run for long.
+pub fn event(offset: u64, id: u32, worker: &Worker, state: u8) -> Vec<u8> {
+    change(offset, id, worker.address(), state, 0)
+}
--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -141,7 +141,11 @@
     pub fn figures(&self) -> String {
         let held = self.leases.iter().filter_map(|lease| lease.hold);
         let (count, fence) = held.fold((0, 0), |(count, fence), hold| (count + 1, hold.fence.max(fence)));
+        // Only an elector sees that a part is nobody's: its task falls back, or stops.
+        let nobody = |lease: &&LeaseStatus| lease.hold.is_none() && lease.granted.is_none();
+        let fallbacks = self.leases.iter().filter(nobody).filter(|_| self.votes.is_some()).count();
         let lines = [
+            ("fallbacks", fallbacks as u64),
             ("members", self.members.len() as u64 + u64::from(!self.left)),
             ("votes", u64::from(self.votes == Some(true))),
             ("leases", count),
--- a/tests/daily.rs
+++ b/tests/daily.rs
@@ -22,7 +22,7 @@
     });
     assert_eq!(daemon.operate("GET", "/api/ready"), (200, "ready\n".to_owned()));
     assert_eq!(daemon.figure("answered.credit-submit"), Some(0), "from the start");
-    let mut client = Frames::connect(&daemon);
+    let mut client = Frames::connect(daemon.listen);
     assert_eq!(serve_one(&mut client, 1), Some((1, 1, vec![79, 0, b'x'])));
     assert_eq!(serve_one(&mut client, 2).map(|(_, _, payload)| payload[0]), Some(66), "given up");
     let figures = ["answered", "deferred", "errored"].map(|w| daemon.figure(&format!("{w}.practice-check")));
@@ -44,7 +44,7 @@
     let bus = Bus::new();
     let at = bus.0.local_addr().unwrap();
     let daemon = Daemon::with(&[&one, &two], settings(), Some(at), |_| String::new());
-    let mut client = Frames::connect(&daemon);
+    let mut client = Frames::connect(daemon.listen);
     client.send(&frame(0, 1, &call("practice-check", "00000000000000aa", 2500, b"x")));
     let (mut open, home, other) = loop {
         if let Some(heard) = one.poll() {
@@ -151,7 +151,7 @@
     let mut old = at_a_door(&workers.each_ref(), &door);
     assert_eq!(old.listen, door.local_addr().unwrap());
     let lines = workers.map(|worker| worker.serve(echo));
-    let mut client = Frames::connect(&old);
+    let mut client = Frames::connect(old.listen);
     assert_eq!(serve_one(&mut client, 1), Some((1, 1, vec![79, 0, b'x'])));
     let whole = frame(0, 2, &call("practice-check", "00000000000000bb", 2500, b"x"));
     client.send(&whole[..20]);
@@ -172,7 +172,7 @@
     assert_eq!(new.operate("POST", "/api/include?name=s-00000002").0, 200);
     while old.figure("cluster_unhealthy") != Some(1) {}
     old.signal("TERM");
-    let mut other = Frames::connect(&old);
+    let mut other = Frames::connect(old.listen);
     assert_eq!(serve_one(&mut other, 3), Some((1, 3, vec![79, 0, b'x'])));
     assert_eq!(new.figure("answered.practice-check"), Some(1), "the new one took it");
     client.send(&whole[20..]);
@@ -188,7 +188,7 @@
     next.serves();
     assert_eq!(next.figure("cluster_unhealthy"), Some(1));
     new.signal("TERM");
-    let mut client = Frames::connect(&next);
+    let mut client = Frames::connect(next.listen);
     assert_eq!(serve_one(&mut client, 4), Some((1, 4, vec![79, 0, b'x'])));
     assert!(new.ends());
     let calls = |n: usize| tally(&lines[n]).get("go").copied().unwrap_or(0);
@@ -208,13 +208,13 @@
     old.wait_log("door=shut");
     new.signal("KILL");
     old.wait_log("door=open");
-    let mut client = Frames::connect(&old);
+    let mut client = Frames::connect(old.listen);
     assert_eq!(serve_one(&mut client, 1), Some((1, 1, vec![79, 0, b'x'])));
     old.signal("KILL");
     assert!(!old.ends() && !new.ends());
     let mut again = old.beside(&door);
     again.serves();
-    let mut client = Frames::connect(&again);
+    let mut client = Frames::connect(again.listen);
     assert_eq!(serve_one(&mut client, 2), Some((1, 2, vec![79, 0, b'x'])));
 }
 
@@ -249,10 +249,10 @@
     let worker = Worker::agent();
     let mut daemon = Daemon::start(&[&worker]);
     let body: Vec<u8> = (0..230_000u32).map(|n| n as u8).collect();
-    let mut slow = Frames::connect(&daemon);
+    let mut slow = Frames::connect(daemon.listen);
     slow.send(&frame(0, 1, &call("practice-check", "00000000000000aa", 2900, b"x")));
     let mut heard = worker.next();
-    let mut quick = Frames::connect(&daemon);
+    let mut quick = Frames::connect(daemon.listen);
     quick.send(&frame(0, 1, &call("practice-check", "00000000000000bb", 2900, b"x")));
     let mut other = worker.next();
     let content = base64::Engine::encode(&base64::engine::general_purpose::STANDARD, &body);
@@ -288,7 +288,7 @@
     new.wait_log("upgrade configuration of the old process");
     old.signal("TERM");
     assert!(old.ends());
-    let mut client = Frames::connect(&new);
+    let mut client = Frames::connect(new.listen);
     assert_eq!(serve_one(&mut client, 1), Some((1, 1, vec![79, 0, b'x'])));
     std::fs::write(new.folder.at("config.json"), "{").unwrap();
     let mut next = new.beside(&door);
@@ -336,7 +336,7 @@
     let worker = Worker::agent();
     let daemon = Daemon::limited(&[&worker], json!({"sockets": 96}));
     worker.serve(echo);
-    let mut slow = Frames::connect(&daemon);
+    let mut slow = Frames::connect(daemon.listen);
     let whole = frame(0, 1, &call("practice-check", "00000000000000aa", 2500, b"x"));
     let mut crowd = Vec::new();
     for piece in whole.chunks(whole.len() / 4 + 1) {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -200,3 +200,35 @@
     later.wait_log("fleet member");
     assert!(!later.log.lock().unwrap().contains("fleet left"));
 }
+
+/// What operators see of a fleet: who is up, who holds what; and at an elector without a majority, that nobody does.
+#[test]
+fn operators_see_who_holds_and_that_nobody_does() {
+    let acts = Acts::default();
+    let mut daemons = fleet_with(3, 800, 107, &acts, |_, _| String::new());
+    let (held, fence) = holder(&daemons.iter().collect::<Vec<_>>());
+    let (status, text) = daemons[held].operate("GET", "/api/fleet");
+    assert_eq!(status, 200);
+    assert!(
+        text.contains(&format!("process {held} (")) && text.contains(&format!("fence {fence}")),
+        "{text}"
+    );
+    assert_eq!(daemons[held].figure("fleet.members"), Some(3));
+    let at = daemons[held].mgmt.to_string();
+    let asked = std::process::Command::new(env!("CARGO_BIN_EXE_mintgate"))
+        .args(["fleet", "status", "--at", &at])
+        .output()
+        .unwrap();
+    assert!(asked.status.success() && asked.stdout.starts_with(b"process "), "{asked:?}");
+    for other in (0..3).filter(|n| *n != held) {
+        daemons[other].child.kill().unwrap();
+        daemons[other].child.wait().unwrap();
+    }
+    daemons[held].wait_log("fleet lost task=probe part=0");
+    let start = std::time::Instant::now();
+    while daemons[held].figure("fleet.fallbacks") != Some(2) {
+        assert!(start.elapsed() < LONG, "both tasks are nobody's");
+        std::thread::sleep(std::time::Duration::from_millis(20));
+    }
+    assert_eq!(daemons[held].operate("GET", "/api/ready").0, 200, "it serves on");
+}
--- a/tests/jsonrpc.rs
+++ b/tests/jsonrpc.rs
@@ -209,7 +209,7 @@
     heard.answer("500", "");
     checker.next().answer("200", "YQ==");
     assert_eq!(client.next()["result"]["body"], "YQ==");
-    let mut frames = Frames::connect(&daemon);
+    let mut frames = Frames::connect(daemon.listen);
     frames.send(&frame(0, 1, &call("practice-check", "00000000000000aa", 2900, b"")));
     checker.next().answer("200", "Yg==");
     assert_eq!(frames.next(), Some((1, 1, vec![79, 0, b'b'])));
@@ -406,7 +406,7 @@
         let daemon = Daemon::with(&[&workers[0], &workers[1]], settings, None, operator);
         let lines: Vec<Lines> = workers.into_iter().map(|worker| worker.serve(how)).collect();
         let mut outcomes = Vec::new();
-        let mut frames = Frames::connect(&daemon);
+        let mut frames = Frames::connect(daemon.listen);
         let mut rpc = connect(&daemon);
         // A burst that nobody answers fills the lanes of the first copy: a load is ordered elsewhere.
         for n in 1000..1012 {
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -20,7 +20,7 @@
     let worker = Worker::agent();
     let daemon = Daemon::start(&[&worker]);
     let lines = worker.serve(echo);
-    let mut client = Frames::connect(&daemon);
+    let mut client = Frames::connect(daemon.listen);
     let body: Vec<u8> = (0..=255).collect();
     for byte in frame(0, 1, &call("practice-check", REF, 2000, &body)) {
         client.send(&[byte]);
@@ -43,7 +43,7 @@
     let worker = Worker::agent();
     let daemon = Daemon::start(&[&worker]);
     worker.serve(echo);
-    let mut other = Frames::connect(&daemon);
+    let mut other = Frames::connect(daemon.listen);
     let good = frame(0, 1, &call("practice-check", REF, 2000, b"x"));
     let cases: Vec<(&str, Vec<u8>)> = vec![
         ("length 0", vec![0; 4]),
@@ -55,7 +55,7 @@
         ("a stream used before", [good.clone(), good.clone()].concat()),
     ];
     for (what, bytes) in cases {
-        let mut client = Frames::connect(&daemon);
+        let mut client = Frames::connect(daemon.listen);
         client.send(&bytes);
         let frames: Vec<_> = std::iter::from_fn(|| client.next()).collect();
         assert_eq!(frames.last(), Some(&(1, 0, vec![69, 0])), "{what}");
@@ -74,20 +74,20 @@
     let daemon = Daemon::start(&[&worker]);
     worker.serve(echo);
     let good = frame(0, 1, &call("practice-check", REF, 2000, b"x"));
-    let mut silent = Frames::connect(&daemon);
+    let mut silent = Frames::connect(daemon.listen);
     assert_eq!(silent.next(), None, "closed");
-    let mut half = Frames::connect(&daemon);
+    let mut half = Frames::connect(daemon.listen);
     half.send(&good[..20]);
     assert_eq!(half.next(), Some((1, 0, vec![69, 0])));
     assert_eq!(half.next(), None);
     // Sixty megabytes at full speed, while others are served.
-    let mut huge = Frames::connect(&daemon);
+    let mut huge = Frames::connect(daemon.listen);
     let writer = std::thread::spawn(move || {
         let chunk = vec![0; 1 << 20];
         let head = 60_000_000u32.to_be_bytes();
         huge.0.write_all(&head).and_then(|()| (0..60).try_for_each(|_| huge.0.write_all(&chunk)))
     });
-    let mut client = Frames::connect(&daemon);
+    let mut client = Frames::connect(daemon.listen);
     client.send(&good);
     assert_eq!(client.next(), Some((1, 1, vec![79, 0, b'x'])));
     assert!(writer.join().unwrap().is_err(), "ended before it was all read");
@@ -106,12 +106,12 @@
     };
     let mut long = frame(0, 1, &[7; 250_000]);
     long.truncate(200_000);
-    let mut clients: Vec<_> = (0..150).map(|_| Frames::connect(&daemon)).collect();
+    let mut clients: Vec<_> = (0..150).map(|_| Frames::connect(daemon.listen)).collect();
     for client in &mut clients {
         client.send(&long);
         assert_eq!(client.next(), Some((1, 1, vec![69, 0])), "told at its head");
     }
-    let mut client = Frames::connect(&daemon);
+    let mut client = Frames::connect(daemon.listen);
     only_ready(&mut client, 79);
     assert!(resident() < 32, "{} MB", resident());
 }
@@ -121,7 +121,7 @@
 fn a_withdrawn_call_is_called_off_at_its_worker() {
     let worker = Worker::agent();
     let daemon = Daemon::start(&[&worker]);
-    let mut client = Frames::connect(&daemon);
+    let mut client = Frames::connect(daemon.listen);
     client.send(&frame(0, 1, &call("practice-check", REF, 60_000, b"")));
     assert_eq!(worker.next().word(), "go");
     client.send(&frame(2, 1, &[]));
@@ -134,7 +134,7 @@
     let worker = Worker::agent();
     let daemon = Daemon::start(&[&worker]);
     worker.serve(echo);
-    let mut client = Frames::connect(&daemon);
+    let mut client = Frames::connect(daemon.listen);
     let cases = [
         call("no-such-class", REF, 2000, b""),
         call("practice-check", "not hex", 2000, b""),
@@ -159,7 +159,7 @@
     let worker = Worker::agent();
     let daemon = Daemon::start(&[&dead, &worker]);
     worker.serve(echo);
-    let mut client = Frames::connect(&daemon);
+    let mut client = Frames::connect(daemon.listen);
     for n in 1..20 {
         client.send(&frame(0, n, &call("credit-submit", &format!("{n:016x}"), 2900, b"x")));
         assert_eq!(client.next(), Some((1, n, vec![79, 0, b'x'])), "sent on to the other worker");
@@ -174,7 +174,7 @@
         let mut settings = settings();
         settings["classes"][1]["repeatWindowNs"] = json!(window);
         let daemon = Daemon::with(&[&worker], settings, None, |_| String::new());
-        let mut client = Frames::connect(&daemon);
+        let mut client = Frames::connect(daemon.listen);
         client.send(&frame(0, 1, &call("credit-submit", REF, 2900, b"")));
         let mut keys = Vec::new();
         for _ in 0..expected {
@@ -201,7 +201,7 @@
     let mut settings = settings();
     settings["bounds"]["probes"] = json!(true);
     let daemon = Daemon::with(&[&workers[0], &workers[1]], settings, None, |_| String::new());
-    let mut client = Frames::connect(&daemon);
+    let mut client = Frames::connect(daemon.listen);
     client.send(&frame(0, 1, &call("credit-submit", REF, 60_000, b"")));
     // Which of the two it is, the hash says.
     let start = std::time::Instant::now();
@@ -229,7 +229,7 @@
 fn a_name_that_is_open_already_makes_no_second_call() {
     let worker = Worker::agent();
     let daemon = Daemon::start(&[&worker]);
-    let (mut client, mut other) = (Frames::connect(&daemon), Frames::connect(&daemon));
+    let (mut client, mut other) = (Frames::connect(daemon.listen), Frames::connect(daemon.listen));
     client.send(&frame(0, 1, &call("practice-check", REF, 2900, b"a")));
     let mut heard = worker.next();
     other.send(&frame(0, 1, &call("practice-check", REF, 2900, b"b")));
@@ -251,7 +251,7 @@
     for bytes in spoilt {
         let worker = Worker::agent();
         let daemon = Daemon::start(&[&worker]);
-        let mut client = Frames::connect(&daemon);
+        let mut client = Frames::connect(daemon.listen);
         client.send(&frame(0, 1, &call("practice-check", REF, 60_000, b"")));
         client.send(&frame(0, 2, &call("practice-check", "00000000000000aa", 60_000, b"")));
         let (mut one, mut two) = (worker.next(), worker.next());
@@ -271,7 +271,7 @@
 fn a_late_answer_belongs_to_nobody() {
     let worker = Worker::agent();
     let daemon = Daemon::start(&[&worker]);
-    let mut client = Frames::connect(&daemon);
+    let mut client = Frames::connect(daemon.listen);
     client.send(&frame(0, 1, &call("practice-check", REF, 1000, b"a")));
     let mut old = worker.next();
     let (kind, stream, payload) = client.next().unwrap();
@@ -290,14 +290,14 @@
 fn a_withdrawn_call_and_a_closed_client_are_owed_nothing() {
     let worker = Worker::agent();
     let daemon = Daemon::start(&[&worker]);
-    let mut client = Frames::connect(&daemon);
+    let mut client = Frames::connect(daemon.listen);
     client.send(&frame(0, 1, &call("practice-check", REF, 2900, b"")));
     let mut heard = worker.next();
     client.send(&frame(2, 1, &[]));
     only_ready(&mut client, 79);
     heard.answer("200", "");
     only_ready(&mut client, 79);
-    let mut leaving = Frames::connect(&daemon);
+    let mut leaving = Frames::connect(daemon.listen);
     leaving.send(&frame(0, 1, &call("practice-check", "00000000000000aa", 2900, b"")));
     worker.next();
     drop(leaving);
@@ -309,7 +309,7 @@
 fn what_a_worker_says_amiss_harms_only_its_own_call() {
     let worker = Worker::agent();
     let daemon = Daemon::start(&[&worker]);
-    let mut client = Frames::connect(&daemon);
+    let mut client = Frames::connect(daemon.listen);
     let odd = [json!({"verb": "200", "rid": "nobody"}), json!({"verb": "alive", "rid": REF})];
     for (n, line) in odd.into_iter().enumerate() {
         let (n, name) = (n as u32 + 1, format!("{n:016x}"));
@@ -341,7 +341,7 @@
     let (_feed, offset) = bus.accept();
     assert_eq!(offset, 3, "an old event says nothing new, and a bad frame ends the connection");
     let lines = second.serve(echo);
-    let mut client = Frames::connect(&daemon);
+    let mut client = Frames::connect(daemon.listen);
     for n in 1..20 {
         client.send(&frame(0, n, &call("practice-check", &format!("{n:016x}"), 2900, b"x")));
         assert_eq!(client.next(), Some((1, n, vec![79, 0, b'x'])));
@@ -371,7 +371,7 @@
     let (mut feed, _) = bus.accept();
     feed.write_all(&event(2, 7, &second, 1)).unwrap();
     daemon.wait_counter("list_events", 2);
-    let mut client = Frames::connect(&daemon);
+    let mut client = Frames::connect(daemon.listen);
     client.send(&frame(0, 1, &call("practice-check", REF, 60_000, b"")));
     let mut heard = worker.next();
     let mut config = daemon.config.clone();
@@ -402,14 +402,14 @@
 fn at_sigterm_what_still_comes_is_answered() {
     let worker = Worker::agent();
     let mut daemon = Daemon::start(&[&worker]);
-    let mut client = Frames::connect(&daemon);
+    let mut client = Frames::connect(daemon.listen);
     only_ready(&mut client, 79);
     client.send(&frame(0, 1, &call("practice-check", REF, 2900, b"")));
     let mut heard = worker.next();
     daemon.signal("TERM");
     assert_eq!(client.next(), Some((9, 0, vec![])));
     only_ready(&mut client, 66);
-    let mut late = Frames::connect(&daemon);
+    let mut late = Frames::connect(daemon.listen);
     late.send(&frame(0, 1, &call("practice-check", "00000000000000aa", 2900, b"")));
     worker.next().answer("200", "eA==");
     assert_eq!(late.next(), Some((1, 1, vec![79, 0, b'x'])));
@@ -425,7 +425,7 @@
     let daemon = Daemon::start(&[&worker]);
     worker.serve(echo);
     let _idle: Vec<_> = (0..300).map(|_| TcpStream::connect(daemon.listen).unwrap()).collect();
-    let mut client = Frames::connect(&daemon);
+    let mut client = Frames::connect(daemon.listen);
     client.send(&frame(0, 1, &call("practice-check", REF, 2900, b"x")));
     assert_eq!(client.next(), Some((1, 1, vec![79, 0, b'x'])));
     let held = std::fs::read_dir(format!("/proc/{}/fd", daemon.child.id())).unwrap().count();
