--- /dev/null
+++ b/lab/src/rig/world/faults.rs
@@ -0,0 +1,159 @@
+//! Faults as they come and go, whom they hit, and the weather that all of them make together.
+
+use super::*;
+
+impl World {
+    pub(super) fn begin_fault(&mut self, drawn: Drawn) -> std::io::Result<()> {
+        let whom = self.whom(&drawn);
+        let fault = &drawn.fault;
+        let text = format!("{:?} {:?} {whom:?}", fault.what, fault.who).to_lowercase();
+        self.faults.push(format!("{:.2} s: {text} for {} s", self.now as f64 / SECOND as f64, fault.lasts));
+        self.say(text);
+        let what = fault.what;
+        for n in &whom {
+            let n = *n;
+            match what {
+                What::Kill => {
+                    self.leave(n, NOTICE.0);
+                    self.schedulers[n].processes.clear();
+                }
+                What::Stop => {
+                    self.leave(n, NOTICE.0);
+                    for process in &mut self.schedulers[n].processes {
+                        process.stopped = true;
+                        process.signal("STOP");
+                    }
+                }
+                What::Term => {
+                    self.shunned[n].get_or_insert(self.now + NOTICE.1);
+                    self.end_holds(n);
+                    for process in &mut self.schedulers[n].processes {
+                        process.ending = true;
+                        process.signal("TERM");
+                    }
+                }
+                What::Upgrade => {
+                    self.end_holds(n);
+                    self.upgrading.insert(n);
+                    self.start(n)?;
+                }
+                What::Reset => self.pipes.retain(|pipe| pipe.scheduler != n),
+                What::BoxDies => self.box_dies(n),
+                What::BoxDrains => {
+                    self.boxes[n].agent.draining = Some(self.now);
+                    self.tell(n, 1);
+                }
+                What::StoreSlow => self.store.slow = fault.much.max(1.0),
+                What::Cut | What::Loss | What::Delay | What::Repeat | What::BoxCut => {}
+            }
+        }
+        self.active.push((drawn, whom));
+        self.forecast();
+        Ok(())
+    }
+
+    pub(super) fn end_faults(&mut self, all: bool) -> std::io::Result<()> {
+        let now = self.now;
+        let over: Vec<(Drawn, Vec<usize>)> =
+            self.active.extract_if(.., |(drawn, _)| all || drawn.until <= now).collect();
+        for (drawn, whom) in &over {
+            self.say(format!("{:?} over", drawn.fault.what).to_lowercase());
+            for n in whom {
+                match drawn.fault.what {
+                    What::Kill | What::Term
+                        if self.schedulers[*n].processes.iter().all(|process| process.ending) =>
+                    {
+                        self.start(*n)?;
+                    }
+                    What::Stop => {
+                        for process in &mut self.schedulers[*n].processes {
+                            process.stopped = false;
+                            process.signal("CONT");
+                        }
+                        self.back(*n);
+                    }
+                    What::BoxDies | What::BoxDrains => self.box_returns(*n)?,
+                    What::StoreSlow => self.store.slow = 1.0,
+                    _ => {}
+                }
+            }
+        }
+        if !over.is_empty() {
+            self.forecast();
+        }
+        Ok(())
+    }
+
+    /// Who is hit. What is not drawn from the seed alone depends on who holds the first task.
+    fn whom(&self, drawn: &Drawn) -> Vec<usize> {
+        let boxes = matches!(drawn.fault.what, What::BoxDies | What::BoxCut | What::BoxDrains);
+        if drawn.fault.what == What::StoreSlow {
+            return vec![0];
+        }
+        let count = if boxes { self.boxes.len() } else { self.schedulers.len() };
+        let start = (drawn.draw % count as u64) as usize;
+        let some = |many: usize| (0..many.clamp(1, count)).map(|n| (start + n) % count).collect::<Vec<_>>();
+        let holder = self.holds.iter().next().map(|(_, holder)| *holder).filter(|_| !boxes);
+        match drawn.fault.who {
+            Who::Any => some(1),
+            Who::Two => some(2),
+            Who::Third => some(count / 3),
+            Who::All => (0..count).collect(),
+            Who::Holder => vec![holder.unwrap_or(start)],
+            Who::Other => vec![if holder == Some(start) { (start + 1) % count } else { start }],
+        }
+    }
+
+    /// The weather that all faults now make together.
+    fn forecast(&mut self) {
+        let (schedulers, boxes) = (self.schedulers.len(), self.boxes.len());
+        self.peers = vec![vec![Weather::default(); schedulers]; schedulers];
+        self.to_box = vec![vec![Default::default(); boxes]; schedulers];
+        let active = std::mem::take(&mut self.active);
+        let of_links = [What::Cut, What::Loss, What::Delay, What::Repeat, What::BoxCut];
+        for (drawn, whom) in active.iter().filter(|(drawn, _)| of_links.contains(&drawn.fault.what)) {
+            let fault = &drawn.fault;
+            let worsen = |weather: &mut Weather| match fault.what {
+                What::Cut | What::BoxCut => weather.cut = true,
+                What::Loss => weather.loss = weather.loss.max(fault.much),
+                What::Repeat => weather.repeat = weather.repeat.max(fault.much),
+                What::Delay => {
+                    weather.delay = weather.delay.max((fault.much * MS as f64) as u64);
+                    weather.jitter = weather.delay / 2;
+                }
+                _ => {}
+            };
+            let (comes, goes) = (fault.way != Way::Out, fault.way != Way::In);
+            for n in whom {
+                if fault.what == What::BoxCut {
+                    for row in &mut self.to_box {
+                        worsen(&mut row[*n].0);
+                        worsen(&mut row[*n].1);
+                    }
+                    continue;
+                }
+                if fault.links != Links::Boxes {
+                    for other in (0..schedulers).filter(|other| other != n) {
+                        if goes {
+                            worsen(&mut self.peers[*n][other]);
+                        }
+                        if comes {
+                            worsen(&mut self.peers[other][*n]);
+                        }
+                    }
+                }
+                if fault.links != Links::Peers {
+                    for (to, from) in &mut self.to_box[*n] {
+                        if goes {
+                            worsen(to);
+                        }
+                        if comes {
+                            worsen(from);
+                        }
+                    }
+                }
+            }
+        }
+        self.active = active;
+    }
+}
