Show the first play's plot unasked, and test clocks hours apart that are set back and forth

Need: README's first command ended without its plot; that the time of day plays no part in leases was shown for starts only. The test starts processes with clocks up to 90 hours apart, anew with theirs set back and forth: never two holders, fences rise, all are members.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -107,6 +107,9 @@
         }
         What::Rehearse { list: true, .. } => list(),
         What::Rehearse { name, seed, seeds, alone, json, plot, logs, .. } => {
+            // Who names nothing wants to see what it is like.
+            let sight = std::env::temp_dir().join("mintgate-short-day.svg");
+            let plot = plot.or(name.is_none().then_some(sight));
             let name = name.unwrap_or_else(|| "short-day".to_owned());
             rehearse(&name, seed..seed + seeds, alone, json, plot, logs)
         }
@@ -150,6 +153,7 @@
         lines.push('\n');
         if let Some(path) = &plot {
             report.plot(path)?;
+            println!("plot: {}", path.display());
         }
     }
     if let Some(path) = json {
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -42,17 +42,25 @@
     /// All that was sent, if it is to be kept: from, to, and what.
     kept: Vec<(SocketAddr, SocketAddr, Vec<u8>)>,
     keeps: bool,
+    /// How far the clocks of processes are ahead, in milliseconds, by place.
+    ahead: std::collections::BTreeMap<SocketAddr, u64>,
 }
 
 impl Net {
     fn new(settings: Vec<Setting>) -> Net {
         let machines = settings.into_iter().map(|s| (s.at, Machine::new(MS(0), s))).collect();
-        Net { now: 0, machines, seen: vec![], kept: vec![], keeps: false }
+        Net { now: 0, machines, seen: vec![], kept: vec![], keeps: false, ahead: Default::default() }
+    }
+
+    /// What a process takes the time to be.
+    fn at(&self, place: SocketAddr) -> Time {
+        MS(self.now + self.ahead.get(&place).copied().unwrap_or(0))
     }
 
     fn give(&mut self, to: SocketAddr, event: Event) {
+        let now = self.at(to);
         let Some((_, machine)) = self.machines.iter_mut().find(|(at, _)| *at == to) else { return };
-        let all = machine.handle(MS(self.now), event).into_iter().map(|what| (to, what)).collect();
+        let all = machine.handle(now, event).into_iter().map(|what| (to, what)).collect();
         self.carry(all);
     }
 
@@ -70,8 +78,9 @@
             if self.keeps {
                 self.kept.push((from, to, bytes.clone()));
             }
+            let now = self.at(to);
             if let Some((_, machine)) = self.machines.iter_mut().find(|(at, _)| *at == to) {
-                let out = machine.handle(MS(self.now), Event::Datagram(&bytes, from));
+                let out = machine.handle(now, Event::Datagram(&bytes, from));
                 all.extend(out.into_iter().map(|what| (to, what)));
             }
         }
@@ -87,8 +96,9 @@
     }
 
     fn holders(&self) -> Vec<SocketAddr> {
-        let holds = |machine: &Machine| machine.holds(MS(self.now), Task::Probe, 0).is_some();
-        self.machines.iter().filter(|(_, machine)| holds(machine)).map(|(at, _)| *at).collect()
+        let holds =
+            |(at, machine): &&(SocketAddr, Machine)| machine.holds(self.at(*at), Task::Probe, 0).is_some();
+        self.machines.iter().filter(holds).map(|(at, _)| *at).collect()
     }
 }
 
@@ -344,3 +354,42 @@
         assert_eq!(doubles, [place(8)], "{first} {second} {later}");
     }
 }
+
+/// Processes whose clocks are hours apart, one of which is started anew with its clock set back, then forth: none of
+/// it counts, for terms are counted by each for itself, and a start asks how far fences have come.
+#[test]
+fn clocks_that_are_hours_apart_and_set_back_and_forth_change_nothing() {
+    const HOUR: u64 = 3_600_000;
+    let mut net = Net::new(vec![]);
+    let start = |net: &mut Net, n: u16, incarnation: u64, ahead: u64| {
+        net.machines.retain(|(at, _)| *at != place(n));
+        net.ahead.insert(place(n), ahead);
+        let now = net.at(place(n));
+        let (generation, guess) = (now.0 / 1_000, now.0 / 1_000_000);
+        let setting = Setting { generation, guess, ..setting(u32::from(n), incarnation, n) };
+        net.machines.push((place(n), Machine::new(now, setting)));
+    };
+    for n in 0..3 {
+        start(&mut net, n, 10 + u64::from(n), 10 * HOUR + u64::from(n) * 3 * HOUR);
+    }
+    net.pass(6_000);
+    for (n, ahead) in [(2, 0), (0, 90 * HOUR), (1, HOUR)] {
+        start(&mut net, n, 100 + u64::from(n), ahead);
+        for _ in 0..6_000 {
+            net.pass(1);
+            assert!(net.holders().len() < 2);
+        }
+        assert_eq!(net.holders().len(), 1, "after {n} came back");
+        assert!(net.machines.iter().all(|(_, machine)| machine.members().count() == 2));
+    }
+    let fences: Vec<u64> = net
+        .seen
+        .iter()
+        .filter_map(|(_, what)| match what {
+            Do::Held(Task::Probe, 0, Some(hold)) => Some(hold.fence),
+            _ => None,
+        })
+        .collect();
+    assert!(fences.is_sorted() && fences.first() < fences.last(), "{fences:?}");
+    assert!(!net.seen.iter().any(|(_, what)| *what == Do::Double));
+}
