--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -232,3 +232,26 @@
     }
     assert_eq!(daemons[held].operate("GET", "/api/ready").0, 200, "it serves on");
 }
+
+/// `mintgate check` says what a start would say, and starts nothing.
+#[test]
+fn check_says_whether_it_would_start() {
+    let folder = Folder::new();
+    let mut settings = settings();
+    settings["bounds"]["peers"] = json!(true);
+    let config = json!({"name": "n0", "listen": "127.0.0.1:0", "settings": settings});
+    std::fs::write(folder.at("config.json"), config.to_string()).unwrap();
+    let good = include_str!("../deploy/fleet.toml");
+    let check = |operator: &str| {
+        std::fs::write(folder.at("operator.toml"), operator).unwrap();
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_mintgate"));
+        command.arg("--operator").arg(folder.at("operator.toml")).arg("check");
+        let output = command.env("GW_CONFIG", folder.at("config.json")).output().unwrap();
+        let text = [output.stdout, output.stderr].concat();
+        (output.status.success(), String::from_utf8(text).unwrap())
+    };
+    let (well, text) = check(good);
+    assert!(well && text.contains("3 electors"), "{text}");
+    let (well, text) = check(&good.replace("parts = 3", "parts = 0"));
+    assert!(!well && text.contains("fleet.parts"), "{text}");
+}
