Refuse a fleet that the settings forbid also where a new version falls back to the kept file

Seen on reading the change again, and then in a test that fails without the mend: a new process with a refused `[fleet]` started beside an old one all the same. Cause: the check stood in `Sources::read` alone; `fall_back` (upgrade.rs) read the operator's file beside it, unchecked. Now both ask `Operator::fits`.

--- a/src/config.rs
+++ b/src/config.rs
@@ -49,9 +49,7 @@
         let text = std::fs::read(&self.config)
             .map_err(|e| format!("configuration: cannot read {}: {e}", self.config.display()))?;
         let config = read(&text)?;
-        if let Some(fleet) = &operator.fleet {
-            fleet.check(&config.site)?;
-        }
+        operator.fits(&config.site)?;
         Ok((Config { mgmt: self.mgmt.or(config.mgmt), ..config }, operator))
     }
 }
@@ -430,6 +428,11 @@
 }
 
 impl Operator {
+    /// Whether it may be used with these settings; the error names the key.
+    pub fn fits(&self, site: &Site) -> Result<(), String> {
+        self.fleet.as_ref().map_or(Ok(()), |fleet| fleet.check(site))
+    }
+
     /// The checkers as lines of the list of workers.
     pub fn members(&self, site: &Site) -> Vec<(Member, PathBuf)> {
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(0) as u8;
--- a/src/daemon/upgrade.rs
+++ b/src/daemon/upgrade.rs
@@ -276,7 +276,9 @@
     let Some(kept) = sources.passed.and_then(|_| kept()).filter(|_| serves()) else { return read };
     read.and_then(|(new, operator)| config::check(&new, &kept).map(|()| (new, operator))).or_else(|why| {
         warn!(%why, "upgrade configuration of the old process");
-        Ok((Config { mgmt: sources.mgmt.or(kept.mgmt), ..kept }, sources.operator()?))
+        let operator = sources.operator()?;
+        operator.fits(&kept.site)?;
+        Ok((Config { mgmt: sources.mgmt.or(kept.mgmt), ..kept }, operator))
     })
 }
 
--- a/tests/daily.rs
+++ b/tests/daily.rs
@@ -299,6 +299,19 @@
     assert!(!old.beside(&door).ends(), "nobody serves: the file counts");
 }
 
+/// What the old process uses stands in for a broken configuration, and not for an operator's file that its settings
+/// forbid: such a fleet must not start by way of an upgrade.
+#[test]
+fn a_fleet_that_the_settings_forbid_does_not_start_in_an_upgrade() {
+    let worker = Worker::agent();
+    let door = TcpListener::bind("127.0.0.1:0").unwrap();
+    let old = at_a_door(&[&worker], &door);
+    std::fs::write(old.folder.at("operator.toml"), include_str!("../deploy/fleet.toml")).unwrap();
+    let mut new = old.beside(&door);
+    assert!(!new.ends());
+    new.wait_log("bounds.peers of the settings is false");
+}
+
 /// The second front and the virtual router pass to the new process with the rest.
 #[test]
 fn an_upgrade_takes_the_second_front_along() {
