Shed under overload what the fleet agrees on, least worth first

Change: `src/fleet/overload` (no I/O): every process tells what came by rank of worth, was served and waits; under the lease `shed` one works out what all let in, and tells it with its fence; all apply it before the module sees a call (`src/core/overload.rs`), with spread cooldowns. A word grows old in three seconds. On with `shed = true` in `[fleet]`; refused on the platform as all of `[fleet]` is. Figure `scheduler.fleet.shed`, counter `shed`, log line `fleet level`. Datagrams are of version 2.

Built first and dropped: cutting by the calls that ended badly. In the model of the tests the limit fell to its least again and again, for they end seconds after they were let in; the wait by Little's law shows sooner.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -33,6 +33,9 @@
         /// Plays without `[fleet]`, to compare.
         #[arg(long)]
         alone: bool,
+        /// Plays without agreeing on what is shed, to compare.
+        #[arg(long)]
+        unshed: bool,
         /// Where the figures go as JSON, a line for each seed.
         #[arg(long, value_name = "FILE")]
         json: Option<PathBuf>,
@@ -106,12 +109,12 @@
             Ok(true)
         }
         What::Rehearse { list: true, .. } => list(),
-        What::Rehearse { name, seed, seeds, alone, json, plot, logs, .. } => {
+        What::Rehearse { name, seed, seeds, alone, unshed, json, plot, logs, .. } => {
             // Who names nothing wants to see what it is like.
             let sight = std::env::temp_dir().join("mintgate-short-day.svg");
             let plot = plot.or(name.is_none().then_some(sight));
             let name = name.unwrap_or_else(|| "short-day".to_owned());
-            rehearse(&name, seed..seed + seeds, alone, json, plot, logs)
+            rehearse(&name, seed..seed + seeds, (alone, unshed), json, plot, logs)
         }
         What::Scheduler { operator } => serve(operator).map(|()| true),
     };
@@ -135,13 +138,14 @@
 fn rehearse(
     name: &str,
     seeds: std::ops::Range<u64>,
-    alone: bool,
+    (alone, unshed): (bool, bool),
     json: Option<PathBuf>,
     plot: Option<PathBuf>,
     logs: Option<PathBuf>,
 ) -> Result<bool, String> {
     let mut scenario = Scenario::find(name)?;
     scenario.fleet &= !alone;
+    scenario.shed &= !unshed;
     let program = std::env::current_exe().map_err(|e| format!("cannot find this program: {e}"))?;
     let (mut well, mut lines) = (true, String::new());
     for seed in seeds {
--- a/lab/src/rig/client.rs
+++ b/lab/src/rig/client.rs
@@ -62,6 +62,8 @@
     pub class: usize,
     sent: Moment,
     again: bool,
+    /// How often its client was refused before.
+    tries: u32,
 }
 
 /// The name of a function, the most popular one being 0.
@@ -91,6 +93,9 @@
     due: Moment,
     /// Calls a second, over all.
     pub rate: f64,
+    /// How often a client calls again at once when it is refused.
+    repeats: u32,
+    refused: Vec<Call>,
     weights: Vec<f64>,
     /// Calls that have ended since last asked.
     pub done: Vec<Done>,
@@ -133,10 +138,10 @@
 
 impl Clients {
     /// Clients that call functions of uneven popularity.
-    pub fn new(rate: f64, functions: usize) -> Clients {
+    pub fn new(rate: f64, repeats: u32, functions: usize) -> Clients {
         let weights = (1..=functions).map(|n| 1.0 / n as f64).collect();
-        let (connections, done, odd) = Default::default();
-        Clients { connections, next: 1, due: 0, rate, weights, done, odd }
+        let (connections, refused, done, odd) = Default::default();
+        Clients { connections, next: 1, due: 0, rate, repeats, refused, weights, done, odd }
     }
 
     fn draw(&mut self, now: Moment, rng: &mut SmallRng) -> Call {
@@ -149,7 +154,7 @@
         let class = usize::from(rng.random_bool(0.3));
         let id = self.next;
         self.next += 1;
-        Call { id, function: self::function(function), class, sent: now, again: false }
+        Call { id, function: self::function(function), class, sent: now, again: false, tries: 0 }
     }
 
     /// Makes the calls whose time has come, at one of these schedulers each. Returns them.
@@ -160,6 +165,13 @@
         rng: &mut SmallRng,
     ) -> Vec<(usize, Call)> {
         let mut made = vec![];
+        for call in std::mem::take(&mut self.refused).into_iter().filter(|_| !at.is_empty()) {
+            let (scheduler, place) = at[rng.random_range(0..at.len())];
+            let call = Call { id: self.next, sent: now, again: false, tries: call.tries + 1, ..call };
+            self.next += 1;
+            made.push((scheduler, call.clone()));
+            self.send(now, scheduler, place, call);
+        }
         // Calls of a time in which nobody was to call are not made up for.
         self.due = self.due.max(now.saturating_sub(SECOND / 10));
         while self.due <= now && self.rate > 0.0 {
@@ -275,6 +287,9 @@
                             self.odd
                                 .push(format!("call {}: served with what no run box made for it", call.id));
                         }
+                        if end == End::Refused && call.tries < self.repeats {
+                            self.refused.push(call.clone());
+                        }
                         self.end(now, connection.scheduler, call, end);
                     }
                     (None, _) if connection.given_up.remove(&stream) => {}
--- a/lab/src/rig/report.rs
+++ b/lab/src/rig/report.rs
@@ -57,6 +57,8 @@
     pub schedulers: Vec<Counts>,
     /// Served, refused, and failed or lost, by second.
     pub seconds: Vec<[u64; 3]>,
+    /// Worth that was served within a second, and that was asked for, by second.
+    pub worth: Vec<[f64; 2]>,
     /// Calls that came to run boxes, for each that clients made.
     pub attempts: f64,
     /// Answers 'full' of run boxes.
@@ -107,6 +109,20 @@
     counts
 }
 
+/// What calls of each class are worth.
+pub const WORTH: [f64; 2] = [1.0, 4.0];
+
+/// Worth served within a second, and asked for, by second.
+pub fn worth(done: &[Done], end: Moment) -> Vec<[f64; 2]> {
+    let mut seconds = vec![[0.0; 2]; (end / SECOND) as usize + 1];
+    for one in done {
+        let Some(second) = seconds.get_mut((one.sent / SECOND) as usize) else { continue };
+        second[0] += if one.end == End::Served && one.took <= SECOND { WORTH[one.class] } else { 0.0 };
+        second[1] += WORTH[one.class];
+    }
+    seconds
+}
+
 /// By class, by scheduler and by second.
 pub fn counts(
     done: &[Done],
--- a/lab/src/rig/scenario.rs
+++ b/lab/src/rig/scenario.rs
@@ -30,6 +30,12 @@
     /// The schedulers are one fleet.
     #[serde(default = "yes")]
     pub fleet: bool,
+    /// They agree on what is shed under overload.
+    #[serde(default)]
+    pub shed: bool,
+    /// How often clients call again at once when they are refused.
+    #[serde(default)]
+    pub repeats: u32,
     /// Those of them that grant leases.
     #[serde(default = "three")]
     pub electors: usize,
@@ -150,6 +156,8 @@
     BoxDrains,
     /// The store is slower.
     StoreSlow,
+    /// So many times the calls come.
+    Crowd,
 }
 
 /// To whom it happens.
@@ -167,6 +175,8 @@
     Two,
     /// A third of them.
     Third,
+    /// Seven in ten.
+    Most,
     /// All.
     All,
 }
@@ -211,7 +221,7 @@
 }
 
 /// Plays that come with the rig.
-const KNOWN: [(&str, &str); 14] = [
+const KNOWN: [(&str, &str); 18] = [
     ("short-day", include_str!("../../scenarios/short-day.toml")),
     ("holder-killed", include_str!("../../scenarios/holder-killed.toml")),
     ("holder-stopped", include_str!("../../scenarios/holder-stopped.toml")),
@@ -226,6 +236,10 @@
     ("one-gone", include_str!("../../scenarios/one-gone.toml")),
     ("nine", include_str!("../../scenarios/nine.toml")),
     ("boxes", include_str!("../../scenarios/boxes.toml")),
+    ("overload", include_str!("../../scenarios/overload.toml")),
+    ("overload-killed", include_str!("../../scenarios/overload-killed.toml")),
+    ("overload-links", include_str!("../../scenarios/overload-links.toml")),
+    ("trigger", include_str!("../../scenarios/trigger.toml")),
 ];
 
 /// Names of the plays that come with the rig.
--- a/lab/src/rig/world.rs
+++ b/lab/src/rig/world.rs
@@ -156,7 +156,7 @@
 fn settings(scenario: &Scenario, index: usize) -> Value {
     let (mut settings, kind) = (stand_ins::settings(), &scenario.run_box);
     (settings["fleetSize"], settings["index"]) = (json!(scenario.schedulers), json!(index));
-    for (class, worth) in [1.0, 4.0].into_iter().enumerate() {
+    for (class, worth) in report::WORTH.into_iter().enumerate() {
         settings["classes"][class]["name"] = json!(client::CLASSES[class]);
         settings["classes"][class]["deadlineNs"] = json!(client::ALLOW);
         settings["classes"][class]["worth"] = json!(worth);
@@ -190,13 +190,14 @@
         }
     }
     Ok(format!(
-        "[fleet]\nname = \"rig\"\nbind = \"{}\"\nelectors = [{}]\nvotes = {}\nterm_ms = {}\ndelay_ms = {}\nparts = {}\nvia = [{}]\n",
+        "[fleet]\nname = \"rig\"\nbind = \"{}\"\nelectors = [{}]\nvotes = {}\nterm_ms = {}\ndelay_ms = {}\nparts = {}\nshed = {}\nvia = [{}]\n",
         places[index],
         electors.join(", "),
         index < scenario.electors,
         scenario.term_ms,
         scenario.delay_ms,
         scenario.parts,
+        scenario.shed,
         via.join(", ")
     ))
 }
@@ -276,7 +277,7 @@
             schedulers,
             log: channel(),
             logged: vec![],
-            clients: Clients::new(scenario.calls, scenario.functions),
+            clients: Clients::new(scenario.calls, scenario.repeats, scenario.functions),
             calling: false,
             calls: 0,
             audit: Audit::new(RATION),
@@ -618,6 +619,7 @@
             classes,
             schedulers,
             seconds,
+            worth: report::worth(&self.done, end - zero),
             attempts: sum(|agent| agent.calls) as f64 / self.calls.max(1) as f64,
             full: sum(|agent| agent.full),
             fell: sum(|agent| agent.fell),
--- a/lab/src/rig/world/faults.rs
+++ b/lab/src/rig/world/faults.rs
@@ -44,6 +44,7 @@
                     self.tell(n, 1);
                 }
                 What::StoreSlow => self.store.slow = fault.much.max(1.0),
+                What::Crowd => self.clients.rate = self.scenario.calls * fault.much.max(0.0),
                 What::Cut | What::Loss | What::Delay | What::Repeat | What::BoxCut => {}
             }
         }
@@ -74,6 +75,7 @@
                     }
                     What::BoxDies | What::BoxDrains => self.box_returns(*n)?,
                     What::StoreSlow => self.store.slow = 1.0,
+                    What::Crowd => self.clients.rate = self.scenario.calls,
                     _ => {}
                 }
             }
@@ -87,7 +89,7 @@
     /// Who is hit. What is not drawn from the seed alone depends on who holds the first task.
     fn whom(&self, drawn: &Drawn) -> Vec<usize> {
         let boxes = matches!(drawn.fault.what, What::BoxDies | What::BoxCut | What::BoxDrains);
-        if drawn.fault.what == What::StoreSlow {
+        if matches!(drawn.fault.what, What::StoreSlow | What::Crowd) {
             return vec![0];
         }
         let count = if boxes { self.boxes.len() } else { self.schedulers.len() };
@@ -98,6 +100,7 @@
             Who::Any => some(1),
             Who::Two => some(2),
             Who::Third => some(count / 3),
+            Who::Most => some(count * 7 / 10),
             Who::All => (0..count).collect(),
             Who::Holder => vec![holder.unwrap_or(start)],
             Who::Other => vec![if holder == Some(start) { (start + 1) % count } else { start }],
--- a/lab/tests/rehearse.rs
+++ b/lab/tests/rehearse.rs
@@ -82,6 +82,16 @@
     play("rough");
 }
 
+#[test]
+fn a_third_and_then_most_are_killed_under_overload() {
+    play("overload-killed");
+}
+
+#[test]
+fn links_are_slow_lossy_and_cut_and_one_stops_under_overload() {
+    play("overload-links");
+}
+
 #[test]
 fn run_boxes_and_the_store_fail() {
     play("boxes");
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -33,8 +33,8 @@
 /// Silence with three calls out, longer with fewer, until a probe; unanswered ones until a worker is lost;
 /// silence until one in our part of the fleet's probes is probed.
 const SUSPECT: (Span, u32, Span) = (Span::millis(800), 2, Span::millis(1000));
-/// A call out for this part of its aim asks at its worker why, one in so many of all front ends'; where cores are
-/// less busy than this, lanes lack: one copy more is ordered there, up to so many.
+/// A call out for this part of its aim asks at its worker why, and so many in one do; where cores are less
+/// busy than this, lanes lack: one copy more is ordered there, up to so many.
 const OVERDUE: (f64, f64, f32, u8) = (0.35, 0.15, 0.8, 8);
 /// How long a peer's word that a worker is silent counts, from when it was so: two rounds of probes.
 const TOLD: Span = Span::millis(2000);
@@ -846,8 +846,8 @@
         }
     }
 
-    /// Calls that are long out where cores are free wait for lanes: one copy more of what they call. An order says
-    /// how many copies are to stand, so that those of all front ends do not add up.
+    /// Calls that are long out where cores are free wait for lanes: one copy more of what they call. An order
+    /// says how many copies are to stand, so that those of all front ends do not add up.
     fn raise(&mut self, worker: WorkerId, report: &[f32], out: &mut Actions) {
         let gauge = self.settings.gauges.iter().position(|gauge| *gauge == Gauge::Busy);
         let Some(_) = gauge.and_then(|n| report.get(n)).filter(|busy| **busy < OVERDUE.2) else { return };
--- a/src/config/fleet.rs
+++ b/src/config/fleet.rs
@@ -33,6 +33,9 @@
     /// Parts into which each task is cut.
     #[serde(default = "default_parts")]
     pub parts: u16,
+    /// The fleet agrees on what is shed when more calls come than the workers bear.
+    #[serde(default)]
+    pub shed: bool,
     /// Processes that are reached elsewhere than they say.
     #[serde(default)]
     pub via: Vec<Elector>,
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -39,6 +39,8 @@
     turned_away_refused,
     /// Calls failed by their front, untaken: fields that cannot be used.
     turned_away_failed,
+    /// Calls refused at once because the fleet had agreed to shed them.
+    shed,
     /// Calls that the core had to fail because the module had not ended them.
     overdue,
     /// Calls that their clients withdrew, or left by closing.
--- a/src/core/ends.rs
+++ b/src/core/ends.rs
@@ -46,6 +46,7 @@
         if let Some(bytes) = body
             && let Some(taken) = self.forget(id.request)
         {
+            self.left(now, true);
             if taken.owner.connection != chain::STEP
                 && let Some(attempt) = self.attempts.get(&id)
             {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -11,6 +11,7 @@
 pub mod figures;
 mod gates;
 pub mod known;
+mod overload;
 mod steps;
 mod workers;
 
@@ -26,6 +27,7 @@
 use bans::Bans;
 use command::{Attempt, Due, Order, Probe, Taken};
 use figures::Figures;
+use overload::Overload;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
@@ -94,6 +96,8 @@
     held: BTreeMap<(Task, u16), Hold>,
     /// Processes of the fleet that are gone.
     gone: BTreeSet<u32>,
+    /// What comes and what is shed, where the fleet agrees on that.
+    overload: Option<Overload>,
     chains: chain::Machine,
     /// Final answers of chains' steps, which go to the chains; whether those are at work on them.
     step_answers: VecDeque<(Owner, Answer)>,
@@ -132,6 +136,7 @@
             parts: 0,
             held: BTreeMap::new(),
             gone: BTreeSet::new(),
+            overload: None,
             chains: chain::Machine::new(seed),
             step_answers: VecDeque::new(),
             in_chains: false,
@@ -179,6 +184,7 @@
             self.requests.values().map(|t| t.class).chain(self.attempts.values().map(|a| a.class)).collect();
         self.site = self.site.replaced_by(site, |place| open.contains(&place));
         self.balancer.configure(self.site.settings.clone());
+        self.rank_classes();
         self.settle(now);
     }
 
@@ -246,6 +252,9 @@
             let refused = Verdict::Refused { cooldown };
             return self.answer(call.owner, Some(&call.class), refused, call.deadline <= now);
         }
+        if let Some(cooldown) = self.sheds(now, class, call.owner) {
+            return self.answer(call.owner, Some(&call.class), Verdict::Refused { cooldown }, false);
+        }
         let id = RequestId(self.next_request);
         self.next_request = self.next_request.wrapping_add(1);
         self.note_called(now, call.function);
@@ -296,6 +305,7 @@
         };
         self.counters.withdrawn += 1;
         let taken = self.forget(id);
+        self.left(now, false);
         self.step_out(now, taken.as_ref());
         self.step(now, Event::ClientGone(id));
     }
@@ -420,6 +430,7 @@
         let Some(taken) = self.requests.get(&id) else { return };
         let expired = now + self.site.settings.tick >= taken.deadline;
         if let Some(taken) = self.forget(id) {
+            self.left(now, false);
             self.step_out(now, Some(&taken));
             self.answer(taken.owner, Some(&taken.work.class), verdict, expired);
         }
--- /dev/null
+++ b/src/core/overload.rs
@@ -0,0 +1,57 @@
+//! What the fleet has agreed to shed, applied to calls before the module sees them.
+
+use super::{Core, Owner};
+use crate::chain;
+use crate::fleet::overload::{Demand, Gate, Level, Meter, ranks};
+use crate::interface::{Span, Time};
+use crate::settings::Site;
+
+pub(super) struct Overload {
+    meter: Meter,
+    gate: Gate,
+    /// Of each class.
+    ranks: Vec<usize>,
+}
+
+impl Overload {
+    pub(super) fn new(site: &Site) -> Overload {
+        Overload { meter: Meter::default(), gate: Gate::default(), ranks: ranks(&site.worths()) }
+    }
+}
+
+impl Core {
+    /// Classes have changed, and with them what is worth more than what.
+    pub(super) fn rank_classes(&mut self) {
+        if let Some(overload) = &mut self.overload {
+            overload.ranks = ranks(&self.site.worths());
+        }
+    }
+
+    /// The fleet's word on what all let in, as was right at that time; whether it is followed.
+    pub fn follow(&mut self, level: Level, at: Time) -> bool {
+        self.overload.as_mut().is_some_and(|overload| overload.gate.hear(level, at))
+    }
+
+    /// What has come here within the last second, and what waits.
+    pub fn demand(&mut self, now: Time) -> Demand {
+        self.overload.as_mut().map(|overload| overload.meter.demand(now)).unwrap_or_default()
+    }
+
+    /// For how long a call that has just come is to stay away, if it is shed. What a chain has begun goes on.
+    pub(super) fn sheds(&mut self, now: Time, class: usize, owner: Owner) -> Option<Span> {
+        let most = self.advice();
+        let overload = self.overload.as_mut()?;
+        let rank = overload.ranks.get(class).copied().unwrap_or_default();
+        let admitted = owner.connection == chain::STEP || overload.gate.admits(now, rank);
+        overload.meter.came(now, rank, admitted);
+        self.counters.shed += u64::from(!admitted);
+        (!admitted).then(|| overload.gate.cooldown(most))
+    }
+
+    /// A call that was let in has ended.
+    pub(super) fn left(&mut self, now: Time, served: bool) {
+        if let Some(overload) = &mut self.overload {
+            overload.meter.ended(now, served);
+        }
+    }
+}
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -358,13 +358,33 @@
     assert!(matches!(&commands[..], [Command::Answer { answer, .. }] if answer.verdict == Verdict::Failed));
 }
 
+/// Shed at once, with a cooldown, before the module has seen it; the ration counts it as taken, and no attempt goes out.
+#[test]
+fn what_the_fleet_sheds_is_refused_at_once_and_what_is_let_in_is_counted() {
+    let mut core = core();
+    core.join_fleet(MS(0), 1, true);
+    let level = |fence, part| crate::fleet::overload::Level { fence, admit: [part; 4] };
+    assert!(core.follow(level(3, 0), MS(0)));
+    let commands = call(&mut core, 1, "safe");
+    let [Command::Answer { answer, .. }] = &commands[..] else { panic!("{commands:?}") };
+    assert!(matches!(answer.verdict, Verdict::Refused { .. }) && !answer.expired);
+    assert_eq!((core.owed(), core.counters().shed, core.counters().refused), (0, 1, 1));
+    assert!(!core.follow(level(2, 255), MS(1)), "an earlier governor");
+    assert!(core.follow(level(3, 255), MS(1)));
+    assert!(call(&mut core, 2, "safe").iter().any(|command| matches!(command, Command::Send { .. })));
+    let demand = core.demand(MS(2));
+    assert_eq!((demand.offered.iter().sum::<u16>(), demand.served, demand.open), (2, 0, 1));
+    core.wake(MS(9_000));
+    assert_eq!(core.demand(MS(9_000)).open, 0, "given up is not open");
+}
+
 /// What was decided under a lease goes out under that hold of it, with time left, and under no later one: a
 /// process that was stopped between the two must not act beside the next holder.
 #[test]
 fn what_queued_under_a_lease_is_held_back_once_that_hold_has_ended() {
     let mut core = core();
     call(&mut core, 1, "safe");
-    core.join_fleet(MS(0), 2);
+    core.join_fleet(MS(0), 2, false);
     let hold = |fence, ms| Some(Hold { fence, until: MS(ms) });
     let decide = |core: &mut Core| {
         while core.next_command().is_some() {}
@@ -380,19 +400,19 @@
         assert_eq!(core.may_write_order(MS(ms), order), may);
         may
     };
-    for task in Task::ALL {
+    for task in Task::PARTED {
         core.hold(MS(0), task, 1, hold(5, 1_000));
         core.hold(MS(0), task, 0, hold(9, 9_000));
     }
     let decided = decide(&mut core);
     assert!(may(&mut core, 900, decided));
     assert!(!may(&mut core, 1_000 - LEASE_MARGIN.0 / 1_000_000, decided), "too close to its end");
-    Task::ALL.iter().for_each(|task| core.hold(MS(10), *task, 1, hold(5, 2_000)));
+    Task::PARTED.iter().for_each(|task| core.hold(MS(10), *task, 1, hold(5, 2_000)));
     assert!(may(&mut core, 1_500, decided), "renewed");
-    Task::ALL.iter().for_each(|task| core.hold(MS(20), *task, 1, None));
+    Task::PARTED.iter().for_each(|task| core.hold(MS(20), *task, 1, None));
     assert!(!may(&mut core, 30, decided), "given back");
     let homeless = decide(&mut core);
-    Task::ALL.iter().for_each(|task| core.hold(MS(40), *task, 1, hold(6, 3_000)));
+    Task::PARTED.iter().for_each(|task| core.hold(MS(40), *task, 1, hold(6, 3_000)));
     assert!(!may(&mut core, 50, decided), "won again, under another fence");
     assert!(!may(&mut core, 50, homeless), "decided while nothing was held");
     let again = decide(&mut core);
--- a/src/core/workers.rs
+++ b/src/core/workers.rs
@@ -2,6 +2,7 @@
 
 use super::bans::Done;
 use super::known::Known;
+use super::overload::Overload;
 use super::{Command, Core};
 use crate::fleet::lease::Hold;
 use crate::interface::*;
@@ -101,8 +102,9 @@
     }
 
     /// This process is one of a fleet whose tasks are cut into so many parts.
-    pub fn join_fleet(&mut self, now: Time, parts: u16) {
+    pub fn join_fleet(&mut self, now: Time, parts: u16, shed: bool) {
         self.parts = parts;
+        self.overload = shed.then(|| Overload::new(&self.site));
         self.step(now, Event::Shares(Shares { parts, ..Shares::default() }));
     }
 
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -231,6 +231,7 @@
             }
             self.vrrp(Event::Timer);
             self.take_fleet();
+            self.tell_demand();
             self.fleet(crate::fleet::Event::Timer);
             self.upgrade(handover::Event::Timer);
             self.settle();
--- a/src/daemon/fleet.rs
+++ b/src/daemon/fleet.rs
@@ -4,6 +4,7 @@
 use crate::config::{self, Config};
 use crate::fleet::message::{self, LARGEST};
 use crate::fleet::news::{Subject, Word};
+use crate::fleet::overload;
 use crate::fleet::{Do, Event, Machine, Process, Setting, lease};
 use crate::interface::{Span, Task, Time, WorkerId};
 use crate::net::Reactor;
@@ -23,6 +24,10 @@
     machine: Rc<RefCell<Machine>>,
     socket: usize,
     parts: u16,
+    /// When it is told next what has come here, where the fleet agrees on what is shed.
+    demand: Option<Time>,
+    /// Whether anything was shed when that was last logged.
+    sheds: bool,
     /// Fences of what is held, as last logged.
     held: BTreeMap<(Task, u16), u64>,
 }
@@ -52,11 +57,14 @@
             seed: process.incarnation,
             lease: lease::Setting::new(electors, term, longest, setting.drift_ppm),
             parts: setting.parts,
+            shed: setting.shed.then(|| config.site.soonest()),
             // Fences grow by far less than one a millisecond. Nothing else here rests on the time of day.
             guess: now.0 / 1_000_000,
         };
-        let parts = setting.parts;
+        let (parts, demand) = (setting.parts, setting.shed.map(|_| now));
         Ok(Member {
+            demand,
+            sheds: false,
             machine: Rc::new(RefCell::new(Machine::new(now, setting))),
             socket,
             parts,
@@ -76,7 +84,7 @@
     pub(super) fn join_fleet(&mut self) {
         let Some(member) = &self.fleet else { return };
         self.reactor.fleet = Some(member.machine.clone());
-        self.core.join_fleet(self.reactor.now(), member.parts);
+        self.core.join_fleet(self.reactor.now(), member.parts, member.demand.is_some());
         self.fleet(Event::Timer);
     }
 
@@ -118,7 +126,20 @@
     /// When the fleet wants to be turned to next.
     pub(super) fn fleet_due(&self) -> Option<Time> {
         let due = self.fleet.as_ref().and_then(|member| member.machine.borrow().due());
-        due.into_iter().chain(self.fleet_again).min()
+        let demand = self.fleet.as_ref().and_then(|member| member.demand);
+        due.into_iter().chain(demand).chain(self.fleet_again).min()
+    }
+
+    /// Tells the fleet what has come here lately.
+    pub(super) fn tell_demand(&mut self) {
+        let now = self.reactor.now();
+        let Some(demand) = self.fleet.as_mut().and_then(|member| member.demand.as_mut()) else { return };
+        if *demand > now {
+            return;
+        }
+        *demand = now + overload::TICK;
+        let demand = self.core.demand(now);
+        self.fleet(Event::Demand(demand));
     }
 
     pub(super) fn is_fleet(&self, socket: usize) -> bool {
@@ -167,6 +188,14 @@
                 Do::Heard(Subject::Worker(worker), Word::Answers(answers), at) => {
                     self.core.told(now, WorkerId(worker), answers, at);
                 }
+                Do::Heard(..) => {}
+                Do::Level(level, at) => {
+                    if self.core.follow(level, at) && member.sheds != (level.shed() > 0) {
+                        member.sheds = level.shed() > 0;
+                        let lets_in = format!("{:?}", level.admit);
+                        info!(lets_in, fence = level.fence, sheds = member.sheds, "fleet level");
+                    }
+                }
                 Do::Member(index, up) => {
                     info!(index, state = if up { "up" } else { "down" }, "fleet member");
                 }
--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -4,6 +4,7 @@
 use super::membership::{self, Identity, Membership, Who};
 use super::message::{self, Datagram, Odd};
 use super::news::{self, Item, News, Subject, Word};
+use super::overload::{Demand, Gate, Governor, Level};
 use super::{Process, mix};
 use crate::interface::{Shares, Span, Task, Time};
 use rand::SeedableRng;
@@ -47,6 +48,8 @@
     pub size: u32,
     /// Parts into which each task is cut.
     pub parts: u16,
+    /// What is shed the fleet agrees on; answers are wanted within this time.
+    pub shed: Option<Span>,
     /// How far fences may have come, for the case that a majority of the electors has forgotten at once.
     pub guess: u64,
     /// Decides all that is drawn.
@@ -62,6 +65,8 @@
     Timer,
     /// This process has seen something that the others are to hear of.
     Seen(Subject, Word),
+    /// What has come to this process lately; where the fleet agrees on what is shed.
+    Demand(Demand),
     /// It is about to end: what it holds it gives back, and others are told.
     Leave,
     /// Another process takes its place, under its index: what it holds it gives back, and is silent from now on.
@@ -77,6 +82,8 @@
     Held(Task, u16, Option<Hold>),
     /// Another process has told something; it was so at that time at the latest.
     Heard(Subject, Word, Time),
+    /// So much of each class is to be let in, as was right at that time.
+    Level(Level, Time),
     /// A process has come into the fleet, or has gone.
     Member(u32, bool),
     /// These processes, and no others, are gone: for so long that others do what they did.
@@ -101,6 +108,9 @@
     seat: Seat,
     membership: Membership,
     news: News,
+    governor: Governor,
+    /// What all let in, by the latest word.
+    word: Gate,
     rng: SmallRng,
     /// What was last said to be held, and since when.
     held: BTreeMap<LeaseId, (Hold, Time)>,
@@ -128,6 +138,8 @@
     pub votes: Option<bool>,
     /// All parts of all tasks.
     pub leases: Vec<LeaseStatus>,
+    /// What all let in now, where anything is shed.
+    pub level: Option<Level>,
     /// Datagrams and bytes sent since the start.
     pub sent: (u64, u64),
     /// Subjects of which something is known from others or told to them.
@@ -150,6 +162,7 @@
             ("votes", u64::from(self.votes == Some(true))),
             ("leases", count),
             ("fence", fence),
+            ("shed", self.level.map_or(0, |level| level.shed())),
             ("news", self.news as u64),
             ("datagrams", self.sent.0),
             ("bytes", self.sent.1),
@@ -169,6 +182,9 @@
         };
         writeln!(f, "process {} ({:016x}): {votes}", self.process.index, self.process.incarnation)?;
         writeln!(f, "others up: {}", self.members.iter().map(u32::to_string).collect::<Vec<_>>().join(" "))?;
+        if let Some(level) = self.level {
+            writeln!(f, "lets in {:?} of 255 by worth, fence {}", level.admit, level.fence)?;
+        }
         for lease in &self.leases {
             let held = lease.hold.map(|hold| format!(" held here, fence {}", hold.fence)).unwrap_or_default();
             let granted = lease
@@ -217,6 +233,8 @@
             seat,
             membership,
             news: News::default(),
+            governor: Governor::default(),
+            word: Gate::default(),
             rng: SmallRng::seed_from_u64(mix(setting.seed, 2)),
             held: BTreeMap::new(),
             stays: BTreeMap::new(),
@@ -262,6 +280,7 @@
             },
             Event::Timer => {}
             Event::Seen(subject, word) => self.news.seen(now, subject, word),
+            Event::Demand(demand) => self.demand(now, demand, &mut out),
             Event::Leave | Event::HandOver => {
                 self.give_back(now, &self.setting.lease.clone(), &mut leases);
                 if matches!(event, Event::Leave) {
@@ -317,12 +336,36 @@
             swim.who.extend(self.membership.in_place_of(sender).map(|who| (sender.index, who)));
         }
         for item in datagram.news {
-            if let Some(at) = self.news.heard(now, item, self.setting.delay) {
-                out.push(Do::Heard(item.subject, item.word, at));
+            if !item.fits() {
+                out.push(Do::Dropped(from, Odd::Malformed));
+                continue;
+            }
+            let Some(at) = self.news.heard(now, item, self.setting.delay) else { continue };
+            match (item.subject, item.word) {
+                (Subject::Process(index), Word::Demand(demand)) if index != self.setting.process.index => {
+                    self.governor.hear(now, index, demand, at);
+                }
+                (Subject::Fleet, Word::Level(level)) if self.setting.shed.is_some() => {
+                    out.extend(self.word.hear(level, at).then_some(Do::Level(level, at)));
+                }
+                (Subject::Worker(_), _) => out.push(Do::Heard(item.subject, item.word, at)),
+                _ => {}
             }
         }
     }
 
+    /// Tells what has come to this process; whoever holds [`Task::Shed`] says what all let in.
+    fn demand(&mut self, now: Time, demand: Demand, out: &mut Vec<Do>) {
+        let (index, Some(aim)) = (self.setting.process.index, self.setting.shed) else { return };
+        self.news.seen(now, Subject::Process(index), Word::Demand(demand));
+        self.governor.hear(now, index, demand, now);
+        let Some(hold) = self.seat.holds(now, lease_of(Task::Shed, 0)) else { return };
+        let level = self.governor.tick(now, hold.fence, aim, self.word.level(now));
+        self.word.hear(level, now);
+        self.news.seen(now, Subject::Fleet, Word::Level(level));
+        out.push(Do::Level(level, now));
+    }
+
     /// Where a process is to be reached; by what the operator's file says, and by hearsay only where it is silent.
     fn address(&self, index: u32) -> Option<SocketAddr> {
         let told = self.setting.via.get(&index).or_else(|| self.setting.electors.get(&index)).copied();
@@ -371,7 +414,8 @@
 
     fn leases(&self) -> Vec<LeaseId> {
         let parts = 0..self.setting.parts;
-        Task::ALL.iter().flat_map(|task| parts.clone().map(|part| lease_of(*task, part))).collect()
+        let parted = Task::PARTED.iter().flat_map(|task| parts.clone().map(|part| lease_of(*task, part)));
+        parted.chain(self.setting.shed.map(|_| lease_of(Task::Shed, 0))).collect()
     }
 
     fn rank(&mut self, now: Time) {
@@ -546,6 +590,7 @@
             members: self.members().collect(),
             votes: elector.map(lease::elector::Elector::votes),
             leases: self.leases().into_iter().filter_map(lease).collect(),
+            level: self.word.level(now).filter(|level| level.admit != Level::OPEN),
             sent: self.sent,
             news: self.news.len(),
             left: self.left,
@@ -557,4 +602,4 @@
     held.keys().any(|lease| seat.holds(now, *lease).is_none())
 }
 
-const _: () = assert!(news::ITEMS * 26 < message::LARGEST);
+const _: () = assert!(news::ITEMS * news::LARGEST_ITEM + 64 < message::LARGEST);
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -15,7 +15,7 @@
 pub const LEASES: usize = 30;
 const MAGIC: &[u8; 3] = b"mgf";
 /// Another layout of what follows has another version.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 const HEAD: usize = 12;
 const SUM: usize = 4;
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 pub mod membership;
 pub mod message;
 pub mod news;
+pub mod overload;
 
 pub use machine::{Do, Event, LeaseStatus, Machine, Setting, Status};
 
--- a/src/fleet/news.rs
+++ b/src/fleet/news.rs
@@ -6,6 +6,7 @@
 //! taken to be younger than it is, however many have passed it on. Only the youngest of a subject is kept, and
 //! nothing that is older than [`LONGEST`].
 
+use super::overload::{Demand, Level};
 use crate::interface::{Span, Time};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -16,14 +17,18 @@
 const MOST: usize = 4_096;
 /// How often a process tells an item, beyond the logarithm of the fleet's size.
 const TOLD: u32 = 3;
-/// Items of one datagram: an item takes 26 bytes at most.
-pub const ITEMS: usize = 44;
+/// Items of one datagram: an item takes [`LARGEST_ITEM`] bytes at most.
+pub const ITEMS: usize = 40;
 
 /// What an item is about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Subject {
     /// A worker, by its id: whether it answers probes.
     Worker(u64),
+    /// A process, by its index: what comes to it.
+    Process(u32),
+    /// The fleet: how much of each class all let in.
+    Fleet,
 }
 
 /// What is said of it.
@@ -31,6 +36,10 @@
 pub enum Word {
     /// It has answered, or has left so many probes in a row unanswered.
     Answers(bool),
+    /// So much has come, was served and waits.
+    Demand(Demand),
+    /// So much is let in.
+    Level(Level),
 }
 
 /// An item on its way.
@@ -44,6 +53,21 @@
     pub age_ms: u32,
 }
 
+/// A subject of 6 bytes, an age of 5, and six counts of 3 bytes with their mark; a worker's id or a level take less.
+pub const LARGEST_ITEM: usize = 30;
+
+impl Item {
+    /// Whether what is said can be said of this subject.
+    pub fn fits(&self) -> bool {
+        matches!(
+            (self.subject, self.word),
+            (Subject::Worker(_), Word::Answers(_))
+                | (Subject::Process(_), Word::Demand(_))
+                | (Subject::Fleet, Word::Level(_))
+        )
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Kept {
     word: Word,
--- /dev/null
+++ b/src/fleet/overload/meter.rs
@@ -0,0 +1,60 @@
+//! What comes to this process, what of it waits, and what was served: counts over a second, in quarters.
+
+use super::{Demand, RANKS, TICK};
+use crate::interface::Time;
+use std::collections::VecDeque;
+
+/// Quarters that are counted.
+const QUARTERS: usize = 4;
+
+#[derive(Clone, Copy, Debug)]
+struct Quarter {
+    number: u64,
+    offered: [u32; RANKS],
+    served: u32,
+}
+
+/// See the module's page.
+#[derive(Clone, Debug, Default)]
+pub struct Meter {
+    /// The one that runs is the first; each begins at a multiple of [`TICK`].
+    quarters: VecDeque<Quarter>,
+    open: u32,
+}
+
+impl Meter {
+    fn quarter(&mut self, now: Time) -> &mut Quarter {
+        let number = now.0 / TICK.0;
+        self.forget(now);
+        if self.quarters.front().is_none_or(|quarter| quarter.number < number) {
+            self.quarters.push_front(Quarter { number, offered: [0; RANKS], served: 0 });
+        }
+        &mut self.quarters[0]
+    }
+
+    fn forget(&mut self, now: Time) {
+        let oldest = (now.0 / TICK.0).saturating_sub(QUARTERS as u64 - 1);
+        self.quarters.retain(|quarter| quarter.number >= oldest);
+    }
+
+    /// A call of this rank has come, and was let in or not.
+    pub fn came(&mut self, now: Time, rank: usize, admitted: bool) {
+        self.quarter(now).offered[rank.min(RANKS - 1)] += 1;
+        self.open += u32::from(admitted);
+    }
+
+    /// A call that was let in has ended; whether it was served, in time or not.
+    pub fn ended(&mut self, now: Time, served: bool) {
+        self.quarter(now).served += u32::from(served);
+        self.open = self.open.saturating_sub(1);
+    }
+
+    /// The last second's counts, and what waits now.
+    pub fn demand(&mut self, now: Time) -> Demand {
+        self.forget(now);
+        let count = |n: u32| u16::try_from(n).unwrap_or(u16::MAX);
+        let offered = |rank| count(self.quarters.iter().map(|quarter| quarter.offered[rank]).sum());
+        let served = count(self.quarters.iter().map(|quarter| quarter.served).sum());
+        Demand { offered: std::array::from_fn(offered), served, open: count(self.open) }
+    }
+}
--- /dev/null
+++ b/src/fleet/overload/mod.rs
@@ -0,0 +1,72 @@
+//! What processes of a fleet agree on when more calls come than the workers bear: how much of each class all let in.
+//!
+//! Every process counts what comes to it and how that ends ([`Meter`]) and tells it. Under a lease one of them, the
+//! governor, works out what all let in ([`Governor`]) and tells that with its fence; each applies the latest word to
+//! its own calls ([`Gate`]). No I/O and no clock of their own. The invariants, and where each is kept:
+//!
+//! - what is let in goes by worth: a class is shed only where all of less worth are shed whole ([`Governor`]);
+//! - some of the load is always let in, so that it shows when the workers bear more again ([`Governor`]);
+//! - no peer weighs more than three times the middle one, whatever it says ([`Governor`]);
+//! - a word under an earlier fence never follows one under a later ([`Gate`]);
+//! - a word that has grown old sheds nothing: silence leaves each to itself ([`Gate`]).
+
+mod gate;
+mod governor;
+mod meter;
+
+pub use gate::Gate;
+pub use governor::Governor;
+pub use meter::Meter;
+
+use crate::interface::Span;
+use serde::{Deserialize, Serialize};
+
+/// Ranks of classes by worth, the first being worth most. Where a site has more classes, the last rank takes all
+/// that are left.
+pub const RANKS: usize = 4;
+/// How often demand is told, and a new word worked out.
+pub const TICK: Span = Span::millis(250);
+/// A word, or what a peer has told, counts for so long from when it was so.
+pub const LASTS: Span = Span::millis(3_000);
+
+/// What came to one process within the last second, and what waits there.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Demand {
+    /// Calls that came, by rank.
+    pub offered: [u16; RANKS],
+    /// Calls that were served, in time or not.
+    pub served: u16,
+    /// Calls that were let in and wait for their answer now.
+    pub open: u16,
+}
+
+/// How much of each rank all let in, in 255ths.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Level {
+    /// The governor's fence.
+    pub fence: u64,
+    /// By rank.
+    pub admit: [u8; RANKS],
+}
+
+impl Level {
+    /// All is let in.
+    pub const OPEN: [u8; RANKS] = [u8::MAX; RANKS];
+
+    /// Ranks of which any is turned away.
+    pub fn shed(&self) -> u64 {
+        self.admit.iter().filter(|part| **part < u8::MAX).count() as u64
+    }
+}
+
+/// The rank of each class: classes of one worth share a rank.
+pub fn ranks(worths: &[f64]) -> Vec<usize> {
+    let mut order: Vec<f64> = worths.to_vec();
+    order.sort_by(|a, b| b.total_cmp(a));
+    order.dedup();
+    let rank = |worth: &f64| order.iter().position(|one| one.total_cmp(worth).is_eq()).unwrap_or_default();
+    worths.iter().map(|worth| rank(worth).min(RANKS - 1)).collect()
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -29,6 +29,7 @@
         delay: Span::millis(20),
         size: 4,
         parts: 1,
+        shed: Some(Span::millis(1_000)),
         guess: 0,
         seed: incarnation,
     }
@@ -393,3 +394,57 @@
     assert!(fences.is_sorted() && fences.first() < fences.last(), "{fences:?}");
     assert!(!net.seen.iter().any(|(_, what)| *what == Do::Double));
 }
+
+/// What one is told to let in, all are, under the governor's fence; when it ends another goes on, under a later one; and
+/// where all but one are gone, that one has no word to follow any more.
+#[test]
+fn all_let_in_what_the_governor_says_and_each_for_itself_where_there_is_none() {
+    let mut net = Net::new((0..3).map(|n| setting(n, 10 + u64::from(n), n as u16)).collect());
+    let governs = |net: &Net| {
+        let governs =
+            |(at, machine): &&(SocketAddr, Machine)| machine.holds(net.at(*at), Task::Shed, 0).is_some();
+        net.machines.iter().find(governs).map(|(at, _)| *at)
+    };
+    // One of them alone is jammed.
+    let tell = |net: &mut Net, ms: u64| {
+        for _ in 0..ms / 250 {
+            for n in 0..3 {
+                let open = if n == 2 { 200 } else { 5 };
+                let demand = overload::Demand { offered: [30, 70, 0, 0], served: 50, open };
+                net.give(place(n), Event::Demand(demand));
+            }
+            net.pass(250);
+        }
+    };
+    let words = |net: &Net, since: usize| {
+        let mut words: std::collections::BTreeMap<SocketAddr, overload::Level> = Default::default();
+        for (at, what) in &net.seen[since..] {
+            if let Do::Level(level, _) = what {
+                let before = words.insert(*at, *level);
+                assert!(before.is_none_or(|before| before.fence <= level.fence), "{before:?} {level:?}");
+            }
+        }
+        words
+    };
+    tell(&mut net, 6_000);
+    let first = governs(&net).expect("somebody governs");
+    let said = words(&net, 0);
+    assert_eq!(said.len(), 3);
+    assert!(said.values().all(|level| level.admit[0] == 255 && level.admit[1] < 128), "{said:?}");
+    assert!(net.machines.iter().all(|(at, machine)| machine.status(net.at(*at)).level.is_some()));
+    let fence = said[&first].fence;
+    net.machines.retain(|(at, _)| *at != first);
+    let since = net.seen.len();
+    tell(&mut net, 6_000);
+    let said = words(&net, since);
+    assert!(governs(&net).is_some_and(|next| next != first));
+    assert!(said.len() == 2 && said.values().all(|level| level.fence > fence), "{said:?}");
+    net.machines.truncate(1);
+    let (alone, _) = net.machines[0];
+    tell(&mut net, 6_000);
+    assert_eq!(
+        net.machines[0].1.status(net.at(alone)).level,
+        None,
+        "nobody grants, and the last word is old"
+    );
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -312,17 +312,23 @@
     Probe,
     /// Renewing the gold copies of front ends that are gone.
     Renew,
+    /// Saying how much of each class all let in; one part, where there is one.
+    Shed,
 }
 
 impl Task {
     /// All of them.
-    pub const ALL: [Task; 2] = [Task::Probe, Task::Renew];
+    pub const ALL: [Task; 3] = [Task::Probe, Task::Renew, Task::Shed];
+
+    /// Those that are cut into parts.
+    pub const PARTED: [Task; 2] = [Task::Probe, Task::Renew];
 
     /// As operators read it.
     pub fn name(self) -> &'static str {
         match self {
             Task::Probe => "probe",
             Task::Renew => "renew",
+            Task::Shed => "shed",
         }
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -209,6 +209,16 @@
 }
 
 impl Site {
+    /// The shortest time within which answers of a class are wanted.
+    pub fn soonest(&self) -> Span {
+        self.settings.classes.iter().map(|class| class.aim).min().unwrap_or(Span::millis(1_000))
+    }
+
+    /// The worth of each class.
+    pub fn worths(&self) -> Vec<f64> {
+        self.settings.classes.iter().map(|class| class.worth).collect()
+    }
+
     /// The place of a class that new calls may name.
     pub fn class(&self, name: &str) -> Option<usize> {
         self.classes.iter().position(|known| known.as_deref() == Some(name))
