Count waiting calls where they are kept, and send the rig's calls in one place

Found on reading the change again: the overload meter counted calls that wait by itself, at four places in the core, though the core has them as its open requests; the meter's count also began at 0 when a process took its place in the fleet again. The rig's clients picked a scheduler and sent at two places.

Change: demand takes what waits from the core; the meter counts what comes and what is served. No decision changed.

--- a/lab/src/rig/client.rs
+++ b/lab/src/rig/client.rs
@@ -165,12 +165,10 @@
         rng: &mut SmallRng,
     ) -> Vec<(usize, Call)> {
         let mut made = vec![];
-        for call in std::mem::take(&mut self.refused).into_iter().filter(|_| !at.is_empty()) {
-            let (scheduler, place) = at[rng.random_range(0..at.len())];
+        for call in std::mem::take(&mut self.refused) {
             let call = Call { id: self.next, sent: now, again: false, tries: call.tries + 1, ..call };
             self.next += 1;
-            made.push((scheduler, call.clone()));
-            self.send(now, scheduler, place, call);
+            made.extend(self.send_to_any(now, at, call, rng));
         }
         // Calls of a time in which nobody was to call are not made up for.
         self.due = self.due.max(now.saturating_sub(SECOND / 10));
@@ -178,16 +176,27 @@
             let unit: f64 = rng.random_range(f64::EPSILON..1.0);
             self.due += (-unit.ln() / self.rate * SECOND as f64) as u64;
             let call = self.draw(now, rng);
-            if at.is_empty() {
-                continue;
-            }
-            let (scheduler, place) = at[rng.random_range(0..at.len())];
-            made.push((scheduler, call.clone()));
-            self.send(now, scheduler, place, call);
+            made.extend(self.send_to_any(now, at, call, rng));
         }
         made
     }
 
+    /// Sends a call to one of these schedulers, if there is any; which one, and the call.
+    fn send_to_any(
+        &mut self,
+        now: Moment,
+        at: &[(usize, SocketAddr)],
+        call: Call,
+        rng: &mut SmallRng,
+    ) -> Option<(usize, Call)> {
+        if at.is_empty() {
+            return None;
+        }
+        let (scheduler, place) = at[rng.random_range(0..at.len())];
+        self.send(now, scheduler, place, call.clone());
+        Some((scheduler, call))
+    }
+
     fn send(&mut self, now: Moment, scheduler: usize, place: SocketAddr, call: Call) {
         let usable = |c: &Connection| c.scheduler == scheduler && !c.leaves && c.open.len() < OPEN;
         let found = match self.connections.iter().position(usable) {
--- a/src/core/ends.rs
+++ b/src/core/ends.rs
@@ -46,7 +46,7 @@
         if let Some(bytes) = body
             && let Some(taken) = self.forget(id.request)
         {
-            self.left(now, true);
+            self.count_served(now);
             if taken.owner.connection != chain::STEP
                 && let Some(attempt) = self.attempts.get(&id)
             {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -305,7 +305,6 @@
         };
         self.counters.withdrawn += 1;
         let taken = self.forget(id);
-        self.left(now, false);
         self.step_out(now, taken.as_ref());
         self.step(now, Event::ClientGone(id));
     }
@@ -430,7 +429,6 @@
         let Some(taken) = self.requests.get(&id) else { return };
         let expired = now + self.site.settings.tick >= taken.deadline;
         if let Some(taken) = self.forget(id) {
-            self.left(now, false);
             self.step_out(now, Some(&taken));
             self.answer(taken.owner, Some(&taken.work.class), verdict, expired);
         }
--- a/src/core/overload.rs
+++ b/src/core/overload.rs
@@ -34,7 +34,8 @@
 
     /// What has come here within the last second, and what waits.
     pub fn demand(&mut self, now: Time) -> Demand {
-        self.overload.as_mut().map(|overload| overload.meter.demand(now)).unwrap_or_default()
+        let open = self.owed();
+        self.overload.as_mut().map(|overload| overload.meter.demand(now, open)).unwrap_or_default()
     }
 
     /// For how long a call that has just come is to stay away, if it is shed. What a chain has begun goes on.
@@ -43,15 +44,15 @@
         let overload = self.overload.as_mut()?;
         let rank = overload.ranks.get(class).copied().unwrap_or_default();
         let admitted = owner.connection == chain::STEP || overload.gate.admits(now, rank);
-        overload.meter.came(now, rank, admitted);
+        overload.meter.came(now, rank);
         self.counters.shed += u64::from(!admitted);
         (!admitted).then(|| overload.gate.cooldown(most))
     }
 
-    /// A call that was let in has ended.
-    pub(super) fn left(&mut self, now: Time, served: bool) {
+    /// A call was served.
+    pub(super) fn count_served(&mut self, now: Time) {
         if let Some(overload) = &mut self.overload {
-            overload.meter.ended(now, served);
+            overload.meter.served(now);
         }
     }
 }
--- a/src/fleet/overload/governor.rs
+++ b/src/fleet/overload/governor.rs
@@ -74,8 +74,8 @@
         (offered, served, open)
     }
 
-    /// The word for now, under this fence and by this process, where answers are wanted within `aim`. A governor that has just begun goes on
-    /// from the word before it.
+    /// The word for now, under this fence and by this process, where answers are wanted within `aim`. A governor that
+    /// has just begun goes on from the word before it.
     pub fn tick(&mut self, now: Time, (fence, by): (u64, u32), aim: Span, before: Option<Level>) -> Level {
         let (offered, served, open) = self.sum(now);
         let load: f64 = offered.iter().sum();
--- a/src/fleet/overload/meter.rs
+++ b/src/fleet/overload/meter.rs
@@ -1,4 +1,4 @@
-//! What comes to this process, what of it waits, and what was served: counts over a second, in quarters.
+//! What comes to this process, and what was served: counts over a second, in quarters.
 
 use super::{Demand, RANKS, TICK};
 use crate::interface::Time;
@@ -19,7 +19,6 @@
 pub struct Meter {
     /// The one that runs is the first; each begins at a multiple of [`TICK`].
     quarters: VecDeque<Quarter>,
-    open: u32,
 }
 
 impl Meter {
@@ -37,24 +36,26 @@
         self.quarters.retain(|quarter| quarter.number >= oldest);
     }
 
-    /// A call of this rank has come, and was let in or not.
-    pub fn came(&mut self, now: Time, rank: usize, admitted: bool) {
+    /// A call of this rank has come.
+    pub fn came(&mut self, now: Time, rank: usize) {
         self.quarter(now).offered[rank.min(RANKS - 1)] += 1;
-        self.open += u32::from(admitted);
     }
 
-    /// A call that was let in has ended; whether it was served, in time or not.
-    pub fn ended(&mut self, now: Time, served: bool) {
-        self.quarter(now).served += u32::from(served);
-        self.open = self.open.saturating_sub(1);
+    /// A call was served, in time or not.
+    pub fn served(&mut self, now: Time) {
+        self.quarter(now).served += 1;
     }
 
-    /// The last second's counts, and what waits now.
-    pub fn demand(&mut self, now: Time) -> Demand {
+    /// The last second's counts, with the calls that were let in and wait now.
+    pub fn demand(&mut self, now: Time, open: usize) -> Demand {
         self.forget(now);
         let count = |n: u32| u16::try_from(n).unwrap_or(u16::MAX);
         let offered = |rank| count(self.quarters.iter().map(|quarter| quarter.offered[rank]).sum());
         let served = count(self.quarters.iter().map(|quarter| quarter.served).sum());
-        Demand { offered: std::array::from_fn(offered), served, open: count(self.open) }
+        Demand {
+            offered: std::array::from_fn(offered),
+            served,
+            open: u16::try_from(open).unwrap_or(u16::MAX),
+        }
     }
 }
--- a/src/fleet/overload/tests.rs
+++ b/src/fleet/overload/tests.rs
@@ -30,17 +30,20 @@
 fn a_meter_counts_the_last_second() {
     let mut meter = Meter::default();
     for n in 0..30 {
-        meter.came(MS(n * 100), usize::from(n % 3 == 0), n % 5 > 0);
-        if n % 2 == 0 {
-            meter.ended(MS(n * 100), n % 4 == 0);
+        meter.came(MS(n * 100), usize::from(n % 3 == 0));
+        if n % 4 == 0 {
+            meter.served(MS(n * 100));
         }
     }
-    // 24 were let in, and 15 have ended, the first before any was let in.
-    assert_eq!(meter.demand(MS(2_999)), demand([7, 3, 0, 0], 3, 10));
-    assert_eq!(meter.demand(MS(3_600)), demand([2, 0, 0, 0], 1, 10));
-    assert_eq!(meter.demand(MS(9_000)), demand([0; RANKS], 0, 10));
-    meter.came(MS(1), RANKS + 5, false);
-    assert_eq!(meter.demand(MS(9_000)).offered[RANKS - 1], 0, "a clock that goes back counts nothing now");
+    assert_eq!(meter.demand(MS(2_999), 10), demand([7, 3, 0, 0], 3, 10));
+    assert_eq!(meter.demand(MS(3_600), 10), demand([2, 0, 0, 0], 1, 10));
+    assert_eq!(meter.demand(MS(9_000), 10), demand([0; RANKS], 0, 10));
+    meter.came(MS(1), RANKS + 5);
+    assert_eq!(
+        meter.demand(MS(9_000), 10).offered[RANKS - 1],
+        0,
+        "a clock that goes back counts nothing now"
+    );
 }
 
 #[test]
@@ -133,6 +136,7 @@
 /// So many processes and a governor among them; calls a second by rank, as a function of the time.
 struct Fleet {
     meters: Vec<Meter>,
+    open: Vec<usize>,
     gates: Vec<Gate>,
     governor: Governor,
     fence: u64,
@@ -155,6 +159,7 @@
         let governor = Governor::default();
         Fleet {
             meters,
+            open: vec![0; count],
             gates,
             governor,
             fence: 1,
@@ -183,7 +188,8 @@
                 let at = self.turn % self.meters.len();
                 self.workers.seconds[second][rank].1 += 1;
                 let admitted = !self.led || self.gates[at].admits(now, rank);
-                self.meters[at].came(now, rank, admitted);
+                self.meters[at].came(now, rank);
+                self.open[at] += usize::from(admitted);
                 if admitted {
                     self.workers.queue.push_back((self.now, at, rank));
                 }
@@ -193,7 +199,7 @@
             if self.now - came < 3_000 {
                 break;
             }
-            self.meters[*at].ended(now, false);
+            self.open[*at] -= 1;
             self.workers.gone += 1;
         }
         self.workers.credit += self.workers.able / 100.0;
@@ -204,12 +210,19 @@
                 self.workers.gone -= 1;
                 continue;
             }
-            self.meters[at].ended(now, true);
+            self.meters[at].served(now);
+            self.open[at] -= 1;
             let second = (came / 1_000 - 10) as usize;
             self.workers.seconds[second][rank].0 += u32::from(self.now - came < 1_000);
         }
         if self.now.is_multiple_of(250) && self.led {
-            self.demands.push_back(self.meters.iter_mut().map(|meter| (meter.demand(now), now)).collect());
+            self.demands.push_back(
+                self.meters
+                    .iter_mut()
+                    .zip(&self.open)
+                    .map(|(meter, open)| (meter.demand(now, *open), now))
+                    .collect(),
+            );
             if self.demands.len() > self.late {
                 for (index, (demand, at)) in self.demands.pop_front().into_iter().flatten().enumerate() {
                     self.governor.hear(now, index as u32, demand, at);
