Take a call out of the output buffer when its client goes before it is written

Ruled out: calls that wait in the connection's queue; those are asked for when they are put in line. Lines: WorkerConnection::job (Halt) and the flushes in net/reactor.rs, which wrote without asking. Change: what is untouched in the buffer is taken back; of a call half written the rest is not sent, nothing more is written on that connection, and it ends once no answer is waited for. Before bytes that wait go out the gates are asked once more (Connection::unsent).

--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -131,6 +131,8 @@
     /// A probe got no answer and nothing has come since. A connection through a cut stays up and silent, and
     /// goes on slowly when the cut ends: new work takes a new one, whose refusal proves that nothing ran.
     silent: bool,
+    /// Half a command has gone out and the rest never will: answers are still read, and nothing more is written.
+    cut: bool,
 }
 
 impl WorkerConnection {
@@ -151,6 +153,7 @@
             begun: None,
             searched: 0,
             silent: false,
+            cut: false,
         }
     }
 
@@ -164,6 +167,9 @@
 
     /// Writes commands one after another, each once the one before has gone whole.
     fn pump(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
+        if self.cut {
+            return self.hold_all(hub);
+        }
         while link.is_up() && link.waiting() == 0 {
             if let Some(Open::Attempt(attempt)) = self.writing.take() {
                 hub.core.written(hub.now, attempt);
@@ -172,10 +178,7 @@
             match job {
                 Job::Go { attempt, work, deadline } => {
                     if !hub.core.may_write(hub.now, attempt) {
-                        self.attempts -= 1;
-                        self.open.remove(&work.reference);
-                        self.names.remove(&attempt);
-                        hub.core.attempt_held(hub.now, attempt);
+                        self.hold(attempt, hub);
                         continue;
                     }
                     link.put(&self.codec.go(&work, hub.now, deadline));
@@ -188,8 +191,7 @@
                 }
                 Job::Stage { order, function, copies } => {
                     if !hub.core.may_write_order(hub.clock.now(), order) {
-                        self.open.remove(&Self::order_name(order));
-                        hub.core.order_held(hub.now, order);
+                        self.hold_order(order, hub);
                         continue;
                     }
                     link.put(&self.codec.stage(&Self::order_name(order), function, copies));
@@ -197,9 +199,7 @@
                 }
                 Job::Probe { probe, .. } => {
                     if !hub.core.may_write_probe(hub.clock.now(), probe) {
-                        self.open.remove(&Self::probe_name(probe));
-                        self.probe_by = self.probe_by.filter(|(_, waited)| *waited != probe);
-                        hub.core.probe_held(hub.now, probe);
+                        self.hold_probe(probe, hub);
                         continue;
                     }
                     link.put(&self.codec.probe(&Self::probe_name(probe)));
@@ -215,6 +215,40 @@
         Flow::Go
     }
 
+    /// An attempt that does not go out, for a reason of our own.
+    fn hold(&mut self, attempt: AttemptId, hub: &mut Hub) {
+        if let Some(name) = self.names.remove(&attempt) {
+            self.attempts -= 1;
+            self.open.remove(&name);
+            hub.core.attempt_held(hub.now, attempt);
+        }
+    }
+
+    fn hold_order(&mut self, order: OrderId, hub: &mut Hub) {
+        self.open.remove(&Self::order_name(order));
+        hub.core.order_held(hub.now, order);
+    }
+
+    fn hold_probe(&mut self, probe: ProbeId, hub: &mut Hub) {
+        self.open.remove(&Self::probe_name(probe));
+        self.probe_by = self.probe_by.filter(|(_, waited)| *waited != probe);
+        hub.core.probe_held(hub.now, probe);
+    }
+
+    /// Nothing can be written here any more: what is in line goes elsewhere, and the connection ends once no answer
+    /// is waited for.
+    fn hold_all(&mut self, hub: &mut Hub) -> Flow {
+        while let Some(job) = self.pending.pop_front() {
+            match job {
+                Job::Go { attempt, .. } => self.hold(attempt, hub),
+                Job::Stage { order, .. } => self.hold_order(order, hub),
+                Job::Probe { probe, .. } => self.hold_probe(probe, hub),
+                Job::Halt { .. } | Job::Purge { .. } => {}
+            }
+        }
+        if self.idle().is_some() { Flow::Close } else { Flow::Go }
+    }
+
     fn line(&mut self, line: &[u8], hub: &mut Hub) -> Flow {
         self.silent = false;
         let (rid, reply, copies) = match self.codec.read(line) {
@@ -265,6 +299,14 @@
         Flow::Go
     }
 
+    /// The attempt of which a part, or all, still waits in the output buffer.
+    fn unsent_attempt(&self, link: &Link) -> Option<AttemptId> {
+        match self.writing {
+            Some(Open::Attempt(attempt)) if link.waiting() > 0 => Some(attempt),
+            _ => None,
+        }
+    }
+
     /// Until when the line that has begun must have ended.
     fn line_by(&self) -> Option<Time> {
         Some(self.begun? + Span(WHOLE_LINE.0.0 + WHOLE_LINE.1.0 * (self.searched as u64 >> 10)))
@@ -321,6 +363,23 @@
         self.pump(link, hub)
     }
 
+    /// Much may have changed since the command was put in line, so the gates are asked once more.
+    fn unsent(&mut self, link: &mut Link, hub: &mut Hub) {
+        match self.writing {
+            Some(Open::Attempt(attempt)) if !hub.core.may_write(hub.now, attempt) => {
+                link.take_back();
+                self.writing = None;
+                self.hold(attempt, hub);
+            }
+            Some(Open::Order(order)) if !hub.core.order_stands(order) => {
+                link.take_back();
+                self.writing = None;
+                self.hold_order(order, hub);
+            }
+            _ => {}
+        }
+    }
+
     fn due(&mut self, _link: &mut Link, hub: &mut Hub) -> Flow {
         self.drop_shadows(hub.now);
         if let Some((_, probe)) = self.probe_by.take_if(|(by, _)| *by <= hub.now) {
@@ -404,6 +463,14 @@
                     self.names.remove(attempt);
                     return Flow::Go;
                 }
+                // In the output buffer, and not gone whole: what nobody waits for does not begin any more.
+                if self.unsent_attempt(link) == Some(*attempt) {
+                    self.writing = None;
+                    self.open.remove(&name);
+                    self.names.remove(attempt);
+                    self.cut = !link.take_back();
+                    return self.pump(link, hub);
+                }
                 self.open.insert(name.clone(), Open::Shadow(hub.now));
                 self.shadows.push_back((hub.now, name));
                 self.drop_shadows(hub.now);
@@ -422,6 +489,7 @@
     fn accepts(&self, reference: Option<&str>) -> bool {
         let free = reference.is_none_or(|name| !self.open.contains_key(name));
         free && !self.silent
+            && !self.cut
             && self.attempts < self.limits.multiplex
             && self.open.len() - self.shadows.len().min(self.open.len()) + self.pending.len() < QUEUE
     }
--- a/src/core/gates.rs
+++ b/src/core/gates.rs
@@ -46,6 +46,11 @@
         true
     }
 
+    /// Whether an order that was let out, and has waited in an output buffer since, may still be written.
+    pub fn order_stands(&self, id: OrderId) -> bool {
+        self.orders.get(&id).is_some_and(|order| order.copies == 0 || self.open_to_work(order.worker))
+    }
+
     /// Whether a probe may still go out: one for all of the fleet only under its lease. The time is read for this
     /// question alone.
     pub fn may_write_probe(&self, now: Time, id: ProbeId) -> bool {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -170,6 +170,19 @@
         self.outbox.extend_from_slice(bytes);
     }
 
+    /// Whether bytes wait to be written of which none has gone to the system.
+    pub fn untouched(&self) -> bool {
+        self.sent == 0 && !self.outbox.is_empty()
+    }
+
+    /// Takes back what waits to be written. False where a part of it has gone: the other side has half a message then,
+    /// and nothing more may be written.
+    pub fn take_back(&mut self) -> bool {
+        let whole = self.sent == 0;
+        (self.outbox, self.sent) = (Vec::new(), 0);
+        whole
+    }
+
     /// Drops the first bytes of the input, which have been used.
     pub fn used(&mut self, count: usize) {
         self.inbox.drain(..count);
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -57,6 +57,8 @@
     fn flushed(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
         Flow::Go
     }
+    /// Bytes that were put in line long ago are about to go out, and none of them has: they may be taken back.
+    fn unsent(&mut self, _link: &mut Link, _hub: &mut Hub) {}
     /// The time told by [`Connection::deadline`] has come.
     fn due(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
         Flow::Go
@@ -122,6 +124,16 @@
     wasted: usize,
 }
 
+impl Entry {
+    /// Writes what the system takes; true once nothing waits.
+    fn flush(&mut self, hub: &mut Hub) -> io::Result<bool> {
+        if self.link.untouched() {
+            self.connection.unsent(&mut self.link, hub);
+        }
+        self.link.flush()
+    }
+}
+
 enum Listener {
     Tcp(TcpListener),
     Unix(UnixListener),
@@ -366,7 +378,7 @@
             let mut flow = what(entry, hub);
             // What was put in line goes out at once; a connection may put more whenever all has gone.
             while flow != Flow::Close && entry.link.up && entry.link.waiting() > 0 {
-                match entry.link.flush() {
+                match entry.flush(hub) {
                     Ok(true) => flow = flow.and(entry.connection.flushed(&mut entry.link, hub)),
                     Ok(false) => break,
                     Err(_) => flow = Flow::Close,
@@ -507,8 +519,8 @@
 
     fn happened(&mut self, token: Token, readable: bool, core: &mut Core) {
         self.call(token, core, |entry, hub| {
-            let Entry { link, connection, finishing, wasted, .. } = entry;
-            if !link.up {
+            if !entry.link.up {
+                let Entry { link, connection, .. } = entry;
                 match link.stream.connected() {
                     Ok(true) => link.up = true,
                     Ok(false) => return Flow::Go,
@@ -520,9 +532,9 @@
                 }
             }
             let mut flow = Flow::Go;
-            if link.waiting() > 0 {
-                match link.flush() {
-                    Ok(true) => flow = connection.flushed(link, hub),
+            if entry.link.waiting() > 0 {
+                match entry.flush(hub) {
+                    Ok(true) => flow = entry.connection.flushed(&mut entry.link, hub),
                     Ok(false) => {}
                     Err(_) => return Flow::Close,
                 }
@@ -530,6 +542,7 @@
             if !readable {
                 return flow;
             }
+            let Entry { link, connection, finishing, wasted, .. } = entry;
             // Edge-triggered: read until the socket has no more, in turns with the connection's own work and
             // with other connections.
             let mut taken = 0;
