Keep an unserved attempt's name from use on its connection, for second answers

Seen (tests/crossings.rs, failing before the mend in all three cases): a worker answers 503, 500 or 404, the call goes to it again on the same connection under the same name, and a second answer that comes some milliseconds late is taken for the answer of the new attempt, which is at work: a further attempt began beside it, and after a 'never ran' that was none an unsafe call could run twice. Ruled out: given-up attempts, whose names are kept as shadows already, and served ones, whose calls are over. Lines: WorkerConnection::line freed the name with the first answer. Change: whatever answer does not serve the call leaves a shadow for ten seconds, as a halt does; the next attempt finds another connection.

--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -73,7 +73,7 @@
 pub const LINE: usize = 512 << 10;
 /// Open commands, with those that wait, on one connection.
 const QUEUE: usize = 4096;
-/// For how long the name of a given-up attempt is kept from use on its connection, and how many such names:
+/// For how long the name of an attempt that is over is kept from use on its connection, and how many such names:
 /// clients may withdraw calls by hundreds.
 const SHADOW: (Span, usize) = (Span::millis(10_000), 1024);
 /// A worker's line that has begun must have come whole within this time, and so much more for each KiB that has
@@ -85,7 +85,7 @@
     Attempt(AttemptId),
     Order(OrderId),
     Probe(ProbeId),
-    /// Given up at this time: an answer that still comes belongs to nobody.
+    /// Over at this time, given up or not served: an answer that still comes belongs to nobody.
     Shadow(Time),
 }
 
@@ -280,6 +280,11 @@
             Some(Open::Attempt(attempt)) => {
                 self.attempts -= 1;
                 self.names.remove(&attempt);
+                // Sent again, the call goes by another connection: a second answer to this one, which may still come,
+                // would pass for the other's.
+                if !matches!(reply, Ok(Reply::Ok(_))) {
+                    self.shadow(rid, hub.now);
+                }
                 hub.core.attempt_ended(hub.now, attempt, reply);
             }
             Some(Open::Order(order)) => {
@@ -312,6 +317,13 @@
         Some(self.begun? + Span(WHOLE_LINE.0.0 + WHOLE_LINE.1.0 * (self.searched as u64 >> 10)))
     }
 
+    /// Keeps the name of an attempt that is over from use here: an answer to it may still come.
+    fn shadow(&mut self, name: String, now: Time) {
+        self.open.insert(name.clone(), Open::Shadow(now));
+        self.shadows.push_back((now, name));
+        self.drop_shadows(now);
+    }
+
     fn drop_shadows(&mut self, now: Time) {
         let many = self.shadows.len().saturating_sub(SHADOW.1);
         let mut gone = self.shadows.iter().position(|(at, _)| *at + SHADOW.0 >= now).unwrap_or(usize::MAX);
@@ -471,9 +483,7 @@
                     self.cut = !link.take_back();
                     return self.pump(link, hub);
                 }
-                self.open.insert(name.clone(), Open::Shadow(hub.now));
-                self.shadows.push_back((hub.now, name));
-                self.drop_shadows(hub.now);
+                self.shadow(name, hub.now);
             }
             Job::Probe { probe, deadline } => {
                 self.open.insert(Self::probe_name(*probe), Open::Probe(*probe));
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -1,10 +1,13 @@
 //! Pairs of events that meet at the wrong instant, in the order that a test gives them. `docs/acceptance.md` has
 //! them all; those that only a daemon shows are in `tests/sockets.rs` and its neighbours.
 
-use lab::stand_ins::Folder;
+mod rig;
+
 use mintgate::backend::Endpoint;
 use mintgate::client::{CallId, Client, Outgoing};
-use mintgate::{FunctionId, Member, Span, WorkerId, settings};
+use mintgate::{FunctionId, Member, Span, WorkerId};
+use rig::*;
+use serde_json::json;
 use std::io::Read;
 use std::os::unix::net::{UnixListener, UnixStream};
 
@@ -19,7 +22,7 @@
     let folder = Folder::new();
     let path = folder.at("checker.sock");
     let listener = UnixListener::bind(&path).unwrap();
-    let site = settings::read_site(site.to_string().as_bytes()).unwrap();
+    let site = mintgate::settings::read_site(site.to_string().as_bytes()).unwrap();
     let mut client = Client::new(site, 7).unwrap();
     let worker = Member { worker: WorkerId(1), weight: 1.0, ..Member::default() };
     client.workers(vec![(worker, Endpoint::Checker(path))]);
@@ -28,8 +31,8 @@
 
 /// One connection a worker, as where many schedulers share it.
 fn one_connection() -> serde_json::Value {
-    let mut site = lab::stand_ins::settings();
-    site["fleetSize"] = serde_json::json!(100);
+    let mut site = rig::settings();
+    site["fleetSize"] = json!(100);
     site
 }
 
@@ -123,3 +126,37 @@
     assert_eq!(calls(&lines), sent);
     drop(stuck.folder);
 }
+
+/// A worker answers twice, and the second answer comes once the call has been sent there again under its name: it must
+/// not pass for an answer to that attempt, which has only begun.
+#[test]
+fn a_second_answer_is_not_taken_for_that_of_the_next_attempt() {
+    for status in ["503", "500", "404"] {
+        let worker = Worker::agent();
+        let daemon = Daemon::start(&[&worker]);
+        let mut client = Frames::connect(daemon.listen);
+        client.send(&frame(0, 1, &call("practice-check", "9b1f03aa5c7e2d41", 60_000, b"")));
+        let mut first = worker.next();
+        first.answer(status, "");
+        let mut again = worker.next();
+        assert_eq!((again.word(), again.name()), ("go", first.name()));
+        assert_ne!(
+            again.connection, first.connection,
+            "{status}: a second answer could not be told apart there"
+        );
+        first.answer(status, "");
+        // A third call shows, once it is answered, that the second answer has been read.
+        client.send(&frame(0, 2, &call("practice-check", "00000000000000aa", 60_000, b"")));
+        let mut other = worker.next();
+        assert_eq!(
+            (other.word(), other.name().as_str()),
+            ("go", "00000000000000aa"),
+            "{status}: no third attempt"
+        );
+        other.answer("200", "eA==");
+        assert_eq!(client.next(), Some((1, 2, b"\x4f\0x".to_vec())));
+        again.answer("200", "eQ==");
+        assert_eq!(client.next(), Some((1, 1, b"\x4f\0y".to_vec())), "{status}");
+        assert!(worker.quiet(), "{status}");
+    }
+}
