Read a client's connection before its attempt is written, and before idle closes and the end

Seen (tests/crossings.rs and net/reactor/tests.rs; with the mends taken out of a copy six of them and the unit test fail): - an attempt was written though its client's close or type 2 lay unread in the kernel, as when the loop is late in a flood; - an idle connection was closed at its time, or to free a descriptor, though a request lay unread on it; - the program ended 1.2 s after SIGTERM though a request had come since its last look, which then was lost; - SIGHUP while the configuration was read ended the program, for its handlers came after; - an event that the bus left out was never asked for; - a client that found no descriptor (EMFILE) was taken only when another came. The dials of a fleet that lost the bus at one moment came at one moment (no jitter), and one that never came up was waited for 2.5 s. Ruled out: what settle decides after a turn (the poll's events are read before it writes), bans and drains at the write. Lines: WorkerConnection::pump, Reactor::turn and shed_idle, Daemon::ended, daemon::start, BusConnection::received, Daemon::accept and follow_bus. Change: attempts are written only by Pool::proceed, which reads their client's connection first; Reactor::catch_up is asked before a connection's time is up and before it is shed; the end waits for a turn that finds nothing; handlers come first; a gap is asked for once; accept is tried again; the bus is dialled with jitter, and given up on after 1.2 s. The daemon's part for the bus and the reactor's tests move to files of their own.

--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -165,8 +165,13 @@
         format!("probe-{}{}", probe.0, Fenced::suffix(probe.1))
     }
 
-    /// Writes commands one after another, each once the one before has gone whole.
+    /// Writes commands one after another, each once the one before has gone whole, up to the next attempt: that one is
+    /// written by [`Connection::proceed`].
     fn pump(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
+        self.write(false, link, hub)
+    }
+
+    fn write(&mut self, mut attempt_too: bool, link: &mut Link, hub: &mut Hub) -> Flow {
         if self.cut {
             return self.hold_all(hub);
         }
@@ -174,6 +179,9 @@
             if let Some(Open::Attempt(attempt)) = self.writing.take() {
                 hub.core.written(hub.now, attempt);
             }
+            if matches!(self.pending.front(), Some(Job::Go { .. })) && !std::mem::take(&mut attempt_too) {
+                break;
+            }
             let Some(job) = self.pending.pop_front() else { break };
             match job {
                 Job::Go { attempt, work, deadline } => {
@@ -504,6 +512,17 @@
             && self.open.len() - self.shadows.len().min(self.open.len()) + self.pending.len() < QUEUE
     }
 
+    fn next_attempt(&self, link: &Link) -> Option<AttemptId> {
+        match self.pending.front() {
+            Some(Job::Go { attempt, .. }) if link.is_up() && link.waiting() == 0 => Some(*attempt),
+            _ => None,
+        }
+    }
+
+    fn proceed(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
+        self.write(true, link, hub)
+    }
+
     fn load(&self) -> usize {
         self.attempts
     }
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -154,6 +154,17 @@
         }
     }
 
+    /// Writes an attempt that is next in line on a connection; false where there is none. Its client may have gone or
+    /// called it off in what is still unread, however late this loop is, so that is read first.
+    pub fn proceed(&mut self, reactor: &mut Reactor, core: &mut Core) -> bool {
+        let Some((connection, attempt)) = reactor.next_attempt() else { return false };
+        if let Some(owner) = core.owner(attempt) {
+            reactor.catch_up(owner.connection, core);
+        }
+        reactor.with(connection, core, |object, link, hub| object.proceed(link, hub));
+        true
+    }
+
     /// A connection to the worker on which this name is not open, else a new one. Two open attempts of one
     /// request must not share a connection: their answers would look alike.
     fn connection(
--- a/src/bus.rs
+++ b/src/bus.rs
@@ -2,6 +2,7 @@
 
 use crate::interface::*;
 use crate::net::{Connection, Flow, Hub, Link};
+use rand_core::RngCore;
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
@@ -11,10 +12,22 @@
 pub const FRAME: usize = 1 << 20;
 /// Without even an empty frame for this long the bus is held to be dead; it sends one each second.
 pub const SILENCE: Span = Span::millis(2_500);
+/// A connection that does not come up within this time is dialled anew.
+pub const CONNECT: Span = Span::millis(1_200);
 /// First pause before a new connection, and how often it doubles: what the bus has to tell counts as told
 /// whether or not it was heard, so a scheduler is never long without it.
 pub const BACKOFF: (Span, u32) = (Span::millis(100), 2);
 
+/// The pause after so many failures in a row: between half and all of the full one, so that a fleet that lost the
+/// bus at one moment does not come back at one.
+pub fn backoff(failures: u32, rng: &mut impl RngCore) -> Span {
+    if failures == 0 {
+        return Span(0);
+    }
+    let full = Span(BACKOFF.0.0 << (failures - 1).min(BACKOFF.1));
+    full.times(0.5 + f64::from(rng.next_u32()) / f64::from(u32::MAX) / 2.0)
+}
+
 /// A worker as the bus tells of it.
 #[derive(Clone, Debug)]
 pub struct Entry {
@@ -116,6 +129,8 @@
     pub down: bool,
     /// Connections in a row that ended without a frame.
     pub failures: u32,
+    /// The event before which one was left out, and which was asked for anew.
+    pub skipped: Option<u64>,
 }
 
 /// A connection to the bus.
@@ -127,7 +142,7 @@
 impl BusConnection {
     /// A connection that is coming up at `now`.
     pub fn new(inbox: Rc<RefCell<Inbox>>, now: Time) -> BusConnection {
-        BusConnection { inbox, silent_at: now + SILENCE }
+        BusConnection { inbox, silent_at: now + CONNECT }
     }
 }
 
@@ -149,10 +164,16 @@
                     self.silent_at = hub.now + SILENCE;
                     inbox.failures = 0;
                     // Told twice after a new connection: the list moves forward only.
-                    if let Some(news) = news.filter(|news| news.offset > inbox.offset) {
-                        inbox.offset = news.offset;
-                        inbox.news.push_back(news);
+                    let Some(news) = news.filter(|news| news.offset > inbox.offset) else { continue };
+                    // Changes lie between: they are asked for once more, on a new connection.
+                    let skips = news.kind == ListKind::Delta && news.offset > inbox.offset + 1;
+                    if skips && inbox.skipped.replace(news.offset) != Some(news.offset) {
+                        hub.core.counters().unreadable += 1;
+                        tracing::warn!(why = "an event is left out", "bus unreadable");
+                        return Flow::Close;
                     }
+                    inbox.offset = news.offset;
+                    inbox.news.push_back(news);
                 }
                 Err(why) => {
                     hub.core.counters().unreadable += 1;
--- a/src/chain/mod.rs
+++ b/src/chain/mod.rs
@@ -202,6 +202,11 @@
         vec![Do::Withdraw(name(id, step))]
     }
 
+    /// Who waits for the chain of which this is a step.
+    pub fn owner(&self, step: Owner) -> Option<Owner> {
+        self.open.get(&(step.stream / STEPS as u64)).map(|open| open.chain.owner)
+    }
+
     /// A step of this key may have run since then: its attempt went out, and had no answer that says otherwise.
     pub fn may_have_run(&mut self, now: Time, key: &str, since: Time) {
         if !self.out.contains_key(key) {
--- a/src/client.rs
+++ b/src/client.rs
@@ -202,11 +202,13 @@
 
     fn carry_out(&mut self) {
         self.core.wake(self.reactor.now());
-        while let Some(command) = self.core.next_command() {
-            match command {
-                Command::Answer { owner, answer } => self.answers.push((CallId(owner.stream), answer)),
-                Command::Chain { owner, end } => self.ends.push((CallId(owner.stream), end)),
-                command => self.pool.command(command, &mut self.reactor, &mut self.core),
+        loop {
+            match self.core.next_command() {
+                Some(Command::Answer { owner, answer }) => self.answers.push((CallId(owner.stream), answer)),
+                Some(Command::Chain { owner, end }) => self.ends.push((CallId(owner.stream), end)),
+                Some(command) => self.pool.command(command, &mut self.reactor, &mut self.core),
+                None if self.pool.proceed(&mut self.reactor, &mut self.core) => {}
+                None => return,
             }
         }
     }
--- a/src/core/gates.rs
+++ b/src/core/gates.rs
@@ -1,9 +1,16 @@
 //! Gates that are asked when bytes are about to be written: whatever has queued may be allowed no longer.
 
-use super::{AttemptId, Core, Fenced, KEY_MARGIN, LEASE_MARGIN, OrderId, ProbeId};
+use super::{AttemptId, Core, Fenced, KEY_MARGIN, LEASE_MARGIN, OrderId, Owner, ProbeId};
+use crate::chain;
 use crate::interface::*;
 
 impl Core {
+    /// Who waits for what an attempt brings: a call's client, or its chain's.
+    pub fn owner(&self, id: AttemptId) -> Option<Owner> {
+        let owner = self.requests.get(&id.request)?.owner;
+        if owner.connection == chain::STEP { self.chains.owner(owner) } else { Some(owner) }
+    }
+
     /// Whether an attempt may still go out: it may have waited for its connection while its request ended,
     /// its worker began to drain or its key's window passed.
     pub fn may_write(&self, now: Time, id: AttemptId) -> bool {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,10 +1,11 @@
 //! The daemon: the core with its fronts, back ends, bus, clock and signals round it.
 
+mod bus;
 mod fleet;
 mod upgrade;
 
 use crate::backend::{self, Pool};
-use crate::bus::{self, BusConnection, Inbox, News};
+use crate::bus::Inbox;
 use crate::config::{self, Config, Operator, Sources, Until};
 use crate::core::{Command, Core};
 use crate::fleet::news::{Subject, Word};
@@ -17,9 +18,11 @@
 use crate::ops::{self, MgmtConnection};
 use crate::vrrp::packet::{Advertisement, LARGEST};
 use crate::vrrp::{self, Event};
+use rand_core::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use std::cell::RefCell;
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
 use std::os::unix::net::UnixStream;
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -35,8 +38,8 @@
 const LAST_WRITE: Span = Span::millis(2_200);
 /// So long after SIGTERM a request half read is still waited for, where a younger process takes the clients.
 const LAST_READ: Span = Span::millis(3_000);
-/// Events of the bus whose sums are kept.
-const SUMS: usize = 256;
+/// How soon clients are taken again where the system had no room for one.
+const ACCEPT_AGAIN: Span = Span::millis(20);
 /// Descriptors kept for the poll, the listeners, the pipes, the bus and the standard streams.
 const RESERVED: usize = 32;
 
@@ -75,6 +78,8 @@
     /// Workers of the operator's file: the bus tells nothing of them.
     fixed: Vec<Member>,
     inbox: Rc<RefCell<Inbox>>,
+    /// For what schedulers of one fleet must not do at one time.
+    rng: Pcg64Mcg,
     bus_again: Option<Time>,
     /// The connection to the bus, while there is one.
     bus_id: Option<u64>,
@@ -84,6 +89,8 @@
     upgrade: Option<Upgrade>,
     /// Sums over the last events of the bus.
     sums: VecDeque<(u64, u64)>,
+    /// When to take clients again at listeners where the system had no room for one.
+    accept_again: BTreeMap<usize, Time>,
     /// The listener of the second address, and those who call there, in the order they came.
     mgmt: Option<usize>,
     callers: VecDeque<u64>,
@@ -101,24 +108,38 @@
     told_late: bool,
 }
 
+/// The reading ends of the signals' pipes: to end, to print counters, and to read the files anew.
+struct Signals {
+    end: UnixStream,
+    print: UnixStream,
+    reload: UnixStream,
+}
+
+impl Signals {
+    fn new() -> io::Result<Signals> {
+        let (end, print) = (signal_pipe(&[SIGTERM, SIGINT])?, signal_pipe(&[SIGUSR1])?);
+        Ok(Signals { end, print, reload: signal_pipe(&[SIGHUP])? })
+    }
+}
+
 /// Serves until a signal ends it; the error says why it could not.
 pub fn start(sources: Sources) -> Result<(), String> {
+    // First of all: a signal that comes while the files are read would end the process.
+    let signals = Signals::new().map_err(|e| format!("cannot serve: {e}"))?;
     let name = std::env::var("GW_NAME").unwrap_or_default();
     let (config, operator) = upgrade::fall_back(&sources, &name)?;
-    let served = Daemon::new(config, operator, sources).and_then(|mut daemon| daemon.serve());
+    let served = Daemon::new(config, operator, sources, signals).and_then(|mut daemon| daemon.serve());
     served.map_err(|e| format!("cannot serve: {e}"))
 }
 
 impl Daemon {
-    fn new(mut config: Config, operator: Operator, sources: Sources) -> io::Result<Daemon> {
+    fn new(mut config: Config, operator: Operator, sources: Sources, signals: Signals) -> io::Result<Daemon> {
         let clock = match operator.fleet {
             None => SystemClock::new(),
             Some(_) => SystemClock::counting_sleep(),
         };
         let mut reactor = Reactor::new(clock)?;
-        let end = signal_pipe(&[SIGTERM, SIGINT])?;
-        let print = signal_pipe(&[SIGUSR1])?;
-        let reload = signal_pipe(&[SIGHUP])?;
+        let Signals { end, print, reload } = signals;
         let pipes = (reactor.watch(end)?, reactor.watch(print)?, reactor.watch(reload)?);
         let door = match sources.passed {
             None => reactor.listen(config.listen)?,
@@ -167,7 +188,7 @@
             fixed.push(member);
         }
         let inbox = Rc::new(RefCell::new(Inbox { down: true, ..Inbox::default() }));
-        let bus_again = Some(reactor.now());
+        let (bus_again, seed) = (Some(reactor.now()), config.seed);
         Ok(Daemon {
             sources,
             core,
@@ -175,6 +196,7 @@
             pool,
             config,
             inbox,
+            rng: Pcg64Mcg::seed_from_u64(seed),
             bus_again,
             bus_id: None,
             operator,
@@ -182,6 +204,7 @@
             door: (door.0, upgrade.is_none()),
             upgrade,
             sums: VecDeque::new(),
+            accept_again: BTreeMap::new(),
             mgmt,
             callers: VecDeque::new(),
             rpc,
@@ -215,7 +238,10 @@
             let router = self.router.as_ref().and_then(|router| router.machine.due());
             let until = self.core.next_due().into_iter().chain(self.bus_again);
             let fleet = self.fleet_due();
-            let until = until.chain(self.next_step()).chain(router).chain(met).chain(fleet).min();
+            // Before the end, what has come in the meantime is looked for once more.
+            let last = self.ended().then(|| self.reactor.now());
+            let last = last.into_iter().chain(self.accept_again.values().copied());
+            let until = until.chain(self.next_step()).chain(router).chain(met).chain(fleet).chain(last).min();
             for signal in self.reactor.turn(until, &mut self.core)? {
                 match signal {
                     Signal::Client(listener) if self.mgmt == Some(listener) => self.accept_callers(listener),
@@ -229,6 +255,7 @@
                     Signal::Datagram(socket) => self.hear(socket),
                 }
             }
+            self.accept_late();
             self.vrrp(Event::Timer);
             self.take_fleet();
             self.tell_demand();
@@ -238,7 +265,7 @@
             if let Some(why) = self.upgrade.as_ref().and_then(|upgrade| upgrade.failed) {
                 return Err(io::Error::other(why));
             }
-            if self.ended() {
+            if self.ended() && (self.reactor.is_quiet() || self.overdue()) {
                 self.print();
                 info!(name = %self.config.name, "ended");
                 return Ok(());
@@ -267,7 +294,13 @@
                 error!("panic timer");
             }
         }
-        while let Some(command) = self.core.next_command() {
+        loop {
+            let Some(command) = self.core.next_command() else {
+                match self.pool.proceed(&mut self.reactor, &mut self.core) {
+                    true => continue,
+                    false => return,
+                }
+            };
             match command {
                 Command::Answer { owner, answer } => {
                     self.reactor.with(owner.connection, &mut self.core, |connection, link, hub| {
@@ -292,6 +325,19 @@
         }
     }
 
+    /// Listeners at which clients may still wait that could not be taken.
+    fn accept_late(&mut self) {
+        let now = self.reactor.now();
+        let due: Vec<usize> =
+            self.accept_again.iter().filter(|(_, at)| **at <= now).map(|(listener, _)| *listener).collect();
+        for listener in due {
+            self.accept_again.remove(&listener);
+            if listener != self.door.0 || self.door.1 {
+                self.accept(listener);
+            }
+        }
+    }
+
     fn accept(&mut self, listener: usize) {
         loop {
             // Clients hold a third of the descriptors at most; what workers need is kept free.
@@ -312,7 +358,12 @@
                 Ok(None) => return,
                 Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
                 Err(e) => {
-                    warn!(why = %e, "accept failed");
+                    // The system tells of those that wait only once.
+                    self.accept_again.insert(listener, self.reactor.now() + ACCEPT_AGAIN);
+                    if self.core.may_log(self.reactor.now()) {
+                        warn!(why = %e, "accept failed");
+                    }
+                    let _ = self.reactor.shed_idle(&mut self.core);
                     return;
                 }
             }
@@ -363,66 +414,6 @@
         self.rpc_clients.extend(reactor.add(stream, connection, true, limits, &mut self.core));
     }
 
-    // ---- The bus
-
-    fn follow_bus(&mut self, now: Time) {
-        loop {
-            let Some(news) = self.inbox.borrow_mut().news.pop_front() else { break };
-            self.sums.push_back((news.offset, news.sum()));
-            self.sums.drain(..self.sums.len().saturating_sub(SUMS));
-            self.learn(now, news);
-        }
-        let Some(address) = self.config.bus else { return self.bus_again = None };
-        if std::mem::take(&mut self.inbox.borrow_mut().down) {
-            let failures = self.inbox.borrow().failures;
-            let pause = match failures {
-                0 => Span(0),
-                n => Span(bus::BACKOFF.0.0 << (n - 1).min(bus::BACKOFF.1)),
-            };
-            self.bus_again = Some(now + pause);
-        }
-        if self.bus_again.is_none_or(|at| at > now) {
-            return;
-        }
-        self.bus_again = None;
-        self.bus_id = None;
-        let connection = Box::new(BusConnection::new(self.inbox.clone(), now));
-        let stream = self.reactor.connect(address);
-        let up = stream.ok().and_then(|stream| {
-            self.reactor.add(stream, connection, false, (bus::FRAME + 4, 4096), &mut self.core)
-        });
-        if up.is_none() {
-            let mut inbox = self.inbox.borrow_mut();
-            (inbox.down, inbox.failures) = (false, inbox.failures + 1);
-            let pause = Span(bus::BACKOFF.0.0 << inbox.failures.min(bus::BACKOFF.1));
-            self.bus_again = Some(now + pause);
-        }
-        self.bus_id = up;
-    }
-
-    fn learn(&mut self, now: Time, news: News) {
-        if news.kind == ListKind::Full {
-            let listed: BTreeSet<_> = news.entries.iter().map(|entry| entry.member.worker).collect();
-            let fixed: BTreeSet<_> = self.fixed.iter().map(|member| member.worker).collect();
-            self.pool.retain(|worker| listed.contains(&worker) || fixed.contains(&worker));
-        }
-        for entry in &news.entries {
-            match entry.member.state {
-                State::Gone => self.pool.remove(entry.member.worker),
-                _ => self.pool.place(
-                    entry.member.worker,
-                    backend::Endpoint::Agent(entry.address),
-                    entry.member.started,
-                ),
-            }
-        }
-        let mut members: Vec<Member> = news.entries.into_iter().map(|entry| entry.member).collect();
-        if news.kind == ListKind::Full {
-            members.extend(&self.fixed);
-        }
-        self.core.members(now, news.kind, members);
-    }
-
     // ---- New configurations
 
     /// SIGHUP: both files are read whole and checked before anything of them is used; where one is bad, all
@@ -486,20 +477,6 @@
         info!(offset = self.inbox.borrow().offset, "reloaded");
     }
 
-    /// The bus has another address: the old one tells nothing more. The new one is asked at once, from the
-    /// last event on, and the old connection's end is none of the new one's.
-    fn move_bus(&mut self, now: Time) {
-        let (offset, news) = {
-            let mut old = self.inbox.borrow_mut();
-            (old.offset, std::mem::take(&mut old.news))
-        };
-        self.inbox = Rc::new(RefCell::new(Inbox { news, offset, down: true, failures: 0 }));
-        if let Some(id) = self.bus_id.take() {
-            self.reactor.end(id, &mut self.core);
-        }
-        self.bus_again = Some(now);
-    }
-
     /// The second front's part of the operator's file. Its socket moves if the file names another; clients
     /// that are connected stay. Where the new socket cannot be had nothing has changed.
     fn reload_fronts(&mut self, operator: &Operator) -> io::Result<()> {
@@ -603,6 +580,11 @@
         steps.into_iter().find(|at| *at > now)
     }
 
+    /// Whether what is left to be read and written is waited for no longer.
+    fn overdue(&self) -> bool {
+        self.ending.is_some_and(|since| self.reactor.now() >= since + PART + LAST_WRITE)
+    }
+
     fn ended(&mut self) -> bool {
         let Some(since) = self.ending else { return false };
         let now = self.reactor.now();
@@ -610,7 +592,7 @@
             self.told_late = true;
             self.leave_all();
         }
-        let written = !self.reactor.unwritten() || now >= since + PART + LAST_WRITE;
+        let written = !self.reactor.unwritten() || self.overdue();
         let yielded = self.upgrade.as_ref().is_some_and(|upgrade| upgrade.machine.yielded());
         let begun = yielded && self.reactor.begun() && now < since + LAST_READ;
         now >= since + PART && self.core.owed() == 0 && written && !begun
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -1,7 +1,7 @@
 //! The reactor: one poll, all connections, their timers. Connections are objects that it calls back.
 
 use super::{Link, Stream, SystemClock};
-use crate::call::{Answer, Job};
+use crate::call::{Answer, AttemptId, Job};
 use crate::chain::End;
 use crate::core::Core;
 use crate::fleet::Machine;
@@ -101,6 +101,15 @@
     fn idle(&self) -> Option<Time> {
         None
     }
+    /// The attempt that is next in line here and could be written now. It is written only by
+    /// [`Connection::proceed`], once its client's connection has been read.
+    fn next_attempt(&self, _link: &Link) -> Option<AttemptId> {
+        None
+    }
+    /// Writes the attempt that is next in line, if it may still go.
+    fn proceed(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
+        Flow::Go
+    }
 }
 
 /// What woke the reactor beside connections.
@@ -161,6 +170,10 @@
     entries: HashMap<Token, Entry>,
     next: usize,
     timers: BTreeSet<(Time, Token)>,
+    /// Connections on which an attempt can be written.
+    proceeding: BTreeSet<Token>,
+    /// Whether the last poll found nothing.
+    quiet: bool,
     /// Bytes that wait to be written, on all connections together.
     waiting: usize,
     /// Beyond so many of them a connection that adds to them is closed, if its other side reads nothing.
@@ -188,6 +201,8 @@
             entries: HashMap::new(),
             next: FIRST,
             timers: BTreeSet::new(),
+            proceeding: BTreeSet::new(),
+            quiet: true,
             waiting: 0,
             waiting_limit: usize::MAX,
             ready: false,
@@ -406,6 +421,9 @@
         if done || entry.link.register(self.poll.registry()).is_err() {
             return self.close(token, hub.core);
         }
+        if entry.connection.next_attempt(&entry.link).is_some() {
+            self.proceeding.insert(token);
+        }
         let due = entry.connection.deadline();
         if due != entry.due {
             if let Some(at) = entry.due.take() {
@@ -476,6 +494,7 @@
         let due = self.timers.first().map(|(at, _)| *at).into_iter().chain(until).min();
         // Rounded up, so that a timer is not asked for a little early again and again.
         let rest = due.map(|at| Duration::from_nanos((at - self.clock.now()).0 + 50_000));
+        self.quiet = false;
         match self.poll.poll(&mut self.events, rest) {
             Err(e) if e.kind() == io::ErrorKind::Interrupted => return Ok(vec![]),
             other => other?,
@@ -486,6 +505,7 @@
             .iter()
             .map(|e| (e.token(), e.is_readable() || e.is_read_closed() || e.is_error()))
             .collect();
+        self.quiet = ready.is_empty();
         for (token, readable) in ready {
             match token.0 {
                 number if number < PIPES => signals.push(Signal::Client(number)),
@@ -505,11 +525,41 @@
             if let Some(entry) = self.entries.get_mut(&token) {
                 entry.due = None;
             }
-            self.call(token, core, |entry, hub| entry.connection.due(&mut entry.link, hub));
+            // What came before the time was up counts, also where this loop is late to read it.
+            self.catch_up(token.0 as u64, core);
+            let due = |entry: &mut Entry, hub: &mut Hub| match entry.connection.deadline() {
+                Some(at) if at <= hub.now => entry.connection.due(&mut entry.link, hub),
+                _ => Flow::Go,
+            };
+            self.call(token, core, due);
         }
         Ok(signals)
     }
 
+    /// Reads what has come on a connection, without waiting for the poll to tell of it.
+    pub fn catch_up(&mut self, id: u64, core: &mut Core) {
+        let token = Token(id as usize);
+        if self.entries.get(&token).is_some_and(|entry| entry.link.up) {
+            self.happened(token, true, core);
+        }
+    }
+
+    /// The next connection on which an attempt can be written, and the attempt.
+    pub fn next_attempt(&mut self) -> Option<(u64, AttemptId)> {
+        while let Some(token) = self.proceeding.pop_first() {
+            let Some(entry) = self.entries.get(&token) else { continue };
+            if let Some(attempt) = entry.connection.next_attempt(&entry.link) {
+                return Some((token.0 as u64, attempt));
+            }
+        }
+        None
+    }
+
+    /// Whether the last turn found nothing that had come.
+    pub fn is_quiet(&self) -> bool {
+        self.quiet
+    }
+
     fn empty(&mut self, pipe: usize) {
         let mut bytes = [0; 64];
         while let Some(pipe) = self.pipes.get_mut(pipe)
@@ -574,10 +624,23 @@
     }
 
     /// Closes the connection that has had nothing open for longest, if there is one: whoever will use it again
-    /// has most likely done so before.
+    /// has most likely done so before. One on which something has come that is still to be read is not idle.
     pub fn shed_idle(&mut self, core: &mut Core) -> bool {
-        let idle = self.entries.iter().filter_map(|(token, entry)| Some((entry.connection.idle()?, *token)));
-        idle.min().map(|(_, token)| token).map(|token| self.close(token, core)).is_some()
+        for _ in 0..self.entries.len() {
+            let idle =
+                self.entries.iter().filter_map(|(token, entry)| Some((entry.connection.idle()?, *token)));
+            let Some((since, token)) = idle.min() else { return false };
+            self.catch_up(token.0 as u64, core);
+            let now = self.entries.get(&token).map(|entry| entry.connection.idle());
+            if now == Some(Some(since)) {
+                self.close(token, core);
+            }
+            // Gone by itself makes room as well.
+            if !self.entries.contains_key(&token) {
+                return true;
+            }
+        }
+        false
     }
 
     /// A span as the reactor's own absolute time.
@@ -598,75 +661,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use std::io::{Read, Write};
-
-    /// Echoes, and panics at an `!`.
-    struct Fragile;
-
-    impl Connection for Fragile {
-        fn opened(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
-            Flow::Go
-        }
-        fn received(&mut self, link: &mut Link, _hub: &mut Hub) -> Flow {
-            let bytes = std::mem::take(&mut link.inbox);
-            assert!(!bytes.contains(&b'!'), "as the test wants");
-            link.put(&bytes);
-            Flow::Go
-        }
-        fn closed(&mut self, _link: &Link, _hub: &mut Hub) {}
-    }
-
-    /// Whoever reads nothing must not hold memory without bound.
-    #[test]
-    fn output_beyond_the_limit_ends_the_connection_that_adds_to_it() {
-        let site = br#"{"fleetSize": 1, "index": 0, "classes": [], "bounds": {"mostTries": 1},
-            "contract": {"coldFrom": 1, "coldNs": 1, "fallMultiple": 1, "fallNs": 1},
-            "familyInfo": {"keepNs": 1, "notLoaded": "load", "loadSpanNs": 0}}"#;
-        let mut core = Core::new(crate::settings::read_site(site).unwrap(), 1);
-        let mut reactor = Reactor::new(SystemClock::new()).unwrap();
-        reactor.waiting_limit = 8 << 20;
-        let (near, _far) = StdUnixStream::pair().unwrap();
-        near.set_nonblocking(true).unwrap();
-        let stream = Stream::Unix(UnixStream::from_std(near));
-        let id = reactor.add(stream, Box::new(Fragile), true, (100, usize::MAX), &mut core).unwrap();
-        let mut put = |bytes: usize| {
-            reactor.with(id, &mut core, |_, link, _| {
-                link.put(&vec![0; bytes]);
-                Flow::Go
-            });
-            (reactor.count(), reactor.waiting > 0)
-        };
-        assert_eq!(put(7 << 20), (1, true));
-        assert_eq!(put(7 << 20), (0, false));
-    }
-
-    #[test]
-    fn a_panic_ends_its_connection_and_no_other() {
-        let site = br#"{"fleetSize": 1, "index": 0, "classes": [], "bounds": {"mostTries": 1},
-            "contract": {"coldFrom": 1, "coldNs": 1, "fallMultiple": 1, "fallNs": 1},
-            "familyInfo": {"keepNs": 1, "notLoaded": "load", "loadSpanNs": 0}}"#;
-        let mut core = Core::new(crate::settings::read_site(site).unwrap(), 1);
-        let mut reactor = Reactor::new(SystemClock::new()).unwrap();
-        let mut add = |core: &mut Core| {
-            let (near, far) = StdUnixStream::pair().unwrap();
-            near.set_nonblocking(true).unwrap();
-            let stream = Stream::Unix(UnixStream::from_std(near));
-            reactor.add(stream, Box::new(Fragile), true, (100, 100), core).unwrap();
-            far
-        };
-        let (mut first, mut second) = (add(&mut core), add(&mut core));
-        first.write_all(b"!").unwrap();
-        second.write_all(b"x").unwrap();
-        while core.counters().panics == 0 || reactor.count() > 1 {
-            reactor.turn(None, &mut core).unwrap();
-        }
-        let mut byte = [0];
-        assert_eq!(first.read(&mut byte).unwrap(), 0, "ended");
-        let soon = Some(reactor.after(Span::millis(100)));
-        reactor.turn(soon, &mut core).unwrap();
-        second.read_exact(&mut byte).unwrap();
-        assert_eq!((byte, core.counters().panics), ([b'x'], 1));
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/net/reactor/tests.rs
@@ -0,0 +1,137 @@
+use super::*;
+use std::io::{Read, Write};
+
+/// Echoes, and panics at an `!`.
+struct Fragile;
+
+impl Connection for Fragile {
+    fn opened(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
+        Flow::Go
+    }
+    fn received(&mut self, link: &mut Link, _hub: &mut Hub) -> Flow {
+        let bytes = std::mem::take(&mut link.inbox);
+        assert!(!bytes.contains(&b'!'), "as the test wants");
+        link.put(&bytes);
+        Flow::Go
+    }
+    fn closed(&mut self, _link: &Link, _hub: &mut Hub) {}
+}
+
+/// Whoever reads nothing must not hold memory without bound.
+#[test]
+fn output_beyond_the_limit_ends_the_connection_that_adds_to_it() {
+    let site = br#"{"fleetSize": 1, "index": 0, "classes": [], "bounds": {"mostTries": 1},
+        "contract": {"coldFrom": 1, "coldNs": 1, "fallMultiple": 1, "fallNs": 1},
+        "familyInfo": {"keepNs": 1, "notLoaded": "load", "loadSpanNs": 0}}"#;
+    let mut core = Core::new(crate::settings::read_site(site).unwrap(), 1);
+    let mut reactor = Reactor::new(SystemClock::new()).unwrap();
+    reactor.waiting_limit = 8 << 20;
+    let (near, _far) = StdUnixStream::pair().unwrap();
+    near.set_nonblocking(true).unwrap();
+    let stream = Stream::Unix(UnixStream::from_std(near));
+    let id = reactor.add(stream, Box::new(Fragile), true, (100, usize::MAX), &mut core).unwrap();
+    let mut put = |bytes: usize| {
+        reactor.with(id, &mut core, |_, link, _| {
+            link.put(&vec![0; bytes]);
+            Flow::Go
+        });
+        (reactor.count(), reactor.waiting > 0)
+    };
+    assert_eq!(put(7 << 20), (1, true));
+    assert_eq!(put(7 << 20), (0, false));
+}
+
+#[test]
+fn a_panic_ends_its_connection_and_no_other() {
+    let site = br#"{"fleetSize": 1, "index": 0, "classes": [], "bounds": {"mostTries": 1},
+        "contract": {"coldFrom": 1, "coldNs": 1, "fallMultiple": 1, "fallNs": 1},
+        "familyInfo": {"keepNs": 1, "notLoaded": "load", "loadSpanNs": 0}}"#;
+    let mut core = Core::new(crate::settings::read_site(site).unwrap(), 1);
+    let mut reactor = Reactor::new(SystemClock::new()).unwrap();
+    let mut add = |core: &mut Core| {
+        let (near, far) = StdUnixStream::pair().unwrap();
+        near.set_nonblocking(true).unwrap();
+        let stream = Stream::Unix(UnixStream::from_std(near));
+        reactor.add(stream, Box::new(Fragile), true, (100, 100), core).unwrap();
+        far
+    };
+    let (mut first, mut second) = (add(&mut core), add(&mut core));
+    first.write_all(b"!").unwrap();
+    second.write_all(b"x").unwrap();
+    while core.counters().panics == 0 || reactor.count() > 1 {
+        reactor.turn(None, &mut core).unwrap();
+    }
+    let mut byte = [0];
+    assert_eq!(first.read(&mut byte).unwrap(), 0, "ended");
+    let soon = Some(reactor.after(Span::millis(100)));
+    reactor.turn(soon, &mut core).unwrap();
+    second.read_exact(&mut byte).unwrap();
+    assert_eq!((byte, core.counters().panics), ([b'x'], 1));
+}
+
+/// Writes to another connection's far end when its own time comes.
+struct Writer(Option<Time>, StdUnixStream);
+
+/// Ends at its time if nothing has come before.
+struct Idle(Option<Time>, Rc<RefCell<Vec<&'static str>>>);
+
+impl Connection for Writer {
+    fn opened(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
+        Flow::Go
+    }
+    fn received(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
+        Flow::Go
+    }
+    fn due(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
+        self.0 = None;
+        self.1.write_all(b"x").unwrap();
+        Flow::Go
+    }
+    fn deadline(&self) -> Option<Time> {
+        self.0
+    }
+    fn closed(&mut self, _link: &Link, _hub: &mut Hub) {}
+}
+
+impl Connection for Idle {
+    fn opened(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
+        Flow::Go
+    }
+    fn received(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
+        self.0 = None;
+        self.1.borrow_mut().push("read");
+        Flow::Go
+    }
+    fn due(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
+        Flow::Close
+    }
+    fn deadline(&self) -> Option<Time> {
+        self.0
+    }
+    fn closed(&mut self, _link: &Link, _hub: &mut Hub) {
+        self.1.borrow_mut().push("closed");
+    }
+}
+
+/// Something comes on a connection after the poll and before its time, in the same turn: it is read, and counts.
+#[test]
+fn what_came_before_the_time_was_up_is_read_first() {
+    let site = br#"{"fleetSize": 1, "index": 0, "classes": [], "bounds": {"mostTries": 1},
+        "contract": {"coldFrom": 1, "coldNs": 1, "fallMultiple": 1, "fallNs": 1},
+        "familyInfo": {"keepNs": 1, "notLoaded": "load", "loadSpanNs": 0}}"#;
+    let mut core = Core::new(crate::settings::read_site(site).unwrap(), 1);
+    let mut reactor = Reactor::new(SystemClock::new()).unwrap();
+    let now = reactor.now();
+    let log = Rc::new(RefCell::new(vec![]));
+    let (near, far) = StdUnixStream::pair().unwrap();
+    let (other, _far) = StdUnixStream::pair().unwrap();
+    let writer: Box<dyn Connection> = Box::new(Writer(Some(now), far));
+    let idle: Box<dyn Connection> = Box::new(Idle(Some(now + Span(1)), log.clone()));
+    for (stream, connection) in [(other, writer), (near, idle)] {
+        stream.set_nonblocking(true).unwrap();
+        let stream = Stream::Unix(UnixStream::from_std(stream));
+        reactor.add(stream, connection, true, (100, 100), &mut core).unwrap();
+    }
+    reactor.turn(None, &mut core).unwrap();
+    assert_eq!(*log.borrow(), ["read"]);
+}
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -3,13 +3,19 @@
 
 mod rig;
 
-use mintgate::backend::Endpoint;
+use mintgate::backend::{Endpoint, Limits, Pool};
 use mintgate::client::{CallId, Client, Outgoing};
-use mintgate::{FunctionId, Member, Span, WorkerId};
+use mintgate::core::{Command, Core};
+use mintgate::front::frames::{self, FrameConnection};
+use mintgate::net::{Reactor, Stream, SystemClock};
+use mintgate::{FunctionId, ListKind, Member, Span, WorkerId};
 use rig::*;
 use serde_json::json;
-use std::io::Read;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
 use std::os::unix::net::{UnixListener, UnixStream};
+use std::process::Command as Program;
+use std::sync::Arc;
 
 /// A scheduler with one worker that accepts and reads nothing.
 struct Stuck {
@@ -160,3 +166,244 @@
         assert!(worker.quiet(), "{status}");
     }
 }
+
+/// The scheduler's parts turned by hand, so that a test says what is read, and when what was decided is written.
+struct Parts {
+    core: Core,
+    reactor: Reactor,
+    pool: Pool,
+}
+
+impl Parts {
+    fn new(worker: &Worker) -> Parts {
+        let site = mintgate::settings::read_site(rig::settings().to_string().as_bytes()).unwrap();
+        let mut pool = Pool::new(Limits::of(&site), site.connect_limit, 64);
+        let member = Member { worker: WorkerId(1), weight: 1.0, ..Member::default() };
+        pool.place(member.worker, Endpoint::Agent(worker.address()), None);
+        let mut reactor = Reactor::new(SystemClock::new()).unwrap();
+        reactor.ready = true;
+        let mut core = Core::new(site, 7);
+        core.members(reactor.now(), ListKind::Full, vec![member]);
+        Parts { core, reactor, pool }
+    }
+
+    /// A client's end, and its connection's number.
+    fn client(&mut self) -> (UnixStream, u64) {
+        let (near, far) = UnixStream::pair().unwrap();
+        near.set_nonblocking(true).unwrap();
+        let stream = Stream::Unix(mio::net::UnixStream::from_std(near));
+        let connection = Box::new(FrameConnection::new(self.reactor.now()));
+        let id = self.reactor.add(stream, connection, true, frames::LIMITS, &mut self.core);
+        (far, id.unwrap())
+    }
+
+    /// Reads what has come, until so many calls have been taken.
+    fn take(&mut self, calls: u64) {
+        while self.core.counters().taken < calls {
+            self.reactor.turn(None, &mut self.core).unwrap();
+        }
+    }
+
+    /// Carries out what has been decided, as the daemon does.
+    fn carry_out(&mut self) {
+        loop {
+            match self.core.next_command() {
+                Some(Command::Answer { owner, answer }) => {
+                    self.reactor.with(owner.connection, &mut self.core, |connection, link, hub| {
+                        connection.answer(owner.stream, &answer, link, hub)
+                    });
+                }
+                Some(command) => self.pool.command(command, &mut self.reactor, &mut self.core),
+                None if self.pool.proceed(&mut self.reactor, &mut self.core) => {}
+                None => return,
+            }
+        }
+    }
+
+    /// Turns until so many calls have been served.
+    fn serve(&mut self, calls: u64) {
+        while self.core.counters().served < calls {
+            let soon = self.reactor.after(Span::millis(20));
+            self.reactor.turn(Some(soon), &mut self.core).unwrap();
+            let now = self.reactor.now();
+            self.core.wake(now);
+            self.carry_out();
+        }
+    }
+}
+
+fn plain(stream: u32) -> Vec<u8> {
+    frame(0, stream, &call("practice-check", &format!("{stream:016x}"), 60_000, b"x"))
+}
+
+/// The client closes, or calls its request off, after the loop has read the request and before the attempt is written,
+/// however long that takes: nothing is written.
+#[test]
+fn no_attempt_is_written_whose_client_has_gone_unread() {
+    for close in [true, false] {
+        let worker = Worker::agent();
+        let mut parts = Parts::new(&worker);
+        let lines = worker.serve(echo);
+        let (mut client, _) = parts.client();
+        client.write_all(&plain(1)).unwrap();
+        parts.serve(1);
+        let taken = parts.core.counters().taken;
+        client.write_all(&plain(2)).unwrap();
+        parts.take(taken + 1);
+        match close {
+            true => drop(client),
+            false => client.write_all(&frame(2, 2, &[])).unwrap(),
+        }
+        parts.carry_out();
+        assert_eq!(parts.core.counters().withdrawn, 1, "close {close}");
+        // The next call shows that the worker has read all that came before it.
+        let (mut other, _) = parts.client();
+        other.write_all(&plain(3)).unwrap();
+        parts.serve(2);
+        assert_eq!(tally(&lines)["go"], 2, "close {close}");
+    }
+}
+
+/// Descriptors run out while a request lies unread on the connection that has been idle longest: another makes room.
+#[test]
+fn a_connection_with_an_unread_request_makes_no_room() {
+    let worker = Worker::agent();
+    let mut parts = Parts::new(&worker);
+    worker.serve(echo);
+    let (mut first, asked) = parts.client();
+    let (_second, idle) = parts.client();
+    first.write_all(&plain(1)).unwrap();
+    assert!(parts.reactor.shed_idle(&mut parts.core));
+    assert!(!parts.reactor.ids().contains(&idle), "the idle one goes");
+    assert!(parts.reactor.ids().contains(&asked));
+    assert!(!parts.reactor.shed_idle(&mut parts.core), "there is no other");
+    parts.serve(1);
+}
+
+/// Waits until a process stands still.
+fn stopped(daemon: &Daemon) {
+    daemon.signal("STOP");
+    let path = format!("/proc/{}/stat", daemon.child.id());
+    while !std::fs::read_to_string(&path).unwrap().contains(") T ") {
+        std::thread::yield_now();
+    }
+}
+
+/// A request comes between the last look at the sockets and the end: it has been taken, and is answered. The daemon stands
+/// still while its time passes, as another does that was told to end after it.
+#[test]
+fn a_request_that_lies_unread_at_the_end_is_answered() {
+    let worker = Worker::agent();
+    let (mut daemon, mut other) = (Daemon::start(&[&worker]), Daemon::start(&[&worker]));
+    worker.serve(echo);
+    let mut client = Frames::connect(daemon.listen);
+    client.send(&frame(6, 9, &[0]));
+    assert_eq!(client.next(), Some((7, 9, vec![79, 0])));
+    let waiting = TcpStream::connect(daemon.listen).unwrap();
+    daemon.signal("TERM");
+    assert_eq!(client.next(), Some((9, 0, vec![])));
+    stopped(&daemon);
+    other.signal("TERM");
+    assert!(other.ends());
+    client.send(&plain(1));
+    daemon.signal("CONT");
+    loop {
+        match client.next() {
+            Some((9, ..)) => {}
+            answer => break assert_eq!(answer, Some((1, 1, vec![79, 0, b'x']))),
+        }
+    }
+    drop(waiting);
+    assert!(daemon.ends());
+}
+
+/// SIGHUP while the files are being read at the start: it is no end, and the files are read anew.
+#[test]
+fn a_signal_before_the_configuration_is_read_waits_for_it() {
+    let worker = Worker::agent();
+    let model = Daemon::start(&[&worker]);
+    let folder = Arc::new(Folder::new());
+    let path = folder.at("config.json");
+    assert!(Program::new("mkfifo").arg(&path).status().unwrap().success());
+    let mut daemon = Daemon::spawn(folder.clone(), model.config.clone(), None);
+    // Opens once the daemon does, which then waits for what it is to read.
+    let mut pipe = std::fs::File::options().write(true).open(&path).unwrap();
+    std::fs::write(folder.at("new.json"), model.config.to_string()).unwrap();
+    std::fs::rename(folder.at("new.json"), &path).unwrap();
+    daemon.signal("HUP");
+    pipe.write_all(model.config.to_string().as_bytes()).unwrap();
+    drop(pipe);
+    daemon.serves();
+    daemon.wait_log("mintgate: reloaded");
+}
+
+/// An event of the bus is left out: what is missing is asked for, once. If it is left out again there is none.
+#[test]
+fn an_event_that_the_bus_leaves_out_is_asked_for() {
+    let (first, second, bus) = (Worker::agent(), Worker::agent(), Bus::new());
+    let daemon =
+        Daemon::with(&[&first], rig::settings(), Some(bus.0.local_addr().unwrap()), |_| String::new());
+    let (mut feed, offset) = bus.accept();
+    assert_eq!(offset, 1);
+    feed.write_all(&[event(2, 2, &second, 0), event(4, 1, &first, 1)].concat()).unwrap();
+    let (mut feed, offset) = bus.accept();
+    assert_eq!(offset, 2, "the last that was whole");
+    feed.write_all(&[event(3, 2, &second, 1), event(4, 1, &first, 1), event(7, 2, &second, 0)].concat())
+        .unwrap();
+    let (mut feed, offset) = bus.accept();
+    assert_eq!(offset, 4);
+    feed.write_all(&event(7, 2, &second, 0)).unwrap();
+    daemon.wait_counter("list_events", 5);
+    let lines = second.serve(echo);
+    let mut client = Frames::connect(daemon.listen);
+    client.send(&plain(1));
+    assert_eq!(client.next(), Some((1, 1, vec![79, 0, b'x'])));
+    assert_eq!(tally(&lines)["go"], 1);
+    assert!(first.quiet(), "it drains");
+}
+
+/// Idle clients hold every descriptor that clients may have while the bus is down: the bus is dialled all the same, its
+/// news is followed, and the worker that it tells of is reached.
+#[test]
+fn a_full_house_keeps_out_neither_bus_nor_workers() {
+    let (worker, at) = (Worker::agent(), TcpListener::bind("127.0.0.78:0").unwrap().local_addr().unwrap());
+    let mut daemon = {
+        let folder = Folder::new();
+        let config = json!({"name": "n0", "listen": "127.0.0.1:0", "mgmt": "127.0.0.1:0", "seed": "7",
+            "settings": rig::settings(), "limits": {"sockets": 96}, "bus": at.to_string()});
+        std::fs::write(folder.at("config.json"), config.to_string()).unwrap();
+        Daemon::spawn(Arc::new(folder), config, None)
+    };
+    daemon.serves();
+    let mut idle: Vec<TcpStream> = (0..200).map(|_| TcpStream::connect(daemon.listen).unwrap()).collect();
+    let mut client = Frames::connect(daemon.listen);
+    client.send(&frame(6, 9, &[0]));
+    assert_eq!(client.next(), Some((7, 9, vec![79, 0])), "ready all the same");
+    let bus = Bus(TcpListener::bind(at).unwrap());
+    let (mut feed, _) = bus.accept();
+    idle.extend((0..200).map(|_| TcpStream::connect(daemon.listen).unwrap()));
+    feed.write_all(&event(1, 1, &worker, 0)).unwrap();
+    daemon.wait_counter("list_events", 1);
+    worker.serve(echo);
+    let mut client = Frames::connect(daemon.listen);
+    client.send(&plain(1));
+    assert_eq!(client.next(), Some((1, 1, vec![79, 0, b'x'])));
+    let held = std::fs::read_dir(format!("/proc/{}/fd", daemon.child.id())).unwrap().count();
+    assert!(held <= 96, "{held} descriptors");
+}
+
+/// The system has no descriptor for a client that waits, and tells of it only once: it is taken as soon as one is free,
+/// though nobody else comes.
+#[test]
+fn a_client_that_found_no_descriptor_is_taken_later() {
+    let worker = Worker::agent();
+    let model = Daemon::start(&[&worker]);
+    worker.serve(echo);
+    let mut daemon = model.scarce(40);
+    daemon.serves();
+    let mut clients: Vec<Frames> = (0..60).map(|_| Frames::connect(daemon.listen)).collect();
+    daemon.wait_log("accept failed");
+    let last = clients.last_mut().unwrap();
+    last.send(&plain(1));
+    assert_eq!(last.next(), Some((1, 1, vec![79, 0, b'x'])));
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -70,10 +70,26 @@
         Daemon::spawn(self.folder.clone(), self.config.clone(), Some(door))
     }
 
+    /// Starts another daemon on the configuration of this one, where the system hands out so few descriptors.
+    pub fn scarce(&self, descriptors: u32) -> Daemon {
+        let folder = Arc::new(Folder::new());
+        std::fs::write(folder.at("config.json"), self.config.to_string()).unwrap();
+        let mut command = Command::new("sh");
+        command.args([
+            "-c",
+            &format!("ulimit -n {descriptors}; exec \"$0\""),
+            env!("CARGO_BIN_EXE_mintgate"),
+        ]);
+        Daemon::run(command, folder, self.config.clone(), None)
+    }
+
     /// Starts the program on what stands in the folder. The door is passed as standard input, for that needs no
     /// unsafe code; the platform passes it under another number.
     pub fn spawn(folder: Arc<Folder>, config: Value, door: Option<&TcpListener>) -> Daemon {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_mintgate"));
+        Daemon::run(Command::new(env!("CARGO_BIN_EXE_mintgate")), folder, config, door)
+    }
+
+    fn run(mut command: Command, folder: Arc<Folder>, config: Value, door: Option<&TcpListener>) -> Daemon {
         command.env("GW_CONFIG", folder.at("config.json")).stdin(Stdio::null()).stderr(Stdio::piped());
         command.env("TMPDIR", &folder.0).env("GW_NAME", "n0");
         if let Some(door) = door {
