Fill cold workers' token buckets from what is served, and take loads from them too

Ruled out: the start of the buckets (drawn between none and one token), starts told late, releases: these alone kept it. Lines: Balancer::fill, which filled by the calls that came, 1.3 times, with one call more for each front end, and kept three fillings; order_load, whose orders took no token. Change: buckets fill by what is served for the capacity that serves it, and loads take tokens.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -48,8 +48,8 @@
 const BACKOFF: (Span, u32) = (Span::millis(400), 4);
 /// A worker that turned a call away is left alone this long; cuts of a limit lie as far apart.
 const FULL_PAUSE: Span = Span::millis(150);
-/// Part used of a cold worker's budget, which is worded in capacity: usual traffic is half of that.
-const COLD_PART: f64 = 1.3;
+/// Part of the calls that count as served, for cold workers' budgets, where fewer are.
+const UNSERVED: f64 = 0.25;
 /// Weights of a new latency in slowness and strain, and in a class's usual one; bounds of slowness; the
 /// multiple of its mean that is left out; the time in which unrefreshed slowness halves.
 const SLOW_GAIN: (f64, f64) = (0.15, 0.02);
@@ -152,7 +152,7 @@
     slow_at: Time,
     failures: u32,
     shun_until: Time,
-    /// While it is cold: calls that may go there now, filling with its capacity, and when last looked at.
+    /// Token bucket while it is cold: calls and loads that may go there now, and when it was filled last.
     tokens: (f64, Time),
     strain: f64,
     limit: f64,
@@ -192,6 +192,7 @@
     usual: Vec<f64>,
     orders: VecDeque<Time>,
     arrivals: VecDeque<Time>,
+    served: VecDeque<Time>,
     /// Starts of the window's buckets, the current one first.
     turned: [Time; BUCKETS],
     /// Counts changes of the list of workers.
@@ -219,6 +220,7 @@
             usual,
             orders: VecDeque::new(),
             arrivals: VecDeque::new(),
+            served: VecDeque::new(),
             turned: [Time(0); BUCKETS],
             listed: 0,
             crowding: 0.0,
@@ -292,15 +294,8 @@
             }
             // A new process is empty. All front ends together send what the parts they start from add up to.
             let tokens = (f64::from(self.rng.next_u32()) / f64::from(u32::MAX), self.now);
-            let fresh = Worker {
-                member,
-                born: self.now,
-                heard: self.now,
-                slow: 1.0,
-                limit: LIMIT.1,
-                tokens,
-                ..Worker::default()
-            };
+            let (born, heard, slow, limit) = (self.now, self.now, 1.0, LIMIT.1);
+            let fresh = Worker { member, born, heard, slow, limit, tokens, ..Worker::default() };
             self.workers.insert(member.worker, fresh);
         }
     }
@@ -570,11 +565,10 @@
         let (Some(request), Some(w)) = (self.requests.get(&id), self.workers.get(&worker)) else {
             return false;
         };
-        let young = |at: Time| self.now - at < self.settings.rules.cold_span;
         if w.member.state != State::Ready
             || request.out.is_some()
             || request.attempts >= self.settings.classes[request.class].max_attempts
-            || w.tokens.0 < 1.0 && w.member.started.is_some_and(young)
+            || !self.bears(w)
         {
             return false;
         }
@@ -593,6 +587,12 @@
         }
     }
 
+    /// Whether a worker is warm, or our part of what it bears while it is cold holds one more.
+    fn bears(&self, w: &Worker) -> bool {
+        let cold = w.member.started.is_some_and(|at| self.now - at < self.settings.rules.cold_span);
+        !cold || w.tokens.0 >= 1.0
+    }
+
     fn send(&mut self, id: RequestId, worker: WorkerId, warm: bool, out: &mut Actions) {
         if !self.may_send(id, worker) {
             return self.later(id, RETRY);
@@ -602,8 +602,7 @@
             return;
         };
         let attempt = request.attempts;
-        request.attempts += 1;
-        request.out = Some(attempt);
+        (request.attempts, request.out) = (attempt + 1, Some(attempt));
         let place = Ran { since: now, zone: w.member.zone, cell: w.member.cell };
         let (function, class, aim) = (request.function, request.class, request.aim);
         self.attempts.insert((id, attempt), Attempt { worker, function, class, place, aim, warm });
@@ -623,7 +622,7 @@
         let pair = self.pair(key, worker).cloned().unwrap_or_default();
         let slots = if self.bronze(key) { 1 } else { LOADS };
         let starts = pair.warm_until > self.now || self.loads_under_way(w) < slots;
-        let able = w.member.state == State::Ready && self.settings.limits.may_order;
+        let able = w.member.state == State::Ready && self.settings.limits.may_order && self.bears(w);
         if !able || pair.ordered.is_some() || pair.retry_at > self.now || !starts {
             return false;
         }
@@ -639,6 +638,7 @@
             return;
         }
         let Some(w) = self.workers.get_mut(&worker) else { return };
+        w.tokens.0 -= 1.0;
         let pair = w.pairs.entry(key).or_default();
         pair.ordered = Some(self.now);
         let (copies, part) = what;
@@ -680,8 +680,8 @@
         // Where it failed it would most likely fail again, and at once.
         let failed = matches!(outcome.status, Status::Miss | Status::Error | Status::Full);
         request.missed.extend(failed.then_some(attempt.worker));
-        let unsafe_ran =
-            request.ran.is_some() && self.settings.classes[request.class].effect == Effect::Unsafe;
+        let effect = self.settings.classes[request.class].effect;
+        let unsafe_ran = request.ran.is_some() && effect == Effect::Unsafe;
         if outcome.status == Status::Timeout || now >= request.end || unsafe_ran {
             return self.give_up(outcome.id, out);
         }
@@ -713,6 +713,7 @@
         }
         match outcome.status {
             Status::Ok => {
+                self.served.push_back(now);
                 w.failures = if w.errors > ERRORS.2 / 2.0 { w.failures } else { 0 };
                 pair.stood(now + keep);
                 let usual = &mut self.usual[attempt.class];
@@ -921,15 +922,12 @@
                 }
                 let w = &self.workers[&worker];
                 let until = w.pairs.get(&key).map_or(Time(0), |p| p.warm_until);
-                if until > self.now + lead || w.shun_until > self.now {
-                    continue;
-                }
                 // A first hold costs a load: one under way a worker and a function floods neither.
                 let first = until <= self.now;
-                if first && (self.loads_under_way(w) > 0 || self.pending_loads(key) > 0) {
-                    continue;
+                let busy = first && (self.loads_under_way(w) > 0 || self.pending_loads(key) > 0);
+                if until <= self.now + lead && w.shun_until <= self.now && !busy {
+                    self.order_load(worker, key, (1, part), out);
                 }
-                self.order_load(worker, key, (1, part), out);
             }
         }
     }
@@ -937,7 +935,7 @@
     /// Forgets what has left every window.
     fn prune(&mut self) {
         let span = self.settings.rules.ration.map_or(RATE_SPAN, |r| r.span);
-        for times in [&mut self.orders, &mut self.arrivals] {
+        for times in [&mut self.orders, &mut self.arrivals, &mut self.served] {
             times.retain(|at| *at >= self.now - span);
         }
         let full = self.workers.keys().filter(|w| !self.has_room(**w, 0)).count() as f64;
@@ -947,16 +945,20 @@
 
     // ---- Cold starts
 
-    /// Lets cold workers have more calls of ours, as their capacity grows: so much of the usual traffic.
+    /// Fills the buckets of cold workers by what a warm one serves of ours, which no overload makes more than
+    /// it can: so the parts of all front ends add up to no more than a cold one's budget.
     fn fill(&mut self, span: Span) {
-        let rules = self.settings.rules.clone();
-        let rate = (self.arrivals.len() as f64 + 1.0) / span.secs() / self.workers.len().max(1) as f64;
+        let (rules, now) = (&self.settings.rules, self.now);
+        let part = |w: &Worker| {
+            let age = w.member.started.map_or(1.0, |at| (now - at).secs() / rules.cold_span.secs());
+            rules.cold_from + (1.0 - rules.cold_from) * age.min(1.0)
+        };
+        let all: f64 = self.workers.values().filter(|w| w.member.state == State::Ready).map(part).sum();
+        let served = (self.served.len() as f64).max(self.arrivals.len() as f64 * UNSERVED);
         for w in self.workers.values_mut() {
-            let Some(age) = w.member.started.map(|started| self.now - started) else { continue };
-            let part =
-                rules.cold_from + (1.0 - rules.cold_from) * (age.secs() / rules.cold_span.secs()).min(1.0);
-            let more = rate * part * rules.fall_multiple * COLD_PART * (self.now - w.tokens.1).secs();
-            w.tokens = ((w.tokens.0 + more).min((more * 3.0).max(1.0)), self.now);
+            let more = served / span.secs() / all.max(1.0) * part(w) * rules.fall_multiple;
+            let more = more * (now - w.tokens.1).secs();
+            w.tokens = ((w.tokens.0 + more).min(more.max(1.0)), now);
         }
     }
 }
@@ -982,9 +984,7 @@
             self.shun_until = now + backoff(self.failures);
             self.failures += 1;
         }
-        for pair in self.pairs.values_mut() {
-            pair.warm_until = Time(0);
-        }
+        self.pairs.values_mut().for_each(|pair| pair.warm_until = Time(0));
     }
 
     /// What is left by now of how slow it was.
