--- /dev/null
+++ b/lab/src/rig/agent/tests.rs
@@ -0,0 +1,37 @@
+use super::*;
+use rand::SeedableRng;
+
+fn go(n: usize) -> Value {
+    json!({"verb": "go", "rid": n.to_string(), "attrs": {"name": "f", "ttl": 1000}, "content": "aGk="})
+}
+
+#[test]
+fn calls_wait_for_lanes_and_for_one_load() {
+    let (mut rng, mut store) = (SmallRng::seed_from_u64(1), Store::new());
+    let mut agent = NodeAgent::new(Kind { lanes: 1, queue: 2, ..Kind::default() });
+    let mut out = vec![];
+    for n in 0..4 {
+        assert!(!agent.hear(0, 1, &go(n), &mut store, &mut out));
+        agent.turn(0, &mut store, &mut rng, &mut out);
+    }
+    assert_eq!(out.len(), 1, "one runs and two wait: {out:?}");
+    assert!(out.pop().unwrap().1.contains("503"));
+    (0..600).for_each(|ms| agent.turn(ms * MS, &mut store, &mut rng, &mut out));
+    assert_eq!((out.len(), store.loads), (3, 1));
+    assert!(out.iter().all(|(_, line)| line.contains("\"200\"")));
+}
+
+#[test]
+fn a_cold_one_falls_over_under_what_a_warm_one_bears() {
+    let (mut store, mut out) = (Store::new(), vec![]);
+    let mut warm = NodeAgent::new(Kind::default());
+    let mut cold = NodeAgent::new(Kind::default());
+    cold.start(0);
+    let mut fell = (false, false);
+    for n in 0..240 {
+        let now = n as u64 * 5 * MS;
+        fell.0 |= warm.hear(now, 1, &go(n), &mut store, &mut out);
+        fell.1 |= cold.hear(now, 1, &go(n), &mut store, &mut out);
+    }
+    assert_eq!(fell, (false, true));
+}
--- /dev/null
+++ b/src/bus/tests.rs
@@ -0,0 +1,57 @@
+use super::*;
+use proptest::prelude::*;
+
+fn record(state: u8) -> Vec<u8> {
+    let mut r = vec![0x00, 0xc4, 0x1f, 0x7a, 10, 1, 0, 9, 0x27, 0x60, state, 2, 1, 0, 2, 0, 0, 0x0f, 0xa0];
+    r.extend(5u64.to_be_bytes());
+    r
+}
+
+fn frame(kind: u8, payload: &[u8]) -> Vec<u8> {
+    [&(9 + payload.len() as u32).to_be_bytes()[..], &41u64.to_be_bytes(), &[kind], payload].concat()
+}
+
+proptest! {
+    #![proptest_config(crate::drawn())]
+
+    /// Lists of any length, damaged anywhere: read whole, waited for, or told; never more than was there.
+    #[test]
+    fn damaged_lists_are_told(count in 0usize..400, at in any::<usize>(), byte in any::<u8>()) {
+        let records: Vec<u8> = (0..count).flat_map(|n| record((n % 3) as u8)).collect();
+        let mut bytes = frame(1, &records);
+        let at = at % bytes.len();
+        bytes[at] = byte;
+        if let Ok(Some((news, size))) = read_frame(&bytes) {
+            prop_assert!(size <= bytes.len());
+            prop_assert!(news.is_none_or(|news| news.entries.len() <= count));
+        }
+    }
+}
+
+#[test]
+fn frames_are_read() {
+    let bytes = frame(2, &record(1));
+    for cut in 0..bytes.len() {
+        assert!(matches!(read_frame(&bytes[..cut]), Ok(None)), "{cut}");
+    }
+    let (news, size) = read_frame(&bytes).unwrap().unwrap();
+    let news = news.unwrap();
+    assert_eq!((size, news.offset, news.kind), (bytes.len(), 41, ListKind::Delta));
+    let entry = &news.entries[0];
+    let member = Member {
+        worker: WorkerId(0x00c4_1f7a),
+        zone: ZoneId(2),
+        cell: CellId(2),
+        state: State::Draining,
+        weight: 4.0,
+        started: Some(Time(5_000_000)),
+        kind: KindId(1),
+    };
+    assert_eq!((entry.member, entry.address), (member, "10.1.0.9:10080".parse().unwrap()));
+    let empty = frame(0, &[]);
+    assert!(matches!(read_frame(&empty), Ok(Some((None, 13)))));
+    let odd = [frame(3, &[]), frame(1, &record(3)), frame(1, &record(0)[..26]), vec![0; 8], vec![255; 8]];
+    for bytes in odd {
+        assert!(read_frame(&bytes).is_err(), "{bytes:?}");
+    }
+}
--- /dev/null
+++ b/src/front/frames/tests.rs
@@ -0,0 +1,96 @@
+use super::*;
+
+const OWNER: Owner = Owner { connection: 1, stream: 1 };
+
+#[test]
+fn frames_are_read_whole_or_not_at_all() {
+    let mut whole = Vec::new();
+    put_frame(2, 7, &[], &mut whole);
+    put_frame(0, 8, &[b"xyz"], &mut whole);
+    for cut in 0..9 {
+        assert_eq!(read_frame(&whole[..cut]), Ok(None), "{cut}");
+    }
+    let (first, size) = read_frame(&whole).unwrap().unwrap();
+    assert_eq!((first, size), (Frame { kind: 2, stream: 7, payload: b"" }, 9));
+    let (second, _) = read_frame(&whole[size..]).unwrap().unwrap();
+    assert_eq!(second, Frame { kind: 0, stream: 8, payload: b"xyz" });
+    for length in [0u32, 4, 262_145, u32::MAX] {
+        assert!(read_frame(&length.to_be_bytes()).is_err(), "{length}");
+    }
+    assert_eq!(read_frame(&262_144u32.to_be_bytes()), Ok(None));
+}
+
+#[test]
+fn requests_are_read() {
+    let good = [
+        ("service", "call"),
+        ("ref", "9b1f03aa5c7e2d41"),
+        ("allow", "1500"),
+        ("lookup", "7f3a9c21e0b4d655"),
+        ("spec", "memory_mb:512;lanes:2;load_ms:640"),
+    ];
+    let call = read_request(&[fields(&good), b"body".to_vec()].concat(), OWNER, Time(0)).unwrap();
+    assert_eq!((call.memory_mb, call.lanes, call.load_time), (512.0, 2.0, Some(Span::millis(640))));
+    assert_eq!((call.deadline, call.body), (Time(1_495_000_000), b"body".to_vec()));
+    assert_eq!((call.function, call.key), (FunctionId(0x7f3a_9c21_e0b4_d655), None));
+    let cases = [
+        ("service", None),
+        ("ref", None),
+        ("ref", Some("xyz")),
+        ("ref", Some("9b1f03aa5c7e2d4g")),
+        ("allow", None),
+        ("allow", Some("-1")),
+        ("allow", Some("soon")),
+        ("allow", Some("+5")),
+        ("allow", Some("99999999999999999999999")),
+        ("lookup", None),
+        ("lookup", Some("+f3a9c21e0b4d655")),
+        ("lookup", Some("7f3a9c21e0b4d6551")),
+        ("spec", Some("lanes")),
+        ("spec", Some("lanes:NaN")),
+        ("spec", Some("memory_mb:-1")),
+    ];
+    for (name, value) in cases {
+        let list: Vec<_> =
+            good.iter().copied().filter(|(n, _)| *n != name).chain(value.map(|v| (name, v))).collect();
+        let got = read_request(&fields(&list), OWNER, Time(0));
+        assert!(matches!(got, Err(Odd::Unusable(_))), "{name} {value:?}: {got:?}");
+    }
+    let twice: Vec<_> = good.iter().copied().chain([("allow", "9")]).collect();
+    let got = read_request(&fields(&twice), OWNER, Time(0)).unwrap_err();
+    assert_eq!(got, Odd::Unusable("a field stands twice"));
+    let large = [fields(&good), vec![0; BODY + 1]].concat();
+    assert_eq!(read_request(&large, OWNER, Time(0)).unwrap_err(), Odd::Unusable("body too large"));
+    let whole = fields(&good);
+    for cut in 0..whole.len() {
+        let got = read_request(&whole[..cut], OWNER, Time(0));
+        assert_eq!(got.unwrap_err(), Odd::Malformed("fields cut short"), "{cut}");
+    }
+    let got = read_request(&[1, 1, 0xff, 0, 0], OWNER, Time(0));
+    assert_eq!(got.unwrap_err(), Odd::Malformed("a field is not text"));
+}
+
+#[test]
+fn answers_are_written() {
+    let cases: Vec<(Verdict, Vec<u8>)> = vec![
+        (Verdict::Served(b"ok".to_vec()), vec![79, 0, b'o', b'k']),
+        (Verdict::Refused { cooldown: Span(0) }, vec![66, 0]),
+        (Verdict::Refused { cooldown: Span(1_000_001) }, [&[66][..], &fields(&[("cooldown", "2")])].concat()),
+        (Verdict::Failed, vec![69, 0]),
+    ];
+    for (verdict, payload) in cases {
+        let mut bytes = Vec::new();
+        put_answer(5, &verdict, &mut bytes);
+        let (frame, size) = read_frame(&bytes).unwrap().unwrap();
+        assert_eq!((frame.kind, frame.stream, frame.payload), (1, 5, &payload[..]), "{verdict:?}");
+        assert_eq!(size, bytes.len());
+    }
+}
+
+#[test]
+fn a_stream_number_is_new_once() {
+    let mut seen = Seen::default();
+    let got: Vec<bool> = [1, 3, 2, 3, 1, 4, u32::MAX, u32::MAX].iter().map(|n| seen.new_stream(*n)).collect();
+    assert_eq!(got, [true, true, true, false, false, true, true, false]);
+    assert_eq!(seen.floor, 4);
+}
--- /dev/null
+++ b/src/front/jsonrpc/tests.rs
@@ -0,0 +1,115 @@
+use super::*;
+
+fn code(line: &Line) -> Option<i64> {
+    match line {
+        Line::One(Request::Reply(reply)) => reply["error"]["code"].as_i64(),
+        _ => None,
+    }
+}
+
+#[test]
+fn bad_lines_get_their_codes_and_ids() {
+    let call = r#"{"jsonrpc":"2.0","id":1,"method":"call","params":"#;
+    let cases = [
+        ("{".to_owned(), codes::PARSE, "null"),
+        ("\u{0}".to_owned(), codes::PARSE, "null"),
+        ("[]".to_owned(), codes::INVALID_REQUEST, "null"),
+        (format!("[{}1]", "1,".repeat(BATCH)), codes::INVALID_REQUEST, "null"),
+        ("7".to_owned(), codes::INVALID_REQUEST, "null"),
+        (r#"{"id":"a","method":"call"}"#.to_owned(), codes::INVALID_REQUEST, "\"a\""),
+        (r#"{"jsonrpc":"2.0","id":"a"}"#.to_owned(), codes::INVALID_REQUEST, "\"a\""),
+        (r#"{"jsonrpc":"2.0","id":[],"method":"call"}"#.to_owned(), codes::INVALID_REQUEST, "null"),
+        (r#"{"jsonrpc":"2.0","id":5,"method":"call","params":5}"#.to_owned(), codes::INVALID_REQUEST, "5"),
+        (r#"{"jsonrpc":"2.0","id":1.5,"method":"sing"}"#.to_owned(), codes::NO_METHOD, "1.5"),
+        (r#"{"jsonrpc":"2.0","id":null,"method":"call"}"#.to_owned(), codes::INVALID_PARAMS, "null"),
+        (
+            r#"{"jsonrpc":"2.0","id":2,"method":"cancel","params":{"id":1}}"#.to_owned(),
+            codes::INVALID_REQUEST,
+            "2",
+        ),
+        (format!("{call}[1]}}"), codes::INVALID_PARAMS, "1"),
+        (format!(r#"{call}{{"class":"c","function":"7f","allow_ms":1}}}}"#), codes::INVALID_PARAMS, "1"),
+        (format!(r#"{call}{{"class":"c","function":"7f3a9c21e0b4d655"}}}}"#), codes::INVALID_PARAMS, "1"),
+        (
+            format!(r#"{call}{{"class":"c","function":"7f3a9c21e0b4d655","allow_ms":-1}}}}"#),
+            codes::INVALID_PARAMS,
+            "1",
+        ),
+        (
+            format!(r#"{call}{{"class":"c","function":"7f3a9c21e0b4d655","allow_ms":9,"body":"%"}}}}"#),
+            codes::INVALID_PARAMS,
+            "1",
+        ),
+        (
+            format!(r#"{call}{{"class":"c","function":"7f3a9c21e0b4d655","allow_ms":9,"ref":"x"}}}}"#),
+            codes::INVALID_PARAMS,
+            "1",
+        ),
+        (
+            format!(r#"{call}{{"class":"c","function":"7f3a9c21e0b4d655","allow_ms":9,"lanes":1e999}}}}"#),
+            codes::INVALID_PARAMS,
+            "1",
+        ),
+    ];
+    for (text, expected, id) in cases {
+        let line = read_line(text.as_bytes());
+        assert_eq!(code(&line), Some(expected), "{text}");
+        let Line::One(Request::Reply(reply)) = line else { panic!("{text}") };
+        assert_eq!(reply["id"].to_string(), id, "{text}");
+    }
+}
+
+#[test]
+fn good_lines_are_read() {
+    let text = r#"{"jsonrpc":"2.0","id":"a","method":"call","params":{"class":"c","function":"7f3a9c21e0b4d655","allow_ms":1500,"key":"k","lanes":2,"body":"aGk="}}"#;
+    let Line::One(Request::Call(id, params)) = read_line(text.as_bytes()) else { panic!("a call") };
+    assert_eq!((id, params.allow_ms, params.step.lanes), (json!("a"), 1500, 2.0));
+    assert_eq!((params.key.as_deref(), params.step.body.as_deref()), (Some("k"), Some(&b"hi"[..])));
+    let cases = [
+        (r#"{"jsonrpc":"2.0","method":"cancel","params":{"id":7}}"#, Request::Cancel(json!(7))),
+        (r#"{"jsonrpc":"2.0","method":"cancel"}"#, Request::Nothing),
+        (r#"{"jsonrpc":"2.0","method":"call","params":{}}"#, Request::Nothing),
+        (r#"{"jsonrpc":"2.0","method":"sing"}"#, Request::Nothing),
+        (r#"{"jsonrpc":"2.0","id":0,"method":"ready"}"#, Request::Ready(json!(0))),
+    ];
+    for (text, expected) in cases {
+        assert_eq!(read_line(text.as_bytes()), Line::One(expected), "{text}");
+    }
+    let batch = format!("[{},1]", cases_text());
+    let Line::Batch(requests) = read_line(batch.as_bytes()) else { panic!("a batch") };
+    assert_eq!((requests.len(), has_reply(&requests[0]), has_reply(&requests[1])), (2, false, true));
+}
+
+fn cases_text() -> &'static str {
+    r#"{"jsonrpc":"2.0","method":"cancel","params":{"id":7}}"#
+}
+
+#[test]
+fn answers_are_worded() {
+    let refused = Verdict::Refused { cooldown: Span::millis(250) };
+    let cases = [
+        (Verdict::Served(b"hi".to_vec()), false, json!({"result": {"body": "aGk="}})),
+        (
+            refused.clone(),
+            false,
+            json!({"error": {"code": -32001, "message": "refused", "data": {"cooldown_ms": 250}}}),
+        ),
+        (
+            refused,
+            true,
+            json!({"error": {"code": -32003, "message": "deadline passed",
+            "data": {"outcome": "refused", "cooldown_ms": 250}}}),
+        ),
+        (Verdict::Failed, false, json!({"error": {"code": -32002, "message": "failed"}})),
+        (
+            Verdict::Failed,
+            true,
+            json!({"error": {"code": -32003, "message": "deadline passed", "data": {"outcome": "failed"}}}),
+        ),
+    ];
+    for (verdict, expired, mut expected) in cases {
+        expected["jsonrpc"] = json!("2.0");
+        expected["id"] = json!("7");
+        assert_eq!(response(&json!("7"), &Answer { verdict, expired }), expected);
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -267,28 +267,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use mio::{Events, Poll};
-    use std::time::Duration;
-
-    /// Epoll tells of input once. What was left in the socket while output waited must be told of again.
-    #[test]
-    fn input_that_was_held_back_is_asked_for_anew() {
-        let (near, mut far) = UnixStream::pair().unwrap();
-        let mut poll = Poll::new().unwrap();
-        let mut events = Events::with_capacity(4);
-        let mut link = Link::new(Stream::Unix(near), Token(1), true, (100, 0));
-        link.register(poll.registry()).unwrap();
-        far.write_all(b"x").unwrap();
-        poll.poll(&mut events, Some(Duration::from_secs(10))).unwrap();
-        link.put(b"y");
-        assert!(!link.fill().unwrap() && link.inbox.is_empty(), "held back");
-        assert!(link.flush().unwrap());
-        link.register(poll.registry()).unwrap();
-        poll.poll(&mut events, Some(Duration::from_secs(10))).unwrap();
-        assert!(events.iter().any(|event| event.is_readable()));
-        assert!(link.fill().unwrap());
-        assert_eq!(link.inbox, b"x");
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/ops/http/tests.rs
@@ -0,0 +1,88 @@
+use super::*;
+use proptest::prelude::*;
+
+const BOX: WorkerId = WorkerId(0xc4_1f7a);
+
+fn head(line: &str) -> Vec<u8> {
+    format!("{line} HTTP/1.1\r\nHost: 127.0.0.1\r\nAccept: */*\r\n\r\n").into_bytes()
+}
+
+#[test]
+fn calls_are_read() {
+    let cases = [
+        ("GET /api/ready", Ok(Call::Ready)),
+        ("GET /api/telemetry", Ok(Call::Figures)),
+        ("GET /api/telemetry?x=1", Ok(Call::Figures)),
+        ("GET /api/fleet", Ok(Call::Fleet)),
+        ("POST /api/fleet", Err(405)),
+        ("POST /api/exclude?name=s-00c41f7a", Ok(Call::Exclude(BOX))),
+        ("POST /api/include?name=s-00c41f7a", Ok(Call::Include(BOX))),
+        ("POST /api/ready", Err(405)),
+        ("GET /api/exclude?name=s-00c41f7a", Err(405)),
+        ("GET /api/else", Err(404)),
+        ("GET /", Err(404)),
+        ("POST /api/exclude", Err(400)),
+        ("POST /api/exclude?", Err(400)),
+        ("POST /api/exclude?id=s-00c41f7a", Err(400)),
+        ("POST /api/exclude?name=", Err(400)),
+        ("POST /api/exclude?name=s-00c41f7", Err(400)),
+        ("POST /api/exclude?name=s%2D00c41f7a", Err(400)),
+        ("POST /api/exclude?name=s-00c41f7a&name=s-00c41f7b", Err(400)),
+    ];
+    for (line, expected) in cases {
+        let got = read(&head(line)).map(|call| call.unwrap()).map_err(|no| no.0);
+        assert_eq!(got, expected, "{line}");
+    }
+}
+
+/// What is not one whole call without a body changes nothing.
+#[test]
+fn odd_calls_get_a_no() {
+    let post = |rest: &str| format!("POST /api/exclude?name=s-00c41f7a HTTP/1.1\r\n{rest}").into_bytes();
+    let cases: Vec<(Vec<u8>, u16)> = vec![
+        (post("Content-Length: 4\r\n\r\nbody"), 400),
+        (post("Content-Length: 4\r\n\r\n"), 400),
+        (post("Transfer-Encoding: chunked\r\n\r\n"), 400),
+        ([head("GET /api/ready"), head("GET /api/ready")].concat(), 400),
+        (post(&"X: y\r\n".repeat(100)), 431),
+        (post(&format!("X: {}", "y".repeat(HEAD))), 431),
+        (post(&format!("X: {}\r\n\r\n", "y".repeat(HEAD))), 431),
+        (b"GET /api/ready HTTP/2.0\r\n\r\n".to_vec(), 505),
+        (b"\x16\x03\x01\x02\x00\x01".to_vec(), 400),
+    ];
+    for (bytes, status) in cases {
+        let text = String::from_utf8_lossy(&bytes[..bytes.len().min(60)]).into_owned();
+        assert_eq!(read(&bytes).map_err(|no| no.0), Err(status), "{text}");
+    }
+    let whole = post("Content-Length: 0\r\n\r\n");
+    assert_eq!(read(&whole), Ok(Some(Call::Exclude(BOX))));
+    for cut in 0..whole.len() {
+        assert_eq!(read(&whole[..cut]), Ok(None), "{cut}");
+    }
+}
+
+proptest! {
+    #![proptest_config(crate::drawn())]
+
+    /// Whatever comes, only a whole call of the two names a worker.
+    #[test]
+    fn noise_is_no_call(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        prop_assert!(!matches!(read(&bytes), Ok(Some(_))));
+    }
+
+    /// A call that is damaged at one byte is another call, a no, or not whole; nobody else is named but by
+    /// its id.
+    #[test]
+    fn a_damaged_call_names_no_other_worker(at in 0usize..34, byte in any::<u8>()) {
+        let mut bytes = head("POST /api/exclude?name=s-00c41f7a");
+        bytes[at] = byte;
+        if let Ok(Some(call)) = read(&bytes) {
+            let text = String::from_utf8_lossy(&bytes).into_owned();
+            let named = match call {
+                Call::Exclude(WorkerId(id)) | Call::Include(WorkerId(id)) => id,
+                _ => u64::MAX,
+            };
+            prop_assert!(text.to_lowercase().contains(&format!("name=s-{named:08x} ")), "{text}");
+        }
+    }
+}
