Keep half a frame from being idle, hear a close behind held input, call off what no one can read

Seen (tests/crossings.rs, core/tests.rs; each of the four fails with its mend taken out of a copy): - a connection on which a frame had begun was closed at the time for idle ones, and made room before idle ones did; - while more than 256 KiB waited for a client its input was not read, so its close was not heard and its calls went on; - after a malformed frame, or a line without an end, nothing can be answered on a connection, yet its calls went on there until the client closed; - a second attempt, written at one reading of the clock with a first that may have run, took that one's window with it when it was turned away. Ruled out, with tests that passed at once: type 2 for streams answered, called off or never opened; a request and the client's end in one read, on both fronts; a class changed by SIGHUP between attempts; a new node agent at an old address. Lines: FrameConnection::due and malformed, RpcConnection::due and cut_short, Reactor::turn and shed_idle, Core::attempt_ended.

--- a/src/bus/tests.rs
+++ b/src/bus/tests.rs
@@ -55,3 +55,29 @@
         assert!(read_frame(&bytes).is_err(), "{bytes:?}");
     }
 }
+
+/// A fleet that lost the bus at one moment does not come back at one, and nobody is without it for long.
+#[test]
+fn dials_are_spread_out() {
+    use rand_core::SeedableRng;
+    let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(1);
+    assert_eq!(backoff(0, &mut rng), Span(0), "at the start at once");
+    for (failures, full) in [(1, 100), (2, 200), (3, 400), (4, 400), (u32::MAX, 400)] {
+        let mut pauses: Vec<u64> = (0..300).map(|_| backoff(failures, &mut rng).0 / 1_000_000).collect();
+        pauses.sort_unstable();
+        assert!(pauses[0] >= full / 2 && pauses[299] <= full, "{failures}: {pauses:?}");
+        let most = (0..20).map(|n| {
+            let from = full / 2 + full * n / 40;
+            pauses.iter().filter(|pause| (from..from + full / 40 + 1).contains(pause)).count()
+        });
+        assert!(most.max() < Some(60), "{failures}: no tenth of the time has a fifth of them");
+    }
+}
+
+/// A connection that never comes up is given up on, and so is one that comes up and says nothing, or half a frame.
+#[test]
+fn a_silent_bus_is_given_up_on() {
+    let now = Time(1_000_000_000_000);
+    let connection = BusConnection::new(Rc::default(), now);
+    assert_eq!(connection.deadline(), Some(now + CONNECT));
+}
--- a/src/config/fleet/tests.rs
+++ b/src/config/fleet/tests.rs
@@ -1,4 +1,3 @@
-
 use super::super::read_operator;
 
 const GOOD: &str = r#"[fleet]
--- a/src/core/command.rs
+++ b/src/core/command.rs
@@ -95,8 +95,8 @@
     pub(super) effect: Effect,
     pub(super) deadline: Time,
     pub(super) attempts: u16,
-    /// When the first attempt that may have run was written.
-    pub(super) first_out: Option<Time>,
+    /// The first attempt that may have run, and when it was written.
+    pub(super) first_out: Option<(u16, Time)>,
 }
 
 pub(super) struct Attempt {
--- a/src/core/ends.rs
+++ b/src/core/ends.rs
@@ -14,14 +14,16 @@
         entry.written = Some(now);
         self.counters.sent += 1;
         if let Some(taken) = self.requests.get_mut(&attempt.request) {
-            taken.first_out.get_or_insert(now);
+            taken.first_out.get_or_insert((attempt.number, now));
         }
     }
 
     /// An attempt has ended at its worker, or broke on the way.
     pub fn attempt_ended(&mut self, now: Time, id: AttemptId, end: Result<Reply, Broken>) {
-        let Some(attempt) = self.attempts.get(&id) else { return };
-        let (written, mut body) = (attempt.written, None);
+        if !self.attempts.contains_key(&id) {
+            return;
+        }
+        let mut body = None;
         let status = match end {
             Ok(reply) => {
                 let status = reply.status();
@@ -39,7 +41,7 @@
         self.counters.end(status);
         if let Some(taken) = self.requests.get_mut(&id.request)
             && status.never_ran()
-            && taken.first_out == written
+            && taken.first_out.is_some_and(|(number, _)| number == id.number)
         {
             taken.first_out = None;
         }
--- a/src/core/gates.rs
+++ b/src/core/gates.rs
@@ -19,7 +19,7 @@
         let in_window = match (taken.effect, taken.first_out) {
             (_, None) | (Effect::Safe, _) => true,
             (Effect::Unsafe, Some(_)) => false,
-            (Effect::Keyed { window, .. }, Some(first)) => now + KEY_MARGIN < first + window,
+            (Effect::Keyed { window, .. }, Some(first)) => now + KEY_MARGIN < first.1 + window,
         };
         in_window && self.open_to_work(attempt.worker)
     }
--- a/src/core/steps.rs
+++ b/src/core/steps.rs
@@ -61,7 +61,7 @@
         if let (Effect::Keyed { .. }, Some(key), Some(since)) =
             (taken.effect, &taken.work.key, taken.first_out)
         {
-            self.chains.may_have_run(now, key, since);
+            self.chains.may_have_run(now, key, since.1);
         }
     }
 }
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -418,3 +418,28 @@
     let again = decide(&mut core);
     assert!(may(&mut core, 60, again));
 }
+
+/// Two attempts are written at one reading of the clock. That the second never ran says nothing of the first, which
+/// may have: outside its window the call must not go out again.
+#[test]
+fn what_never_ran_leaves_the_window_of_what_may_have() {
+    let mut core = core();
+    let (first, _) = sent(&call(&mut core, 1, "keyed"));
+    core.written(MS(5), first);
+    core.attempt_ended(MS(5), first, broken(Reached::Out));
+    let all: Vec<Command> = std::iter::from_fn(|| core.next_command()).collect();
+    let (second, _) = sent(&all);
+    assert!(core.may_write(MS(5), second));
+    core.written(MS(5), second);
+    core.attempt_ended(MS(500), second, Ok(Reply::Full));
+    let (mut now, mut all) = (MS(500), vec![]);
+    while !all.iter().any(|command| matches!(command, Command::Send { .. })) {
+        all.extend(std::iter::from_fn(|| core.next_command()));
+        now = now + Span::millis(10);
+        core.wake(now);
+        assert!(now < MS(1000), "there is time for a third");
+    }
+    let (third, _) = sent(&all);
+    assert!(core.may_write(now, third));
+    assert!(!core.may_write(MS(1000), third), "the window of the first has passed");
+}
--- a/src/front/frames.rs
+++ b/src/front/frames.rs
@@ -313,8 +313,17 @@
         Ok(4 + length)
     }
 
-    fn patience(&self) -> Span {
-        if self.used { IDLE } else { FIRST }
+    /// Whatever is open here will find nobody to answer to.
+    fn withdraw_all(&mut self, link: &Link, hub: &mut Hub) {
+        for stream in std::mem::take(&mut self.open) {
+            hub.core.withdraw(hub.now, Owner { connection: link.id(), stream: u64::from(stream) });
+        }
+    }
+
+    /// When the connection is closed as idle; one on which a frame has begun is not.
+    fn unused_by(&self) -> Option<Time> {
+        let idle = self.open.is_empty() && self.whole_by.is_none();
+        idle.then_some(self.last + if self.used { IDLE } else { FIRST })
     }
 
     /// Tells the client what is wrong; the connection ends once that has gone out.
@@ -326,6 +335,7 @@
         let mut bytes = Vec::new();
         put_answer(0, &Verdict::Failed, &mut bytes);
         link.put(&bytes);
+        self.withdraw_all(link, hub);
         self.finish_by = Some(hub.now + LINGER);
         Flow::Finish
     }
@@ -386,21 +396,19 @@
         if self.finish_by.is_none() && self.whole_by.is_some_and(|by| by <= hub.now) {
             return self.malformed("a frame without an end", link, hub);
         }
-        let idle = self.open.is_empty() && self.last + self.patience() <= hub.now;
+        let idle = self.unused_by().is_some_and(|by| by <= hub.now);
         let over = self.finish_by.is_some_and(|by| by <= hub.now);
         if idle || over { Flow::Close } else { Flow::Go }
     }
 
     fn deadline(&self) -> Option<Time> {
-        let idle = self.open.is_empty().then_some(self.last + self.patience());
+        let idle = self.unused_by();
         let whole = self.whole_by.filter(|_| self.finish_by.is_none());
         self.finish_by.into_iter().chain(whole).chain(idle).min()
     }
 
     fn closed(&mut self, link: &Link, hub: &mut Hub) {
-        for stream in std::mem::take(&mut self.open) {
-            hub.core.withdraw(hub.now, Owner { connection: link.id(), stream: u64::from(stream) });
-        }
+        self.withdraw_all(link, hub);
     }
 
     fn answer(&mut self, stream: u64, answer: &Answer, link: &mut Link, hub: &mut Hub) -> Flow {
@@ -425,6 +433,10 @@
         Flow::Go
     }
 
+    fn partial(&self) -> bool {
+        self.whole_by.is_some()
+    }
+
     fn begun(&self) -> bool {
         self.finish_by.is_none() && (self.whole_by.is_some() || !self.used)
     }
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -479,9 +479,23 @@
         }
     }
 
+    /// When the connection is closed as idle; one on which a line has begun is not.
+    fn unused_by(&self) -> Option<Time> {
+        (self.open.is_empty() && self.whole_by.is_none()).then_some(self.last + IDLE)
+    }
+
+    /// Whatever is open here will find nobody to answer to.
+    fn withdraw_all(&mut self, link: &Link, hub: &mut Hub) {
+        self.batches.clear();
+        for stream in std::mem::take(&mut self.open).into_keys() {
+            hub.core.withdraw(hub.now, Owner { connection: link.id(), stream });
+        }
+    }
+
     fn cut_short(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
         hub.core.counters().malformed += 1;
         put(link, &error(&Value::Null, codes::PARSE, "the line has no end", None));
+        self.withdraw_all(link, hub);
         self.finish_by = Some(hub.now + LINGER);
         Flow::Finish
     }
@@ -543,21 +557,19 @@
         if self.finish_by.is_none() && self.whole_by.is_some_and(|by| by <= hub.now) {
             return self.cut_short(link, hub);
         }
-        let idle = self.open.is_empty() && self.last + IDLE <= hub.now;
+        let idle = self.unused_by().is_some_and(|by| by <= hub.now);
         let over = self.finish_by.is_some_and(|by| by <= hub.now);
         if idle || over { Flow::Close } else { Flow::Go }
     }
 
     fn deadline(&self) -> Option<Time> {
-        let idle = self.open.is_empty().then_some(self.last + IDLE);
+        let idle = self.unused_by();
         let whole = self.whole_by.filter(|_| self.finish_by.is_none());
         self.finish_by.into_iter().chain(whole).chain(idle).min()
     }
 
     fn closed(&mut self, link: &Link, hub: &mut Hub) {
-        for stream in std::mem::take(&mut self.open).into_keys() {
-            hub.core.withdraw(hub.now, Owner { connection: link.id(), stream });
-        }
+        self.withdraw_all(link, hub);
     }
 
     fn answer(&mut self, stream: u64, answer: &Answer, link: &mut Link, hub: &mut Hub) -> Flow {
@@ -568,6 +580,10 @@
         self.over(stream, |id| chain_response(id, end), link, hub)
     }
 
+    fn partial(&self) -> bool {
+        self.whole_by.is_some()
+    }
+
     fn idle(&self) -> Option<Time> {
         (self.open.is_empty() && self.finish_by.is_none()).then_some(self.last)
     }
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -93,6 +93,10 @@
     fn leave(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
         Flow::Go
     }
+    /// Whether a call is half read here.
+    fn partial(&self) -> bool {
+        false
+    }
     /// Whether a call is half read here, or may still come because none has.
     fn begun(&self) -> bool {
         false
@@ -503,10 +507,10 @@
         let ready: Vec<_> = self
             .events
             .iter()
-            .map(|e| (e.token(), e.is_readable() || e.is_read_closed() || e.is_error()))
+            .map(|e| (e.token(), e.is_readable() || e.is_error(), e.is_read_closed()))
             .collect();
         self.quiet = ready.is_empty();
-        for (token, readable) in ready {
+        for (token, readable, ended) in ready {
             match token.0 {
                 number if number < PIPES => signals.push(Signal::Client(number)),
                 number if (SOCKETS..FIRST).contains(&number) => {
@@ -516,7 +520,12 @@
                     self.empty(number - PIPES);
                     signals.push(Signal::Pipe(number - PIPES));
                 }
-                _ => self.happened(token, readable, core),
+                // Whose input is held back would not be heard to close: who reads nothing and writes nothing
+                // more has gone.
+                _ if ended && self.entries.get(&token).is_some_and(|entry| entry.link.held_back()) => {
+                    self.close(token, core);
+                }
+                _ => self.happened(token, readable || ended, core),
             }
         }
         let now = self.clock.now();
@@ -624,15 +633,15 @@
     }
 
     /// Closes the connection that has had nothing open for longest, if there is one: whoever will use it again
-    /// has most likely done so before. One on which something has come that is still to be read is not idle.
+    /// has most likely done so before. One on which something has come that is still to be read is not idle, and one
+    /// with half a call goes after all others.
     pub fn shed_idle(&mut self, core: &mut Core) -> bool {
         for _ in 0..self.entries.len() {
-            let idle =
-                self.entries.iter().filter_map(|(token, entry)| Some((entry.connection.idle()?, *token)));
-            let Some((since, token)) = idle.min() else { return false };
+            let rank = |entry: &Entry| Some((entry.connection.partial(), entry.connection.idle()?));
+            let idle = self.entries.iter().filter_map(|(token, entry)| Some((rank(entry)?, *token)));
+            let Some((before, token)) = idle.min() else { return false };
             self.catch_up(token.0 as u64, core);
-            let now = self.entries.get(&token).map(|entry| entry.connection.idle());
-            if now == Some(Some(since)) {
+            if self.entries.get(&token).and_then(rank) == Some(before) {
                 self.close(token, core);
             }
             // Gone by itself makes room as well.
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -8,7 +8,7 @@
 use mintgate::core::{Command, Core};
 use mintgate::front::frames::{self, FrameConnection};
 use mintgate::net::{Reactor, Stream, SystemClock};
-use mintgate::{FunctionId, ListKind, Member, Span, WorkerId};
+use mintgate::{FunctionId, ListKind, Member, Span, Time, WorkerId};
 use rig::*;
 use serde_json::json;
 use std::io::{Read, Write};
@@ -16,6 +16,7 @@
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::process::Command as Program;
 use std::sync::Arc;
+use std::time::Instant;
 
 /// A scheduler with one worker that accepts and reads nothing.
 struct Stuck {
@@ -189,10 +190,16 @@
 
     /// A client's end, and its connection's number.
     fn client(&mut self) -> (UnixStream, u64) {
+        let now = self.reactor.now();
+        self.client_since(now)
+    }
+
+    /// One that has been there since then.
+    fn client_since(&mut self, since: Time) -> (UnixStream, u64) {
         let (near, far) = UnixStream::pair().unwrap();
         near.set_nonblocking(true).unwrap();
         let stream = Stream::Unix(mio::net::UnixStream::from_std(near));
-        let connection = Box::new(FrameConnection::new(self.reactor.now()));
+        let connection = Box::new(FrameConnection::new(since));
         let id = self.reactor.add(stream, connection, true, frames::LIMITS, &mut self.core);
         (far, id.unwrap())
     }
@@ -407,3 +414,178 @@
     last.send(&plain(1));
     assert_eq!(last.next(), Some((1, 1, vec![79, 0, b'x'])));
 }
+
+/// A frame that has begun keeps its connection from being closed as idle, and from making room where another can.
+#[test]
+fn half_a_frame_is_not_idle() {
+    let worker = Worker::agent();
+    let mut parts = Parts::new(&worker);
+    worker.serve(echo);
+    // Its time is up as the first bytes come.
+    let since = parts.reactor.now() - frames::FIRST;
+    let (mut slow, half) = parts.client_since(since);
+    let (whole, (_other, idle)) = (plain(1), parts.client());
+    slow.write_all(&whole[..20]).unwrap();
+    parts.reactor.turn(None, &mut parts.core).unwrap();
+    assert!(parts.reactor.ids().contains(&half), "not idle");
+    assert!(parts.reactor.shed_idle(&mut parts.core));
+    assert!(!parts.reactor.ids().contains(&idle), "the idle one goes first, though it came later");
+    slow.write_all(&whole[20..]).unwrap();
+    parts.serve(1);
+}
+
+/// A client's last word cannot be read: nobody is left to answer to, and what it had open is called off at once.
+#[test]
+fn what_is_open_on_a_malformed_connection_is_called_off() {
+    let worker = Worker::agent();
+    let daemon = Daemon::start(&[&worker]);
+    let mut client = Frames::connect(daemon.listen);
+    client.send(&plain(1));
+    assert_eq!(worker.next().word(), "go");
+    client.send(&[0; 4]);
+    assert_eq!(client.next(), Some((1, 0, vec![69, 0])));
+    assert_eq!(daemon.counter("withdrawn"), 1, "though the client has not closed yet");
+    assert_eq!(worker.next().word(), "halt");
+}
+
+/// A client that reads nothing ends its half while more waits for it than is read ahead: it has gone all the same, and
+/// what it has open is called off.
+#[test]
+fn a_close_is_heard_though_input_is_held_back() {
+    let worker = Worker::agent();
+    let mut parts = Parts::new(&worker);
+    let (mut client, id) = parts.client();
+    let calls = 31;
+    for stream in 1..=calls {
+        let reference = format!("{stream:016x}");
+        client
+            .write_all(&frame(0, stream, &call("practice-check", &reference, 60_000, &[7; 16_000])))
+            .unwrap();
+        parts.take(u64::from(stream));
+        parts.carry_out();
+    }
+    // All but one are answered, with more than the system and the connection take.
+    let body = "A".repeat(40_000);
+    let mut gone = 0;
+    while gone < calls - 1 {
+        let soon = parts.reactor.after(Span::millis(5));
+        parts.reactor.turn(Some(soon), &mut parts.core).unwrap();
+        let now = parts.reactor.now();
+        parts.core.wake(now);
+        parts.carry_out();
+        while gone < calls - 1
+            && let Some(mut heard) = worker.poll()
+        {
+            if heard.word() == "go" {
+                heard.answer("200", &body);
+                gone += 1;
+            }
+        }
+    }
+    parts.serve(u64::from(calls) - 1);
+    client.shutdown(std::net::Shutdown::Write).unwrap();
+    let start = Instant::now();
+    while parts.reactor.ids().contains(&id) {
+        assert!(start.elapsed() < LONG, "the close is not heard");
+        let soon = parts.reactor.after(Span::millis(5));
+        parts.reactor.turn(Some(soon), &mut parts.core).unwrap();
+        assert!(parts.core.counters().withdrawn == 0 || !parts.reactor.ids().contains(&id));
+        assert!(parts.core.owed() <= 1);
+    }
+    assert_eq!((parts.core.counters().withdrawn, parts.core.owed()), (1, 0));
+}
+
+/// Type 2 for a stream that was never opened, has been answered, or was called off before: nothing happens.
+#[test]
+fn a_needless_cancel_changes_nothing() {
+    let worker = Worker::agent();
+    let daemon = Daemon::start(&[&worker]);
+    let mut client = Frames::connect(daemon.listen);
+    client.send(&[frame(2, 7, &[]), plain(1)].concat());
+    worker.next().answer("200", "eA==");
+    assert_eq!(client.next(), Some((1, 1, vec![79, 0, b'x'])));
+    client.send(&[frame(2, 1, &[]), plain(2), frame(2, 2, &[]), frame(2, 2, &[]), plain(3)].concat());
+    let mut heard = worker.next();
+    assert_eq!(heard.name(), format!("{:016x}", 3), "the second never went out");
+    heard.answer("200", "eA==");
+    assert_eq!(client.next(), Some((1, 3, vec![79, 0, b'x'])));
+    assert_eq!(daemon.counter("withdrawn"), 1);
+}
+
+/// A request and the client's end come in one read: it is not sent on, on either front.
+#[test]
+fn a_request_whose_client_ends_with_it_goes_nowhere() {
+    let worker = Worker::agent();
+    let operator = |folder: &Folder| format!("[jsonrpc]\nsocket = {:?}\n", folder.at("rpc.sock"));
+    let daemon = Daemon::with(&[&worker], rig::settings(), None, operator);
+    let mut client = Frames::connect(daemon.listen);
+    stopped(&daemon);
+    client.send(&plain(1));
+    drop(client);
+    let mut rpc = Rpc::connect(&daemon.folder.at("rpc.sock"));
+    rpc.send(&rpc_call(&json!(1), "practice-check", "00000000000000aa", 60_000, "eA==").to_string());
+    drop(rpc);
+    daemon.signal("CONT");
+    daemon.wait_counter("withdrawn", 2);
+    assert_eq!((daemon.counter("taken"), daemon.counter("sent")), (2, 0));
+    assert!(worker.quiet());
+}
+
+/// A new configuration comes between a call's attempts: the call keeps the class that it came under, whose window has
+/// passed, and one that comes after has the new class.
+#[test]
+fn a_call_keeps_the_class_it_came_under() {
+    let worker = Worker::agent();
+    let mut settings = rig::settings();
+    settings["classes"][1]["repeatWindowNs"] = json!(1);
+    let daemon = Daemon::with(&[&worker], settings, None, |_| String::new());
+    let mut client = Frames::connect(daemon.listen);
+    let keyed =
+        |stream: u32| frame(0, stream, &call("credit-submit", &format!("{stream:016x}"), 60_000, b"x"));
+    client.send(&keyed(1));
+    let first = worker.next();
+    let mut config = daemon.config.clone();
+    config["settings"]["classes"][1]["effect"] = json!("retryable");
+    assert_eq!(daemon.reload(&config.to_string()), "offset=1");
+    client.send(&keyed(2));
+    let second = worker.next();
+    first.end();
+    assert_eq!(
+        client.next().map(|(_, stream, payload)| (stream, payload[0])),
+        Some((1, 66)),
+        "not sent again"
+    );
+    second.end();
+    let mut again = worker.next();
+    assert_eq!((again.word(), again.name()), ("go", second.name()), "what may be repeated is");
+    again.answer("200", "eA==");
+    assert_eq!(client.next(), Some((1, 2, vec![79, 0, b'x'])));
+}
+
+/// A node agent goes and another comes at its address while connections to the old one still stand: nothing new goes by
+/// those, and what is open there is still answered.
+#[test]
+fn a_new_worker_at_an_old_address_is_met_on_new_connections() {
+    let (worker, bus) = (Worker::agent(), Bus::new());
+    let daemon =
+        Daemon::with(&[&worker], rig::settings(), Some(bus.0.local_addr().unwrap()), |_| String::new());
+    let (mut feed, _) = bus.accept();
+    let mut client = Frames::connect(daemon.listen);
+    client.send(&plain(1));
+    worker.next().answer("200", "eA==");
+    assert_eq!(client.next(), Some((1, 1, vec![79, 0, b'x'])));
+    client.send(&plain(2));
+    let mut old = worker.next();
+    // A whole list that lacks the old one, with a call out there.
+    let mut list = event(2, 9, &worker, 0);
+    list[12] = 1;
+    feed.write_all(&list).unwrap();
+    daemon.wait_counter("list_events", 2);
+    client.send(&plain(3));
+    let mut new = worker.next();
+    assert!(new.connection > old.connection, "on a new one");
+    new.answer("200", "eg==");
+    assert_eq!(client.next(), Some((1, 3, vec![79, 0, b'z'])));
+    old.answer("200", "eQ==");
+    assert_eq!(client.next(), Some((1, 2, vec![79, 0, b'y'])));
+}
