Keep one ration on load orders for both processes of an upgrade

Seen (tests/crossings.rs, failing with the gate taken out): on a site that allows three orders, an old process went on ordering after it had told the new one what it had ordered, and five went out for the one scheduler. Ruled out: what the old one had ordered before (told, and counted by the new one); bans called meanwhile (relayed). Lines: Core::may_write_order at the old process, between Do::SayState and its end. Change: an old process orders no loads while a younger one knows its state, and does so again if that one ends. On a site whose workers do not load by themselves the old one's last calls of what does not stand are refused.

--- a/src/core/gates.rs
+++ b/src/core/gates.rs
@@ -32,7 +32,8 @@
         if order.copies == 0 {
             return true;
         }
-        if !self.open_to_work(order.worker)
+        if self.orders_yielded
+            || !self.open_to_work(order.worker)
             || id.1.is_some_and(|fenced| !self.holds(now, Task::Renew, fenced))
             || !self.called.iter().any(|called| called.contains(&order.function))
         {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -108,6 +108,8 @@
     /// Calls taken and orders written inside the ration's window.
     taken: VecDeque<Time>,
     ordered: VecDeque<Time>,
+    /// Another process of this scheduler has been told of these orders, and goes on from there.
+    orders_yielded: bool,
     called: [BTreeSet<FunctionId>; 2],
     called_since: Time,
     bodies: usize,
@@ -145,6 +147,7 @@
             backlog: VecDeque::new(),
             taken: VecDeque::new(),
             ordered: VecDeque::new(),
+            orders_yielded: false,
             called: [BTreeSet::new(), BTreeSet::new()],
             called_since: Time(0),
             bodies: 0,
--- a/src/core/workers.rs
+++ b/src/core/workers.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// From now on another process of this scheduler orders loads, within the one ration, or does so no longer.
+    pub fn yield_orders(&mut self, yielded: bool) {
+        self.orders_yielded = yielded;
+    }
+
     /// Takes over what the process before this one knew. The list is told as any other.
     pub fn take_over(&mut self, now: Time, known: &Known) {
         let out = known.out.iter().map(|worker| WorkerId(*worker));
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -118,6 +118,11 @@
         self.phase == Phase::Serving
     }
 
+    /// Whether a younger process knows what this one knew.
+    pub fn told(&self) -> bool {
+        self.younger.is_some()
+    }
+
     /// Whether a younger process takes the clients.
     pub fn yielded(&self) -> bool {
         self.yielded
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -589,3 +589,53 @@
     old.answer("200", "eQ==");
     assert_eq!(client.next(), Some((1, 2, vec![79, 0, b'y'])));
 }
+
+/// An old and a new process are one scheduler, with one ration on orders: what the old one orders after it has told what it
+/// knows would not be in the new one's count.
+#[test]
+fn both_processes_of_an_upgrade_keep_one_ration() {
+    let worker = Worker::agent();
+    let mut settings = rig::settings();
+    settings["familyInfo"]["notLoaded"] = json!("miss");
+    settings["familyInfo"]["loadPart"] = json!(0.0);
+    settings["familyInfo"]["loadSpanNs"] = json!(600_000_000_000u64);
+    let door = TcpListener::bind("127.0.0.1:0").unwrap();
+    let folder = Arc::new(Folder::new());
+    let config = json!({"name": "n0", "listen": door.local_addr().unwrap().to_string(), "mgmt": "127.0.0.1:0", "seed": "7",
+        "settings": settings, "limits": {"sockets": 256}, "known": {"offset": 1, "batch": [
+            {"offset": 1, "topology": {"rev": 1, "all": true, "targets": [target(1, worker.address(), "SERVING")]}}]}});
+    std::fs::write(folder.at("config.json"), config.to_string()).unwrap();
+    let mut old = Daemon::spawn(folder, config, Some(&door));
+    old.serves();
+    // Each function is missed until it has been ordered.
+    let staged = std::sync::Mutex::new(std::collections::BTreeSet::new());
+    let lines = worker.serve(move |heard| {
+        let name = heard.line["attrs"]["name"].as_str().unwrap_or_default().to_owned();
+        match heard.word() {
+            "stage" => {
+                staged.lock().unwrap().insert(name);
+                Some(("200", String::new()))
+            }
+            "go" if staged.lock().unwrap().contains(&name) => Some(("200", "eA==".into())),
+            "go" => Some(("404", String::new())),
+            _ => None,
+        }
+    });
+    let ask = |client: &mut Frames, stream: u32| {
+        let (reference, function) = (format!("{stream:016x}"), format!("{:016x}", 0xf0 + stream));
+        let list =
+            [("service", "practice-check"), ("ref", &reference), ("allow", "2000"), ("lookup", &function)];
+        client.send(&frame(0, stream, &request(&list, b"x")));
+        client.next().unwrap().2[0]
+    };
+    let mut client = Frames::connect(door.local_addr().unwrap());
+    assert_eq!(ask(&mut client, 1), 79);
+    let mut new = old.beside(&door);
+    new.serves();
+    old.wait_log("upgrade door=shut");
+    let of_old = [2, 3].map(|stream| ask(&mut client, stream));
+    let mut client = Frames::connect(door.local_addr().unwrap());
+    let of_new = [4, 5, 6].map(|stream| ask(&mut client, stream));
+    assert!(tally(&lines)["stage"] <= 3, "the site allows three: {of_old:?} {of_new:?}");
+    assert_eq!(of_new, [79, 79, 66], "the new one has what is left of it");
+}
