--- a/tests/module.rs
+++ b/tests/module.rs
@@ -724,3 +724,43 @@
     assert_eq!(renewed(0, shares(&[], &[2])), each[0], "no lease");
     assert_eq!(renewed(0, shares(&[1], &[1])), both(0, 1));
 }
+
+/// A client goes while its call waits for room, for a load, or for its next attempt: none begins, where one would have.
+#[test]
+fn a_call_that_waits_begins_nothing_once_its_client_has_gone() {
+    let cases = [("room", OnMiss::Load), ("a load", OnMiss::Miss), ("its next attempt", OnMiss::Load)];
+    for (what, on_miss) in cases {
+        let later = |gone: bool| {
+            let mut rig = Rig::new(settings(on_miss), 1);
+            rig.give(Event::Call(call(1, 7, 0)));
+            rig.answer(Status::Ok);
+            let busy = if what == "room" { 10 } else { 0 };
+            (2..2 + busy).for_each(|id| drop(rig.give(Event::Call(call(id, 7, 0)))));
+            rig.give(Event::Call(call(99, if what == "a load" { 8 } else { 7 }, 0)));
+            let before: Vec<_> = rig.sent.iter().filter(|(id, ..)| *id == R(99)).copied().collect();
+            match (what, before.last()) {
+                ("room", None) => {}
+                ("a load", Some(_)) => drop(rig.outcome(R(99), 0, Status::Miss)),
+                // The only worker has left the list for a moment.
+                (_, Some(_)) => {
+                    rig.give(Event::Members(
+                        ListKind::Delta,
+                        vec![Member { state: State::Draining, ..member(1) }],
+                    ));
+                    rig.outcome(R(99), 0, Status::Full);
+                }
+                (_, None) => panic!("{what}: it should be out"),
+            }
+            if gone {
+                rig.give(Event::ClientGone(R(99)));
+            }
+            let out: Vec<_> = rig.sent.iter().filter(|(id, ..)| *id != R(99)).copied().collect();
+            out.into_iter().skip(1).for_each(|(id, attempt, _)| drop(rig.outcome(id, attempt, Status::Ok)));
+            rig.give(Event::Members(ListKind::Delta, vec![member(1)]));
+            rig.stands(WorkerId(1), 8, Status::Ok);
+            rig.pass(Span::millis(600));
+            rig.sent.iter().filter(|(id, ..)| *id == R(99)).count() - before.len()
+        };
+        assert_eq!((later(false), later(true)), (1, 0), "{what}");
+    }
+}
