Refuse what comes after all clients were to leave, and take the router after the front

Seen (tests/instants.rs, failing with the line taken out): a request that came 0.75 to 1.2 s after SIGTERM, or later while others were owed, was taken with its whole time, though SIGKILL may come the longest deadline and 0.7 s after SIGTERM. Ruled out: chains under way, whose next steps go on; upgrades, where what is half read at the old process is still served. Lines: Core::call, Daemon::ended; Daemon::take_router, asked from Do::Share before Do::Serve. Change: from 0.7 s after SIGTERM on new calls are refused at once; the router waits for the front. The end waits for clients that found no descriptor.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -114,6 +114,8 @@
     called_since: Time,
     bodies: usize,
     memory: usize,
+    /// Whether calls that come are refused at once, for this process ends soon. A chain's next steps are not new.
+    pub turn_away: bool,
     /// The second that is running, and the lines logged in it.
     logged: (Time, u32),
     counters: Counters,
@@ -152,6 +154,7 @@
             called_since: Time(0),
             bodies: 0,
             memory: MEMORY,
+            turn_away: false,
             logged: (Time(0), 0),
             counters: Counters::default(),
         }
@@ -250,7 +253,8 @@
         }
         let full =
             self.requests.len() >= self.site.max_open || self.bodies + call.body.len() > self.memory / BODIES;
-        if full || call.deadline <= now || self.owners.contains_key(&call.owner) {
+        let ends = self.turn_away && call.owner.connection != chain::STEP;
+        if full || ends || call.deadline <= now || self.owners.contains_key(&call.owner) {
             let cooldown = self.advice();
             let refused = Verdict::Refused { cooldown };
             return self.answer(call.owner, Some(&call.class), refused, call.deadline <= now);
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -32,8 +32,9 @@
 
 /// After SIGTERM clients still come for a while; nothing ends before this.
 const PART: Span = Span::millis(1_200);
-/// When connections that came after SIGTERM are told that they are to leave.
-const LATE_LEAVE: Span = Span::millis(750);
+/// When connections that came after SIGTERM are told that they are to leave, and what still comes is refused at once:
+/// SIGKILL may come a longest deadline after this, and what it finds unanswered is lost.
+const LATE_LEAVE: Span = Span::millis(700);
 /// How long answers may still wait to be read then: SIGKILL comes 3.7 s after SIGTERM, or later.
 const LAST_WRITE: Span = Span::millis(2_200);
 /// So long after SIGTERM a request half read is still waited for, where a younger process takes the clients.
@@ -585,6 +586,11 @@
         self.ending.is_some_and(|since| self.reactor.now() >= since + PART + LAST_WRITE)
     }
 
+    /// Whether a younger process takes the clients.
+    fn yielded(&self) -> bool {
+        self.upgrade.as_ref().is_some_and(|upgrade| upgrade.machine.yielded())
+    }
+
     fn ended(&mut self) -> bool {
         let Some(since) = self.ending else { return false };
         let now = self.reactor.now();
@@ -592,10 +598,11 @@
             self.told_late = true;
             self.leave_all();
         }
+        self.core.turn_away = self.told_late && !self.yielded();
         let written = !self.reactor.unwritten() || self.overdue();
-        let yielded = self.upgrade.as_ref().is_some_and(|upgrade| upgrade.machine.yielded());
-        let begun = yielded && self.reactor.begun() && now < since + LAST_READ;
-        now >= since + PART && self.core.owed() == 0 && written && !begun
+        let begun = self.yielded() && self.reactor.begun() && now < since + LAST_READ;
+        let taken = self.accept_again.is_empty() || self.overdue();
+        now >= since + PART && self.core.owed() == 0 && written && taken && !begun
     }
 }
 
--- a/src/daemon/upgrade.rs
+++ b/src/daemon/upgrade.rs
@@ -213,10 +213,13 @@
         }
     }
 
-    /// The address of the virtual router is free once the old process has gone.
+    /// The address of the virtual router is free once the old process has gone. Whoever is active has to be found at
+    /// the second front's socket file, so that comes first.
     fn take_router(&mut self) {
         let serves = self.upgrade.as_ref().is_some_and(|upgrade| upgrade.machine.serves());
-        let Some(setting) = self.operator.vrrp.clone().filter(|_| serves && self.router.is_none()) else {
+        let fronts = self.rpc.is_some() || self.operator.jsonrpc.is_none();
+        let wanted = serves && fronts && self.router.is_none();
+        let Some(setting) = self.operator.vrrp.clone().filter(|_| wanted) else {
             return;
         };
         match Router::new(&setting, &mut self.reactor) {
