--- a/src/brain.rs
+++ b/src/brain.rs
@@ -955,9 +955,10 @@
         };
         let all: f64 = self.workers.values().filter(|w| w.member.state == State::Ready).map(part).sum();
         let served = (self.served.len() as f64).max(self.arrivals.len() as f64 * UNSERVED);
+        let counted_for = (now - self.turned[BUCKETS - 1]).secs().clamp(1.0, span.secs().max(1.0));
+        let rate = served / counted_for / all.max(1.0) * rules.fall_multiple;
         for w in self.workers.values_mut() {
-            let more = served / span.secs() / all.max(1.0) * part(w) * rules.fall_multiple;
-            let more = more * (now - w.tokens.1).secs();
+            let more = rate * part(w) * (now - w.tokens.1).secs();
             w.tokens = ((w.tokens.0 + more).min(more.max(1.0)), now);
         }
     }
