--- a/src/brain.rs
+++ b/src/brain.rs
@@ -44,7 +44,7 @@
 const RESETS: Span = Span::millis(30);
 /// Weight of an outcome in a worker's failing part; the part from which it is left alone; what is left of it.
 const ERRORS: (f64, f64, f64) = (0.2, 0.4, 0.25);
-/// First pause after a failed load or lost worker, and how often it doubles.
+/// First pause after a failed load or lost worker, and how often it doubles; jittered by each one's clock.
 const BACKOFF: (Span, u32) = (Span::millis(400), 4);
 /// A worker that turned a call away is left alone this long; cuts of a limit lie as far apart.
 const FULL_PAUSE: Span = Span::millis(150);
@@ -707,7 +707,7 @@
             let failed = if outcome.status == Status::Ok { 0.0 } else { 1.0 };
             w.errors += (failed - w.errors) * ERRORS.0;
             if w.errors > ERRORS.1 {
-                (w.errors, w.shun_until) = (ERRORS.2, w.shun_until.max(now + backoff(w.failures)));
+                (w.errors, w.shun_until) = (ERRORS.2, w.shun_until.max(backoff(now, w.failures)));
                 w.failures += 1;
             }
         }
@@ -813,7 +813,7 @@
         for (zone, _) in zones.iter().filter(|(_, (_, silent))| zones.len() > 1 && *silent >= DARK.1) {
             let (_, until, times) = self.dark.entry(*zone).or_insert((now, now, DARK.2));
             if *until <= now {
-                (*until, *times) = (now + backoff(*times), *times + 1);
+                (*until, *times) = (backoff(now, *times), *times + 1);
             }
         }
     }
@@ -878,7 +878,7 @@
                 // Its connection broke, or it never went out: that says nothing of the load.
                 (None, _) | (_, Status::Reset | Status::Moot) => {}
                 (Some(pair), _) => {
-                    (pair.retry_at, pair.failures) = (now + backoff(pair.failures), pair.failures + 1);
+                    (pair.retry_at, pair.failures) = (backoff(now, pair.failures), pair.failures + 1);
                     if loaded.copies == 0 {
                         (pair.missed, pair.warm_until) = (Some(now), Time(0));
                     }
@@ -982,7 +982,7 @@
     fn lost(&mut self, now: Time) {
         self.broke = now;
         if self.shun_until <= now {
-            self.shun_until = now + backoff(self.failures);
+            self.shun_until = backoff(now, self.failures);
             self.failures += 1;
         }
         self.pairs.values_mut().for_each(|pair| pair.warm_until = Time(0));
@@ -1009,8 +1009,8 @@
     }
 }
 
-fn backoff(failures: u32) -> Span {
-    Span(BACKOFF.0.0 << failures.min(BACKOFF.1))
+fn backoff(now: Time, failures: u32) -> Time {
+    now + Span(BACKOFF.0.0 << failures.min(BACKOFF.1)).times(0.75 + mix(now.0) as f64 / u64::MAX as f64 / 2.0)
 }
 
 /// A 64-bit finalizer: the same hash at every front end.
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -764,3 +764,25 @@
         assert_eq!((later(false), later(true)), (1, 0), "{what}");
     }
 }
+
+/// Many front ends find one worker lost at about one moment: they do not all come back to it at one.
+#[test]
+fn front_ends_return_to_a_lost_worker_one_after_another() {
+    let mut returns: Vec<u64> = (0..100)
+        .map(|index| {
+            let mut rig = Rig::seeded(settings(OnMiss::Load), 3, index);
+            rig.now = rig.now + Span(index * 1_000);
+            rig.give(Event::Call(call(1, 7, 0)));
+            rig.answer(Status::ConnectFailed);
+            assert_eq!(rig.balancer.avoided(), 1);
+            let lost = rig.now;
+            while rig.balancer.avoided() > 0 && rig.now - lost < Span::millis(5_000) {
+                rig.pass(Span::millis(10));
+            }
+            (rig.now - lost).0 / 1_000_000
+        })
+        .collect();
+    returns.sort_unstable();
+    assert!(returns[0] >= 290 && returns[99] <= 520, "{returns:?}");
+    assert!(returns[90] - returns[10] >= 120, "spread out: {returns:?}");
+}
