--- a/tests/instants.rs
+++ b/tests/instants.rs
@@ -462,3 +462,43 @@
     assert_eq!(client.next(), Some((1, 1, vec![79, 0, b'y'])), "what is owed is still answered");
     assert!(daemon.ends());
 }
+
+/// After SIGTERM a keyed call's attempt breaks, which may have run, and its window has passed: it is not sent again, and
+/// its client is told before the end.
+#[test]
+fn a_keyed_call_that_may_have_run_is_answered_before_the_end() {
+    let worker = Worker::agent();
+    let mut settings = rig::settings();
+    settings["classes"][1]["repeatWindowNs"] = json!(1);
+    let mut daemon = Daemon::with(&[&worker], settings, None, |_| String::new());
+    let mut client = Frames::connect(daemon.listen);
+    client.send(&frame(0, 1, &call("credit-submit", "00000000000000aa", 60_000, b"x")));
+    let heard = worker.next();
+    daemon.signal("TERM");
+    assert_eq!(client.next(), Some((9, 0, vec![])));
+    heard.end();
+    assert_eq!(client.next().map(|(_, stream, payload)| (stream, payload[0])), Some((1, 66)));
+    assert!(daemon.ends());
+    assert!(worker.quiet());
+}
+
+/// A new configuration allows fewer descriptors than are in use: nothing is taken away from who has a call open, and those
+/// who come find a place.
+#[test]
+fn limits_below_what_is_in_use_take_no_call_away() {
+    let worker = Worker::agent();
+    let daemon = Daemon::start(&[&worker]);
+    let mut client = Frames::connect(daemon.listen);
+    client.send(&plain(1));
+    let mut heard = worker.next();
+    let _idle: Vec<TcpStream> = (0..120).map(|_| TcpStream::connect(daemon.listen).unwrap()).collect();
+    let mut config = daemon.config.clone();
+    config["limits"]["sockets"] = json!(64);
+    assert_eq!(daemon.reload(&config.to_string()), "offset=1");
+    let mut other = Frames::connect(daemon.listen);
+    other.send(&plain(2));
+    worker.next().answer("200", "eA==");
+    assert_eq!(other.next(), Some((1, 2, vec![79, 0, b'x'])));
+    heard.answer("200", "eQ==");
+    assert_eq!(client.next(), Some((1, 1, vec![79, 0, b'y'])));
+}
