--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -231,7 +231,7 @@
     let (mut other, _) = parts.client();
     other.write_all(&plain(3)).unwrap();
     parts.serve(2);
-    assert_eq!(tally(&lines)["go"], 2, "close {close}");
+    assert_eq!(tally(lines)["go"], 2, "close {close}");
 }
 
 /// The client closes, or calls its request off, after the loop has read the request and before the attempt is written,
