--- a/src/front/jsonrpc/tests.rs
+++ b/src/front/jsonrpc/tests.rs
@@ -1,8 +1,8 @@
 use super::*;
 
-fn code(line: &Line) -> Option<i64> {
+fn code(line: &ParsedLine) -> Option<i64> {
     match line {
-        Line::One(Request::Reply(reply)) => reply["error"]["code"].as_i64(),
+        ParsedLine::One(Request::Reply(reply)) => reply["error"]["code"].as_i64(),
         _ => None,
     }
 }
@@ -54,7 +54,7 @@
     for (text, expected, id) in cases {
         let line = read_line(text.as_bytes());
         assert_eq!(code(&line), Some(expected), "{text}");
-        let Line::One(Request::Reply(reply)) = line else { panic!("{text}") };
+        let ParsedLine::One(Request::Reply(reply)) = line else { panic!("{text}") };
         assert_eq!(reply["id"].to_string(), id, "{text}");
     }
 }
@@ -62,7 +62,7 @@
 #[test]
 fn good_lines_are_read() {
     let text = r#"{"jsonrpc":"2.0","id":"a","method":"call","params":{"class":"c","function":"7f3a9c21e0b4d655","allow_ms":1500,"key":"k","lanes":2,"body":"aGk="}}"#;
-    let Line::One(Request::Call(id, params)) = read_line(text.as_bytes()) else { panic!("a call") };
+    let ParsedLine::One(Request::Call(id, params)) = read_line(text.as_bytes()) else { panic!("a call") };
     assert_eq!((id, params.allow_ms, params.step.lanes), (json!("a"), 1500, 2.0));
     assert_eq!((params.key.as_deref(), params.step.body.as_deref()), (Some("k"), Some(&b"hi"[..])));
     let cases = [
@@ -73,10 +73,10 @@
         (r#"{"jsonrpc":"2.0","id":0,"method":"ready"}"#, Request::Ready(json!(0))),
     ];
     for (text, expected) in cases {
-        assert_eq!(read_line(text.as_bytes()), Line::One(expected), "{text}");
+        assert_eq!(read_line(text.as_bytes()), ParsedLine::One(expected), "{text}");
     }
     let batch = format!("[{},1]", cases_text());
-    let Line::Batch(requests) = read_line(batch.as_bytes()) else { panic!("a batch") };
+    let ParsedLine::Batch(requests) = read_line(batch.as_bytes()) else { panic!("a batch") };
     assert_eq!((requests.len(), has_reply(&requests[0]), has_reply(&requests[1])), (2, false, true));
 }
 
