--- a/lab/src/chains.rs
+++ b/lab/src/chains.rs
@@ -3,7 +3,7 @@
 use crate::fleet::{Job, KEEP, Worker};
 use mintgate::chain::estimate::{Ahead, Estimates};
 use mintgate::chain::{Chain, Step};
-use mintgate::core::{Command, Core, Incoming, Owner, Reply, Standing, Verdict};
+use mintgate::core::{Command, Core, Incoming, LoadResult, Owner, Reply, Verdict};
 use mintgate::{FunctionId, ListKind, Member, Span, Status, Time, WorkerId, settings};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -162,7 +162,7 @@
                     if self.core.may_write_order(now, order) {
                         let load = Span::millis(500);
                         self.workers.entry(worker).or_default().stage(now, function, load);
-                        let standing = Standing { status: Status::Ok, copies: 1 };
+                        let standing = LoadResult { status: Status::Ok, copies: 1 };
                         self.core.order_ended(now, order, Ok(standing));
                     } else {
                         self.core.order_held(now, order);
--- a/src/backend/agent.rs
+++ b/src/backend/agent.rs
@@ -1,7 +1,7 @@
 //! The node agents' wire: JSON objects, one a line, bodies in base64.
 
-use super::{Codec, Said, Unreadable};
-use crate::call::{Reply, Work};
+use super::{Codec, ParseError, WorkerReply};
+use crate::call::{Reply, RequestPayload};
 use crate::interface::{FunctionId, Time};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -12,7 +12,7 @@
 pub struct AgentCodec;
 
 #[derive(Deserialize)]
-struct Line {
+struct ReplyLine {
     verb: Value,
     #[serde(default)]
     rid: Value,
@@ -38,7 +38,7 @@
 }
 
 impl Codec for AgentCodec {
-    fn go(&self, work: &Work, now: Time, deadline: Time) -> Vec<u8> {
+    fn go(&self, work: &RequestPayload, now: Time, deadline: Time) -> Vec<u8> {
         let ttl = super::left_ms(now, deadline);
         let name = format!("{:016x}", work.function.0);
         let mut attrs = json!({"lane": work.class, "name": name, "ttl": ttl});
@@ -66,11 +66,11 @@
         line(&json!({"verb": "stat", "rid": rid}))
     }
 
-    fn read(&self, line: &[u8]) -> Result<Said, Unreadable> {
-        let parsed: Line =
-            serde_json::from_slice(line).map_err(|_| Unreadable { rid: None, cause: "not a JSON answer" })?;
-        let Some(rid) = word(&parsed.rid) else { return Err(Unreadable { rid: None, cause: "no rid" }) };
-        let bad = |cause| Unreadable { rid: Some(rid.clone()), cause };
+    fn read(&self, line: &[u8]) -> Result<WorkerReply, ParseError> {
+        let parsed: ReplyLine =
+            serde_json::from_slice(line).map_err(|_| ParseError { rid: None, cause: "not a JSON answer" })?;
+        let Some(rid) = word(&parsed.rid) else { return Err(ParseError { rid: None, cause: "no rid" }) };
+        let bad = |cause| ParseError { rid: Some(rid.clone()), cause };
         let verb = word(&parsed.verb).ok_or_else(|| bad("no verb"))?;
         let reply = match verb.as_str() {
             "200" => {
@@ -87,14 +87,14 @@
                     let (name, value) = field.split_once(':')?;
                     Some((name.to_owned(), value.parse().ok()?))
                 };
-                return Ok(Said::Alive { rid, report: text.split(';').filter_map(value).collect() });
+                return Ok(WorkerReply::Alive { rid, report: text.split(';').filter_map(value).collect() });
             }
             // It answers, but its process takes no work.
             "dead" => Reply::Error,
             _ => return Err(bad("unknown verb")),
         };
         let copies = parsed.attrs.get("replicas").and_then(word).and_then(|text| text.parse().ok());
-        Ok(Said::Answer { rid, reply, copies })
+        Ok(WorkerReply::Answer { rid, reply, copies })
     }
 }
 
--- a/src/backend/agent/tests.rs
+++ b/src/backend/agent/tests.rs
@@ -2,13 +2,13 @@
 
 #[test]
 fn lines_are_read() {
-    let answer = |rid: &str, reply, copies| Ok(Said::Answer { rid: rid.into(), reply, copies });
+    let answer = |rid: &str, reply, copies| Ok(WorkerReply::Answer { rid: rid.into(), reply, copies });
     let alive = |told: &[(&str, f32)]| {
         let report = told.iter().map(|(name, value)| ((*name).to_owned(), *value)).collect();
-        Ok(Said::Alive { rid: "p".into(), report })
+        Ok(WorkerReply::Alive { rid: "p".into(), report })
     };
-    let bad = |rid: Option<&str>, cause| Err(Unreadable { rid: rid.map(str::to_owned), cause });
-    let cases: Vec<(&str, Result<Said, Unreadable>)> = vec![
+    let bad = |rid: Option<&str>, cause| Err(ParseError { rid: rid.map(str::to_owned), cause });
+    let cases: Vec<(&str, Result<WorkerReply, ParseError>)> = vec![
         (r#"{"verb":"200","rid":"a1","content":"aGk="}"#, answer("a1", Reply::Ok(b"hi".into()), None)),
         (r#"{"verb":200,"rid":"a1"}"#, answer("a1", Reply::Ok(vec![]), None)),
         (r#"{"verb":"200","rid":7,"attrs":{"replicas":"2"}}"#, answer("7", Reply::Ok(vec![]), Some(2))),
@@ -55,7 +55,7 @@
 
 #[test]
 fn a_call_passes_on_its_fields_unchanged() {
-    let work = Work {
+    let work = RequestPayload {
         reference: "9b1f03aa5c7e2d41".into(),
         class: "credit-submit".into(),
         function: FunctionId(0x7f),
--- a/src/backend/jsonrpc.rs
+++ b/src/backend/jsonrpc.rs
@@ -1,7 +1,7 @@
 //! Checkers on Unix sockets: JSON-RPC 2.0, one object a line.
 
-use super::{Codec, Said, Unreadable};
-use crate::call::{Reply, Work};
+use super::{Codec, ParseError, WorkerReply};
+use crate::call::{Reply, RequestPayload};
 use crate::interface::{FunctionId, Time};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -35,7 +35,7 @@
 }
 
 impl Codec for CheckerCodec {
-    fn go(&self, work: &Work, now: Time, deadline: Time) -> Vec<u8> {
+    fn go(&self, work: &RequestPayload, now: Time, deadline: Time) -> Vec<u8> {
         let mut params = json!({
             "class": work.class,
             "function": format!("{:016x}", work.function.0),
@@ -64,12 +64,12 @@
         request(rid, "probe", json!({}))
     }
 
-    fn read(&self, line: &[u8]) -> Result<Said, Unreadable> {
-        let unread = |cause| Unreadable { rid: None, cause };
+    fn read(&self, line: &[u8]) -> Result<WorkerReply, ParseError> {
+        let unread = |cause| ParseError { rid: None, cause };
         let parsed: Value = serde_json::from_slice(line).map_err(|_| unread("not JSON"))?;
         let Value::Object(object) = parsed else { return Err(unread("not an object")) };
         let Some(Value::String(rid)) = object.get("id") else { return Err(unread("no id of ours")) };
-        let bad = |cause| Unreadable { rid: Some(rid.clone()), cause };
+        let bad = |cause| ParseError { rid: Some(rid.clone()), cause };
         if object.get("jsonrpc").and_then(Value::as_str) != Some("2.0") {
             return Err(bad("not JSON-RPC 2.0"));
         }
@@ -79,7 +79,7 @@
                 if let Some(load) = result.get("load") {
                     let values = load.as_object().into_iter().flatten();
                     let value = |(name, v): (&String, &Value)| Some((name.clone(), v.as_f64()? as f32));
-                    return Ok(Said::Alive { rid, report: values.filter_map(value).collect() });
+                    return Ok(WorkerReply::Alive { rid, report: values.filter_map(value).collect() });
                 }
                 let copies = result.get("copies").and_then(Value::as_u64).map(|n| n as u32);
                 let body = match result.get("body") {
@@ -89,7 +89,7 @@
                     }
                     _ => return Err(bad("no body")),
                 };
-                Ok(Said::Answer { rid, reply: Reply::Ok(body), copies })
+                Ok(WorkerReply::Answer { rid, reply: Reply::Ok(body), copies })
             }
             (None, Some(error)) => {
                 let reply = match error.get("code").and_then(Value::as_i64) {
@@ -100,7 +100,7 @@
                     None => return Err(bad("an error without a code")),
                 };
                 let copies = error.pointer("/data/copies").and_then(Value::as_u64).map(|n| n as u32);
-                Ok(Said::Answer { rid, reply, copies })
+                Ok(WorkerReply::Answer { rid, reply, copies })
             }
             _ => Err(bad("neither a result nor an error")),
         }
--- a/src/backend/jsonrpc/tests.rs
+++ b/src/backend/jsonrpc/tests.rs
@@ -3,7 +3,7 @@
 #[test]
 fn commands_are_worded() {
     let (reference, class, key) = ("9b1f".to_owned(), "c".to_owned(), Some("k".to_owned()));
-    let work = Work { reference, class, function: FunctionId(0x7f), key, body: b"hi".to_vec() };
+    let work = RequestPayload { reference, class, function: FunctionId(0x7f), key, body: b"hi".to_vec() };
     let name = "000000000000007f";
     let params = json!({"class": "c", "function": name, "ttl_ms": 2, "body": "aGk=", "key": "k"});
     let cases = [
@@ -27,14 +27,14 @@
 
 #[test]
 fn answers_are_read() {
-    let answer = |reply, copies| Ok(Said::Answer { rid: "a".into(), reply, copies });
-    let bad = |rid: Option<&str>, cause| Err(Unreadable { rid: rid.map(str::to_owned), cause });
-    let cases: Vec<(&str, Result<Said, Unreadable>)> = vec![
+    let answer = |reply, copies| Ok(WorkerReply::Answer { rid: "a".into(), reply, copies });
+    let bad = |rid: Option<&str>, cause| Err(ParseError { rid: rid.map(str::to_owned), cause });
+    let cases: Vec<(&str, Result<WorkerReply, ParseError>)> = vec![
         (r#"{"jsonrpc":"2.0","id":"a","result":{"body":"aGk="}}"#, answer(Reply::Ok(b"hi".into()), None)),
         (r#"{"jsonrpc":"2.0","id":"a","result":{"copies":2}}"#, answer(Reply::Ok(vec![]), Some(2))),
         (
             r#"{"jsonrpc":"2.0","id":"a","result":{"load":{"util":0.5}}}"#,
-            Ok(Said::Alive { rid: "a".into(), report: vec![("util".into(), 0.5)] }),
+            Ok(WorkerReply::Alive { rid: "a".into(), report: vec![("util".into(), 0.5)] }),
         ),
         (r#"{"jsonrpc":"2.0","id":"a","error":{"code":-32010}}"#, answer(Reply::Miss, None)),
         (
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -11,7 +11,10 @@
 pub use pool::{Endpoint, Pool};
 
 pub use crate::call::Job;
-use crate::call::{AttemptId, Broken, Fenced, LoadReport, OrderId, ProbeId, Reached, Reply, Standing, Work};
+use crate::call::{
+    AttemptId, AttemptProgress, Broken, Fenced, LoadReport, LoadResult, OrderId, ProbeId, Reply,
+    RequestPayload,
+};
 use crate::interface::{FunctionId, Span, Time};
 use crate::net::{Connection, Flow, Hub, Link};
 use crate::settings::Site;
@@ -20,7 +23,7 @@
 
 /// What a worker's line says.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Said {
+pub enum WorkerReply {
     /// An answer to a call or, for orders, with the copies that stand.
     Answer {
         /// The name under which the command went out.
@@ -41,7 +44,7 @@
 
 /// A line that cannot be read; with the name it answers, where that much could be read.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Unreadable {
+pub struct ParseError {
     /// The name under which the command went out.
     pub rid: Option<String>,
     /// What is wrong.
@@ -51,7 +54,7 @@
 /// The words of one kind of worker: pure functions from commands to lines and back.
 pub trait Codec {
     /// The line that starts an attempt at `now`, whose answer is waited for until the deadline.
-    fn go(&self, work: &Work, now: Time, deadline: Time) -> Vec<u8>;
+    fn go(&self, work: &RequestPayload, now: Time, deadline: Time) -> Vec<u8>;
     /// The line that gives it up.
     fn halt(&self, rid: &str) -> Vec<u8>;
     /// The line that orders a load.
@@ -61,7 +64,7 @@
     /// The line that probes under this name.
     fn probe(&self, rid: &str) -> Vec<u8>;
     /// Reads a line, without its line feed.
-    fn read(&self, line: &[u8]) -> Result<Said, Unreadable>;
+    fn read(&self, line: &[u8]) -> Result<WorkerReply, ParseError>;
 }
 
 /// What remains until a deadline in whole milliseconds, as the wires tell it; never 0, which could mean none.
@@ -260,7 +263,7 @@
     fn line(&mut self, line: &[u8], hub: &mut Hub) -> Flow {
         self.silent = false;
         let (rid, reply, copies) = match self.codec.read(line) {
-            Ok(Said::Alive { rid, report }) => {
+            Ok(WorkerReply::Alive { rid, report }) => {
                 if let Some(Open::Probe(probe)) = self.open.get(&rid) {
                     let probe = *probe;
                     self.open.remove(&rid);
@@ -269,13 +272,13 @@
                 }
                 return Flow::Go;
             }
-            Ok(Said::Answer { rid, reply, copies }) => (rid, Ok(reply), copies),
-            Err(Unreadable { rid, cause }) => {
+            Ok(WorkerReply::Answer { rid, reply, copies }) => (rid, Ok(reply), copies),
+            Err(ParseError { rid, cause }) => {
                 hub.core.counters().unreadable += 1;
                 if let Some(Open::Attempt(attempt)) = rid.as_ref().and_then(|rid| self.open.remove(rid)) {
                     self.attempts -= 1;
                     self.names.remove(&attempt);
-                    let broken = Broken { reached: Reached::Answered, cause };
+                    let broken = Broken { reached: AttemptProgress::Answered, cause };
                     hub.core.attempt_ended(hub.now, attempt, Err(broken));
                 }
                 // Where a line ends and the next begins is no longer sure: nothing more comes of use on this
@@ -297,13 +300,13 @@
             }
             Some(Open::Order(order)) => {
                 let standing =
-                    reply.map(|reply| Standing { status: reply.status(), copies: copies.unwrap_or(0) });
+                    reply.map(|reply| LoadResult { status: reply.status(), copies: copies.unwrap_or(0) });
                 hub.core.order_ended(hub.now, order, standing);
             }
             // An answer, but not that it lives.
             Some(Open::Probe(probe)) => {
                 self.probe_by = None;
-                let broken = Broken { reached: Reached::Answered, cause: "not alive" };
+                let broken = Broken { reached: AttemptProgress::Answered, cause: "not alive" };
                 hub.core.probe_ended(hub.now, probe, Err(broken));
             }
             Some(Open::Shadow(_)) | None => {}
@@ -405,7 +408,7 @@
         if let Some((_, probe)) = self.probe_by.take_if(|(by, _)| *by <= hub.now) {
             self.silent = true;
             self.open.remove(&Self::probe_name(probe));
-            let broken = Broken { reached: Reached::Out, cause: "no answer" };
+            let broken = Broken { reached: AttemptProgress::Out, cause: "no answer" };
             hub.core.probe_ended(hub.now, probe, Err(broken));
         }
         let late = self.connect_by.into_iter().chain(self.line_by()).any(|by| by <= hub.now);
@@ -434,8 +437,8 @@
             })
             .collect();
         let half = self.writing.take();
-        let mut ends: Vec<(Open, Reached)> =
-            waiting.iter().map(|(_, open)| (*open, Reached::NotSent)).collect();
+        let mut ends: Vec<(Open, AttemptProgress)> =
+            waiting.iter().map(|(_, open)| (*open, AttemptProgress::NotSent)).collect();
         let is = |a: &Open, b: &Open| match (a, b) {
             (Open::Attempt(a), Open::Attempt(b)) => a == b,
             (Open::Order(a), Open::Order(b)) => a == b,
@@ -448,7 +451,7 @@
             }
             // Bytes that never left our buffer: the line at the worker has no end, so it cannot have run.
             let partly = half.as_ref().is_some_and(|half| is(half, open)) && link.waiting() > 0;
-            ends.push((*open, if partly { Reached::PartlyWritten } else { Reached::Out }));
+            ends.push((*open, if partly { AttemptProgress::PartlyWritten } else { AttemptProgress::Out }));
         }
         let cause = if up { "connection ended" } else { "no connection" };
         for (open, reached) in ends {
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -1,7 +1,7 @@
 //! Which connections lead to which worker.
 
 use super::{Codec, Job, Limits, WorkerConnection};
-use crate::call::{AttemptId, Broken, Reached};
+use crate::call::{AttemptId, AttemptProgress, Broken};
 use crate::core::{Command, Core};
 use crate::interface::{Span, Time, WorkerId};
 use crate::net::Reactor;
@@ -131,7 +131,7 @@
                 match self.connection(worker, None, reactor, core) {
                     Some(connection) => give(connection, Job::Probe { probe, deadline }, reactor, core),
                     None => {
-                        let broken = Broken { reached: Reached::NotSent, cause: "no connection" };
+                        let broken = Broken { reached: AttemptProgress::NotSent, cause: "no connection" };
                         core.probe_ended(reactor.now(), probe, Err(broken));
                     }
                 }
--- a/src/call.rs
+++ b/src/call.rs
@@ -39,7 +39,7 @@
 
 /// What every attempt of a call carries to a worker.
 #[derive(Debug)]
-pub struct Work {
+pub struct RequestPayload {
     /// The client's name for the try.
     pub reference: String,
     /// Name of the class.
@@ -91,7 +91,7 @@
 
 /// How far an attempt or an order had come when it broke. This alone decides whether a repeat is safe.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Reached {
+pub enum AttemptProgress {
     /// No byte was handed to the system.
     NotSent,
     /// Some bytes, not all: what arrives cannot be read, so it never ran.
@@ -106,7 +106,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Broken {
     /// How far it had come.
-    pub reached: Reached,
+    pub reached: AttemptProgress,
     /// What broke, for the log.
     pub cause: &'static str,
 }
@@ -141,7 +141,7 @@
 
 /// What a worker said of an order to load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Standing {
+pub struct LoadResult {
     /// How it ended.
     pub status: Status,
     /// Copies that stand.
@@ -179,7 +179,7 @@
         /// Which.
         attempt: AttemptId,
         /// What it carries.
-        work: Rc<Work>,
+        work: Rc<RequestPayload>,
         /// When its answer is no longer waited for.
         deadline: Time,
     },
--- a/src/core/bans.rs
+++ b/src/core/bans.rs
@@ -8,7 +8,7 @@
 
 /// What a call by hand did.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Done {
+pub enum CordonResult {
     /// It changed how the worker stands.
     Changed,
     /// It stood so already.
@@ -29,25 +29,25 @@
 
 impl Bans {
     /// Leaves a worker out. One that is out stays so whatever the bus says, under its id.
-    pub fn exclude(&mut self, worker: WorkerId, listed: bool) -> Done {
+    pub fn exclude(&mut self, worker: WorkerId, listed: bool) -> CordonResult {
         match () {
-            () if self.out.contains(&worker) => Done::Stood,
-            () if !listed => Done::Unknown,
-            () if self.out.len() >= MOST => Done::TooMany,
+            () if self.out.contains(&worker) => CordonResult::Stood,
+            () if !listed => CordonResult::Unknown,
+            () if self.out.len() >= MOST => CordonResult::TooMany,
             () => {
                 self.out.insert(worker);
-                Done::Changed
+                CordonResult::Changed
             }
         }
     }
 
     /// Puts it back; one call answers any number out.
-    pub fn include(&mut self, now: Time, worker: WorkerId, listed: bool) -> Done {
+    pub fn include(&mut self, now: Time, worker: WorkerId, listed: bool) -> CordonResult {
         if self.out.remove(&worker) {
             self.back.insert(worker, now);
-            return Done::Changed;
+            return CordonResult::Changed;
         }
-        if listed { Done::Stood } else { Done::Unknown }
+        if listed { CordonResult::Stood } else { CordonResult::Unknown }
     }
 
     /// Those that came back, and when.
--- a/src/core/command.rs
+++ b/src/core/command.rs
@@ -29,7 +29,7 @@
         /// Where to.
         worker: WorkerId,
         /// What it carries.
-        work: Rc<Work>,
+        work: Rc<RequestPayload>,
         /// When its answer is no longer waited for.
         deadline: Time,
     },
@@ -90,7 +90,7 @@
 
 pub(super) struct Taken {
     pub(super) owner: Owner,
-    pub(super) work: Rc<Work>,
+    pub(super) work: Rc<RequestPayload>,
     pub(super) class: usize,
     pub(super) effect: Effect,
     pub(super) deadline: Time,
--- a/src/core/ends.rs
+++ b/src/core/ends.rs
@@ -2,7 +2,8 @@
 
 use super::command::Due;
 use super::{
-    AttemptId, Broken, Command, Core, LoadReport, OrderId, ProbeId, Reached, Reply, Standing, Verdict,
+    AttemptId, AttemptProgress, Broken, Command, Core, LoadReport, LoadResult, OrderId, ProbeId, Reply,
+    Verdict,
 };
 use crate::chain;
 use crate::interface::*;
@@ -33,9 +34,9 @@
                 status
             }
             Err(broken) => match broken.reached {
-                Reached::NotSent | Reached::PartlyWritten => Status::ConnectFailed,
-                Reached::Out => Status::Reset,
-                Reached::Answered => Status::Error,
+                AttemptProgress::NotSent | AttemptProgress::PartlyWritten => Status::ConnectFailed,
+                AttemptProgress::Out => Status::Reset,
+                AttemptProgress::Answered => Status::Error,
             },
         };
         self.counters.end(status);
@@ -72,14 +73,14 @@
     }
 
     /// An order to load has ended at its worker, or broke on the way.
-    pub fn order_ended(&mut self, now: Time, id: OrderId, end: Result<Standing, Broken>) {
+    pub fn order_ended(&mut self, now: Time, id: OrderId, end: Result<LoadResult, Broken>) {
         let standing = end.unwrap_or_else(|broken| {
             let status = match broken.reached {
-                Reached::NotSent | Reached::PartlyWritten => Status::ConnectFailed,
-                Reached::Out => Status::Reset,
-                Reached::Answered => Status::Error,
+                AttemptProgress::NotSent | AttemptProgress::PartlyWritten => Status::ConnectFailed,
+                AttemptProgress::Out => Status::Reset,
+                AttemptProgress::Answered => Status::Error,
             };
-            Standing { status, copies: 0 }
+            LoadResult { status, copies: 0 }
         });
         self.end_order(now, id, standing);
         self.settle(now);
@@ -87,7 +88,7 @@
 
     /// An order to load that never left, for a reason of our own; see [`Core::attempt_held`].
     pub fn order_held(&mut self, now: Time, id: OrderId) {
-        self.end_order(now, id, Standing { status: Status::Moot, copies: 0 });
+        self.end_order(now, id, LoadResult { status: Status::Moot, copies: 0 });
         self.settle(now);
     }
 
@@ -138,7 +139,7 @@
         self.backlog.push_back(Event::Probed(probe.worker, status, report));
     }
 
-    pub(super) fn end_order(&mut self, now: Time, id: OrderId, standing: Standing) {
+    pub(super) fn end_order(&mut self, now: Time, id: OrderId, standing: LoadResult) {
         let Some(order) = self.orders.remove(&id) else { return };
         self.due.remove(&(order.decided + self.site.load_wait, Due::Order(id)));
         let (worker, function) = (order.worker, order.function);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -267,7 +267,7 @@
         self.note_called(now, call.function);
         self.bodies += call.body.len();
         self.names.insert(call.reference.clone());
-        let work = Rc::new(Work {
+        let work = Rc::new(RequestPayload {
             reference: call.reference,
             class: call.class,
             function: call.function,
@@ -337,7 +337,7 @@
                     self.end_attempt(now, id, Status::Timeout);
                 }
                 Due::Probe(id) => self.end_probe(id, Status::Timeout, vec![]),
-                Due::Order(id) => self.end_order(now, id, Standing { status: Status::Timeout, copies: 0 }),
+                Due::Order(id) => self.end_order(now, id, LoadResult { status: Status::Timeout, copies: 0 }),
             }
         }
         self.settle(now);
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -56,7 +56,7 @@
     send.expect("it is sent")
 }
 
-fn broken(reached: Reached) -> Result<Reply, Broken> {
+fn broken(reached: AttemptProgress) -> Result<Reply, Broken> {
     Err(Broken { reached, cause: "test" })
 }
 
@@ -107,7 +107,7 @@
     assert!(!core.may_write(MS(7), attempt) && !core.may_write_order(MS(7), order));
     // What was open there fails: its repeat goes elsewhere.
     while core.next_command().is_some() {}
-    core.attempt_ended(MS(8), open, broken(Reached::Out));
+    core.attempt_ended(MS(8), open, broken(AttemptProgress::Out));
     let other = std::iter::from_fn(|| core.next_command()).find_map(|command| match command {
         Command::Send { worker, .. } => Some(worker),
         _ => None,
@@ -180,8 +180,8 @@
                         0..4 => core.attempt_ended(now, attempt, Ok(Reply::Ok(vec![]))),
                         4 => core.attempt_ended(now, attempt, Ok(Reply::Error)),
                         5 => core.attempt_ended(now, attempt, Ok(Reply::Full)),
-                        6 | 7 => core.attempt_ended(now, attempt, broken(Reached::Out)),
-                        8 => core.attempt_ended(now, attempt, broken(Reached::NotSent)),
+                        6 | 7 => core.attempt_ended(now, attempt, broken(AttemptProgress::Out)),
+                        8 => core.attempt_ended(now, attempt, broken(AttemptProgress::NotSent)),
                         _ => core.attempt_held(now, attempt),
                     }
                 }
@@ -193,7 +193,7 @@
                 _ => {
                     for order in orders.drain(..) {
                         if core.may_write_order(now, order) {
-                            core.order_ended(now, order, Ok(Standing { status: Status::Ok, copies: 1 }));
+                            core.order_ended(now, order, Ok(LoadResult { status: Status::Ok, copies: 1 }));
                         }
                     }
                 }
@@ -249,11 +249,11 @@
 #[test]
 fn repeats_that_queued_keep_to_their_class() {
     let cases = [
-        ("keyed", Reached::Out, MS(900), true),
-        ("keyed", Reached::Out, MS(960), false),
-        ("keyed", Reached::PartlyWritten, MS(2000), true),
-        ("safe", Reached::Out, MS(2000), true),
-        ("unsafe", Reached::PartlyWritten, MS(2000), true),
+        ("keyed", AttemptProgress::Out, MS(900), true),
+        ("keyed", AttemptProgress::Out, MS(960), false),
+        ("keyed", AttemptProgress::PartlyWritten, MS(2000), true),
+        ("safe", AttemptProgress::Out, MS(2000), true),
+        ("unsafe", AttemptProgress::PartlyWritten, MS(2000), true),
     ];
     for (class, reached, at, allowed) in cases {
         let mut core = core();
@@ -274,7 +274,7 @@
     core.attempt_held(MS(1), first);
     let (again, at) = sent(&std::iter::from_fn(|| core.next_command()).collect::<Vec<_>>());
     assert_eq!(at, worker, "the function's home still");
-    core.attempt_ended(MS(2), again, broken(Reached::NotSent));
+    core.attempt_ended(MS(2), again, broken(AttemptProgress::NotSent));
     let (_, at) = sent(&std::iter::from_fn(|| core.next_command()).collect::<Vec<_>>());
     assert_ne!(at, worker, "it refused a connection");
 }
@@ -286,7 +286,7 @@
     let retuned = retuned.replace("keyed", "other");
     let fails = |core: &mut Core, stream, attempt| {
         core.written(MS(1), attempt);
-        core.attempt_ended(MS(2), attempt, broken(Reached::Out));
+        core.attempt_ended(MS(2), attempt, broken(AttemptProgress::Out));
         let commands: Vec<_> = std::iter::from_fn(|| core.next_command()).collect();
         let answer = |c: &Command| matches!(c, Command::Answer { owner, .. } if owner.stream == stream);
         (commands.iter().any(answer), commands)
@@ -426,7 +426,7 @@
     let mut core = core();
     let (first, _) = sent(&call(&mut core, 1, "keyed"));
     core.written(MS(5), first);
-    core.attempt_ended(MS(5), first, broken(Reached::Out));
+    core.attempt_ended(MS(5), first, broken(AttemptProgress::Out));
     let all: Vec<Command> = std::iter::from_fn(|| core.next_command()).collect();
     let (second, _) = sent(&all);
     assert!(core.may_write(MS(5), second));
--- a/src/core/workers.rs
+++ b/src/core/workers.rs
@@ -1,6 +1,6 @@
 //! The list of workers, who of them is out by hand, and what other processes of this scheduler and of its fleet add.
 
-use super::bans::Done;
+use super::bans::CordonResult;
 use super::known::Known;
 use super::overload::Overload;
 use super::{Command, Core};
@@ -29,9 +29,9 @@
 
     /// An operator leaves a worker out, so that from now on nothing new is written to it whatever the list tells,
     /// or puts it back.
-    pub fn by_hand(&mut self, now: Time, worker: WorkerId, out: bool) -> Done {
+    pub fn by_hand(&mut self, now: Time, worker: WorkerId, out: bool) -> CordonResult {
         let done = self.set_by_hand(now, worker, out, self.told.contains_key(&worker));
-        if done == Done::Changed {
+        if done == CordonResult::Changed {
             self.commands.push_back(Command::ByHand { worker, out });
         }
         done
@@ -42,12 +42,18 @@
         self.set_by_hand(now, worker, out, true);
     }
 
-    pub(super) fn set_by_hand(&mut self, now: Time, worker: WorkerId, out: bool, listed: bool) -> Done {
+    pub(super) fn set_by_hand(
+        &mut self,
+        now: Time,
+        worker: WorkerId,
+        out: bool,
+        listed: bool,
+    ) -> CordonResult {
         let done = match out {
             true => self.bans.exclude(worker, listed),
             false => self.bans.include(now, worker, listed),
         };
-        if done == Done::Changed {
+        if done == CordonResult::Changed {
             // It has most likely been restarted meanwhile, so nothing that was known of it holds.
             if !out {
                 self.commands.push_back(Command::Renew { worker });
--- a/src/ops/http.rs
+++ b/src/ops/http.rs
@@ -25,38 +25,38 @@
 
 /// Why a caller gets a no: a status and a line that says what is wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct No(pub u16, pub &'static str);
+pub struct HttpError(pub u16, pub &'static str);
 
 /// Reads a call; `Ok(None)` where its head is not whole yet.
-pub fn read(bytes: &[u8]) -> Result<Option<Call>, No> {
+pub fn read(bytes: &[u8]) -> Result<Option<Call>, HttpError> {
     let mut headers = [httparse::EMPTY_HEADER; HEADERS];
     let mut request = httparse::Request::new(&mut headers);
     let size = match request.parse(bytes) {
         Ok(httparse::Status::Complete(size)) => size,
         Ok(httparse::Status::Partial) if bytes.len() < HEAD => return Ok(None),
         Ok(httparse::Status::Partial) | Err(httparse::Error::TooManyHeaders) => {
-            return Err(No(431, "the head is too long"));
+            return Err(HttpError(431, "the head is too long"));
         }
-        Err(httparse::Error::Version) => return Err(No(505, "HTTP/1.1 is spoken here")),
-        Err(_) => return Err(No(400, "this is no HTTP call")),
+        Err(httparse::Error::Version) => return Err(HttpError(505, "HTTP/1.1 is spoken here")),
+        Err(_) => return Err(HttpError(400, "this is no HTTP call")),
     };
     if size > HEAD {
-        return Err(No(431, "the head is too long"));
+        return Err(HttpError(431, "the head is too long"));
     }
     let body = request.headers.iter().any(|header| {
         let named = |name: &str| header.name.eq_ignore_ascii_case(name);
         named("transfer-encoding") || named("content-length") && header.value.trim_ascii() != b"0"
     });
     if body {
-        return Err(No(400, "no call here takes a body"));
+        return Err(HttpError(400, "no call here takes a body"));
     }
     if bytes.len() > size {
-        return Err(No(400, "one call a connection"));
+        return Err(HttpError(400, "one call a connection"));
     }
     route(request.method.unwrap_or(""), request.path.unwrap_or("")).map(Some)
 }
 
-fn route(method: &str, target: &str) -> Result<Call, No> {
+fn route(method: &str, target: &str) -> Result<Call, HttpError> {
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
     match (method, path) {
         ("GET", "/api/ready") => Ok(Call::Ready),
@@ -64,19 +64,19 @@
         ("GET", "/api/fleet") => Ok(Call::Fleet),
         ("POST", "/api/exclude") => read_name(query).map(Call::Exclude),
         ("POST", "/api/include") => read_name(query).map(Call::Include),
-        (_, "/api/ready" | "/api/telemetry" | "/api/fleet") => Err(No(405, "GET is meant")),
-        (_, "/api/exclude" | "/api/include") => Err(No(405, "POST is meant")),
-        _ => Err(No(404, "no such path")),
+        (_, "/api/ready" | "/api/telemetry" | "/api/fleet") => Err(HttpError(405, "GET is meant")),
+        (_, "/api/exclude" | "/api/include") => Err(HttpError(405, "POST is meant")),
+        _ => Err(HttpError(404, "no such path")),
     }
 }
 
 /// The one worker that a query names.
-fn read_name(query: &str) -> Result<WorkerId, No> {
+fn read_name(query: &str) -> Result<WorkerId, HttpError> {
     let names: Vec<&str> = query.split('&').filter_map(|part| part.strip_prefix("name=")).collect();
     match names.as_slice() {
-        [] => Err(No(400, "name= is missing")),
-        [name] => read_worker(name).ok_or(No(400, "name= is no id of a node agent")),
-        _ => Err(No(400, "name= stands twice")),
+        [] => Err(HttpError(400, "name= is missing")),
+        [name] => read_worker(name).ok_or(HttpError(400, "name= is no id of a node agent")),
+        _ => Err(HttpError(400, "name= stands twice")),
     }
 }
 
--- a/src/ops/mgmt.rs
+++ b/src/ops/mgmt.rs
@@ -1,7 +1,7 @@
 //! A caller's connection at the second address.
 
-use super::http::{self, Call, HEAD, No};
-use crate::core::bans::Done;
+use super::http::{self, Call, HEAD, HttpError};
+use crate::core::bans::CordonResult;
 use crate::interface::{Span, Time};
 use crate::net::{Connection, Flow, Hub, Link};
 
@@ -24,33 +24,33 @@
         MgmtConnection { came: now, answered: None }
     }
 
-    fn carry_out(call: Call, hub: &mut Hub) -> Result<String, No> {
+    fn carry_out(call: Call, hub: &mut Hub) -> Result<String, HttpError> {
         let done = match call {
             Call::Ready if hub.ready && hub.open && hub.core.places() => return Ok("ready\n".to_owned()),
-            Call::Ready => return Err(No(503, "not ready")),
+            Call::Ready => return Err(HttpError(503, "not ready")),
             Call::Figures => {
                 let fleet = hub.fleet.as_ref().map(|fleet| fleet.borrow().status(hub.now));
                 let fleet = fleet.map(|status| status.figures()).unwrap_or_default();
                 return Ok(hub.core.figures().to_string() + &fleet);
             }
             Call::Fleet => {
-                let fleet = hub.fleet.as_ref().ok_or(No(404, "this scheduler is in no fleet"))?;
+                let fleet = hub.fleet.as_ref().ok_or(HttpError(404, "this scheduler is in no fleet"))?;
                 return Ok(fleet.borrow().status(hub.now).to_string());
             }
             Call::Exclude(worker) => hub.core.by_hand(hub.now, worker, true),
             Call::Include(worker) => hub.core.by_hand(hub.now, worker, false),
         };
         match done {
-            Done::Changed | Done::Stood => Ok("done\n".to_owned()),
-            Done::Unknown => Err(No(404, "nobody has this id")),
-            Done::TooMany => Err(No(503, "too many are out by hand")),
+            CordonResult::Changed | CordonResult::Stood => Ok("done\n".to_owned()),
+            CordonResult::Unknown => Err(HttpError(404, "nobody has this id")),
+            CordonResult::TooMany => Err(HttpError(503, "too many are out by hand")),
         }
     }
 
-    fn answer(&mut self, answer: Result<String, No>, link: &mut Link, hub: &Hub) -> Flow {
+    fn answer(&mut self, answer: Result<String, HttpError>, link: &mut Link, hub: &Hub) -> Flow {
         match answer {
             Ok(text) => link.put(&http::answer(200, &text)),
-            Err(No(status, why)) => link.put(&http::answer(status, &format!("{why}\n"))),
+            Err(HttpError(status, why)) => link.put(&http::answer(status, &format!("{why}\n"))),
         }
         self.answered = Some(hub.now);
         Flow::Finish
@@ -77,7 +77,7 @@
     fn due(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
         match self.answered {
             Some(_) => Flow::Close,
-            None => self.answer(Err(No(408, "no whole call came")), link, hub),
+            None => self.answer(Err(HttpError(408, "no whole call came")), link, hub),
         }
     }
 
