--- /dev/null
+++ b/src/net/connection.rs
@@ -0,0 +1,119 @@
+//! What a connection is to the reactor: an object with callbacks.
+
+use super::{Link, SystemClock};
+use crate::call::{Answer, AttemptId, Job};
+use crate::chain::End;
+use crate::core::Core;
+use crate::fleet::Machine;
+use crate::interface::Time;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+/// Whether a connection goes on after a callback.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Flow {
+    /// It does.
+    Go,
+    /// Nothing more is read; it ends once what is owed has been written.
+    Finish,
+    /// It ends now.
+    Close,
+}
+
+impl Flow {
+    /// The stricter of the two.
+    pub fn and(self, other: Flow) -> Flow {
+        match (self, other) {
+            (Flow::Close, _) | (_, Flow::Close) => Flow::Close,
+            (Flow::Finish, _) | (_, Flow::Finish) => Flow::Finish,
+            _ => Flow::Go,
+        }
+    }
+}
+
+/// What a callback may use.
+pub struct Hub<'a> {
+    /// The scheduler.
+    pub core: &'a mut Core,
+    /// The time at which the callback began.
+    pub now: Time,
+    /// For what must know the time at the moment.
+    pub clock: SystemClock,
+    /// Whether new calls are taken.
+    pub ready: bool,
+    /// Whether this daemon takes new calls on fronts of its host; see [`crate::vrrp`].
+    pub active: bool,
+    /// Whether clients are taken from the door; see [`crate::handover`].
+    pub open: bool,
+    /// This process's place in its fleet, if it has one.
+    pub fleet: Option<Rc<RefCell<Machine>>>,
+}
+
+/// A connection as an object: the reactor calls it back with what happens to it.
+pub trait Connection {
+    /// The connection stands.
+    fn opened(&mut self, link: &mut Link, hub: &mut Hub) -> Flow;
+    /// There is new input in the link, or the other side has ended its half.
+    fn received(&mut self, link: &mut Link, hub: &mut Hub) -> Flow;
+    /// Everything put in line has been handed to the system.
+    fn flushed(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
+        Flow::Go
+    }
+    /// Bytes that were put in line long ago are about to go out, and none of them has: they may be taken back.
+    fn unsent(&mut self, _link: &mut Link, _hub: &mut Hub) {}
+    /// The time told by [`Connection::deadline`] has come.
+    fn due(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
+        Flow::Go
+    }
+    /// When to be called back; asked after every callback.
+    fn deadline(&self) -> Option<Time> {
+        None
+    }
+    /// The connection has ended, by whichever side. Called once.
+    fn closed(&mut self, link: &Link, hub: &mut Hub);
+    /// The final answer of a call that came in here.
+    fn answer(&mut self, _stream: u64, _answer: &Answer, _link: &mut Link, _hub: &mut Hub) -> Flow {
+        Flow::Go
+    }
+    /// The one end of a chain that came in here.
+    fn chain_ended(&mut self, _stream: u64, _end: &End, _link: &mut Link, _hub: &mut Hub) -> Flow {
+        Flow::Go
+    }
+    /// A job for the worker at the other end.
+    fn job(&mut self, _job: Job, _link: &mut Link, _hub: &mut Hub) -> Flow {
+        Flow::Go
+    }
+    /// Whether a job could be given now: its reference is not open here and there is room.
+    fn accepts(&self, _reference: Option<&str>) -> bool {
+        false
+    }
+    /// How many calls are open here.
+    fn load(&self) -> usize {
+        0
+    }
+    /// No new call is wanted here any more.
+    fn leave(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
+        Flow::Go
+    }
+    /// Whether a call is half read here.
+    fn partial(&self) -> bool {
+        false
+    }
+    /// Whether a call is half read here, or may still come because none has.
+    fn begun(&self) -> bool {
+        false
+    }
+    /// Since when nothing is open here, so that it may be closed to make room; none while something is.
+    fn idle(&self) -> Option<Time> {
+        None
+    }
+    /// The attempt that is next in line here and could be written now. It is written only by
+    /// [`Connection::proceed`], once its client's connection has been read.
+    fn next_attempt(&self, _link: &Link) -> Option<AttemptId> {
+        None
+    }
+    /// Writes the attempt that is next in line, if it may still go.
+    fn proceed(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
+        Flow::Go
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,9 +1,12 @@
 //! Sockets: the clock, buffered links over TCP or Unix streams, and the reactor that calls connections back.
 
+mod connection;
 pub mod inherit;
 mod reactor;
+mod sockets;
 
-pub use reactor::{Connection, Flow, Hub, Reactor, Signal};
+pub use connection::{Connection, Flow, Hub};
+pub use reactor::{Reactor, Signal};
 
 use crate::interface::{Span, Time};
 use mio::event::Source;
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -1,121 +1,20 @@
 //! The reactor: one poll, all connections, their timers. Connections are objects that it calls back.
 
+use super::connection::{Connection, Flow, Hub};
 use super::{Link, Stream, SystemClock};
-use crate::call::{Answer, AttemptId, Job};
-use crate::chain::End;
+use crate::call::AttemptId;
 use crate::core::Core;
 use crate::fleet::Machine;
 use crate::interface::{Span, Time};
-use mio::net::{TcpListener, TcpStream, UnixListener, UnixStream};
-use mio::{Events, Interest, Poll, Token};
+use mio::net::{TcpListener, UnixListener};
+use mio::{Events, Poll, Token};
 use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap};
 use std::io;
-use std::net::SocketAddr;
-use std::os::unix::net::UnixStream as StdUnixStream;
 use std::panic::{AssertUnwindSafe, catch_unwind};
-use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Whether a connection goes on after a callback.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Flow {
-    /// It does.
-    Go,
-    /// Nothing more is read; it ends once what is owed has been written.
-    Finish,
-    /// It ends now.
-    Close,
-}
-
-/// What a callback may use.
-pub struct Hub<'a> {
-    /// The scheduler.
-    pub core: &'a mut Core,
-    /// The time at which the callback began.
-    pub now: Time,
-    /// For what must know the time at the moment.
-    pub clock: SystemClock,
-    /// Whether new calls are taken.
-    pub ready: bool,
-    /// Whether this daemon takes new calls on fronts of its host; see [`crate::vrrp`].
-    pub active: bool,
-    /// Whether clients are taken from the door; see [`crate::handover`].
-    pub open: bool,
-    /// This process's place in its fleet, if it has one.
-    pub fleet: Option<Rc<RefCell<Machine>>>,
-}
-
-/// A connection as an object: the reactor calls it back with what happens to it.
-pub trait Connection {
-    /// The connection stands.
-    fn opened(&mut self, link: &mut Link, hub: &mut Hub) -> Flow;
-    /// There is new input in the link, or the other side has ended its half.
-    fn received(&mut self, link: &mut Link, hub: &mut Hub) -> Flow;
-    /// Everything put in line has been handed to the system.
-    fn flushed(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
-        Flow::Go
-    }
-    /// Bytes that were put in line long ago are about to go out, and none of them has: they may be taken back.
-    fn unsent(&mut self, _link: &mut Link, _hub: &mut Hub) {}
-    /// The time told by [`Connection::deadline`] has come.
-    fn due(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
-        Flow::Go
-    }
-    /// When to be called back; asked after every callback.
-    fn deadline(&self) -> Option<Time> {
-        None
-    }
-    /// The connection has ended, by whichever side. Called once.
-    fn closed(&mut self, link: &Link, hub: &mut Hub);
-    /// The final answer of a call that came in here.
-    fn answer(&mut self, _stream: u64, _answer: &Answer, _link: &mut Link, _hub: &mut Hub) -> Flow {
-        Flow::Go
-    }
-    /// The one end of a chain that came in here.
-    fn chain_ended(&mut self, _stream: u64, _end: &End, _link: &mut Link, _hub: &mut Hub) -> Flow {
-        Flow::Go
-    }
-    /// A job for the worker at the other end.
-    fn job(&mut self, _job: Job, _link: &mut Link, _hub: &mut Hub) -> Flow {
-        Flow::Go
-    }
-    /// Whether a job could be given now: its reference is not open here and there is room.
-    fn accepts(&self, _reference: Option<&str>) -> bool {
-        false
-    }
-    /// How many calls are open here.
-    fn load(&self) -> usize {
-        0
-    }
-    /// No new call is wanted here any more.
-    fn leave(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
-        Flow::Go
-    }
-    /// Whether a call is half read here.
-    fn partial(&self) -> bool {
-        false
-    }
-    /// Whether a call is half read here, or may still come because none has.
-    fn begun(&self) -> bool {
-        false
-    }
-    /// Since when nothing is open here, so that it may be closed to make room; none while something is.
-    fn idle(&self) -> Option<Time> {
-        None
-    }
-    /// The attempt that is next in line here and could be written now. It is written only by
-    /// [`Connection::proceed`], once its client's connection has been read.
-    fn next_attempt(&self, _link: &Link) -> Option<AttemptId> {
-        None
-    }
-    /// Writes the attempt that is next in line, if it may still go.
-    fn proceed(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
-        Flow::Go
-    }
-}
-
 /// What woke the reactor beside connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Signal {
@@ -145,9 +44,58 @@
         }
         self.link.flush()
     }
+
+    /// A dial that has come up is told to the connection.
+    fn open_if_connected(&mut self, hub: &mut Hub) -> Flow {
+        if self.link.up {
+            return Flow::Go;
+        }
+        match self.link.stream.connected() {
+            Ok(true) => self.link.up = true,
+            Ok(false) => return Flow::Go,
+            Err(_) => return Flow::Close,
+        }
+        self.connection.opened(&mut self.link, hub)
+    }
+
+    /// Writes what waits; the connection may put more in line once all has gone.
+    fn write_waiting(&mut self, hub: &mut Hub) -> io::Result<Flow> {
+        if self.link.waiting() == 0 || !self.flush(hub)? {
+            return Ok(Flow::Go);
+        }
+        Ok(self.connection.flushed(&mut self.link, hub))
+    }
+
+    /// Reads until the socket has no more, for it tells of input only once; in turns with the connection's own work
+    /// and with other connections.
+    fn read_all(&mut self, mut flow: Flow, hub: &mut Hub) -> Flow {
+        let mut taken = 0;
+        loop {
+            let held = self.link.inbox.len();
+            let Ok(all) = self.link.fill() else { return Flow::Close };
+            let more = self.link.inbox.len() - held;
+            taken += more;
+            if self.finishing {
+                self.wasted += self.link.inbox.len();
+                self.link.inbox.clear();
+                if self.wasted > WASTE {
+                    return Flow::Close;
+                }
+            } else if more > 0 || self.link.ended {
+                flow = flow.and(self.connection.received(&mut self.link, hub));
+            }
+            if all || flow != Flow::Go || self.link.held_back() {
+                return flow;
+            }
+            if taken > TURN {
+                self.link.hold();
+                return flow;
+            }
+        }
+    }
 }
 
-enum Listener {
+pub(super) enum Listener {
     Tcp(TcpListener),
     Unix(UnixListener),
 }
@@ -159,18 +107,18 @@
 /// Output that a connection may always have waiting.
 const CLOGGED: usize = 64 << 10;
 
-const PIPES: usize = 1 << 8;
-const SOCKETS: usize = 1 << 9;
+pub(super) const PIPES: usize = 1 << 8;
+pub(super) const SOCKETS: usize = 1 << 9;
 const FIRST: usize = 1 << 10;
 
 /// See the module's page.
 pub struct Reactor {
-    poll: Poll,
+    pub(super) poll: Poll,
     events: Events,
     clock: SystemClock,
-    listeners: Vec<Option<Listener>>,
-    pipes: Vec<mio::net::UnixStream>,
-    sockets: Vec<Option<mio::net::UdpSocket>>,
+    pub(super) listeners: Vec<Option<Listener>>,
+    pub(super) pipes: Vec<mio::net::UnixStream>,
+    pub(super) sockets: Vec<Option<mio::net::UdpSocket>>,
     entries: HashMap<Token, Entry>,
     next: usize,
     timers: BTreeSet<(Time, Token)>,
@@ -226,146 +174,6 @@
         self.entries.len()
     }
 
-    /// Listens on a TCP address; the listener's number, and the address with its port where any would do.
-    pub fn listen(&mut self, at: SocketAddr) -> io::Result<(usize, SocketAddr)> {
-        let listener = TcpListener::bind(at)?;
-        let at = listener.local_addr()?;
-        Ok((self.add_listener(Listener::Tcp(listener))?, at))
-    }
-
-    /// A TCP socket that others may share: its number, and its address. Clients are taken from it once
-    /// [`Reactor::take_from`] says so.
-    pub fn listen_shared(&mut self, listener: std::net::TcpListener) -> io::Result<(usize, SocketAddr)> {
-        listener.set_nonblocking(true)?;
-        let listener = TcpListener::from_std(listener);
-        let (number, at) = (self.listeners.len(), listener.local_addr()?);
-        self.listeners.push(Some(Listener::Tcp(listener)));
-        Ok((number, at))
-    }
-
-    /// Whether clients are taken from a listener. Those that come meanwhile wait in the system, where whoever
-    /// shares the socket may take them.
-    pub fn take_from(&mut self, listener: usize, taken: bool) -> io::Result<()> {
-        let registry = self.poll.registry();
-        match (self.listeners.get_mut(listener).and_then(Option::as_mut), taken) {
-            (Some(Listener::Tcp(l)), true) => registry.register(l, Token(listener), Interest::READABLE),
-            (Some(Listener::Tcp(l)), false) => registry.deregister(l),
-            _ => Ok(()),
-        }
-    }
-
-    /// Listens on a Unix socket that has been made; the listener's number.
-    pub fn listen_unix(&mut self, listener: std::os::unix::net::UnixListener) -> io::Result<usize> {
-        listener.set_nonblocking(true)?;
-        self.add_listener(Listener::Unix(UnixListener::from_std(listener)))
-    }
-
-    fn add_listener(&mut self, mut listener: Listener) -> io::Result<usize> {
-        let number = self.listeners.len();
-        let registry = self.poll.registry();
-        match &mut listener {
-            Listener::Tcp(l) => registry.register(l, Token(number), Interest::READABLE)?,
-            Listener::Unix(l) => registry.register(l, Token(number), Interest::READABLE)?,
-        }
-        self.listeners.push(Some(listener));
-        Ok(number)
-    }
-
-    /// Listens there no longer.
-    pub fn unlisten(&mut self, listener: usize) {
-        let gone = self.listeners.get_mut(listener).and_then(Option::take);
-        let _ = match gone {
-            Some(Listener::Tcp(mut l)) => self.poll.registry().deregister(&mut l),
-            Some(Listener::Unix(mut l)) => self.poll.registry().deregister(&mut l),
-            None => Ok(()),
-        };
-    }
-
-    /// Watches the reading end of a pipe; its number.
-    pub fn watch(&mut self, pipe: StdUnixStream) -> io::Result<usize> {
-        pipe.set_nonblocking(true)?;
-        let mut pipe = UnixStream::from_std(pipe);
-        let number = self.pipes.len();
-        self.poll.registry().register(&mut pipe, Token(PIPES + number), Interest::READABLE)?;
-        self.pipes.push(pipe);
-        Ok(number)
-    }
-
-    /// Hears datagrams at an address; the socket's number, and the address with its port.
-    pub fn hear(&mut self, at: SocketAddr) -> io::Result<(usize, SocketAddr)> {
-        let mut socket = mio::net::UdpSocket::bind(at)?;
-        let (number, at) = (self.sockets.len(), socket.local_addr()?);
-        self.poll.registry().register(&mut socket, Token(SOCKETS + number), Interest::READABLE)?;
-        self.sockets.push(Some(socket));
-        Ok((number, at))
-    }
-
-    /// Hears nothing there any more: its address is free for others.
-    pub fn unhear(&mut self, socket: usize) {
-        if let Some(mut socket) = self.sockets.get_mut(socket).and_then(Option::take) {
-            let _ = self.poll.registry().deregister(&mut socket);
-        }
-    }
-
-    /// The next datagram of a socket, with its sender and size, if there is one.
-    pub fn datagram(&self, socket: usize, into: &mut [u8]) -> Option<(usize, SocketAddr)> {
-        let socket = self.sockets.get(socket)?.as_ref()?;
-        loop {
-            match socket.recv_from(into) {
-                Ok(taken) => return Some(taken),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return None,
-                // A peer that is down shows as an error of the socket; what else waits is still there.
-                Err(e)
-                    if matches!(e.kind(), io::ErrorKind::ConnectionRefused | io::ErrorKind::Interrupted) => {}
-                Err(_) => return None,
-            }
-        }
-    }
-
-    /// Datagrams were left in a socket: it is to be told of again.
-    pub fn hear_again(&mut self, socket: usize) {
-        let token = Token(SOCKETS + socket);
-        if let Some(Some(source)) = self.sockets.get_mut(socket) {
-            let _ = self.poll.registry().reregister(source, token, Interest::READABLE);
-        }
-    }
-
-    /// Sends a datagram; what the system does not take is lost, as datagrams may be.
-    pub fn send_datagram(&self, socket: usize, bytes: &[u8], to: SocketAddr) {
-        if let Some(Some(socket)) = self.sockets.get(socket) {
-            let _ = socket.send_to(bytes, to);
-        }
-    }
-
-    /// Takes the next client of a listener, if one waits.
-    pub fn accept(&mut self, listener: usize) -> io::Result<Option<Stream>> {
-        let taken = match &self.listeners[listener] {
-            None => return Ok(None),
-            Some(Listener::Tcp(l)) => l.accept().map(|(stream, _)| {
-                let _ = stream.set_nodelay(true);
-                Stream::Tcp(stream)
-            }),
-            Some(Listener::Unix(l)) => l.accept().map(|(stream, _)| Stream::Unix(stream)),
-        };
-        match taken {
-            Ok(stream) => Ok(Some(stream)),
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(None),
-            Err(e) => Err(e),
-        }
-    }
-
-    /// Begins a TCP connection.
-    pub fn connect(&self, to: SocketAddr) -> io::Result<Stream> {
-        let stream = TcpStream::connect(to)?;
-        let _ = stream.set_nodelay(true);
-        Ok(Stream::Tcp(stream))
-    }
-
-    /// Begins a connection to a Unix socket.
-    pub fn connect_unix(&self, to: &Path) -> io::Result<Stream> {
-        UnixStream::connect(to).map(Stream::Unix)
-    }
-
     /// Adds a connection; `up` if it stands already. Its id, or none where it broke at once.
     pub fn add(
         &mut self,
@@ -578,56 +386,14 @@
 
     fn happened(&mut self, token: Token, readable: bool, core: &mut Core) {
         self.call(token, core, |entry, hub| {
-            if !entry.link.up {
-                let Entry { link, connection, .. } = entry;
-                match link.stream.connected() {
-                    Ok(true) => link.up = true,
-                    Ok(false) => return Flow::Go,
-                    Err(_) => return Flow::Close,
-                }
-                let flow = connection.opened(link, hub);
-                if flow != Flow::Go {
-                    return flow;
-                }
+            let opened = entry.open_if_connected(hub);
+            if opened != Flow::Go || !entry.link.up {
+                return opened;
             }
-            let mut flow = Flow::Go;
-            if entry.link.waiting() > 0 {
-                match entry.flush(hub) {
-                    Ok(true) => flow = entry.connection.flushed(&mut entry.link, hub),
-                    Ok(false) => {}
-                    Err(_) => return Flow::Close,
-                }
-            }
-            if !readable {
-                return flow;
-            }
-            let Entry { link, connection, finishing, wasted, .. } = entry;
-            // Edge-triggered: read until the socket has no more, in turns with the connection's own work and
-            // with other connections.
-            let mut taken = 0;
-            loop {
-                let held = link.inbox.len();
-                let all = match link.fill() {
-                    Ok(all) => all,
-                    Err(_) => return Flow::Close,
-                };
-                taken += link.inbox.len() - held;
-                if *finishing {
-                    *wasted += link.inbox.len();
-                    link.inbox.clear();
-                    if *wasted > WASTE {
-                        return Flow::Close;
-                    }
-                } else if link.inbox.len() > held || link.ended {
-                    flow = flow.and(connection.received(link, hub));
-                }
-                if all || flow != Flow::Go || link.held_back() {
-                    return flow;
-                }
-                if taken > TURN {
-                    link.hold();
-                    return flow;
-                }
+            let Ok(flow) = entry.write_waiting(hub) else { return Flow::Close };
+            match readable {
+                true => entry.read_all(flow, hub),
+                false => flow,
             }
         });
     }
@@ -658,16 +424,5 @@
     }
 }
 
-impl Flow {
-    /// The stricter of the two.
-    pub fn and(self, other: Flow) -> Flow {
-        match (self, other) {
-            (Flow::Close, _) | (_, Flow::Close) => Flow::Close,
-            (Flow::Finish, _) | (_, Flow::Finish) => Flow::Finish,
-            _ => Flow::Go,
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/net/reactor/tests.rs
+++ b/src/net/reactor/tests.rs
@@ -1,5 +1,7 @@
 use super::*;
+use mio::net::UnixStream;
 use std::io::{Read, Write};
+use std::os::unix::net::UnixStream as StdUnixStream;
 
 /// Echoes, and panics at an `!`.
 struct Fragile;
