--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -16,7 +16,7 @@
     RequestPayload,
 };
 use crate::interface::{FunctionId, Span, Time};
-use crate::net::{Connection, Flow, Hub, Link};
+use crate::net::{Connection, Context, ControlFlow, Link};
 use crate::settings::Site;
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
@@ -170,17 +170,17 @@
 
     /// Writes commands one after another, each once the one before has gone whole, up to the next attempt: that one is
     /// written by [`Connection::proceed`].
-    fn pump(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
-        self.write(false, link, hub)
+    fn pump(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
+        self.write(false, link, context)
     }
 
-    fn write(&mut self, mut attempt_too: bool, link: &mut Link, hub: &mut Hub) -> Flow {
+    fn write(&mut self, mut attempt_too: bool, link: &mut Link, context: &mut Context) -> ControlFlow {
         if self.cut {
-            return self.hold_all(hub);
+            return self.hold_all(context);
         }
         while link.is_up() && link.waiting() == 0 {
             if let Some(Open::Attempt(attempt)) = self.writing.take() {
-                hub.core.written(hub.now, attempt);
+                context.core.written(context.now, attempt);
             }
             if matches!(self.pending.front(), Some(Job::Go { .. })) && !std::mem::take(&mut attempt_too) {
                 break;
@@ -188,11 +188,11 @@
             let Some(job) = self.pending.pop_front() else { break };
             match job {
                 Job::Go { attempt, work, deadline } => {
-                    if !hub.core.may_write(hub.now, attempt) {
-                        self.hold(attempt, hub);
+                    if !context.core.may_write(context.now, attempt) {
+                        self.hold(attempt, context);
                         continue;
                     }
-                    link.put(&self.codec.go(&work, hub.now, deadline));
+                    link.put(&self.codec.go(&work, context.now, deadline));
                     self.writing = Some(Open::Attempt(attempt));
                 }
                 Job::Halt { attempt } => {
@@ -201,16 +201,16 @@
                     }
                 }
                 Job::Stage { order, function, copies } => {
-                    if !hub.core.may_write_order(hub.clock.now(), order) {
-                        self.hold_order(order, hub);
+                    if !context.core.may_write_order(context.clock.now(), order) {
+                        self.hold_order(order, context);
                         continue;
                     }
                     link.put(&self.codec.stage(&Self::order_name(order), function, copies));
                     self.writing = Some(Open::Order(order));
                 }
                 Job::Probe { probe, .. } => {
-                    if !hub.core.may_write_probe(hub.clock.now(), probe) {
-                        self.hold_probe(probe, hub);
+                    if !context.core.may_write_probe(context.clock.now(), probe) {
+                        self.hold_probe(probe, context);
                         continue;
                     }
                     link.put(&self.codec.probe(&Self::probe_name(probe)));
@@ -220,47 +220,47 @@
             match link.flush() {
                 Ok(true) => {}
                 Ok(false) => break,
-                Err(_) => return Flow::Close,
+                Err(_) => return ControlFlow::Close,
             }
         }
-        Flow::Go
+        ControlFlow::Continue
     }
 
     /// An attempt that does not go out, for a reason of our own.
-    fn hold(&mut self, attempt: AttemptId, hub: &mut Hub) {
+    fn hold(&mut self, attempt: AttemptId, context: &mut Context) {
         if let Some(name) = self.names.remove(&attempt) {
             self.attempts -= 1;
             self.open.remove(&name);
-            hub.core.attempt_held(hub.now, attempt);
+            context.core.attempt_held(context.now, attempt);
         }
     }
 
-    fn hold_order(&mut self, order: OrderId, hub: &mut Hub) {
+    fn hold_order(&mut self, order: OrderId, context: &mut Context) {
         self.open.remove(&Self::order_name(order));
-        hub.core.order_held(hub.now, order);
+        context.core.order_held(context.now, order);
     }
 
-    fn hold_probe(&mut self, probe: ProbeId, hub: &mut Hub) {
+    fn hold_probe(&mut self, probe: ProbeId, context: &mut Context) {
         self.open.remove(&Self::probe_name(probe));
         self.probe_by = self.probe_by.filter(|(_, waited)| *waited != probe);
-        hub.core.probe_held(hub.now, probe);
+        context.core.probe_held(context.now, probe);
     }
 
     /// Nothing can be written here any more: what is in line goes elsewhere, and the connection ends once no answer
     /// is waited for.
-    fn hold_all(&mut self, hub: &mut Hub) -> Flow {
+    fn hold_all(&mut self, context: &mut Context) -> ControlFlow {
         while let Some(job) = self.pending.pop_front() {
             match job {
-                Job::Go { attempt, .. } => self.hold(attempt, hub),
-                Job::Stage { order, .. } => self.hold_order(order, hub),
-                Job::Probe { probe, .. } => self.hold_probe(probe, hub),
+                Job::Go { attempt, .. } => self.hold(attempt, context),
+                Job::Stage { order, .. } => self.hold_order(order, context),
+                Job::Probe { probe, .. } => self.hold_probe(probe, context),
                 Job::Halt { .. } | Job::Purge { .. } => {}
             }
         }
-        if self.idle().is_some() { Flow::Close } else { Flow::Go }
+        if self.idle().is_some() { ControlFlow::Close } else { ControlFlow::Continue }
     }
 
-    fn line(&mut self, line: &[u8], hub: &mut Hub) -> Flow {
+    fn line(&mut self, line: &[u8], context: &mut Context) -> ControlFlow {
         self.silent = false;
         let (rid, reply, copies) = match self.codec.read(line) {
             Ok(WorkerReply::Alive { rid, report }) => {
@@ -268,22 +268,22 @@
                     let probe = *probe;
                     self.open.remove(&rid);
                     self.probe_by = None;
-                    hub.core.probe_ended(hub.now, probe, Ok(report));
+                    context.core.probe_ended(context.now, probe, Ok(report));
                 }
-                return Flow::Go;
+                return ControlFlow::Continue;
             }
             Ok(WorkerReply::Answer { rid, reply, copies }) => (rid, Ok(reply), copies),
             Err(ParseError { rid, cause }) => {
-                hub.core.counters().unreadable += 1;
+                context.core.counters().unreadable += 1;
                 if let Some(Open::Attempt(attempt)) = rid.as_ref().and_then(|rid| self.open.remove(rid)) {
                     self.attempts -= 1;
                     self.names.remove(&attempt);
                     let broken = Broken { reached: AttemptProgress::Answered, cause };
-                    hub.core.attempt_ended(hub.now, attempt, Err(broken));
+                    context.core.attempt_ended(context.now, attempt, Err(broken));
                 }
                 // Where a line ends and the next begins is no longer sure: nothing more comes of use on this
                 // connection, and whatever is open on it would wait in vain until its deadline.
-                return Flow::Close;
+                return ControlFlow::Close;
             }
         };
         // A name that is not open belongs to nobody (any more); a worker may say what it likes.
@@ -294,25 +294,25 @@
                 // Sent again, the call goes by another connection: a second answer to this one, which may still come,
                 // would pass for the other's.
                 if !matches!(reply, Ok(Reply::Ok(_))) {
-                    self.shadow(rid, hub.now);
+                    self.shadow(rid, context.now);
                 }
-                hub.core.attempt_ended(hub.now, attempt, reply);
+                context.core.attempt_ended(context.now, attempt, reply);
             }
             Some(Open::Order(order)) => {
                 let standing =
                     reply.map(|reply| LoadResult { status: reply.status(), copies: copies.unwrap_or(0) });
-                hub.core.order_ended(hub.now, order, standing);
+                context.core.order_ended(context.now, order, standing);
             }
             // An answer, but not that it lives.
             Some(Open::Probe(probe)) => {
                 self.probe_by = None;
                 let broken = Broken { reached: AttemptProgress::Answered, cause: "not alive" };
-                hub.core.probe_ended(hub.now, probe, Err(broken));
+                context.core.probe_ended(context.now, probe, Err(broken));
             }
             Some(Open::Shadow(_)) | None => {}
         }
-        self.idle_since = hub.now;
-        Flow::Go
+        self.idle_since = context.now;
+        ControlFlow::Continue
     }
 
     /// The attempt of which a part, or all, still waits in the output buffer.
@@ -351,69 +351,69 @@
 }
 
 impl Connection for WorkerConnection {
-    fn opened(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
+    fn opened(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
         self.connect_by = None;
-        self.idle_since = hub.now;
-        hub.core.counters().opened += 1;
-        self.pump(link, hub)
+        self.idle_since = context.now;
+        context.core.counters().opened += 1;
+        self.pump(link, context)
     }
 
-    fn received(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
+    fn received(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
         // A long line comes in many pieces; what has been searched is not searched again.
         let (mut from, mut searched) = (0, self.searched.min(link.inbox.len()));
         while let Some(end) = link.inbox[searched..].iter().position(|b| *b == b'\n') {
             let line = link.inbox[from..searched + end].to_vec();
             from = searched + end + 1;
             searched = from;
-            if self.line(&line, hub) == Flow::Close {
-                return Flow::Close;
+            if self.line(&line, context) == ControlFlow::Close {
+                return ControlFlow::Close;
             }
         }
         link.used(from);
         if link.inbox.len() > LINE || link.ended {
-            return Flow::Close;
+            return ControlFlow::Close;
         }
         self.searched = link.inbox.len();
         self.begun = match link.inbox.is_empty() {
             true => None,
             // What is left after a whole line has only just begun.
-            false => self.begun.filter(|_| from == 0).or(Some(hub.now)),
+            false => self.begun.filter(|_| from == 0).or(Some(context.now)),
         };
-        self.pump(link, hub)
+        self.pump(link, context)
     }
 
-    fn flushed(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
-        self.pump(link, hub)
+    fn flushed(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
+        self.pump(link, context)
     }
 
     /// Much may have changed since the command was put in line, so the gates are asked once more.
-    fn unsent(&mut self, link: &mut Link, hub: &mut Hub) {
+    fn unsent(&mut self, link: &mut Link, context: &mut Context) {
         match self.writing {
-            Some(Open::Attempt(attempt)) if !hub.core.may_write(hub.now, attempt) => {
+            Some(Open::Attempt(attempt)) if !context.core.may_write(context.now, attempt) => {
                 link.take_back();
                 self.writing = None;
-                self.hold(attempt, hub);
+                self.hold(attempt, context);
             }
-            Some(Open::Order(order)) if !hub.core.order_stands(order) => {
+            Some(Open::Order(order)) if !context.core.order_stands(order) => {
                 link.take_back();
                 self.writing = None;
-                self.hold_order(order, hub);
+                self.hold_order(order, context);
             }
             _ => {}
         }
     }
 
-    fn due(&mut self, _link: &mut Link, hub: &mut Hub) -> Flow {
-        self.drop_shadows(hub.now);
-        if let Some((_, probe)) = self.probe_by.take_if(|(by, _)| *by <= hub.now) {
+    fn due(&mut self, _link: &mut Link, context: &mut Context) -> ControlFlow {
+        self.drop_shadows(context.now);
+        if let Some((_, probe)) = self.probe_by.take_if(|(by, _)| *by <= context.now) {
             self.silent = true;
             self.open.remove(&Self::probe_name(probe));
             let broken = Broken { reached: AttemptProgress::Out, cause: "no answer" };
-            hub.core.probe_ended(hub.now, probe, Err(broken));
+            context.core.probe_ended(context.now, probe, Err(broken));
         }
-        let late = self.connect_by.into_iter().chain(self.line_by()).any(|by| by <= hub.now);
-        let idle = self.idle().is_some_and(|since| since + self.limits.idle <= hub.now);
-        if late || idle { Flow::Close } else { Flow::Go }
+        let late = self.connect_by.into_iter().chain(self.line_by()).any(|by| by <= context.now);
+        let idle = self.idle().is_some_and(|since| since + self.limits.idle <= context.now);
+        if late || idle { ControlFlow::Close } else { ControlFlow::Continue }
     }
 
     fn deadline(&self) -> Option<Time> {
@@ -424,7 +424,7 @@
         due.chain(idle).chain(shadow).min()
     }
 
-    fn closed(&mut self, link: &Link, hub: &mut Hub) {
+    fn closed(&mut self, link: &Link, context: &mut Context) {
         let up = self.connect_by.is_none();
         let waiting: Vec<(bool, Open)> = self
             .pending
@@ -457,15 +457,15 @@
         for (open, reached) in ends {
             let broken = Broken { reached, cause };
             match open {
-                Open::Attempt(attempt) => hub.core.attempt_ended(hub.now, attempt, Err(broken)),
-                Open::Order(order) => hub.core.order_ended(hub.now, order, Err(broken)),
-                Open::Probe(probe) => hub.core.probe_ended(hub.now, probe, Err(broken)),
+                Open::Attempt(attempt) => context.core.attempt_ended(context.now, attempt, Err(broken)),
+                Open::Order(order) => context.core.order_ended(context.now, order, Err(broken)),
+                Open::Probe(probe) => context.core.probe_ended(context.now, probe, Err(broken)),
                 Open::Shadow(_) => {}
             }
         }
     }
 
-    fn job(&mut self, job: Job, link: &mut Link, hub: &mut Hub) -> Flow {
+    fn job(&mut self, job: Job, link: &mut Link, context: &mut Context) -> ControlFlow {
         match &job {
             Job::Go { attempt, work, .. } => {
                 self.attempts += 1;
@@ -476,7 +476,7 @@
                 self.open.insert(Self::order_name(*order), Open::Order(*order));
             }
             Job::Halt { attempt } => {
-                let Some(name) = self.names.get(attempt).cloned() else { return Flow::Go };
+                let Some(name) = self.names.get(attempt).cloned() else { return ControlFlow::Continue };
                 self.attempts -= 1;
                 // Still in line here: it never goes out, and neither does the word to stop it.
                 let waits = |job: &Job| matches!(job, Job::Go { attempt: a, .. } if a == attempt);
@@ -484,7 +484,7 @@
                     self.pending.remove(place);
                     self.open.remove(&name);
                     self.names.remove(attempt);
-                    return Flow::Go;
+                    return ControlFlow::Continue;
                 }
                 // In the output buffer, and not gone whole: what nobody waits for does not begin any more.
                 if self.unsent_attempt(link) == Some(*attempt) {
@@ -492,9 +492,9 @@
                     self.open.remove(&name);
                     self.names.remove(attempt);
                     self.cut = !link.take_back();
-                    return self.pump(link, hub);
+                    return self.pump(link, context);
                 }
-                self.shadow(name, hub.now);
+                self.shadow(name, context.now);
             }
             Job::Probe { probe, deadline } => {
                 self.open.insert(Self::probe_name(*probe), Open::Probe(*probe));
@@ -502,9 +502,9 @@
             }
             Job::Purge { .. } => {}
         }
-        self.idle_since = hub.now;
+        self.idle_since = context.now;
         self.pending.push_back(job);
-        self.pump(link, hub)
+        self.pump(link, context)
     }
 
     fn accepts(&self, reference: Option<&str>) -> bool {
@@ -522,8 +522,8 @@
         }
     }
 
-    fn proceed(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
-        self.write(true, link, hub)
+    fn proceed(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
+        self.write(true, link, context)
     }
 
     fn load(&self) -> usize {
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -161,7 +161,7 @@
         if let Some(owner) = core.owner(attempt) {
             reactor.catch_up(owner.connection, core);
         }
-        reactor.with(connection, core, |object, link, hub| object.proceed(link, hub));
+        reactor.with(connection, core, |object, link, context| object.proceed(link, context));
         true
     }
 
@@ -215,7 +215,7 @@
 }
 
 fn give(connection: u64, job: Job, reactor: &mut Reactor, core: &mut Core) {
-    reactor.with(connection, core, |object, link, hub| object.job(job, link, hub));
+    reactor.with(connection, core, |object, link, context| object.job(job, link, context));
 }
 
 #[cfg(test)]
--- a/src/bus.rs
+++ b/src/bus.rs
@@ -1,7 +1,7 @@
 //! The event bus: a pure codec, and the connection that follows the list of workers.
 
 use crate::interface::*;
-use crate::net::{Connection, Flow, Hub, Link};
+use crate::net::{Connection, Context, ControlFlow, Link};
 use rand_core::RngCore;
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -147,13 +147,13 @@
 }
 
 impl Connection for BusConnection {
-    fn opened(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
-        self.silent_at = hub.now + SILENCE;
+    fn opened(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
+        self.silent_at = context.now + SILENCE;
         link.put(&self.inbox.borrow().offset.to_be_bytes());
-        Flow::Go
+        ControlFlow::Continue
     }
 
-    fn received(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
+    fn received(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
         let mut inbox = self.inbox.borrow_mut();
         let mut from = 0;
         loop {
@@ -161,44 +161,44 @@
                 Ok(None) => break,
                 Ok(Some((news, size))) => {
                     from += size;
-                    self.silent_at = hub.now + SILENCE;
+                    self.silent_at = context.now + SILENCE;
                     inbox.failures = 0;
                     // Told twice after a new connection: the list moves forward only.
                     let Some(news) = news.filter(|news| news.offset > inbox.offset) else { continue };
                     // Changes lie between: they are asked for once more, on a new connection.
                     let skips = news.kind == ListKind::Delta && news.offset > inbox.offset + 1;
                     if skips && inbox.skipped.replace(news.offset) != Some(news.offset) {
-                        hub.core.counters().unreadable += 1;
+                        context.core.counters().unreadable += 1;
                         tracing::warn!(why = "an event is left out", "bus unreadable");
-                        return Flow::Close;
+                        return ControlFlow::Close;
                     }
                     inbox.offset = news.offset;
                     inbox.news.push_back(news);
                 }
                 Err(why) => {
-                    hub.core.counters().unreadable += 1;
+                    context.core.counters().unreadable += 1;
                     tracing::warn!(why, "bus unreadable");
-                    return Flow::Close;
+                    return ControlFlow::Close;
                 }
             }
         }
         link.used(from);
-        if link.ended { Flow::Close } else { Flow::Go }
+        if link.ended { ControlFlow::Close } else { ControlFlow::Continue }
     }
 
-    fn due(&mut self, _link: &mut Link, hub: &mut Hub) -> Flow {
-        if self.silent_at <= hub.now {
+    fn due(&mut self, _link: &mut Link, context: &mut Context) -> ControlFlow {
+        if self.silent_at <= context.now {
             tracing::warn!("bus silent");
-            return Flow::Close;
+            return ControlFlow::Close;
         }
-        Flow::Go
+        ControlFlow::Continue
     }
 
     fn deadline(&self) -> Option<Time> {
         Some(self.silent_at)
     }
 
-    fn closed(&mut self, _link: &Link, _hub: &mut Hub) {
+    fn closed(&mut self, _link: &Link, _hub: &mut Context) {
         let mut inbox = self.inbox.borrow_mut();
         inbox.down = true;
         inbox.failures += 1;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -304,13 +304,13 @@
             };
             match command {
                 Command::Answer { owner, answer } => {
-                    self.reactor.with(owner.connection, &mut self.core, |connection, link, hub| {
-                        connection.answer(owner.stream, &answer, link, hub)
+                    self.reactor.with(owner.connection, &mut self.core, |connection, link, context| {
+                        connection.answer(owner.stream, &answer, link, context)
                     });
                 }
                 Command::Chain { owner, end } => {
-                    self.reactor.with(owner.connection, &mut self.core, |connection, link, hub| {
-                        connection.chain_ended(owner.stream, &end, link, hub)
+                    self.reactor.with(owner.connection, &mut self.core, |connection, link, context| {
+                        connection.chain_ended(owner.stream, &end, link, context)
                     });
                 }
                 Command::Tell { worker, answers } => {
@@ -570,7 +570,8 @@
 
     fn leave_all(&mut self) {
         for id in self.reactor.ids() {
-            self.reactor.with(id, &mut self.core, |connection, link, hub| connection.leave(link, hub));
+            self.reactor
+                .with(id, &mut self.core, |connection, link, context| connection.leave(link, context));
         }
     }
 
--- a/src/daemon/upgrade.rs
+++ b/src/daemon/upgrade.rs
@@ -7,7 +7,7 @@
 use crate::handover::message::{self, Known, Line, Message};
 use crate::handover::{self, Do, Mailbox, PeerConnection};
 use crate::interface::{ListKind, Member, Time, WorkerId};
-use crate::net::Flow;
+use crate::net::ControlFlow;
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::io;
@@ -186,7 +186,7 @@
         let bytes = message::write(message);
         self.reactor.with(peer, &mut self.core, |_, link, _| {
             link.put(&bytes);
-            Flow::Go
+            ControlFlow::Continue
         });
     }
 
--- a/src/front/frames.rs
+++ b/src/front/frames.rs
@@ -3,7 +3,7 @@
 use super::{BODY, LINGER, OPEN, OUTBOX, TRANSIT, WHOLE, read_function};
 use crate::core::{Answer, Incoming, Owner, Verdict};
 use crate::interface::{FunctionId, Span, Time};
-use crate::net::{Connection, Flow, Hub, Link};
+use crate::net::{Connection, Context, ControlFlow, Link};
 use std::collections::BTreeSet;
 
 /// Largest length field.
@@ -249,29 +249,29 @@
         }
     }
 
-    fn frame(&mut self, frame: &Frame, link: &mut Link, hub: &mut Hub) -> Result<(), &'static str> {
+    fn frame(&mut self, frame: &Frame, link: &mut Link, context: &mut Context) -> Result<(), &'static str> {
         match frame.kind {
             kinds::REQUEST => {
                 if frame.stream == 0 || !self.seen.new_stream(frame.stream) {
                     return Err("stream is not new");
                 }
                 let owner = Owner { connection: link.id(), stream: u64::from(frame.stream) };
-                let call = match read_request(frame.payload, owner, hub.now) {
+                let call = match read_request(frame.payload, owner, context.now) {
                     Err(Odd::Malformed(why)) => return Err(why),
                     other => other,
                 };
                 let (class, verdict) = match call {
                     Ok(call) if self.open.len() >= OPEN => {
-                        (Some(call.class), Verdict::Refused { cooldown: hub.core.advice() })
+                        (Some(call.class), Verdict::Refused { cooldown: context.core.advice() })
                     }
                     Ok(call) => {
                         self.open.insert(frame.stream);
-                        hub.core.call(hub.now, call);
+                        context.core.call(context.now, call);
                         return Ok(());
                     }
                     Err(_) => (None, Verdict::Failed),
                 };
-                hub.core.turned_away(class.as_deref(), &verdict);
+                context.core.turned_away(class.as_deref(), &verdict);
                 let mut bytes = Vec::new();
                 put_answer(frame.stream, &verdict, &mut bytes);
                 link.put(&bytes);
@@ -279,12 +279,12 @@
             kinds::CANCEL => {
                 if self.open.remove(&frame.stream) {
                     let owner = Owner { connection: link.id(), stream: u64::from(frame.stream) };
-                    hub.core.withdraw(hub.now, owner);
+                    context.core.withdraw(context.now, owner);
                 }
             }
             kinds::READY => {
                 read_fields(frame.payload)?;
-                let code = if hub.ready { codes::SERVED } else { codes::REFUSED };
+                let code = if context.ready { codes::SERVED } else { codes::REFUSED };
                 let mut bytes = Vec::new();
                 put_frame(kinds::READINESS, frame.stream, &[&[code, 0]], &mut bytes);
                 link.put(&bytes);
@@ -296,7 +296,12 @@
 
     /// The size of the frame that begins here, if it is too long to be of use and its head is there: then it
     /// has had its answer.
-    fn too_long(&mut self, bytes: &[u8], link: &mut Link, hub: &mut Hub) -> Result<usize, &'static str> {
+    fn too_long(
+        &mut self,
+        bytes: &[u8],
+        link: &mut Link,
+        context: &mut Context,
+    ) -> Result<usize, &'static str> {
         let Some(head) = bytes.first_chunk::<9>() else { return Ok(0) };
         let length = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
         if length <= USABLE {
@@ -306,7 +311,7 @@
         if head[4] != kinds::REQUEST || stream == 0 || !self.seen.new_stream(stream) {
             return Err("a long frame that is no request");
         }
-        hub.core.turned_away(None, &Verdict::Failed);
+        context.core.turned_away(None, &Verdict::Failed);
         let mut bytes = Vec::new();
         put_answer(stream, &Verdict::Failed, &mut bytes);
         link.put(&bytes);
@@ -314,9 +319,9 @@
     }
 
     /// Whatever is open here will find nobody to answer to.
-    fn withdraw_all(&mut self, link: &Link, hub: &mut Hub) {
+    fn withdraw_all(&mut self, link: &Link, context: &mut Context) {
         for stream in std::mem::take(&mut self.open) {
-            hub.core.withdraw(hub.now, Owner { connection: link.id(), stream: u64::from(stream) });
+            context.core.withdraw(context.now, Owner { connection: link.id(), stream: u64::from(stream) });
         }
     }
 
@@ -327,28 +332,28 @@
     }
 
     /// Tells the client what is wrong; the connection ends once that has gone out.
-    fn malformed(&mut self, why: &str, link: &mut Link, hub: &mut Hub) -> Flow {
-        hub.core.counters().malformed += 1;
-        if hub.core.may_log(hub.now) {
+    fn malformed(&mut self, why: &str, link: &mut Link, context: &mut Context) -> ControlFlow {
+        context.core.counters().malformed += 1;
+        if context.core.may_log(context.now) {
             tracing::warn!(front = "frames", connection = link.id(), why, "malformed");
         }
         let mut bytes = Vec::new();
         put_answer(0, &Verdict::Failed, &mut bytes);
         link.put(&bytes);
-        self.withdraw_all(link, hub);
-        self.finish_by = Some(hub.now + LINGER);
-        Flow::Finish
+        self.withdraw_all(link, context);
+        self.finish_by = Some(context.now + LINGER);
+        ControlFlow::Finish
     }
 }
 
 impl Connection for FrameConnection {
-    fn opened(&mut self, _link: &mut Link, hub: &mut Hub) -> Flow {
-        hub.core.counters().accepted += 1;
-        Flow::Go
+    fn opened(&mut self, _link: &mut Link, context: &mut Context) -> ControlFlow {
+        context.core.counters().accepted += 1;
+        ControlFlow::Continue
     }
 
-    fn received(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
-        self.heard = hub.now;
+    fn received(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
+        self.heard = context.now;
         let bytes = std::mem::take(&mut link.inbox);
         let mut from = self.skip.min(bytes.len());
         self.skip -= from;
@@ -357,7 +362,7 @@
         let error = loop {
             match read_frame(&bytes[from..]) {
                 _ if self.skip > 0 => break None,
-                Ok(None) => match self.too_long(&bytes[from..], link, hub) {
+                Ok(None) => match self.too_long(&bytes[from..], link, context) {
                     Ok(0) => break None,
                     Ok(size) => {
                         self.skip = size.saturating_sub(bytes.len() - from);
@@ -369,8 +374,8 @@
                 Ok(Some((frame, size))) => {
                     from += size;
                     begun = true;
-                    (self.used, self.last) = (true, hub.now);
-                    if let Err(why) = self.frame(&frame, link, hub) {
+                    (self.used, self.last) = (true, context.now);
+                    if let Err(why) = self.frame(&frame, link, context) {
                         break Some(why);
                     }
                 }
@@ -382,23 +387,23 @@
         self.whole_by = match link.inbox.is_empty() && self.skip == 0 {
             true => None,
             // What is left after a whole frame has only just begun.
-            false => self.whole_by.filter(|_| !begun).or(Some(hub.now + WHOLE)),
+            false => self.whole_by.filter(|_| !begun).or(Some(context.now + WHOLE)),
         };
         match error {
-            Some(why) => self.malformed(why, link, hub),
+            Some(why) => self.malformed(why, link, context),
             // A client that closes waits for nothing more.
-            None if link.ended => Flow::Close,
-            None => Flow::Go,
+            None if link.ended => ControlFlow::Close,
+            None => ControlFlow::Continue,
         }
     }
 
-    fn due(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
-        if self.finish_by.is_none() && self.whole_by.is_some_and(|by| by <= hub.now) {
-            return self.malformed("a frame without an end", link, hub);
+    fn due(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
+        if self.finish_by.is_none() && self.whole_by.is_some_and(|by| by <= context.now) {
+            return self.malformed("a frame without an end", link, context);
         }
-        let idle = self.unused_by().is_some_and(|by| by <= hub.now);
-        let over = self.finish_by.is_some_and(|by| by <= hub.now);
-        if idle || over { Flow::Close } else { Flow::Go }
+        let idle = self.unused_by().is_some_and(|by| by <= context.now);
+        let over = self.finish_by.is_some_and(|by| by <= context.now);
+        if idle || over { ControlFlow::Close } else { ControlFlow::Continue }
     }
 
     fn deadline(&self) -> Option<Time> {
@@ -407,30 +412,36 @@
         self.finish_by.into_iter().chain(whole).chain(idle).min()
     }
 
-    fn closed(&mut self, link: &Link, hub: &mut Hub) {
-        self.withdraw_all(link, hub);
+    fn closed(&mut self, link: &Link, context: &mut Context) {
+        self.withdraw_all(link, context);
     }
 
-    fn answer(&mut self, stream: u64, answer: &Answer, link: &mut Link, hub: &mut Hub) -> Flow {
+    fn answer(
+        &mut self,
+        stream: u64,
+        answer: &Answer,
+        link: &mut Link,
+        context: &mut Context,
+    ) -> ControlFlow {
         let stream = stream as u32;
         // Whoever withdrew is owed nothing.
         if self.open.remove(&stream) {
             let mut bytes = Vec::new();
             put_answer(stream, &answer.verdict, &mut bytes);
             link.put(&bytes);
-            self.last = hub.now;
+            self.last = context.now;
         }
-        Flow::Go
+        ControlFlow::Continue
     }
 
-    fn leave(&mut self, link: &mut Link, _hub: &mut Hub) -> Flow {
+    fn leave(&mut self, link: &mut Link, _hub: &mut Context) -> ControlFlow {
         if !self.leaving {
             self.leaving = true;
             let mut bytes = Vec::new();
             put_frame(kinds::LEAVE, 0, &[], &mut bytes);
             link.put(&bytes);
         }
-        Flow::Go
+        ControlFlow::Continue
     }
 
     fn partial(&self) -> bool {
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -20,7 +20,7 @@
 use crate::chain::{Chain, Classes, End, Step};
 use crate::core::{Answer, Incoming, Owner, Verdict};
 use crate::interface::{Span, Time};
-use crate::net::{Connection, Flow, Hub, Link};
+use crate::net::{Connection, Context, ControlFlow, Link};
 use codec::{error, result};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
@@ -89,12 +89,12 @@
         }
     }
 
-    fn line(&mut self, line: &[u8], link: &mut Link, hub: &mut Hub) {
+    fn line(&mut self, line: &[u8], link: &mut Link, context: &mut Context) {
         if line.iter().all(u8::is_ascii_whitespace) {
             return;
         }
         match read_line(line) {
-            ParsedLine::One(request) => self.request(request, None, link, hub),
+            ParsedLine::One(request) => self.request(request, None, link, context),
             ParsedLine::Batch(requests) => {
                 let number = self.next;
                 self.next += 1;
@@ -102,54 +102,63 @@
                 let owed = 1 + requests.iter().filter(|r| has_reply(r)).count();
                 self.batches.insert(number, Batch { owed, replies: vec![] });
                 for request in requests {
-                    self.request(request, Some(number), link, hub);
+                    self.request(request, Some(number), link, context);
                 }
                 self.answered(number, link);
             }
         }
     }
 
-    fn request(&mut self, request: Request, batch: Option<u64>, link: &mut Link, hub: &mut Hub) {
+    fn request(&mut self, request: Request, batch: Option<u64>, link: &mut Link, context: &mut Context) {
         match request {
             Request::Nothing => {}
             Request::Reply(reply) => {
-                hub.core.counters().malformed += 1;
+                context.core.counters().malformed += 1;
                 self.say(batch, reply, link);
             }
             Request::Ready(id) => {
-                let ready = hub.ready && hub.active;
+                let ready = context.ready && context.active;
                 self.say(batch, result(&id, json!({"ready": ready})), link);
             }
             Request::Cancel(id) => {
                 let Some(stream) = self.open.iter().find(|(_, open)| open.id == id).map(|(s, _)| *s) else {
                     return;
                 };
-                hub.core.withdraw(hub.now, Owner { connection: link.id(), stream });
+                context.core.withdraw(context.now, Owner { connection: link.id(), stream });
                 if let Some(open) = self.open.remove(&stream) {
                     self.say(open.batch, error(&open.id, codes::CANCELLED, "cancelled", None), link);
                 }
             }
-            Request::Call(id, params) => self.call(id, *params, batch, link, hub),
-            Request::Chain(id, params) => self.chain(id, *params, batch, link, hub),
+            Request::Call(id, params) => self.call(id, *params, batch, link, context),
+            Request::Chain(id, params) => self.chain(id, *params, batch, link, context),
         }
     }
 
-    fn chain(&mut self, id: Value, params: ChainParams, batch: Option<u64>, link: &mut Link, hub: &mut Hub) {
-        let Some(owner) = self.place(&id, None, batch, link, hub) else { return };
+    fn chain(
+        &mut self,
+        id: Value,
+        params: ChainParams,
+        batch: Option<u64>,
+        link: &mut Link,
+        context: &mut Context,
+    ) {
+        let Some(owner) = self.place(&id, None, batch, link, context) else { return };
         // What can only be known here is said before anything starts.
-        let classes: &dyn Classes = hub.core.site();
+        let classes: &dyn Classes = context.core.site();
         let odd = params.steps.iter().enumerate().find_map(|(n, step)| match classes.class(&step.class) {
             None => Some(format!("steps[{n}]: the class is not known")),
             Some((_, Some(_))) if params.key.is_none() => Some(format!("steps[{n}]: its class needs a key")),
             Some(_) => None,
         });
         if let Some(why) = odd {
-            hub.core.counters().malformed += 1;
+            context.core.counters().malformed += 1;
             return self.say(batch, error(&id, codes::INVALID_PARAMS, &why, None), link);
         }
         self.open.insert(owner.stream, Open { id, batch });
         let ChainParams { steps, allow_ms, key } = params;
-        hub.core.chain(hub.now, Chain { owner, key, deadline: deadline(hub.now, allow_ms), steps });
+        context
+            .core
+            .chain(context.now, Chain { owner, key, deadline: deadline(context.now, allow_ms), steps });
     }
 
     /// A place for a call or a chain, or its answer where there is none.
@@ -159,16 +168,16 @@
         class: Option<&str>,
         batch: Option<u64>,
         link: &mut Link,
-        hub: &mut Hub,
+        context: &mut Context,
     ) -> Option<Owner> {
         // Two open calls of one id could not be told apart, neither by the client nor by a cancel.
         if self.open.values().any(|open| open.id == *id) {
             self.say(batch, error(id, codes::INVALID_REQUEST, "id is in use", None), link);
             return None;
         }
-        if self.open.len() >= OPEN || !hub.active {
-            let verdict = Verdict::Refused { cooldown: hub.core.advice() };
-            hub.core.turned_away(class, &verdict);
+        if self.open.len() >= OPEN || !context.active {
+            let verdict = Verdict::Refused { cooldown: context.core.advice() };
+            context.core.turned_away(class, &verdict);
             self.say(batch, response(id, &Answer { verdict, expired: false }), link);
             return None;
         }
@@ -176,13 +185,20 @@
         Some(Owner { connection: link.id(), stream: self.next - 1 })
     }
 
-    fn call(&mut self, id: Value, params: Params, batch: Option<u64>, link: &mut Link, hub: &mut Hub) {
-        let Some(owner) = self.place(&id, Some(&params.step.class), batch, link, hub) else { return };
+    fn call(
+        &mut self,
+        id: Value,
+        params: Params,
+        batch: Option<u64>,
+        link: &mut Link,
+        context: &mut Context,
+    ) {
+        let Some(owner) = self.place(&id, Some(&params.step.class), batch, link, context) else { return };
         self.open.insert(owner.stream, Open { id, batch });
         let made = || format!("{:08x}{:08x}", owner.connection as u32, owner.stream as u32);
         let Step { class, function, memory_mb, lanes, load_time, body } = params.step;
-        hub.core.call(
-            hub.now,
+        context.core.call(
+            context.now,
             Incoming {
                 owner,
                 reference: params.reference.unwrap_or_else(made),
@@ -192,22 +208,28 @@
                 memory_mb,
                 lanes,
                 load_time,
-                deadline: deadline(hub.now, params.allow_ms),
+                deadline: deadline(context.now, params.allow_ms),
                 body: body.unwrap_or_default(),
             },
         );
     }
 
     /// A call or a chain has ended; whoever withdrew it is owed nothing.
-    fn over(&mut self, stream: u64, reply: impl Fn(&Value) -> Value, link: &mut Link, hub: &Hub) -> Flow {
+    fn over(
+        &mut self,
+        stream: u64,
+        reply: impl Fn(&Value) -> Value,
+        link: &mut Link,
+        context: &Context,
+    ) -> ControlFlow {
         if let Some(open) = self.open.remove(&stream) {
-            self.last = hub.now;
+            self.last = context.now;
             self.say(open.batch, reply(&open.id), link);
         }
-        Flow::Go
+        ControlFlow::Continue
     }
 
-    fn lines(&mut self, link: &mut Link, hub: &mut Hub) {
+    fn lines(&mut self, link: &mut Link, context: &mut Context) {
         // A client that does not read its answers is not read from either: see `flushed`.
         while link.waiting() <= OUTBOX {
             let Some(end) = link.inbox.iter().position(|b| *b == b'\n') else { break };
@@ -216,14 +238,14 @@
                 continue;
             }
             match end <= self.line_limit {
-                true => self.line(&line[..end], link, hub),
-                false => self.too_long(link, hub),
+                true => self.line(&line[..end], link, context),
+                false => self.too_long(link, context),
             }
         }
         if link.inbox.len() > self.line_limit && !link.inbox.contains(&b'\n') {
             link.inbox.clear();
             if !std::mem::replace(&mut self.skipping, true) {
-                self.too_long(link, hub);
+                self.too_long(link, context);
             }
         }
     }
@@ -234,23 +256,23 @@
     }
 
     /// Whatever is open here will find nobody to answer to.
-    fn withdraw_all(&mut self, link: &Link, hub: &mut Hub) {
+    fn withdraw_all(&mut self, link: &Link, context: &mut Context) {
         self.batches.clear();
         for stream in std::mem::take(&mut self.open).into_keys() {
-            hub.core.withdraw(hub.now, Owner { connection: link.id(), stream });
+            context.core.withdraw(context.now, Owner { connection: link.id(), stream });
         }
     }
 
-    fn cut_short(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
-        hub.core.counters().malformed += 1;
+    fn cut_short(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
+        context.core.counters().malformed += 1;
         put(link, &error(&Value::Null, codes::PARSE, "the line has no end", None));
-        self.withdraw_all(link, hub);
-        self.finish_by = Some(hub.now + LINGER);
-        Flow::Finish
+        self.withdraw_all(link, context);
+        self.finish_by = Some(context.now + LINGER);
+        ControlFlow::Finish
     }
 
-    fn too_long(&mut self, link: &mut Link, hub: &mut Hub) {
-        hub.core.counters().malformed += 1;
+    fn too_long(&mut self, link: &mut Link, context: &mut Context) {
+        context.core.counters().malformed += 1;
         put(link, &error(&Value::Null, codes::INVALID_REQUEST, "line too long", None));
     }
 }
@@ -271,44 +293,44 @@
 }
 
 impl Connection for RpcConnection {
-    fn opened(&mut self, _link: &mut Link, hub: &mut Hub) -> Flow {
-        hub.core.counters().accepted += 1;
-        Flow::Go
+    fn opened(&mut self, _link: &mut Link, context: &mut Context) -> ControlFlow {
+        context.core.counters().accepted += 1;
+        ControlFlow::Continue
     }
 
-    fn received(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
-        self.last = hub.now;
+    fn received(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
+        self.last = context.now;
         let held = link.inbox.len();
-        self.lines(link, hub);
+        self.lines(link, context);
         if !link.ended {
             // A line cut short is owed a word; one that is held back until its client reads is not cut short.
             let part = self.skipping || !link.inbox.is_empty() && !link.inbox.contains(&b'\n');
             self.whole_by = match part {
                 false => None,
                 // What is left after a whole line has only just begun.
-                true => self.whole_by.filter(|_| link.inbox.len() >= held).or(Some(hub.now + WHOLE)),
+                true => self.whole_by.filter(|_| link.inbox.len() >= held).or(Some(context.now + WHOLE)),
             };
-            return Flow::Go;
+            return ControlFlow::Continue;
         }
         if link.inbox.iter().all(u8::is_ascii_whitespace) || link.inbox.contains(&b'\n') {
-            return Flow::Close;
+            return ControlFlow::Close;
         }
         // A line cut short by the end: said, in case the client still reads.
-        self.cut_short(link, hub)
+        self.cut_short(link, context)
     }
 
-    fn flushed(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
-        self.lines(link, hub);
-        Flow::Go
+    fn flushed(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
+        self.lines(link, context);
+        ControlFlow::Continue
     }
 
-    fn due(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
-        if self.finish_by.is_none() && self.whole_by.is_some_and(|by| by <= hub.now) {
-            return self.cut_short(link, hub);
+    fn due(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
+        if self.finish_by.is_none() && self.whole_by.is_some_and(|by| by <= context.now) {
+            return self.cut_short(link, context);
         }
-        let idle = self.unused_by().is_some_and(|by| by <= hub.now);
-        let over = self.finish_by.is_some_and(|by| by <= hub.now);
-        if idle || over { Flow::Close } else { Flow::Go }
+        let idle = self.unused_by().is_some_and(|by| by <= context.now);
+        let over = self.finish_by.is_some_and(|by| by <= context.now);
+        if idle || over { ControlFlow::Close } else { ControlFlow::Continue }
     }
 
     fn deadline(&self) -> Option<Time> {
@@ -317,16 +339,22 @@
         self.finish_by.into_iter().chain(whole).chain(idle).min()
     }
 
-    fn closed(&mut self, link: &Link, hub: &mut Hub) {
-        self.withdraw_all(link, hub);
+    fn closed(&mut self, link: &Link, context: &mut Context) {
+        self.withdraw_all(link, context);
     }
 
-    fn answer(&mut self, stream: u64, answer: &Answer, link: &mut Link, hub: &mut Hub) -> Flow {
-        self.over(stream, |id| response(id, answer), link, hub)
+    fn answer(
+        &mut self,
+        stream: u64,
+        answer: &Answer,
+        link: &mut Link,
+        context: &mut Context,
+    ) -> ControlFlow {
+        self.over(stream, |id| response(id, answer), link, context)
     }
 
-    fn chain_ended(&mut self, stream: u64, end: &End, link: &mut Link, hub: &mut Hub) -> Flow {
-        self.over(stream, |id| chain_response(id, end), link, hub)
+    fn chain_ended(&mut self, stream: u64, end: &End, link: &mut Link, context: &mut Context) -> ControlFlow {
+        self.over(stream, |id| chain_response(id, end), link, context)
     }
 
     fn partial(&self) -> bool {
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -6,7 +6,7 @@
 pub mod message;
 
 use crate::interface::{Span, Time};
-use crate::net::{Connection, Flow, Hub, Link};
+use crate::net::{Connection, Context, ControlFlow, Link};
 use message::{Known, LONGEST, Message, VERSION};
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -289,14 +289,14 @@
 }
 
 impl Connection for PeerConnection {
-    fn opened(&mut self, link: &mut Link, _hub: &mut Hub) -> Flow {
+    fn opened(&mut self, link: &mut Link, _hub: &mut Context) -> ControlFlow {
         if std::mem::take(&mut self.asked) {
             self.mailbox.borrow_mut().events.push_back(Event::Met(link.id()));
         }
-        Flow::Go
+        ControlFlow::Continue
     }
 
-    fn received(&mut self, link: &mut Link, _hub: &mut Hub) -> Flow {
+    fn received(&mut self, link: &mut Link, _hub: &mut Context) -> ControlFlow {
         let mut from = 0;
         let mut mailbox = self.mailbox.borrow_mut();
         loop {
@@ -308,15 +308,15 @@
                 }
                 Err(_) => {
                     mailbox.events.push_back(Event::Malformed(link.id()));
-                    return Flow::Close;
+                    return ControlFlow::Close;
                 }
             }
         }
         link.used(from);
-        if link.ended { Flow::Close } else { Flow::Go }
+        if link.ended { ControlFlow::Close } else { ControlFlow::Continue }
     }
 
-    fn closed(&mut self, link: &Link, _hub: &mut Hub) {
+    fn closed(&mut self, link: &Link, _hub: &mut Context) {
         let event = if self.asked { Event::Unmet } else { Event::Ended(link.id()) };
         self.mailbox.borrow_mut().events.push_back(event);
     }
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -11,28 +11,28 @@
 
 /// Whether a connection goes on after a callback.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Flow {
+pub enum ControlFlow {
     /// It does.
-    Go,
+    Continue,
     /// Nothing more is read; it ends once what is owed has been written.
     Finish,
     /// It ends now.
     Close,
 }
 
-impl Flow {
+impl ControlFlow {
     /// The stricter of the two.
-    pub fn and(self, other: Flow) -> Flow {
+    pub fn and(self, other: ControlFlow) -> ControlFlow {
         match (self, other) {
-            (Flow::Close, _) | (_, Flow::Close) => Flow::Close,
-            (Flow::Finish, _) | (_, Flow::Finish) => Flow::Finish,
-            _ => Flow::Go,
+            (ControlFlow::Close, _) | (_, ControlFlow::Close) => ControlFlow::Close,
+            (ControlFlow::Finish, _) | (_, ControlFlow::Finish) => ControlFlow::Finish,
+            _ => ControlFlow::Continue,
         }
     }
 }
 
 /// What a callback may use.
-pub struct Hub<'a> {
+pub struct Context<'a> {
     /// The scheduler.
     pub core: &'a mut Core,
     /// The time at which the callback began.
@@ -52,36 +52,42 @@
 /// A connection as an object: the reactor calls it back with what happens to it.
 pub trait Connection {
     /// The connection stands.
-    fn opened(&mut self, link: &mut Link, hub: &mut Hub) -> Flow;
+    fn opened(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow;
     /// There is new input in the link, or the other side has ended its half.
-    fn received(&mut self, link: &mut Link, hub: &mut Hub) -> Flow;
+    fn received(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow;
     /// Everything put in line has been handed to the system.
-    fn flushed(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
-        Flow::Go
+    fn flushed(&mut self, _link: &mut Link, _hub: &mut Context) -> ControlFlow {
+        ControlFlow::Continue
     }
     /// Bytes that were put in line long ago are about to go out, and none of them has: they may be taken back.
-    fn unsent(&mut self, _link: &mut Link, _hub: &mut Hub) {}
+    fn unsent(&mut self, _link: &mut Link, _hub: &mut Context) {}
     /// The time told by [`Connection::deadline`] has come.
-    fn due(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
-        Flow::Go
+    fn due(&mut self, _link: &mut Link, _hub: &mut Context) -> ControlFlow {
+        ControlFlow::Continue
     }
     /// When to be called back; asked after every callback.
     fn deadline(&self) -> Option<Time> {
         None
     }
     /// The connection has ended, by whichever side. Called once.
-    fn closed(&mut self, link: &Link, hub: &mut Hub);
+    fn closed(&mut self, link: &Link, context: &mut Context);
     /// The final answer of a call that came in here.
-    fn answer(&mut self, _stream: u64, _answer: &Answer, _link: &mut Link, _hub: &mut Hub) -> Flow {
-        Flow::Go
+    fn answer(
+        &mut self,
+        _stream: u64,
+        _answer: &Answer,
+        _link: &mut Link,
+        _hub: &mut Context,
+    ) -> ControlFlow {
+        ControlFlow::Continue
     }
     /// The one end of a chain that came in here.
-    fn chain_ended(&mut self, _stream: u64, _end: &End, _link: &mut Link, _hub: &mut Hub) -> Flow {
-        Flow::Go
+    fn chain_ended(&mut self, _stream: u64, _end: &End, _link: &mut Link, _hub: &mut Context) -> ControlFlow {
+        ControlFlow::Continue
     }
     /// A job for the worker at the other end.
-    fn job(&mut self, _job: Job, _link: &mut Link, _hub: &mut Hub) -> Flow {
-        Flow::Go
+    fn job(&mut self, _job: Job, _link: &mut Link, _hub: &mut Context) -> ControlFlow {
+        ControlFlow::Continue
     }
     /// Whether a job could be given now: its reference is not open here and there is room.
     fn accepts(&self, _reference: Option<&str>) -> bool {
@@ -92,8 +98,8 @@
         0
     }
     /// No new call is wanted here any more.
-    fn leave(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
-        Flow::Go
+    fn leave(&mut self, _link: &mut Link, _hub: &mut Context) -> ControlFlow {
+        ControlFlow::Continue
     }
     /// Whether a call is half read here.
     fn partial(&self) -> bool {
@@ -113,7 +119,7 @@
         None
     }
     /// Writes the attempt that is next in line, if it may still go.
-    fn proceed(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
-        Flow::Go
+    fn proceed(&mut self, _link: &mut Link, _hub: &mut Context) -> ControlFlow {
+        ControlFlow::Continue
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,7 +5,7 @@
 mod reactor;
 mod sockets;
 
-pub use connection::{Connection, Flow, Hub};
+pub use connection::{Connection, Context, ControlFlow};
 pub use reactor::{Reactor, Signal};
 
 use crate::interface::{Span, Time};
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -1,6 +1,6 @@
 //! The reactor: one poll, all connections, their timers. Connections are objects that it calls back.
 
-use super::connection::{Connection, Flow, Hub};
+use super::connection::{Connection, Context, ControlFlow};
 use super::{Link, Stream, SystemClock};
 use crate::call::AttemptId;
 use crate::core::Core;
@@ -38,53 +38,53 @@
 
 impl Entry {
     /// Writes what the system takes; true once nothing waits.
-    fn flush(&mut self, hub: &mut Hub) -> io::Result<bool> {
+    fn flush(&mut self, context: &mut Context) -> io::Result<bool> {
         if self.link.untouched() {
-            self.connection.unsent(&mut self.link, hub);
+            self.connection.unsent(&mut self.link, context);
         }
         self.link.flush()
     }
 
     /// A dial that has come up is told to the connection.
-    fn open_if_connected(&mut self, hub: &mut Hub) -> Flow {
+    fn open_if_connected(&mut self, context: &mut Context) -> ControlFlow {
         if self.link.up {
-            return Flow::Go;
+            return ControlFlow::Continue;
         }
         match self.link.stream.connected() {
             Ok(true) => self.link.up = true,
-            Ok(false) => return Flow::Go,
-            Err(_) => return Flow::Close,
+            Ok(false) => return ControlFlow::Continue,
+            Err(_) => return ControlFlow::Close,
         }
-        self.connection.opened(&mut self.link, hub)
+        self.connection.opened(&mut self.link, context)
     }
 
     /// Writes what waits; the connection may put more in line once all has gone.
-    fn write_waiting(&mut self, hub: &mut Hub) -> io::Result<Flow> {
-        if self.link.waiting() == 0 || !self.flush(hub)? {
-            return Ok(Flow::Go);
+    fn write_waiting(&mut self, context: &mut Context) -> io::Result<ControlFlow> {
+        if self.link.waiting() == 0 || !self.flush(context)? {
+            return Ok(ControlFlow::Continue);
         }
-        Ok(self.connection.flushed(&mut self.link, hub))
+        Ok(self.connection.flushed(&mut self.link, context))
     }
 
     /// Reads until the socket has no more, for it tells of input only once; in turns with the connection's own work
     /// and with other connections.
-    fn read_all(&mut self, mut flow: Flow, hub: &mut Hub) -> Flow {
+    fn read_all(&mut self, mut flow: ControlFlow, context: &mut Context) -> ControlFlow {
         let mut taken = 0;
         loop {
             let held = self.link.inbox.len();
-            let Ok(all) = self.link.fill() else { return Flow::Close };
+            let Ok(all) = self.link.fill() else { return ControlFlow::Close };
             let more = self.link.inbox.len() - held;
             taken += more;
             if self.finishing {
                 self.wasted += self.link.inbox.len();
                 self.link.inbox.clear();
                 if self.wasted > WASTE {
-                    return Flow::Close;
+                    return ControlFlow::Close;
                 }
             } else if more > 0 || self.link.ended {
-                flow = flow.and(self.connection.received(&mut self.link, hub));
+                flow = flow.and(self.connection.received(&mut self.link, context));
             }
-            if all || flow != Flow::Go || self.link.held_back() {
+            if all || flow != ControlFlow::Continue || self.link.held_back() {
                 return flow;
             }
             if taken > TURN {
@@ -188,50 +188,56 @@
         let link = Link::new(stream, token, up, limits);
         self.entries
             .insert(token, Entry { link, connection, due: None, finishing: false, shut: false, wasted: 0 });
-        self.call(token, core, |entry, hub| match entry.link.up {
-            true => entry.connection.opened(&mut entry.link, hub),
-            false => Flow::Go,
+        self.call(token, core, |entry, context| match entry.link.up {
+            true => entry.connection.opened(&mut entry.link, context),
+            false => ControlFlow::Continue,
         });
         self.entries.contains_key(&token).then_some(token.0 as u64)
     }
 
     /// Calls a connection back, with panics caught: they end this connection alone.
-    fn call(&mut self, token: Token, core: &mut Core, what: impl FnOnce(&mut Entry, &mut Hub) -> Flow) {
+    fn call(
+        &mut self,
+        token: Token,
+        core: &mut Core,
+        what: impl FnOnce(&mut Entry, &mut Context) -> ControlFlow,
+    ) {
         let (now, ready, active, open) = (self.clock.now(), self.ready, self.active, self.open);
         let Some(entry) = self.entries.get_mut(&token) else { return };
-        let hub = &mut Hub { core, now, clock: self.clock, ready, active, open, fleet: self.fleet.clone() };
+        let context =
+            &mut Context { core, now, clock: self.clock, ready, active, open, fleet: self.fleet.clone() };
         let before = entry.link.waiting();
         let flow = catch_unwind(AssertUnwindSafe(|| {
-            let mut flow = what(entry, hub);
+            let mut flow = what(entry, context);
             // What was put in line goes out at once; a connection may put more whenever all has gone.
-            while flow != Flow::Close && entry.link.up && entry.link.waiting() > 0 {
-                match entry.flush(hub) {
-                    Ok(true) => flow = flow.and(entry.connection.flushed(&mut entry.link, hub)),
+            while flow != ControlFlow::Close && entry.link.up && entry.link.waiting() > 0 {
+                match entry.flush(context) {
+                    Ok(true) => flow = flow.and(entry.connection.flushed(&mut entry.link, context)),
                     Ok(false) => break,
-                    Err(_) => flow = Flow::Close,
+                    Err(_) => flow = ControlFlow::Close,
                 }
             }
             flow
         }));
         let flow = flow.unwrap_or_else(|_| {
-            hub.core.counters().panics += 1;
+            context.core.counters().panics += 1;
             tracing::error!("panic connection={} closed", token.0);
-            Flow::Close
+            ControlFlow::Close
         });
         let after = entry.link.waiting();
         self.waiting = (self.waiting + after).saturating_sub(before);
         // Memory is bounded, and so is what those who do not read may hold of it.
         let clogged = self.waiting > self.waiting_limit && after > before && after > CLOGGED;
-        let flow = if clogged { Flow::Close } else { flow };
-        entry.finishing |= flow == Flow::Finish;
+        let flow = if clogged { ControlFlow::Close } else { flow };
+        entry.finishing |= flow == ControlFlow::Finish;
         // Closed with input unread, the system would throw away what the other side has not read yet: this
         // half is shut, and the rest waits for the other side's end or the connection's own deadline.
         if entry.finishing && entry.link.waiting() == 0 && !std::mem::replace(&mut entry.shut, true) {
             entry.link.stream.shut();
         }
-        let done = flow == Flow::Close || entry.shut && entry.link.ended;
+        let done = flow == ControlFlow::Close || entry.shut && entry.link.ended;
         if done || entry.link.register(self.poll.registry()).is_err() {
-            return self.close(token, hub.core);
+            return self.close(token, context.core);
         }
         if entry.connection.next_attempt(&entry.link).is_some() {
             self.proceeding.insert(token);
@@ -255,10 +261,11 @@
             self.timers.remove(&(at, token));
         }
         let (now, ready, active, open) = (self.clock.now(), self.ready, self.active, self.open);
-        let hub = &mut Hub { core, now, clock: self.clock, ready, active, open, fleet: self.fleet.clone() };
-        let closed = catch_unwind(AssertUnwindSafe(|| entry.connection.closed(&entry.link, hub)));
+        let context =
+            &mut Context { core, now, clock: self.clock, ready, active, open, fleet: self.fleet.clone() };
+        let closed = catch_unwind(AssertUnwindSafe(|| entry.connection.closed(&entry.link, context)));
         if closed.is_err() {
-            hub.core.counters().panics += 1;
+            context.core.counters().panics += 1;
         }
         let _ = self.poll.registry().deregister(entry.link.stream.source());
     }
@@ -273,11 +280,11 @@
         &mut self,
         id: u64,
         core: &mut Core,
-        what: impl FnOnce(&mut dyn Connection, &mut Link, &mut Hub) -> Flow,
+        what: impl FnOnce(&mut dyn Connection, &mut Link, &mut Context) -> ControlFlow,
     ) -> bool {
         let token = Token(id as usize);
         let there = self.entries.contains_key(&token);
-        self.call(token, core, |entry, hub| what(entry.connection.as_mut(), &mut entry.link, hub));
+        self.call(token, core, |entry, context| what(entry.connection.as_mut(), &mut entry.link, context));
         there
     }
 
@@ -344,9 +351,9 @@
             }
             // What came before the time was up counts, also where this loop is late to read it.
             self.catch_up(token.0 as u64, core);
-            let due = |entry: &mut Entry, hub: &mut Hub| match entry.connection.deadline() {
-                Some(at) if at <= hub.now => entry.connection.due(&mut entry.link, hub),
-                _ => Flow::Go,
+            let due = |entry: &mut Entry, context: &mut Context| match entry.connection.deadline() {
+                Some(at) if at <= context.now => entry.connection.due(&mut entry.link, context),
+                _ => ControlFlow::Continue,
             };
             self.call(token, core, due);
         }
@@ -385,14 +392,14 @@
     }
 
     fn happened(&mut self, token: Token, readable: bool, core: &mut Core) {
-        self.call(token, core, |entry, hub| {
-            let opened = entry.open_if_connected(hub);
-            if opened != Flow::Go || !entry.link.up {
+        self.call(token, core, |entry, context| {
+            let opened = entry.open_if_connected(context);
+            if opened != ControlFlow::Continue || !entry.link.up {
                 return opened;
             }
-            let Ok(flow) = entry.write_waiting(hub) else { return Flow::Close };
+            let Ok(flow) = entry.write_waiting(context) else { return ControlFlow::Close };
             match readable {
-                true => entry.read_all(flow, hub),
+                true => entry.read_all(flow, context),
                 false => flow,
             }
         });
--- a/src/net/reactor/tests.rs
+++ b/src/net/reactor/tests.rs
@@ -7,16 +7,16 @@
 struct Fragile;
 
 impl Connection for Fragile {
-    fn opened(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
-        Flow::Go
+    fn opened(&mut self, _link: &mut Link, _hub: &mut Context) -> ControlFlow {
+        ControlFlow::Continue
     }
-    fn received(&mut self, link: &mut Link, _hub: &mut Hub) -> Flow {
+    fn received(&mut self, link: &mut Link, _hub: &mut Context) -> ControlFlow {
         let bytes = std::mem::take(&mut link.inbox);
         assert!(!bytes.contains(&b'!'), "as the test wants");
         link.put(&bytes);
-        Flow::Go
+        ControlFlow::Continue
     }
-    fn closed(&mut self, _link: &Link, _hub: &mut Hub) {}
+    fn closed(&mut self, _link: &Link, _hub: &mut Context) {}
 }
 
 /// A scheduler without classes, and a reactor without connections.
@@ -41,7 +41,7 @@
     let mut put = |bytes: usize| {
         reactor.with(id, &mut core, |_, link, _| {
             link.put(&vec![0; bytes]);
-            Flow::Go
+            ControlFlow::Continue
         });
         (reactor.count(), reactor.waiting > 0)
     };
@@ -80,39 +80,39 @@
 struct Idle(Option<Time>, Rc<RefCell<Vec<&'static str>>>);
 
 impl Connection for Writer {
-    fn opened(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
-        Flow::Go
+    fn opened(&mut self, _link: &mut Link, _hub: &mut Context) -> ControlFlow {
+        ControlFlow::Continue
     }
-    fn received(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
-        Flow::Go
+    fn received(&mut self, _link: &mut Link, _hub: &mut Context) -> ControlFlow {
+        ControlFlow::Continue
     }
-    fn due(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
+    fn due(&mut self, _link: &mut Link, _hub: &mut Context) -> ControlFlow {
         self.0 = None;
         self.1.write_all(b"x").unwrap();
-        Flow::Go
+        ControlFlow::Continue
     }
     fn deadline(&self) -> Option<Time> {
         self.0
     }
-    fn closed(&mut self, _link: &Link, _hub: &mut Hub) {}
+    fn closed(&mut self, _link: &Link, _hub: &mut Context) {}
 }
 
 impl Connection for Idle {
-    fn opened(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
-        Flow::Go
+    fn opened(&mut self, _link: &mut Link, _hub: &mut Context) -> ControlFlow {
+        ControlFlow::Continue
     }
-    fn received(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
+    fn received(&mut self, _link: &mut Link, _hub: &mut Context) -> ControlFlow {
         self.0 = None;
         self.1.borrow_mut().push("read");
-        Flow::Go
+        ControlFlow::Continue
     }
-    fn due(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
-        Flow::Close
+    fn due(&mut self, _link: &mut Link, _hub: &mut Context) -> ControlFlow {
+        ControlFlow::Close
     }
     fn deadline(&self) -> Option<Time> {
         self.0
     }
-    fn closed(&mut self, _link: &Link, _hub: &mut Hub) {
+    fn closed(&mut self, _link: &Link, _hub: &mut Context) {
         self.1.borrow_mut().push("closed");
     }
 }
--- a/src/ops/mgmt.rs
+++ b/src/ops/mgmt.rs
@@ -3,7 +3,7 @@
 use super::http::{self, Call, HEAD, HttpError};
 use crate::core::bans::CordonResult;
 use crate::interface::{Span, Time};
-use crate::net::{Connection, Flow, Hub, Link};
+use crate::net::{Connection, Context, ControlFlow, Link};
 
 /// Callers at a time; they live on descriptors that are reserved beside clients' and workers'.
 pub const CALLERS: usize = 12;
@@ -24,21 +24,23 @@
         MgmtConnection { came: now, answered: None }
     }
 
-    fn carry_out(call: Call, hub: &mut Hub) -> Result<String, HttpError> {
+    fn carry_out(call: Call, context: &mut Context) -> Result<String, HttpError> {
         let done = match call {
-            Call::Ready if hub.ready && hub.open && hub.core.places() => return Ok("ready\n".to_owned()),
+            Call::Ready if context.ready && context.open && context.core.places() => {
+                return Ok("ready\n".to_owned());
+            }
             Call::Ready => return Err(HttpError(503, "not ready")),
             Call::Figures => {
-                let fleet = hub.fleet.as_ref().map(|fleet| fleet.borrow().status(hub.now));
+                let fleet = context.fleet.as_ref().map(|fleet| fleet.borrow().status(context.now));
                 let fleet = fleet.map(|status| status.figures()).unwrap_or_default();
-                return Ok(hub.core.figures().to_string() + &fleet);
+                return Ok(context.core.figures().to_string() + &fleet);
             }
             Call::Fleet => {
-                let fleet = hub.fleet.as_ref().ok_or(HttpError(404, "this scheduler is in no fleet"))?;
-                return Ok(fleet.borrow().status(hub.now).to_string());
+                let fleet = context.fleet.as_ref().ok_or(HttpError(404, "this scheduler is in no fleet"))?;
+                return Ok(fleet.borrow().status(context.now).to_string());
             }
-            Call::Exclude(worker) => hub.core.by_hand(hub.now, worker, true),
-            Call::Include(worker) => hub.core.by_hand(hub.now, worker, false),
+            Call::Exclude(worker) => context.core.by_hand(context.now, worker, true),
+            Call::Include(worker) => context.core.by_hand(context.now, worker, false),
         };
         match done {
             CordonResult::Changed | CordonResult::Stood => Ok("done\n".to_owned()),
@@ -47,37 +49,42 @@
         }
     }
 
-    fn answer(&mut self, answer: Result<String, HttpError>, link: &mut Link, hub: &Hub) -> Flow {
+    fn answer(
+        &mut self,
+        answer: Result<String, HttpError>,
+        link: &mut Link,
+        context: &Context,
+    ) -> ControlFlow {
         match answer {
             Ok(text) => link.put(&http::answer(200, &text)),
             Err(HttpError(status, why)) => link.put(&http::answer(status, &format!("{why}\n"))),
         }
-        self.answered = Some(hub.now);
-        Flow::Finish
+        self.answered = Some(context.now);
+        ControlFlow::Finish
     }
 }
 
 impl Connection for MgmtConnection {
-    fn opened(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
-        Flow::Go
+    fn opened(&mut self, _link: &mut Link, _hub: &mut Context) -> ControlFlow {
+        ControlFlow::Continue
     }
 
-    fn received(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
+    fn received(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
         match http::read(&link.inbox) {
-            Ok(None) if link.ended => Flow::Close,
-            Ok(None) => Flow::Go,
+            Ok(None) if link.ended => ControlFlow::Close,
+            Ok(None) => ControlFlow::Continue,
             Ok(Some(call)) => {
-                let answer = MgmtConnection::carry_out(call, hub);
-                self.answer(answer, link, hub)
+                let answer = MgmtConnection::carry_out(call, context);
+                self.answer(answer, link, context)
             }
-            Err(no) => self.answer(Err(no), link, hub),
+            Err(no) => self.answer(Err(no), link, context),
         }
     }
 
-    fn due(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
+    fn due(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
         match self.answered {
-            Some(_) => Flow::Close,
-            None => self.answer(Err(HttpError(408, "no whole call came")), link, hub),
+            Some(_) => ControlFlow::Close,
+            None => self.answer(Err(HttpError(408, "no whole call came")), link, context),
         }
     }
 
@@ -85,5 +92,5 @@
         Some(self.answered.unwrap_or(self.came) + WHOLE)
     }
 
-    fn closed(&mut self, _link: &Link, _hub: &mut Hub) {}
+    fn closed(&mut self, _link: &Link, _hub: &mut Context) {}
 }
