--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -3,8 +3,8 @@
 use clap::{Parser, Subcommand};
 use lab::chains;
 use lab::processes::{self, Plan};
+use lab::rig::environment::{self, Options};
 use lab::rig::scenario::{self, Scenario};
-use lab::rig::world::{self, Options};
 use mintgate::Span;
 use mintgate::config::Sources;
 use std::path::PathBuf;
@@ -150,7 +150,7 @@
     let (mut well, mut lines) = (true, String::new());
     for seed in seeds {
         let options = Options { program: program.clone(), seed, progress: true, logs: logs.clone() };
-        let report = world::play(name, scenario.clone(), options)?;
+        let report = environment::play(name, scenario.clone(), options)?;
         well &= report.broken.is_empty();
         println!("{}", report.table());
         lines.push_str(&serde_json::to_string(&report).map_err(|e| e.to_string())?);
--- a/lab/src/rig/world.rs
+++ b/lab/src/rig/environment.rs
@@ -3,14 +3,16 @@
 
 mod boxes;
 mod faults;
+mod network;
+mod schedulers;
 
 use super::agent::{NodeAgent, Said, Store};
 use super::audit::{Act, Audit, Ration};
 use super::client::{self, Clients, End};
+use super::link::{Datagrams, LinkCondition, Stream};
 use super::process::{Logged, Scheduler};
 use super::report::{self, Held, Report};
 use super::scenario::{Drawn, Links, Scenario, Way, What, Who};
-use super::weather::{Datagrams, Stream, Weather};
 use super::wire::Wire;
 use super::{MS, Moment, SECOND};
 use crate::stand_ins::{self, Folder};
@@ -99,7 +101,7 @@
     }
 }
 
-struct World {
+struct Environment {
     scenario: Scenario,
     options: Options,
     rng: SmallRng,
@@ -125,10 +127,10 @@
     calling: bool,
     calls: u64,
     audit: Audit,
-    /// Weather from a scheduler to a run box, and back.
-    to_box: Vec<Vec<(Weather, Weather)>>,
-    /// Weather from one scheduler to another.
-    peers: Vec<Vec<Weather>>,
+    /// LinkCondition from a scheduler to a run box, and back.
+    to_box: Vec<Vec<(LinkCondition, LinkCondition)>>,
+    /// LinkCondition from one scheduler to another.
+    peers: Vec<Vec<LinkCondition>>,
     active: Vec<(Drawn, Vec<usize>)>,
     absence: Absence,
     /// Since when clients do not use them.
@@ -149,8 +151,9 @@
 /// Plays a scenario to its end.
 pub fn play(name: &str, scenario: Scenario, options: Options) -> Result<Report, String> {
     let folder = Folder::new();
-    let mut world = World::new(scenario, options, &folder.0).map_err(|e| format!("cannot begin: {e}"))?;
-    world.run(name).map_err(|e| format!("cannot go on: {e}"))
+    let mut environment =
+        Environment::new(scenario, options, &folder.0).map_err(|e| format!("cannot begin: {e}"))?;
+    environment.run(name).map_err(|e| format!("cannot go on: {e}"))
 }
 
 fn settings(scenario: &Scenario, index: usize) -> Value {
@@ -217,8 +220,8 @@
     Ok(door)
 }
 
-impl World {
-    fn new(scenario: Scenario, options: Options, folder: &Path) -> std::io::Result<World> {
+impl Environment {
+    fn new(scenario: Scenario, options: Options, folder: &Path) -> std::io::Result<Environment> {
         let (count, boxes) = (scenario.schedulers, scenario.run_boxes);
         let places = own_places(count);
         let mut between = vec![];
@@ -259,7 +262,7 @@
             schedulers.push(Scheduler::new(n, folder, &options.program, config, &operator)?);
         }
         let unix_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64);
-        Ok(World {
+        Ok(Environment {
             rng: SmallRng::seed_from_u64(options.seed),
             begun: Instant::now(),
             unix_ms,
@@ -282,7 +285,7 @@
             calls: 0,
             audit: Audit::new(RATION),
             to_box: vec![vec![Default::default(); boxes]; count],
-            peers: vec![vec![Weather::default(); count]; count],
+            peers: vec![vec![LinkCondition::default(); count]; count],
             active: vec![],
             absence: Absence { away: vec![vec![]; count], stalled: 0 },
             shunned: vec![None; count],
@@ -307,7 +310,8 @@
         for n in 0..self.schedulers.len() {
             self.start(n)?;
         }
-        let all_serve = |world: &World| world.schedulers.iter().all(|one| one.serving().is_some());
+        let all_serve =
+            |environment: &Environment| environment.schedulers.iter().all(|one| one.serving().is_some());
         if !self.wait(all_serve) {
             return Err(std::io::Error::other(format!("not all serve: {:?}", self.logged)));
         }
@@ -337,7 +341,7 @@
         self.ticks.1 = self.count_ticks().saturating_sub(self.ticks.0);
         self.end_faults(true)?;
         self.calling = false;
-        self.wait(|world| world.clients.open() == 0);
+        self.wait(|environment| environment.clients.open() == 0);
         self.finish();
         Ok(self.report(name, zero, end))
     }
@@ -348,7 +352,7 @@
     }
 
     /// Turns until something holds; whether it came to that.
-    fn wait(&mut self, until: impl Fn(&World) -> bool) -> bool {
+    fn wait(&mut self, until: impl Fn(&Environment) -> bool) -> bool {
         let since = self.now;
         while !until(self) {
             if self.now > since + LONG || self.round().is_err() {
@@ -360,12 +364,12 @@
 
     /// All schedulers end as they are asked to.
     fn finish(&mut self) {
-        self.wait(|world| world.schedulers.iter().all(|one| one.serving().is_some()));
+        self.wait(|environment| environment.schedulers.iter().all(|one| one.serving().is_some()));
         for process in self.schedulers.iter_mut().flat_map(|one| &mut one.processes) {
             process.ending = true;
             process.signal("TERM");
         }
-        if !self.wait(|world| world.schedulers.iter().all(|one| one.processes.is_empty())) {
+        if !self.wait(|environment| environment.schedulers.iter().all(|one| one.processes.is_empty())) {
             let what = format!(
                 "of {} processes",
                 self.schedulers.iter().map(|one| one.processes.len()).sum::<usize>()
@@ -401,171 +405,6 @@
         }
     }
 
-    // ---- Schedulers
-
-    /// A scheduler is gone, or stopped: clients notice after a while.
-    fn leave(&mut self, n: usize, notice: u64) {
-        self.end_holds(n);
-        self.absence.away[n].push((self.now, None));
-        self.shunned[n].get_or_insert(self.now + notice);
-    }
-
-    fn back(&mut self, n: usize) {
-        for (_, until) in &mut self.absence.away[n] {
-            until.get_or_insert(self.now + SECOND);
-        }
-        self.shunned[n] = None;
-    }
-
-    fn end_holds(&mut self, n: usize) {
-        for (of, _) in self.holds.iter().filter(|(_, holder)| **holder == n) {
-            self.ended_holds.entry(of.clone()).or_insert(self.now);
-        }
-    }
-
-    fn hear_logs(&mut self) {
-        while let Ok((n, number, line)) = self.log.1.try_recv() {
-            let text = line.strip_prefix("mintgate: ").unwrap_or(&line);
-            let word =
-                |name: &str| text.split(' ').find_map(|word| word.strip_prefix(name)?.strip_prefix('='));
-            if text.starts_with("panic") || text.contains("panicked at") {
-                self.audit.report("a panic", format!("scheduler {n}: {text}"));
-            }
-            if text.starts_with("serving ") {
-                if let Some(process) =
-                    self.schedulers[n].processes.iter_mut().find(|process| process.number == number)
-                {
-                    process.serves = true;
-                }
-                self.back(n);
-                if self.upgrading.remove(&n) {
-                    for process in
-                        self.schedulers[n].processes.iter_mut().filter(|process| process.number < number)
-                    {
-                        process.ending = true;
-                        process.signal("TERM");
-                    }
-                }
-            }
-            let of = word("task").zip(word("part").and_then(|part| part.parse().ok()));
-            if let Some((of, fence)) = of.zip(word("fence").and_then(|fence| fence.parse().ok())) {
-                let of = (of.0.to_owned(), of.1);
-                self.held.push(Held {
-                    of: format!("{} {}", of.0, of.1),
-                    scheduler: n,
-                    fence,
-                    from_ms: self.now / MS,
-                });
-                if let Some(since) = self.ended_holds.remove(&of) {
-                    self.gaps.push((self.now - since) / MS);
-                }
-                self.holds.insert(of, n);
-            } else if let Some((task, part)) = of.filter(|_| text.starts_with("fleet lost")) {
-                let of = (task.to_owned(), part);
-                if self.holds.get(&of) == Some(&n) {
-                    self.holds.remove(&of);
-                    if self.calling {
-                        self.ended_holds.entry(of).or_insert(self.now);
-                    }
-                }
-            }
-            self.logged.push(format!("{:9} ms  {n}.{number}  {text}", self.now / MS));
-        }
-    }
-
-    fn see_ends(&mut self) {
-        for n in 0..self.schedulers.len() {
-            let mut odd = None;
-            self.schedulers[n].processes.retain_mut(|process| match process.ended() {
-                None => true,
-                Some(well) => {
-                    odd = odd.or((!well || !process.ending).then_some((process.number, well)));
-                    false
-                }
-            });
-            if let Some((number, well)) = odd {
-                let how = if well { "without being asked" } else { "badly" };
-                self.audit.report("a scheduler that ended by itself", format!("{n}.{number} ended {how}"));
-            }
-            // From its end on nobody answers at its door.
-            if self.schedulers[n].processes.is_empty()
-                && self.absence.away[n].last().is_none_or(|(_, until)| until.is_some())
-            {
-                self.absence.away[n].push((self.now.saturating_sub(SECOND), None));
-                self.shunned[n].get_or_insert(self.now);
-            }
-        }
-    }
-
-    // ---- The bus
-
-    /// Puts an event of a run box into the bus: 0 ready, 1 draining, 2 gone.
-    fn tell(&mut self, n: usize, state: u8) {
-        let run_box = &self.boxes[n];
-        let started = run_box.agent.started.map_or(0, |at| self.unix_ms + at / MS);
-        self.events.push((n, run_box.uid, state, started));
-    }
-
-    fn bus(&mut self) -> std::io::Result<()> {
-        let beat = self.now >= self.beat;
-        if beat {
-            self.beat = self.now + SECOND;
-        }
-        for (n, bus) in self.buses.iter_mut().enumerate() {
-            while let Ok((stream, _)) = bus.door.accept() {
-                stream.set_nonblocking(true)?;
-                bus.callers.push((stream, None));
-            }
-            let (events, boxes) = (&self.events, &self.boxes);
-            bus.callers.retain_mut(|(stream, told)| {
-                let mut from = [0; 8];
-                match stream.read(&mut from) {
-                    Ok(8) if told.is_none() => *told = Some(u64::from_be_bytes(from)),
-                    Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-                    _ => return false,
-                }
-                let Some(told) = told else { return true };
-                let mut out = vec![];
-                // Number 1 stands in the configuration.
-                for (offset, (run_box, uid, state, started)) in
-                    (2..).zip(events).filter(|(offset, _)| offset > told)
-                {
-                    out.extend(stand_ins::change(offset, *uid, boxes[*run_box].at[n], *state, *started));
-                }
-                *told = (*told).max(events.len() as u64 + 1);
-                if beat {
-                    out.extend(9u32.to_be_bytes());
-                    out.extend([0; 9]);
-                }
-                out.is_empty() || stream.write_all(&out).is_ok()
-            });
-        }
-        Ok(())
-    }
-
-    // ---- Between schedulers
-
-    fn pass_datagrams(&mut self) {
-        let mut bytes = [0; 65_536];
-        for link in &mut self.between {
-            let (one, other) = link.pair;
-            let (there, back) = (self.peers[one][other], self.peers[other][one]);
-            let sides = [(&link.sockets.0, &mut link.there, there), (&link.sockets.1, &mut link.back, back)];
-            for (socket, way, weather) in sides {
-                while let Ok((size, _)) = socket.recv_from(&mut bytes) {
-                    self.datagrams = (self.datagrams.0 + 1, self.datagrams.1 + size as u64);
-                    way.put(self.now, &bytes[..size], &weather, &mut self.rng);
-                }
-            }
-            for datagram in link.there.take(self.now) {
-                let _ = link.sockets.1.send_to(&datagram, self.places[other]);
-            }
-            for datagram in link.back.take(self.now) {
-                let _ = link.sockets.0.send_to(&datagram, self.places[one]);
-            }
-        }
-    }
-
     // ---- Clients
 
     fn turn_clients(&mut self) {
--- a/lab/src/rig/world/boxes.rs
+++ b/lab/src/rig/environment/boxes.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-impl World {
+impl Environment {
     pub(super) fn box_dies(&mut self, n: usize) {
         self.boxes[n].agent.end();
         self.boxes[n].doors.iter_mut().for_each(|door| *door = None);
@@ -41,8 +41,8 @@
         let mut said: Vec<(usize, Said)> = vec![];
         for pipe in &mut pipes {
             self.read_pipe(pipe);
-            let weather = self.to_box[pipe.scheduler][pipe.run_box].0;
-            while let Some(line) = pipe.to.take(self.now, &weather) {
+            let condition = self.to_box[pipe.scheduler][pipe.run_box].0;
+            while let Some(line) = pipe.to.take(self.now, &condition) {
                 let Ok(line) = serde_json::from_slice::<Value>(&line) else { continue };
                 let agent = &mut self.boxes[pipe.run_box].agent;
                 let mut out = vec![];
@@ -60,12 +60,12 @@
         for (_, (id, line)) in said {
             let Ok(found) = pipes.binary_search_by_key(&id, |pipe| pipe.id) else { continue };
             let pipe = &mut pipes[found];
-            let weather = self.to_box[pipe.scheduler][pipe.run_box].1;
-            pipe.from.put(self.now, format!("{line}\n").into_bytes(), &weather, &mut self.rng);
+            let condition = self.to_box[pipe.scheduler][pipe.run_box].1;
+            pipe.from.put(self.now, format!("{line}\n").into_bytes(), &condition, &mut self.rng);
         }
-        let (now, weather, boxes) = (self.now, &self.to_box, &mut self.boxes);
+        let (now, condition, boxes) = (self.now, &self.to_box, &mut self.boxes);
         pipes.retain_mut(|pipe| {
-            let back = &weather[pipe.scheduler][pipe.run_box].1;
+            let back = &condition[pipe.scheduler][pipe.run_box].1;
             while let Some(bytes) = pipe.from.take(now, back) {
                 pipe.wire.outbox.extend(bytes);
             }
@@ -94,8 +94,8 @@
         while let Some(end) = pipe.wire.inbox.iter().position(|byte| *byte == b'\n') {
             let line: Vec<u8> = pipe.wire.inbox.drain(..=end).collect();
             self.enters(now, pipe.scheduler, pipe.run_box, &line);
-            let weather = self.to_box[pipe.scheduler][pipe.run_box].0;
-            pipe.to.put(self.now, line, &weather, &mut self.rng);
+            let condition = self.to_box[pipe.scheduler][pipe.run_box].0;
+            pipe.to.put(self.now, line, &condition, &mut self.rng);
         }
     }
 
--- a/lab/src/rig/world/faults.rs
+++ b/lab/src/rig/environment/faults.rs
@@ -1,8 +1,8 @@
-//! Faults as they come and go, whom they hit, and the weather that all of them make together.
+//! Faults as they come and go, whom they hit, and the condition that all of them make together.
 
 use super::*;
 
-impl World {
+impl Environment {
     pub(super) fn begin_fault(&mut self, drawn: Drawn) -> std::io::Result<()> {
         let whom = self.whom(&drawn);
         let fault = &drawn.fault;
@@ -107,22 +107,22 @@
         }
     }
 
-    /// The weather that all faults now make together.
+    /// The condition that all faults now make together.
     fn forecast(&mut self) {
         let (schedulers, boxes) = (self.schedulers.len(), self.boxes.len());
-        self.peers = vec![vec![Weather::default(); schedulers]; schedulers];
+        self.peers = vec![vec![LinkCondition::default(); schedulers]; schedulers];
         self.to_box = vec![vec![Default::default(); boxes]; schedulers];
         let active = std::mem::take(&mut self.active);
         let of_links = [What::Cut, What::Loss, What::Delay, What::Repeat, What::BoxCut];
         for (drawn, whom) in active.iter().filter(|(drawn, _)| of_links.contains(&drawn.fault.what)) {
             let fault = &drawn.fault;
-            let worsen = |weather: &mut Weather| match fault.what {
-                What::Cut | What::BoxCut => weather.cut = true,
-                What::Loss => weather.loss = weather.loss.max(fault.much),
-                What::Repeat => weather.repeat = weather.repeat.max(fault.much),
+            let worsen = |condition: &mut LinkCondition| match fault.what {
+                What::Cut | What::BoxCut => condition.cut = true,
+                What::Loss => condition.loss = condition.loss.max(fault.much),
+                What::Repeat => condition.repeat = condition.repeat.max(fault.much),
                 What::Delay => {
-                    weather.delay = weather.delay.max((fault.much * MS as f64) as u64);
-                    weather.jitter = weather.delay / 2;
+                    condition.delay = condition.delay.max((fault.much * MS as f64) as u64);
+                    condition.jitter = condition.delay / 2;
                 }
                 _ => {}
             };
--- /dev/null
+++ b/lab/src/rig/environment/schedulers.rs
@@ -0,0 +1,99 @@
+//! What schedulers log, and how they go and come back.
+
+use super::*;
+
+impl Environment {
+    /// A scheduler is gone, or stopped: clients notice after a while.
+    pub(super) fn leave(&mut self, n: usize, notice: u64) {
+        self.end_holds(n);
+        self.absence.away[n].push((self.now, None));
+        self.shunned[n].get_or_insert(self.now + notice);
+    }
+
+    pub(super) fn back(&mut self, n: usize) {
+        for (_, until) in &mut self.absence.away[n] {
+            until.get_or_insert(self.now + SECOND);
+        }
+        self.shunned[n] = None;
+    }
+
+    pub(super) fn end_holds(&mut self, n: usize) {
+        for (of, _) in self.holds.iter().filter(|(_, holder)| **holder == n) {
+            self.ended_holds.entry(of.clone()).or_insert(self.now);
+        }
+    }
+
+    pub(super) fn hear_logs(&mut self) {
+        while let Ok((n, number, line)) = self.log.1.try_recv() {
+            let text = line.strip_prefix("mintgate: ").unwrap_or(&line);
+            let word =
+                |name: &str| text.split(' ').find_map(|word| word.strip_prefix(name)?.strip_prefix('='));
+            if text.starts_with("panic") || text.contains("panicked at") {
+                self.audit.report("a panic", format!("scheduler {n}: {text}"));
+            }
+            if text.starts_with("serving ") {
+                if let Some(process) =
+                    self.schedulers[n].processes.iter_mut().find(|process| process.number == number)
+                {
+                    process.serves = true;
+                }
+                self.back(n);
+                if self.upgrading.remove(&n) {
+                    for process in
+                        self.schedulers[n].processes.iter_mut().filter(|process| process.number < number)
+                    {
+                        process.ending = true;
+                        process.signal("TERM");
+                    }
+                }
+            }
+            let of = word("task").zip(word("part").and_then(|part| part.parse().ok()));
+            if let Some((of, fence)) = of.zip(word("fence").and_then(|fence| fence.parse().ok())) {
+                let of = (of.0.to_owned(), of.1);
+                self.held.push(Held {
+                    of: format!("{} {}", of.0, of.1),
+                    scheduler: n,
+                    fence,
+                    from_ms: self.now / MS,
+                });
+                if let Some(since) = self.ended_holds.remove(&of) {
+                    self.gaps.push((self.now - since) / MS);
+                }
+                self.holds.insert(of, n);
+            } else if let Some((task, part)) = of.filter(|_| text.starts_with("fleet lost")) {
+                let of = (task.to_owned(), part);
+                if self.holds.get(&of) == Some(&n) {
+                    self.holds.remove(&of);
+                    if self.calling {
+                        self.ended_holds.entry(of).or_insert(self.now);
+                    }
+                }
+            }
+            self.logged.push(format!("{:9} ms  {n}.{number}  {text}", self.now / MS));
+        }
+    }
+
+    pub(super) fn see_ends(&mut self) {
+        for n in 0..self.schedulers.len() {
+            let mut odd = None;
+            self.schedulers[n].processes.retain_mut(|process| match process.ended() {
+                None => true,
+                Some(well) => {
+                    odd = odd.or((!well || !process.ending).then_some((process.number, well)));
+                    false
+                }
+            });
+            if let Some((number, well)) = odd {
+                let how = if well { "without being asked" } else { "badly" };
+                self.audit.report("a scheduler that ended by itself", format!("{n}.{number} ended {how}"));
+            }
+            // From its end on nobody answers at its door.
+            if self.schedulers[n].processes.is_empty()
+                && self.absence.away[n].last().is_none_or(|(_, until)| until.is_some())
+            {
+                self.absence.away[n].push((self.now.saturating_sub(SECOND), None));
+                self.shunned[n].get_or_insert(self.now);
+            }
+        }
+    }
+}
--- a/lab/src/rig/weather.rs
+++ b/lab/src/rig/link.rs
@@ -10,7 +10,7 @@
 
 /// The state of one direction.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Weather {
+pub struct LinkCondition {
     /// Nothing passes. Streams keep what they carry until it does; datagrams are lost.
     pub cut: bool,
     /// The part of the datagrams that is lost. Pieces of streams come late instead.
@@ -23,7 +23,7 @@
     pub repeat: f64,
 }
 
-impl Weather {
+impl LinkCondition {
     fn late(&self, rng: &mut SmallRng) -> u64 {
         self.delay + if self.jitter > 0 { rng.random_range(0..=self.jitter) } else { 0 }
     }
@@ -42,23 +42,23 @@
 
 impl Stream {
     /// Bytes have entered the link.
-    pub fn put(&mut self, now: Moment, bytes: Vec<u8>, weather: &Weather, rng: &mut SmallRng) {
-        let lost = if Weather::chance(weather.loss, rng) { AGAIN } else { 0 };
-        self.last = self.last.max(now + weather.late(rng) + lost);
+    pub fn put(&mut self, now: Moment, bytes: Vec<u8>, condition: &LinkCondition, rng: &mut SmallRng) {
+        let lost = if LinkCondition::chance(condition.loss, rng) { AGAIN } else { 0 };
+        self.last = self.last.max(now + condition.late(rng) + lost);
         self.waiting.push_back((self.last, bytes));
     }
 
     /// The next bytes that leave it, if it is time.
-    pub fn take(&mut self, now: Moment, weather: &Weather) -> Option<Vec<u8>> {
-        if !self.is_due(now, weather) {
+    pub fn take(&mut self, now: Moment, condition: &LinkCondition) -> Option<Vec<u8>> {
+        if !self.is_due(now, condition) {
             return None;
         }
         self.waiting.pop_front().map(|(_, bytes)| bytes)
     }
 
     /// Whether anything is on its way and may leave.
-    pub fn is_due(&self, now: Moment, weather: &Weather) -> bool {
-        !weather.cut && self.waiting.front().is_some_and(|(at, _)| *at <= now)
+    pub fn is_due(&self, now: Moment, condition: &LinkCondition) -> bool {
+        !condition.cut && self.waiting.front().is_some_and(|(at, _)| *at <= now)
     }
 }
 
@@ -72,14 +72,14 @@
 
 impl Datagrams {
     /// A datagram has entered the link.
-    pub fn put(&mut self, now: Moment, bytes: &[u8], weather: &Weather, rng: &mut SmallRng) {
-        if weather.cut || Weather::chance(weather.loss, rng) {
+    pub fn put(&mut self, now: Moment, bytes: &[u8], condition: &LinkCondition, rng: &mut SmallRng) {
+        if condition.cut || LinkCondition::chance(condition.loss, rng) {
             self.lost += 1;
             return;
         }
-        let times = if Weather::chance(weather.repeat, rng) { 2 } else { 1 };
+        let times = if LinkCondition::chance(condition.repeat, rng) { 2 } else { 1 };
         for _ in 0..times {
-            self.waiting.push((now + weather.late(rng), bytes.to_vec()));
+            self.waiting.push((now + condition.late(rng), bytes.to_vec()));
         }
     }
 
--- a/lab/src/rig/weather/tests.rs
+++ b/lab/src/rig/link/tests.rs
@@ -4,7 +4,7 @@
 #[test]
 fn a_cut_keeps_what_streams_carry_and_loses_datagrams() {
     let mut rng = SmallRng::seed_from_u64(1);
-    let (cut, fair) = (Weather { cut: true, ..Weather::default() }, Weather::default());
+    let (cut, fair) = (LinkCondition { cut: true, ..LinkCondition::default() }, LinkCondition::default());
     let (mut stream, mut datagrams) = (Stream::default(), Datagrams::default());
     stream.put(0, vec![1], &cut, &mut rng);
     datagrams.put(0, &[1], &cut, &mut rng);
@@ -16,7 +16,7 @@
 #[test]
 fn streams_keep_their_order_and_datagrams_do_not() {
     let mut rng = SmallRng::seed_from_u64(1);
-    let rough = Weather { jitter: 50 * MS, ..Weather::default() };
+    let rough = LinkCondition { jitter: 50 * MS, ..LinkCondition::default() };
     let (mut stream, mut datagrams) = (Stream::default(), Datagrams::default());
     for n in 0..100 {
         stream.put(n, vec![n as u8], &rough, &mut rng);
--- a/lab/src/rig/mod.rs
+++ b/lab/src/rig/mod.rs
@@ -6,12 +6,12 @@
 pub mod agent;
 pub mod audit;
 pub mod client;
+pub mod environment;
+pub mod link;
 pub mod process;
 pub mod report;
 pub mod scenario;
-pub mod weather;
 pub mod wire;
-pub mod world;
 
 /// Nanoseconds since the rig started.
 pub type Moment = u64;
--- a/lab/tests/rehearse.rs
+++ b/lab/tests/rehearse.rs
@@ -1,14 +1,14 @@
 //! Plays with real processes, each with one seed: no rule may be broken. How soon anything happens is reported and
 //! not judged; `lab rehearse NAME --seeds N` plays more of them.
 
+use lab::rig::environment::{self, Options};
 use lab::rig::report::Report;
 use lab::rig::scenario::Scenario;
-use lab::rig::world::{self, Options};
 
 fn play(name: &str) -> Report {
     let program = env!("CARGO_BIN_EXE_lab").into();
     let options = Options { program, seed: 5, progress: false, logs: None };
-    let report = world::play(name, Scenario::find(name).unwrap(), options).unwrap();
+    let report = environment::play(name, Scenario::find(name).unwrap(), options).unwrap();
     assert!(report.broken.is_empty(), "{}", report.table());
     assert!(
         report.seconds.iter().map(|second| second[0]).sum::<u64>() > 0,
