Choose and keep only the workers of a function's order that its calls look at

Cause: the order by function was a full sort of all workers, made for each function, kept whole, copied for each call and made again after any change of the list.

Change: src/rendezvous.rs holds the listed workers with their mixed ids, and for a function all workers up to some score, in order: a beginning of the full order whatever the sizes and ties, found by one pass over hashes with logarithms for those near the bound alone. Changes of the list are followed in a kept order one by one where they are few. Where few may be sent a call (a keyed repeat's cell), those are filtered first and then put in order. Holds put in order only workers that are due, and a wanted function's home is looked for without a sort.

The mean slowness that a wanted function's home is held against is summed by id now, no longer by hash: it may differ in its last digits. New settings that change whether weights are sizes hold at once, where orders kept the old until the next change of the list.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -4,6 +4,7 @@
 //! (belief and health); holds; cold starts. `docs/design.md` says what of the published design is kept.
 
 use crate::interface::*;
+use crate::rendezvous::{Order, Rendezvous, mix};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -94,8 +95,7 @@
     counts: [u32; BUCKETS],
     gold: bool,
     turns: u8,
-    order: Vec<WorkerId>,
-    listed: u64,
+    order: Order,
 }
 
 #[derive(Default)]
@@ -195,8 +195,8 @@
     served: VecDeque<Time>,
     /// Starts of the window's buckets, the current one first.
     turned: [Time; BUCKETS],
-    /// Counts changes of the list of workers.
-    listed: u64,
+    /// The listed workers, for the order in which calls of a function look at them.
+    rendezvous: Rendezvous,
     /// The part of the workers that have no room, as last looked at.
     crowding: f64,
     shares: Shares,
@@ -222,7 +222,7 @@
             arrivals: VecDeque::new(),
             served: VecDeque::new(),
             turned: [Time(0); BUCKETS],
-            listed: 0,
+            rendezvous: Rendezvous::default(),
             crowding: 0.0,
             shares: Shares::default(),
         }
@@ -234,6 +234,9 @@
         let known = |n: &usize| old.get(*n).filter(|class| **class == new[*n]).map(|_| self.usual[*n]);
         self.usual = (0..new.len()).map(|n| known(&n).unwrap_or(new[n].aim.secs() / 4.0)).collect();
         self.settings = settings;
+        for (id, worker) in &self.workers {
+            self.rendezvous.set(*id, size(&self.settings, &worker.member));
+        }
     }
 
     /// Takes in what happened at `now` and appends what is to be done about it.
@@ -277,16 +280,18 @@
         if kind == ListKind::Failed {
             return out.push(Action::Subscribe);
         }
-        self.listed += 1;
         if kind != ListKind::Delta {
             let listed: BTreeSet<_> = members.iter().map(|m| m.worker).collect();
             self.workers.retain(|id, _| listed.contains(id));
+            self.rendezvous.retain(|id| listed.contains(id));
         }
         for member in members {
             if member.state == State::Gone {
                 self.workers.remove(&member.worker);
+                self.rendezvous.remove(member.worker);
                 continue;
             }
+            self.rendezvous.set(member.worker, size(&self.settings, &member));
             let known = self.workers.get_mut(&member.worker);
             if let Some(worker) = known.filter(|w| w.member.started == member.started) {
                 worker.member = member;
@@ -371,22 +376,20 @@
         self.functions.get(&key).is_none_or(|f| !f.gold && f.calls() < BRONZE_CALLS)
     }
 
-    /// Workers by weighted rendezvous hashing: all front ends see one order. Kept until the list changes.
-    fn hash_order(&mut self, key: FunctionId) -> Vec<WorkerId> {
-        let Some(function) = self.functions.get_mut(&key) else { return vec![] };
-        if function.listed != self.listed {
-            let sized = self.settings.weights_are_sizes;
-            let mut order: Vec<(f64, WorkerId)> = Vec::with_capacity(self.workers.len());
-            for (id, worker) in &self.workers {
-                let unit = ((mix(key.0 ^ mix(id.0)) >> 11) as f64 + 1.0) / (1u64 << 53) as f64;
-                let size = if sized { worker.member.weight.clamp(0.01, 100.0) } else { 1.0 };
-                order.push((-unit.ln() / size, *id));
+    /// The first workers of a function's hash order, one at all front ends, that may be sent a request.
+    fn able(&mut self, id: RequestId, key: FunctionId, wanted: usize) -> Vec<WorkerId> {
+        for near in [wanted, wanted * 4] {
+            let Some(function) = self.functions.get_mut(&key) else { return vec![] };
+            self.rendezvous.update(key.0, &mut function.order, near);
+            let order = &self.functions[&key].order;
+            let able: Vec<_> = order.workers().filter(|w| self.may_send(id, *w)).take(wanted).collect();
+            if able.len() == wanted || order.len() == self.rendezvous.len() {
+                return able;
             }
-            order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-            function.order = order.into_iter().map(|(_, id)| id).collect();
-            function.listed = self.listed;
         }
-        function.order.clone()
+        // Few may be sent it, such as those of a cell: they are found sooner by themselves.
+        let able = self.workers.keys().copied().filter(|w| self.may_send(id, *w));
+        self.rendezvous.first(key.0, able, wanted)
     }
 
     // ---- Placement
@@ -402,8 +405,8 @@
         let Some(function) = self.functions.get(&key) else { return self.give_up(id, out) };
         let lanes = function.lanes;
         let copies = self.wanted_copies(key, class);
-        let able = self.hash_order(key).into_iter().filter(|w| self.may_send(id, *w));
-        let order = self.healthy(able.take(copies * 2 + NEAR).collect());
+        let able = self.able(id, key, copies * 2 + NEAR);
+        let order = self.healthy(able);
         let open = |w: &WorkerId| self.has_room(*w, class);
         if !order.iter().any(open) {
             return self.hold_back(id, out);
@@ -896,8 +899,8 @@
     /// A call of this function is to come soon: a copy is ordered at its home, if none stands there.
     fn wanted(&mut self, key: FunctionId, memory_mb: f64, out: &mut Actions) {
         self.functions.entry(key).or_default().memory_mb = memory_mb;
-        let order = self.hash_order(key);
-        let home = self.healthy(order).first().copied().filter(|w| !self.believed_warm(key, *w));
+        let healthy = self.healthy(self.workers.keys().copied().collect());
+        let home = self.rendezvous.first(key.0, healthy, 1).pop().filter(|w| !self.believed_warm(key, *w));
         home.into_iter().for_each(|home| self.order_load(home, key, (1, None), out));
     }
 
@@ -914,18 +917,17 @@
         let lead = self.settings.loading.keep.times(RENEW_AT);
         let gold: Vec<_> = self.functions.iter().filter(|(_, f)| f.gold).map(|(id, _)| *id).collect();
         for key in gold {
-            for worker in self.hash_order(key) {
-                let whose = (mix(key.0.rotate_left(32) ^ worker.0) % fleet) as u32;
-                let part = self.shares.stands_in(whose);
-                if whose != self.settings.index && part.is_none() {
-                    continue;
-                }
+            let whose = |worker: WorkerId| (mix(key.0.rotate_left(32) ^ worker.0) % fleet) as u32;
+            let ours = |whose| whose == self.settings.index || self.shares.stands_in(whose).is_some();
+            let until = |w: &Worker| w.pairs.get(&key).map_or(Time(0), |p| p.warm_until);
+            let due = |w: &Worker| w.shun_until <= self.now && until(w) <= self.now + lead;
+            let held = self.workers.iter().filter(|(id, w)| due(w) && ours(whose(**id)));
+            for worker in self.rendezvous.first(key.0, held.map(|(id, _)| *id), usize::MAX) {
                 let w = &self.workers[&worker];
-                let until = w.pairs.get(&key).map_or(Time(0), |p| p.warm_until);
+                let part = self.shares.stands_in(whose(worker));
                 // A first hold costs a load: one under way a worker and a function floods neither.
-                let first = until <= self.now;
-                let busy = first && (self.loads_under_way(w) > 0 || self.pending_loads(key) > 0);
-                if until <= self.now + lead && w.shun_until <= self.now && !busy {
+                let first = until(w) <= self.now;
+                if !first || self.loads_under_way(w) == 0 && self.pending_loads(key) == 0 {
                     self.order_load(worker, key, (1, part), out);
                 }
             }
@@ -1009,13 +1011,11 @@
     }
 }
 
-fn backoff(now: Time, failures: u32) -> Time {
-    now + Span(BACKOFF.0.0 << failures.min(BACKOFF.1)).times(0.75 + mix(now.0) as f64 / u64::MAX as f64 / 2.0)
+/// A worker's part of the hash order.
+fn size(settings: &Settings, member: &Member) -> f64 {
+    if settings.weights_are_sizes { member.weight.clamp(0.01, 100.0) } else { 1.0 }
 }
 
-/// A 64-bit finalizer: the same hash at every front end.
-fn mix(mut x: u64) -> u64 {
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
+fn backoff(now: Time, failures: u32) -> Time {
+    now + Span(BACKOFF.0.0 << failures.min(BACKOFF.1)).times(0.75 + mix(now.0) as f64 / u64::MAX as f64 / 2.0)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -86,6 +86,7 @@
 pub mod log;
 pub mod net;
 pub mod ops;
+mod rendezvous;
 pub mod settings;
 pub mod vrrp;
 
--- /dev/null
+++ b/src/rendezvous/tests.rs
@@ -0,0 +1,166 @@
+//! The order against a full sort of the whole list, as the module once made it for each function.
+
+use super::*;
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+/// The whole order: every worker scored and all of them sorted.
+fn full_sort(key: u64, list: &BTreeMap<u64, f64>) -> Vec<WorkerId> {
+    let mut order: Vec<(f64, WorkerId)> = Vec::with_capacity(list.len());
+    for (id, size) in list {
+        let unit = ((mix(key ^ mix(*id)) >> 11) as f64 + 1.0) / (1u64 << 53) as f64;
+        order.push((-unit.ln() / size, WorkerId(*id)));
+    }
+    order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+    order.into_iter().map(|(_, id)| id).collect()
+}
+
+/// Undoes [`mix`], so that a test can place workers where it likes.
+fn unmix(mut x: u64) -> u64 {
+    let unshift = |x: u64, by: u32| (0..64 / by + 1).fold(x, |y, _| x ^ (y >> by));
+    x = unshift(x, 31).wrapping_mul(0x3196_42b2_d24d_8ec3);
+    x = unshift(x, 27).wrapping_mul(0x96de_1b17_3f11_9089);
+    unshift(x, 30)
+}
+
+/// The id of a worker whose hash with this key leads to this unit, of 2^53.
+fn at_unit(key: u64, unit: u64, low: u64) -> u64 {
+    unmix(unmix(unit << 11 | low & 0x7ff) ^ key)
+}
+
+/// A size, and a unit whose score with it rounds to the same float as the next one's.
+const ROUNDS: f64 = 1.29;
+
+fn rounds_as_the_next() -> u64 {
+    let score = |unit: u64| -((unit as f64 + 1.0) / UNITS).ln() / ROUNDS;
+    let from = ((-1.3f64).exp() * UNITS) as u64;
+    (from..from + 10_000).find(|unit| score(*unit) == score(unit + 1)).expect("some do")
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Set(u64, f64),
+    Remove(usize),
+    Many(u64, u64),
+    Ask(u64, usize),
+}
+
+fn sizes() -> impl Strategy<Value = f64> {
+    prop_oneof![4 => Just(1.0), 2 => 0.01..100.0f64, 1 => Just(0.01), 1 => Just(100.0), 2 => Just(ROUNDS)]
+}
+
+/// Ids that are drawn freely, few, or chosen so that their scores for key 5 lie a hair apart or are equal.
+fn ids() -> impl Strategy<Value = u64> {
+    let rounds = rounds_as_the_next();
+    let close = (0..4u64, 0..3u64).prop_map(|(unit, low)| at_unit(5, (1 << 53) - 3 + unit % 3, low));
+    let middle = (0..4u64, 0..3u64).prop_map(move |(unit, low)| at_unit(5, rounds + unit, low));
+    prop_oneof![4 => any::<u64>(), 3 => 0..60u64, 2 => close, 2 => middle]
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        5 => (ids(), sizes()).prop_map(|(id, size)| Step::Set(id, size)),
+        2 => any::<usize>().prop_map(Step::Remove),
+        1 => (any::<u64>(), 1..700u64).prop_map(|(from, count)| Step::Many(from, count)),
+        8 => (4..8u64, prop_oneof![6 => 0..40usize, 1 => Just(1_000usize)])
+            .prop_map(|(key, wanted)| Step::Ask(key, wanted)),
+    ];
+    proptest::collection::vec(step, 1..120)
+}
+
+proptest! {
+    #![proptest_config(crate::drawn())]
+
+    /// Whatever happens to the list between two calls, an order that is kept is a beginning of the full sort, as long
+    /// as is asked for.
+    #[test]
+    fn a_kept_order_begins_as_the_full_sort_does(steps in steps()) {
+        let (mut list, mut rendezvous) = (BTreeMap::new(), Rendezvous::default());
+        let mut orders: BTreeMap<u64, Order> = BTreeMap::new();
+        for step in steps {
+            match step {
+                Step::Set(id, size) => {
+                    list.insert(id, size);
+                    rendezvous.set(WorkerId(id), size);
+                }
+                Step::Remove(place) => {
+                    let id = list.keys().nth(place % list.len().max(1)).copied().unwrap_or(7);
+                    list.remove(&id);
+                    rendezvous.remove(WorkerId(id));
+                }
+                Step::Many(from, count) => (0..count).for_each(|n| {
+                    let id = mix(from.wrapping_add(n));
+                    list.insert(id, 1.0 + (n % 3) as f64);
+                    rendezvous.set(WorkerId(id), 1.0 + (n % 3) as f64);
+                }),
+                Step::Ask(key, wanted) => {
+                    let order = orders.entry(key).or_default();
+                    rendezvous.update(key, order, wanted);
+                    let (full, kept) = (full_sort(key, &list), order.workers().collect::<Vec<_>>());
+                    prop_assert!(kept.len() >= wanted.min(list.len()));
+                    prop_assert_eq!(&kept[..], &full[..kept.len()]);
+                    prop_assert_eq!((order.len(), rendezvous.len()), (kept.len(), list.len()));
+                }
+            }
+        }
+    }
+
+    /// The first of any workers that were filtered out of the list are those that the filter leaves of the full sort.
+    #[test]
+    fn the_first_of_some_are_those_of_the_full_sort(
+        list in proptest::collection::btree_map(ids(), sizes(), 0..300),
+        key in 4..8u64,
+        most in prop_oneof![0..20usize, Just(usize::MAX)],
+        part in 1..5u64,
+    ) {
+        let mut rendezvous = Rendezvous::default();
+        list.iter().for_each(|(id, size)| rendezvous.set(WorkerId(*id), *size));
+        let passes = |worker: &WorkerId| mix(worker.0 ^ 99).is_multiple_of(part);
+        let mut expected: Vec<_> = full_sort(key, &list).into_iter().filter(passes).collect();
+        expected.truncate(most);
+        let some = list.keys().map(|id| WorkerId(*id)).filter(passes);
+        prop_assert_eq!(rendezvous.first(key, some, most), expected);
+    }
+}
+
+/// Guards that the drawn ids do lie where they should.
+#[test]
+fn workers_can_be_placed_a_hair_apart() {
+    for unit in [0, 1, rounds_as_the_next(), (1 << 53) - 1] {
+        assert_eq!(mix(5 ^ mix(at_unit(5, unit, 1))) >> 11, unit);
+    }
+}
+
+/// Two scores that round to one float go by id, also where only one of the two would be within a bound by its hash.
+#[test]
+fn equal_scores_go_by_id() {
+    let (unit, mut list, mut rendezvous) = (rounds_as_the_next(), BTreeMap::new(), Rendezvous::default());
+    let mut others = (1u64..).filter(|id| mix(5 ^ mix(*id)) >> 11 < unit - 1_000);
+    for id in [at_unit(5, unit, 0), at_unit(5, unit + 1, 0)].into_iter().chain(others.by_ref().take(60)) {
+        list.insert(id, ROUNDS);
+        rendezvous.set(WorkerId(id), ROUNDS);
+    }
+    for wanted in [1, 2, 3] {
+        let mut order = Order::default();
+        rendezvous.update(5, &mut order, wanted);
+        assert_eq!(order.workers().collect::<Vec<_>>(), full_sort(5, &list)[..order.len()]);
+        let all = list.keys().map(|id| WorkerId(*id));
+        assert_eq!(rendezvous.first(5, all, wanted), full_sort(5, &list)[..wanted]);
+    }
+}
+
+/// A large list: what is kept for a function stays small, and one change does not void it.
+#[test]
+fn what_is_kept_stays_small() {
+    let mut rendezvous = Rendezvous::default();
+    (0..20_000).for_each(|n| rendezvous.set(WorkerId(n), 1.0));
+    let mut order = Order::default();
+    for n in 0..40_000 {
+        rendezvous.set(WorkerId(20_000 + n), 1.0);
+        rendezvous.update(9, &mut order, 14);
+        assert!((14..=4 * 28 + 1).contains(&order.len()), "{}", order.len());
+    }
+    rendezvous.remove(order.workers().nth(3).unwrap());
+    rendezvous.update(9, &mut order, 14);
+    assert_eq!((order.version, order.len() >= 14), (rendezvous.version, true));
+}
