Fix the interfaces of the distribution subsystem

Records, messages, the node's events and outputs, its status, and a network in virtual time to play it on; the node itself does nothing yet. Datagrams carry messages of the distribution and have version 3 for it. Checked: it compiles; no test was run.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod chains;
 mod fleet;
+pub mod network;
 pub mod processes;
 pub mod rig;
 pub mod stand_ins;
--- /dev/null
+++ b/lab/src/network.rs
@@ -0,0 +1,277 @@
+//! A network of processes in virtual time: datagrams on links that lose, delay, repeat, reorder, spoil and cut, and
+//! processes that are stopped, continued, killed and started again. Same seed, same run.
+
+use mintgate::{Span, Time};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::net::SocketAddr;
+
+/// A datagram and where it goes.
+pub type Outgoing = Vec<(SocketAddr, Vec<u8>)>;
+
+/// A machine without sockets or a clock.
+pub trait Process {
+    /// When [`Process::timer`] is to be called next.
+    fn due(&self) -> Option<Time>;
+    /// A datagram has come; what is sent in turn.
+    fn datagram(&mut self, now: Time, from: SocketAddr, bytes: &[u8]) -> Outgoing;
+    /// The time told by [`Process::due`] has come; what is sent in turn.
+    fn timer(&mut self, now: Time) -> Outgoing;
+}
+
+/// What a link does to datagrams.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Link {
+    /// Nothing passes.
+    pub cut: bool,
+    /// The part that is lost.
+    pub loss: f64,
+    /// The part that comes twice.
+    pub repeat: f64,
+    /// The part of which a byte is changed on the way.
+    pub spoil: f64,
+    /// The least time that one takes.
+    pub delay: Span,
+    /// Up to so much longer, drawn for each: what is drawn long comes after what was sent later.
+    pub jitter: Span,
+}
+
+impl Default for Link {
+    /// A link of one site that is well.
+    fn default() -> Link {
+        let (delay, jitter) = (Span(200_000), Span(300_000));
+        Link { cut: false, loss: 0.0, repeat: 0.0, spoil: 0.0, delay, jitter }
+    }
+}
+
+/// Datagrams and bytes of a process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Datagrams sent.
+    pub datagrams_sent: u64,
+    /// Bytes sent.
+    pub bytes_sent: u64,
+    /// Datagrams received.
+    pub datagrams_received: u64,
+    /// Bytes received.
+    pub bytes_received: u64,
+}
+
+struct Host<P> {
+    process: P,
+    /// Told apart from others that had this address before.
+    incarnation: u64,
+    stopped: bool,
+    /// What waits in the socket of one that is stopped.
+    waiting: Vec<(SocketAddr, Vec<u8>)>,
+    wake: Option<Time>,
+    traffic: Traffic,
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Happening {
+    Wake { at: SocketAddr, incarnation: u64 },
+    Deliver { to: SocketAddr, from: SocketAddr, bytes: Vec<u8> },
+}
+
+/// Datagrams that wait in the socket of a stopped process at most; the rest is lost, as by a full buffer.
+const SOCKET_BUFFER: usize = 1_000;
+
+/// See the module's page.
+pub struct Network<P> {
+    now: Time,
+    rng: SmallRng,
+    hosts: BTreeMap<SocketAddr, Host<P>>,
+    queue: BinaryHeap<Reverse<(Time, u64, Happening)>>,
+    number: u64,
+    /// Every link that [`Network::set_links`] named no other way.
+    default_link: Link,
+    links: Box<dyn Fn(SocketAddr, SocketAddr) -> Option<Link>>,
+}
+
+impl<P: Process> Network<P> {
+    /// A network without processes, at a time well after 0.
+    pub fn new(seed: u64, default_link: Link) -> Network<P> {
+        Network {
+            now: Time(1_000_000_000_000),
+            rng: SmallRng::seed_from_u64(seed),
+            hosts: BTreeMap::new(),
+            queue: BinaryHeap::new(),
+            number: 0,
+            default_link,
+            links: Box::new(|_, _| None),
+        }
+    }
+
+    /// The time.
+    pub fn now(&self) -> Time {
+        self.now
+    }
+
+    /// From now on a link from one address to another is as this says; where it says nothing, as by default.
+    pub fn set_links(&mut self, links: impl Fn(SocketAddr, SocketAddr) -> Option<Link> + 'static) {
+        self.links = Box::new(links);
+    }
+
+    /// Starts a process at an address; one that ran there is gone.
+    pub fn start(&mut self, at: SocketAddr, process: P) {
+        self.number += 1;
+        let host = Host {
+            process,
+            incarnation: self.number,
+            stopped: false,
+            waiting: vec![],
+            wake: None,
+            traffic: Traffic::default(),
+        };
+        self.hosts.insert(at, host);
+        self.arm(at);
+    }
+
+    /// Kills the process at an address; what is on its way there is lost.
+    pub fn kill(&mut self, at: SocketAddr) -> Option<P> {
+        Some(self.hosts.remove(&at)?.process)
+    }
+
+    /// Stops a process as SIGSTOP does, or continues it.
+    pub fn stop(&mut self, at: SocketAddr, stopped: bool) {
+        let Some(host) = self.hosts.get_mut(&at) else { return };
+        host.stopped = stopped;
+        if stopped {
+            return;
+        }
+        for (from, bytes) in std::mem::take(&mut host.waiting) {
+            self.receive(at, from, &bytes);
+        }
+        self.wake(at);
+    }
+
+    /// The running process at an address.
+    pub fn process(&self, at: SocketAddr) -> Option<&P> {
+        self.hosts.get(&at).map(|host| &host.process)
+    }
+
+    /// All processes, by address.
+    pub fn processes(&self) -> impl Iterator<Item = (SocketAddr, &P)> {
+        self.hosts.iter().map(|(at, host)| (*at, &host.process))
+    }
+
+    /// What the process at an address has sent and received.
+    pub fn traffic(&self, at: SocketAddr) -> Traffic {
+        self.hosts.get(&at).map(|host| host.traffic).unwrap_or_default()
+    }
+
+    /// Has a process do something by its own, such as taking in an event, and sends what it says.
+    pub fn act(&mut self, at: SocketAddr, act: impl FnOnce(&mut P, Time) -> Outgoing) {
+        let now = self.now;
+        let Some(host) = self.hosts.get_mut(&at) else { return };
+        let outgoing = act(&mut host.process, now);
+        self.send(at, outgoing);
+        self.arm(at);
+    }
+
+    /// Plays until this time.
+    pub fn run_until(&mut self, end: Time) {
+        while self.queue.peek().is_some_and(|Reverse((at, ..))| *at <= end) {
+            let Some(Reverse((at, _, happening))) = self.queue.pop() else { break };
+            self.now = self.now.max(at);
+            match happening {
+                Happening::Deliver { to, from, bytes } => self.deliver(to, from, bytes),
+                Happening::Wake { at, incarnation } => {
+                    let running = self.hosts.get_mut(&at).filter(|host| host.incarnation == incarnation);
+                    let Some(host) = running.filter(|host| host.wake == Some(self.now)) else { continue };
+                    host.wake = None;
+                    if !host.stopped {
+                        self.wake(at);
+                    }
+                }
+            }
+        }
+        self.now = self.now.max(end);
+    }
+
+    fn deliver(&mut self, to: SocketAddr, from: SocketAddr, bytes: Vec<u8>) {
+        let Some(host) = self.hosts.get_mut(&to) else { return };
+        if !host.stopped {
+            return self.receive(to, from, &bytes);
+        }
+        if host.waiting.len() < SOCKET_BUFFER {
+            host.waiting.push((from, bytes));
+        }
+    }
+
+    fn receive(&mut self, at: SocketAddr, from: SocketAddr, bytes: &[u8]) {
+        let now = self.now;
+        let Some(host) = self.hosts.get_mut(&at) else { return };
+        host.traffic.datagrams_received += 1;
+        host.traffic.bytes_received += bytes.len() as u64;
+        let outgoing = host.process.datagram(now, from, bytes);
+        self.send(at, outgoing);
+        self.arm(at);
+    }
+
+    fn wake(&mut self, at: SocketAddr) {
+        let now = self.now;
+        let Some(host) = self.hosts.get_mut(&at) else { return };
+        if host.process.due().is_some_and(|due| due <= now) {
+            let outgoing = host.process.timer(now);
+            self.send(at, outgoing);
+        }
+        self.arm(at);
+    }
+
+    /// Has a process woken when it wants to be. One that is due at once is woken a microsecond later, so that one which
+    /// is always due can't stop the time.
+    fn arm(&mut self, at: SocketAddr) {
+        let Some(host) = self.hosts.get_mut(&at) else { return };
+        let Some(due) = host.process.due() else {
+            host.wake = None;
+            return;
+        };
+        let due = due.max(self.now + Span(1_000));
+        if host.wake.is_none_or(|wake| due < wake || wake <= self.now) {
+            host.wake = Some(due);
+            let incarnation = host.incarnation;
+            self.queue_at(due, Happening::Wake { at, incarnation });
+        }
+    }
+
+    fn queue_at(&mut self, at: Time, happening: Happening) {
+        self.number += 1;
+        self.queue.push(Reverse((at, self.number, happening)));
+    }
+
+    fn send(&mut self, from: SocketAddr, outgoing: Outgoing) {
+        for (to, bytes) in outgoing {
+            if let Some(host) = self.hosts.get_mut(&from) {
+                host.traffic.datagrams_sent += 1;
+                host.traffic.bytes_sent += bytes.len() as u64;
+            }
+            let link = (self.links)(from, to).unwrap_or(self.default_link);
+            if link.cut || self.draw(link.loss) {
+                continue;
+            }
+            let copies = 1 + usize::from(self.draw(link.repeat));
+            for _ in 0..copies {
+                let bytes = self.spoilt(&bytes, link.spoil);
+                let delay = link.delay.0 + self.rng.random_range(0..=link.jitter.0);
+                self.queue_at(self.now + Span(delay), Happening::Deliver { to, from, bytes });
+            }
+        }
+    }
+
+    fn draw(&mut self, part: f64) -> bool {
+        part > 0.0 && self.rng.random_bool(part.min(1.0))
+    }
+
+    fn spoilt(&mut self, bytes: &[u8], part: f64) -> Vec<u8> {
+        let mut bytes = bytes.to_vec();
+        if !bytes.is_empty() && self.draw(part) {
+            let at = self.rng.random_range(0..bytes.len());
+            bytes[at] ^= 1 << self.rng.random_range(0..8u32);
+        }
+        bytes
+    }
+}
--- /dev/null
+++ b/src/fleet/distribution/mod.rs
@@ -0,0 +1,19 @@
+//! Distribution of the worker list and of class settings to all schedulers of a domain, as versioned changes.
+//!
+//! A domain has a few replicas, any number of relays and up to thousands of subscribers. The replica that holds the
+//! publish lease proposes batches of changes; a batch is committed once a majority of the replicas has accepted it, and
+//! only committed changes go down the tree: from replicas to relays and from relays to subscribers. Every process that
+//! serves others keeps a compacted log, so that a child that is any number of versions behind gets each changed record
+//! once, in pages that are paced. `docs/distribution.md` gives the design, its bounds and the options that were rejected.
+//!
+//! [`Node`] is one process's part, without sockets or a clock: messages and the time go in, [`Output`]s come out.
+
+mod node;
+mod record;
+mod status;
+mod wire;
+
+pub use node::{Check, Event, Node, Output, PublishError, Role, Setting};
+pub use record::{Change, Key, LARGEST_CHANGE, Topic, Value, Version, WorkerRecord};
+pub use status::{Counters, Status};
+pub use wire::{Interest, Message, PAGE_BYTES, Page, Proposal, Report, datagram, read};
--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -576,7 +576,7 @@
     }
 
     fn empty(&self) -> Datagram {
-        Datagram { from: self.setting.process, leases: vec![], swim: vec![], who: None, news: vec![] }
+        Datagram::empty(self.setting.process)
     }
 
     fn datagram(&mut self, to: SocketAddr, datagram: Datagram, out: &mut Vec<Do>) {
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -4,6 +4,7 @@
 //! cut off, changed on the way, or of another fleet or version is told apart, and changes nothing.
 
 use super::Process;
+use super::distribution;
 use super::lease::{LeaseId, Message};
 use super::membership::Who;
 use super::news::Item;
@@ -15,7 +16,7 @@
 pub const LEASES: usize = 30;
 const MAGIC: &[u8; 3] = b"mgf";
 /// Another layout of what follows has another version.
-pub const VERSION: u8 = 2;
+pub const VERSION: u8 = 3;
 const HEAD: usize = 12;
 const SUM: usize = 4;
 
@@ -32,6 +33,15 @@
     pub who: Option<Who>,
     /// What the world is like.
     pub news: Vec<Item>,
+    /// What of the distribution of configuration.
+    pub distribution: Vec<distribution::Message>,
+}
+
+impl Datagram {
+    /// A datagram that says nothing yet.
+    pub fn empty(from: Process) -> Datagram {
+        Datagram { from, leases: vec![], swim: vec![], who: None, news: vec![], distribution: vec![] }
+    }
 }
 
 /// Why a datagram is not used.
@@ -65,9 +75,9 @@
     out
 }
 
-/// Reads one, whole.
+/// Reads one, whole. Nothing longer than [`LARGEST`] is read, which bounds what a peer can have us allocate.
 pub fn read(fleet: u64, bytes: &[u8]) -> Result<Datagram, Odd> {
-    if bytes.len() < HEAD + SUM || !bytes.starts_with(MAGIC) {
+    if bytes.len() > LARGEST || bytes.len() < HEAD + SUM || !bytes.starts_with(MAGIC) {
         return Err(Odd::Malformed);
     }
     let (rest, sum) = bytes.split_at(bytes.len() - SUM);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! datagrams and news come out. It joins [`membership`], [`lease`] and [`news`]; `docs/fleet.md` says why it is
 //! made so.
 
+pub mod distribution;
 pub mod lease;
 mod machine;
 pub mod membership;
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -167,6 +167,7 @@
         swim: vec![],
         who: Some(Who::Known(ballot.process, 3, true)),
         news: vec![Item { subject: Subject::Worker(1), word: Word::Answers(false), age_ms: u32::MAX }],
+        distribution: vec![],
     };
     let whole = message::write(7, &all);
     assert_eq!(message::read(7, &whole), Ok(all.clone()));
@@ -267,7 +268,7 @@
                 _ => lease::Message::Propose(lease::Ballot { counter, process }, 1),
             };
             let news = vec![Item { subject: Subject::Worker(counter), word: Word::Answers(true), age_ms: index }];
-            let datagram = Datagram { from: process, leases: vec![(lease::LeaseId(0), message)], swim: noise.clone(), who: Some(Who::Ask), news };
+            let datagram = Datagram { from: process, leases: vec![(lease::LeaseId(0), message)], swim: noise.clone(), who: Some(Who::Ask), news, distribution: vec![] };
             let bytes = message::write(7, &datagram);
             // From a stranger, so that no elector has spoken.
             let out = machine.handle(MS(now), Event::Datagram(&bytes, place(50)));
