Distribute versions down a tree of replicas, relays and subscribers

Until now a list or settings reached a scheduler as a whole file. The node takes in messages and the time: a compacted log by topic with digests, pages that may come in any order, parents that are chosen, looked at and left, paced catch-ups, and Paxos over single batches under the lease's fence, with replicas that forgot counted only once they have recovered.

--- a/lab/src/network.rs
+++ b/lab/src/network.rs
@@ -1,7 +1,7 @@
 //! A network of processes in virtual time: datagrams on links that lose, delay, repeat, reorder, spoil and cut, and
 //! processes that are stopped, continued, killed and started again. Same seed, same run.
 
-use mintgate::{Span, Time};
+pub use mintgate::{Span, Time};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::cmp::Reverse;
--- /dev/null
+++ b/src/fleet/distribution/log.rs
@@ -0,0 +1,308 @@
+//! The compacted log: every record with the sequence of its last change, an index of those by topic, removed records
+//! for as long as children may need to hear of them, and digests kept up with each change.
+//!
+//! A record is named by its topic and key; one that moves to another topic is removed from the first, by a change of its
+//! own. No two changes of one topic share a sequence. What a change costs goes by the change; only
+//! [`Log::difference`] and [`Log::rebase`], for what came whole, go over all records.
+
+use super::record::{Change, Key, Topic, Value, Version};
+use super::wire::{Interest, PAGE_BYTES};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Removed records that a topic remembers: at the size designed for, a topic has some 2,300 workers, so that all of them may
+/// be replaced once and most of them twice before a child that was away needs a snapshot.
+pub const MAX_TOMBSTONES: usize = 4_096;
+/// Epochs that are remembered: a child whose version is of an earlier one gets a snapshot. Publishers change some times a
+/// day, and a day's children fit many times over.
+const MAX_EPOCHS: usize = 64;
+
+/// A change, and the sequence that it has.
+pub type Numbered = (u64, Change);
+
+#[derive(Clone, Debug)]
+struct Entry {
+    /// Of the last change.
+    sequence: u64,
+    /// Of the standing record; 0 for a removed one.
+    hash: u64,
+    /// Bytes of the change on the wire.
+    size: u16,
+    value: Option<Value>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct TopicLog {
+    entries: BTreeMap<Key, Entry>,
+    /// Which key was changed last at a sequence.
+    index: BTreeMap<u64, Key>,
+    tombstones: BTreeSet<u64>,
+    /// Removals up to this sequence may have been forgotten.
+    floor: u64,
+    digest: u64,
+    standing: usize,
+}
+
+/// Versions from `first` on were committed under `fence`, until the next epoch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Epoch {
+    fence: u64,
+    first: u64,
+}
+
+/// A part of the log for a child.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Part {
+    /// The last sequence that it covers.
+    pub upto: u64,
+    /// Its changes, in order.
+    pub changes: Vec<Change>,
+    /// Bytes of the changes.
+    pub bytes: usize,
+}
+
+/// See the module's page.
+#[derive(Clone, Debug, Default)]
+pub struct Log {
+    version: Version,
+    topics: BTreeMap<Topic, TopicLog>,
+    epochs: VecDeque<Epoch>,
+    /// What was removed up to this sequence is not known: the log began with a snapshot there.
+    base: u64,
+    digest: u64,
+    standing: usize,
+}
+
+impl TopicLog {
+    /// Sets or removes a record; the digests and counts of what was and what is.
+    fn apply(&mut self, sequence: u64, change: Change) {
+        let hash = if change.value.is_some() { change.hash() } else { 0 };
+        let size = u16::try_from(change.size()).unwrap_or(u16::MAX);
+        if let Some(old) = self.entries.remove(&change.key) {
+            self.index.remove(&old.sequence);
+            self.tombstones.remove(&old.sequence);
+            self.digest = self.digest.wrapping_sub(old.hash);
+            self.standing -= usize::from(old.value.is_some());
+        }
+        self.digest = self.digest.wrapping_add(hash);
+        self.standing += usize::from(change.value.is_some());
+        if change.value.is_none() {
+            self.tombstones.insert(sequence);
+        }
+        self.index.insert(sequence, change.key.clone());
+        self.entries.insert(change.key, Entry { sequence, hash, size, value: change.value });
+        self.forget();
+    }
+
+    fn forget(&mut self) {
+        while self.tombstones.len() > MAX_TOMBSTONES {
+            let Some(sequence) = self.tombstones.pop_first() else { return };
+            if let Some(key) = self.index.remove(&sequence) {
+                self.entries.remove(&key);
+            }
+            self.floor = self.floor.max(sequence);
+        }
+    }
+
+    fn standing(&self) -> impl Iterator<Item = (&Key, &Entry, &Value)> {
+        self.entries.iter().filter_map(|(key, entry)| Some((key, entry, entry.value.as_ref()?)))
+    }
+
+    /// The first change after a sequence; removals only if they came after another.
+    fn next(&self, after: u64, removed_after: u64) -> Option<(u64, &Key, &Entry)> {
+        let later = self.index.range(after.saturating_add(1)..);
+        let mut known = later.filter_map(|(at, key)| Some((*at, key, self.entries.get(key)?)));
+        known.find(|(at, _, entry)| entry.value.is_some() || *at > removed_after)
+    }
+}
+
+impl Log {
+    /// The last version that is committed.
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// Standing records.
+    pub fn len(&self) -> usize {
+        self.standing
+    }
+
+    /// The digest over all standing records.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// The digest over the standing records of an interest.
+    pub fn digest_of(&self, interest: &Interest) -> u64 {
+        match interest {
+            Interest::All => self.digest,
+            Interest::Topics(_) => {
+                self.covered(interest).fold(0, |sum: u64, (_, log)| sum.wrapping_add(log.digest))
+            }
+        }
+    }
+
+    /// Removals of an interest up to this sequence may be unknown.
+    pub fn floor(&self, interest: &Interest) -> u64 {
+        self.covered(interest).map(|(_, log)| log.floor).max().unwrap_or(0).max(self.base)
+    }
+
+    /// Where the epoch of the last version began.
+    pub fn since(&self) -> u64 {
+        self.epochs.back().map_or(0, |epoch| epoch.first)
+    }
+
+    /// Whether a version is one that this log has gone through.
+    pub fn went_through(&self, version: Version) -> bool {
+        let epoch = self.epochs.iter().rev().find(|epoch| epoch.first <= version.sequence);
+        version.sequence <= self.version.sequence && epoch.is_some_and(|epoch| epoch.fence == version.fence)
+    }
+
+    /// A standing record.
+    pub fn get(&self, topic: Topic, key: &Key) -> Option<&Value> {
+        self.topics.get(&topic)?.entries.get(key)?.value.as_ref()
+    }
+
+    /// The topic in which a key stands.
+    pub fn topic_of(&self, key: &Key) -> Option<Topic> {
+        self.topics.keys().copied().find(|topic| self.get(*topic, key).is_some())
+    }
+
+    /// Whether the domain's first state is whole.
+    pub fn is_complete(&self) -> bool {
+        self.get(Topic::SETTINGS, &Key::Complete).is_some()
+    }
+
+    /// All standing records.
+    pub fn records(&self) -> impl Iterator<Item = (Topic, &Key, &Value)> {
+        self.topics.iter().flat_map(|(topic, log)| log.standing().map(|(key, _, value)| (*topic, key, value)))
+    }
+
+    /// The topics of an interest that there are.
+    fn covered<'a>(&'a self, interest: &'a Interest) -> Box<dyn Iterator<Item = (Topic, &'a TopicLog)> + 'a> {
+        match interest {
+            Interest::All => Box::new(self.topics.iter().map(|(topic, log)| (*topic, log))),
+            Interest::Topics(topics) => {
+                let listed = topics.iter().filter(|topic| **topic != Topic::SETTINGS);
+                let named = std::iter::once(&Topic::SETTINGS).chain(listed);
+                Box::new(named.filter_map(|topic| Some((*topic, self.topics.get(topic)?))))
+            }
+        }
+    }
+
+    /// Commits a batch: each change gets a sequence of its own.
+    pub fn commit(&mut self, fence: u64, changes: impl IntoIterator<Item = Change>) {
+        let since = self.version.sequence + 1;
+        for change in changes {
+            self.version.sequence += 1;
+            self.apply(self.version.sequence, change);
+        }
+        self.version.fence = fence;
+        self.begin_epoch(fence, since);
+    }
+
+    /// Takes over what a parent has told, up to its version.
+    pub fn install(&mut self, head: Version, since: u64, changes: impl IntoIterator<Item = Numbered>) {
+        let first = since.max(self.version.sequence + 1).min(head.sequence);
+        changes.into_iter().for_each(|(sequence, change)| self.apply(sequence, change));
+        self.version = head;
+        self.begin_epoch(head.fence, first);
+    }
+
+    /// Takes in a change of a snapshot; one that came before what is known of its record is passed by.
+    pub fn put(&mut self, sequence: u64, change: Change) {
+        let known = self.topics.get(&change.topic).and_then(|log| log.entries.get(&change.key));
+        if known.is_none_or(|entry| entry.sequence <= sequence) {
+            self.apply(sequence, change);
+        }
+    }
+
+    /// The snapshot is whole: this is what stands at a parent's version. What was removed before is not known.
+    pub fn finish(&mut self, head: Version, since: u64) {
+        (self.version, self.base) = (head, head.sequence);
+        self.epochs.clear();
+        self.begin_epoch(head.fence, since.min(head.sequence));
+    }
+
+    /// What makes this log's records those of another one: removals first.
+    pub fn difference(&self, other: &Log) -> Vec<Change> {
+        let change = |topic, key: &Key, value| Change { topic, key: key.clone(), value };
+        let gone = self.records().filter(|(topic, key, _)| other.get(*topic, key).is_none());
+        let gone = gone.map(|(topic, key, _)| change(topic, key, None));
+        let new = other.records().filter(|(topic, key, value)| self.get(*topic, key) != Some(*value));
+        gone.chain(new.map(|(topic, key, value)| change(topic, key, Some(value.clone())))).collect()
+    }
+
+    /// What these changes come to on top of this log, one after another: removals first, each record once, and the digest
+    /// that comes of it.
+    pub fn net(&self, changes: impl IntoIterator<Item = Change>) -> (Vec<Change>, u64) {
+        let mut last: BTreeMap<(Topic, Key), Option<Value>> = BTreeMap::new();
+        last.extend(changes.into_iter().map(|change| ((change.topic, change.key), change.value)));
+        let mut digest = self.digest;
+        let (mut removed, mut set) = (vec![], vec![]);
+        for ((topic, key), value) in last {
+            let old = self.topics.get(&topic).and_then(|log| log.entries.get(&key));
+            if old.and_then(|entry| entry.value.as_ref()) == value.as_ref() {
+                continue;
+            }
+            let change = Change { topic, key, value };
+            let hash = if change.value.is_some() { change.hash() } else { 0 };
+            digest = digest.wrapping_sub(old.map_or(0, |entry| entry.hash)).wrapping_add(hash);
+            if change.value.is_some() { &mut set } else { &mut removed }.push(change);
+        }
+        removed.append(&mut set);
+        (removed, digest)
+    }
+
+    /// Keeps its records, but under the version and the sequences of another history that has come to the same records.
+    pub fn rebase(&mut self, head: Version, since: u64) {
+        let old = std::mem::take(self);
+        let first = (head.sequence + 1).saturating_sub(old.standing as u64);
+        let records: Vec<Change> = old
+            .records()
+            .map(|(topic, key, value)| Change { topic, key: key.clone(), value: Some(value.clone()) })
+            .collect();
+        (first..).zip(records).for_each(|(sequence, change)| self.apply(sequence, change));
+        self.finish(head, since);
+    }
+
+    fn apply(&mut self, sequence: u64, change: Change) {
+        let log = self.topics.entry(change.topic).or_default();
+        let (digest, standing) = (log.digest, log.standing);
+        log.apply(sequence, change);
+        self.digest = self.digest.wrapping_sub(digest).wrapping_add(log.digest);
+        self.standing = self.standing + log.standing - standing;
+    }
+
+    fn begin_epoch(&mut self, fence: u64, first: u64) {
+        if self.epochs.back().is_none_or(|last| last.fence != fence) {
+            self.epochs.push_back(Epoch { fence, first });
+        }
+        let excess = self.epochs.len().saturating_sub(MAX_EPOCHS);
+        self.epochs.drain(..excess);
+    }
+
+    /// The next part for a child: its changes after a sequence, as many as fit. Removals are told only where they came
+    /// after `removed_after`: before that the child had nothing that could be removed.
+    pub fn part(&self, interest: &Interest, after: u64, removed_after: u64) -> Part {
+        let mut part = Part { upto: after, ..Part::default() };
+        let next = |log: &'_ TopicLog, after| log.next(after, removed_after).map(|(at, ..)| at);
+        let topics = self.covered(interest);
+        let mut waiting: BTreeMap<u64, (Topic, &TopicLog)> =
+            topics.filter_map(|(topic, log)| Some((next(log, after)?, (topic, log)))).collect();
+        while let Some((at, (topic, log))) = waiting.pop_first() {
+            let Some((_, key, entry)) = log.next(at - 1, removed_after) else { continue };
+            let bytes = part.bytes + usize::from(entry.size);
+            if bytes > PAGE_BYTES && !part.changes.is_empty() {
+                return part;
+            }
+            part.bytes = bytes;
+            part.upto = at;
+            part.changes.push(Change { topic, key: key.clone(), value: entry.value.clone() });
+            if let Some(at) = next(log, at) {
+                waiting.insert(at, (topic, log));
+            }
+        }
+        part.upto = self.version.sequence.max(after);
+        part
+    }
+}
--- a/src/fleet/distribution/mod.rs
+++ b/src/fleet/distribution/mod.rs
@@ -8,9 +8,18 @@
 //!
 //! [`Node`] is one process's part, without sockets or a clock: messages and the time go in, [`Output`]s come out.
 
+mod children;
+mod follower;
+mod log;
 mod node;
+mod pacing;
+mod publisher;
 mod record;
+mod stage;
 mod status;
+#[cfg(test)]
+mod tests;
+mod voter;
 mod wire;
 
 pub use node::{Check, Event, Node, Output, PublishError, Role, Setting};
--- a/src/fleet/distribution/node.rs
+++ b/src/fleet/distribution/node.rs
@@ -1,10 +1,16 @@
 //! One process's part in the distribution, without sockets or a clock.
 
-use super::record::{Change, Key, Value, Version};
-use super::status::Status;
-use super::wire::{Interest, Message};
+use super::children::{Children, Source};
+use super::follower::{Context, Follower, Step};
+use super::log::Log;
+use super::publisher::{Publisher, Want};
+use super::record::{Change, Key, Topic, Value, Version};
+use super::status::{Counters, Status};
+use super::voter::{Voter, is_batch};
+use super::wire::{Interest, Message, Page, Proposal};
 use crate::fleet::lease::Hold;
-use crate::interface::Time;
+use crate::interface::{Span, Time};
+use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
 /// What a process is in its domain.
@@ -120,41 +126,261 @@
 /// See the module's page.
 pub struct Node {
     setting: Setting,
+    check: Box<dyn Check>,
+    log: Log,
+    follower: Follower,
+    children: Children,
+    voter: Voter,
+    publisher: Publisher,
+    counters: Counters,
 }
 
 impl Node {
     /// A process that has just started.
-    pub fn new(_now: Time, setting: Setting, _check: Box<dyn Check>) -> Node {
-        Node { setting }
+    pub fn new(now: Time, setting: Setting, check: Box<dyn Check>) -> Node {
+        let Setting { role, at, ref interest, ref parents, ref replicas, seed, .. } = setting;
+        let interest = if role == Role::Subscriber { interest.clone() } else { Interest::All };
+        let parents = if role == Role::Replica { vec![] } else { parents.clone() };
+        Node {
+            follower: Follower::new(now, interest, parents, at, seed),
+            children: Children::new(now, setting.catch_up_bytes_per_second),
+            voter: Voter::default(),
+            publisher: Publisher::new(at, replicas),
+            log: Log::default(),
+            counters: Counters::default(),
+            check,
+            setting,
+        }
     }
 
     /// When [`Event::Timer`] is to be given.
     pub fn due(&self) -> Option<Time> {
-        None
+        [self.follower.due(), self.publisher.due(), self.children.due()].into_iter().flatten().min()
     }
 
     /// Takes in what has happened.
-    pub fn handle(&mut self, _now: Time, _event: Event) -> Vec<Output> {
-        vec![]
+    pub fn handle(&mut self, now: Time, event: Event) -> Vec<Output> {
+        let mut out = vec![];
+        match event {
+            Event::Received { from, messages } if from != self.setting.at => {
+                messages.iter().for_each(|message| self.receive(now, from, message.clone(), &mut out));
+            }
+            Event::Received { .. } | Event::Timer => {}
+            Event::Lease(hold) if self.setting.role == Role::Replica => {
+                let wants = self.publisher.lease(now, hold, &mut self.voter, &self.log);
+                self.carry_out(now, wants, &mut out);
+            }
+            Event::Lease(_) => {}
+            Event::Publish { ticket, changes } => self.publish(now, ticket, changes, &mut out),
+        }
+        self.wake(now, &mut out);
+        out
     }
 
+    fn wake(&mut self, now: Time, out: &mut Vec<Output>) {
+        let passed = |due: Option<Time>| due.is_some_and(|due| due <= now);
+        if passed(self.publisher.due()) {
+            let follows = |at| self.children.contains(at);
+            let wants = self.publisher.wake(now, &mut self.voter, &self.log, follows);
+            self.carry_out(now, wants, out);
+        }
+        if self.publisher.serves(now).is_some() {
+            self.follower.refresh(now);
+        }
+        if passed(self.follower.due()) {
+            self.follower.wake(now, &self.log, &mut self.counters, out);
+        }
+        if passed(self.children.due()) {
+            let (children, source, counters) = self.serving(now);
+            children.wake(now, &source, counters, out);
+        }
+    }
+
+    /// The children, and what they are served from.
+    fn serving(&mut self, now: Time) -> (&mut Children, Source<'_>, &mut Counters) {
+        let age_ms = self.age(now).map_or(Page::NEVER, |age| {
+            u32::try_from(age.0.div_ceil(1_000_000)).unwrap_or(Page::NEVER).min(Page::NEVER - 1)
+        });
+        let publishes = self.publisher.serves(now).unwrap_or(0);
+        (&mut self.children, Source { log: &self.log, age_ms, publishes }, &mut self.counters)
+    }
+
+    fn age(&self, now: Time) -> Option<Span> {
+        match self.publisher.serves(now) {
+            Some(_) => Some(Span(0)),
+            None => self.follower.fresh().map(|fresh| now - fresh),
+        }
+    }
+
+    // ---- What others say
+
+    fn receive(&mut self, now: Time, from: SocketAddr, message: Message, out: &mut Vec<Output>) {
+        let from_replica = self.setting.replicas.contains(&from);
+        let votes = self.setting.role == Role::Replica && from_replica;
+        match message {
+            Message::Report(report) if self.setting.role != Role::Subscriber => {
+                // Children keep what they have until a parent has all of the domain's first state.
+                if self.log.is_complete() || from_replica {
+                    let (children, source, counters) = self.serving(now);
+                    children.report(now, from, report, &source, counters, out);
+                }
+            }
+            Message::Page(page) => self.page(now, from, page, out),
+            Message::Prepare { fence } if votes => {
+                let answer = self.voter.prepare(fence, &self.log);
+                out.push(Output::Send(from, answer));
+                self.heard_publisher(now, from, fence, out);
+            }
+            Message::Accept { fence, proposal }
+                if votes && is_batch(&proposal) && proposal.fence <= fence =>
+            {
+                let answer = self.voter.accept(fence, proposal, &self.log);
+                out.push(Output::Send(from, answer));
+                self.heard_publisher(now, from, fence, out);
+            }
+            Message::Promise { .. } | Message::Accepted { .. } | Message::Rejected { .. } if votes => {
+                let wants = self.publisher.receive(now, from, message, &mut self.voter, &self.log);
+                self.carry_out(now, wants, out);
+            }
+            _ => self.counters.odd += 1,
+        }
+    }
+
+    /// Another replica has said that it publishes: whoever has the highest fence is followed.
+    fn heard_publisher(&mut self, now: Time, from: SocketAddr, fence: u64, out: &mut Vec<Output>) {
+        if fence < self.voter.promised() {
+            return;
+        }
+        let wants = self.publisher.overtaken(fence);
+        self.carry_out(now, wants, out);
+        if self.publisher.fence(now).is_none() {
+            self.follower.follow(now, Some(from), out);
+        }
+    }
+
+    fn page(&mut self, now: Time, from: SocketAddr, page: Page, out: &mut Vec<Output>) {
+        let (publishes, head) = (page.publishes, page.head);
+        let check = (self.setting.role == Role::Subscriber).then_some(&*self.check);
+        let context = Context { log: &mut self.log, check, counters: &mut self.counters, out };
+        let step = self.follower.receive(now, from, page, context);
+        let followed = self.follower.parent() == Some(from);
+        if followed && publishes > 0 && publishes >= self.voter.promised() && head == self.log.version() {
+            self.voter.recover();
+        }
+        match step {
+            Step::Nothing => return,
+            Step::Changed(topics) => self.spread(now, &topics, out),
+            Step::Replaced => self.children.reset(),
+        }
+        self.voter.committed(&self.log);
+        let wants = self.publisher.moved(now, &mut self.voter, &self.log);
+        self.carry_out(now, wants, out);
+    }
+
+    /// Sends changes of these topics on to children.
+    fn spread(&mut self, now: Time, topics: &BTreeSet<Topic>, out: &mut Vec<Output>) {
+        let complete = self.log.is_complete();
+        let (children, source, counters) = self.serving(now);
+        if complete || children.len() > 0 {
+            children.changed(now, topics, &source, counters, out);
+        }
+    }
+
+    // ---- Publishing
+
+    fn publish(&mut self, now: Time, ticket: u64, changes: Vec<Change>, out: &mut Vec<Output>) {
+        let why = if self.publisher.fence(now).is_none() {
+            Some(PublishError::NotPublisher)
+        } else if let Err(why) = self.judge(&changes) {
+            Some(PublishError::Invalid(why))
+        } else if !self.publisher.has_room(changes.len()) {
+            Some(PublishError::TooMany)
+        } else {
+            None
+        };
+        if let Some(why) = why {
+            return out.push(Output::NotPublished { ticket, why });
+        }
+        let wants = self.publisher.publish(now, ticket, changes, &mut self.voter, &self.log);
+        self.carry_out(now, wants, out);
+    }
+
+    fn judge(&self, changes: &[Change]) -> Result<(), String> {
+        if let Some(place) = changes.iter().position(|change| !change.is_well_formed()) {
+            let key = &changes[place].key;
+            return Err(format!("change {} of {} is malformed: {key:?}", place + 1, changes.len()));
+        }
+        self.check.check(changes)
+    }
+
+    fn carry_out(&mut self, now: Time, wants: Vec<Want>, out: &mut Vec<Output>) {
+        let mut wants = VecDeque::from(wants);
+        while let Some(want) = wants.pop_front() {
+            match want {
+                Want::Send(to, message) => out.push(Output::Send(to, message)),
+                Want::Follow(parent) => self.follower.follow(now, parent, out),
+                Want::Commit(proposal, tickets) => {
+                    self.commit(now, proposal, tickets, out);
+                    let mut next = vec![];
+                    self.publisher.next(now, &mut self.voter, &self.log, &mut next);
+                    wants.extend(next);
+                }
+                Want::Stands(ticket) => out.push(Output::Published { ticket, version: self.log.version() }),
+                Want::Drop(ticket, begun) => {
+                    let why = if begun { PublishError::Superseded } else { PublishError::NotPublisher };
+                    out.push(Output::NotPublished { ticket, why });
+                }
+            }
+        }
+    }
+
+    fn commit(&mut self, now: Time, proposal: Proposal, tickets: Vec<u64>, out: &mut Vec<Output>) {
+        if proposal.after != self.log.version() {
+            return;
+        }
+        let topics = proposal.changes.iter().map(|change| change.topic).collect();
+        let (changes, _) = self.log.net(proposal.changes.clone());
+        self.log.commit(proposal.fence, proposal.changes);
+        self.voter.committed(&self.log);
+        self.counters.committed += 1;
+        self.counters.installed += 1;
+        self.follower.refresh(now);
+        let version = self.log.version();
+        out.push(Output::Installed { version, changes });
+        out.extend(tickets.into_iter().map(|ticket| Output::Published { ticket, version }));
+        self.spread(now, &topics, out);
+    }
+
+    // ---- What is asked of it
+
     /// What is in force.
     pub fn records(&self) -> impl Iterator<Item = (&Key, &Value)> {
-        std::iter::empty()
+        self.log.records().map(|(_, key, value)| (key, value))
     }
 
     /// The version in force.
     pub fn version(&self) -> Version {
-        Version::default()
+        self.log.version()
     }
 
     /// The digest over all records in force.
     pub fn digest(&self) -> u64 {
-        0
+        self.log.digest()
     }
 
     /// What operators are shown.
-    pub fn status(&self, _now: Time) -> Status {
-        Status::of(self.setting.role)
+    pub fn status(&self, now: Time) -> Status {
+        Status {
+            role: self.setting.role,
+            version: self.log.version(),
+            records: self.log.len(),
+            parent: self.follower.parent(),
+            age: self.age(now),
+            children: self.children.len(),
+            behind: self.children.behind(),
+            publisher: self.publisher.serves(now),
+            refused: self.follower.refused().cloned(),
+            counters: self.counters,
+        }
     }
 }
--- /dev/null
+++ b/src/fleet/distribution/stage.rs
@@ -0,0 +1,227 @@
+//! Pages of a catch-up, until they are whole: in order or not, repeated or not.
+//!
+//! A stage of changes follows on the version in force; a stage from 0 on becomes a log of its own that replaces the one in
+//! force. Nothing of it counts before it is whole and its digest is the parent's.
+
+use super::log::Log;
+use super::record::{Change, Key, Topic, Value, Version};
+use super::wire::Page;
+use crate::interface::{Span, Time};
+use std::collections::BTreeMap;
+
+/// Pages that a parent sends beyond what was acknowledged; as many that came too early are kept.
+pub const WINDOW: usize = 16;
+/// For so long a stage must have stood still before a parent's beginning anew is taken for more than a late page: longer
+/// than pages lie apart that were sent together, and less than until they are sent again.
+const STANDSTILL: Span = Span::millis(200);
+
+/// What has come so far.
+#[derive(Debug)]
+enum Content {
+    /// Each record's last change and its sequence.
+    Changes(BTreeMap<(Topic, Key), (u64, Option<Value>)>),
+    /// All records.
+    Whole(Box<Log>),
+}
+
+/// See the module's page.
+#[derive(Debug)]
+pub struct Stage {
+    content: Content,
+    start: u64,
+    position: u64,
+    /// Of the last page that moved it.
+    head: Version,
+    since: u64,
+    digest: u64,
+    moved: Time,
+}
+
+/// A stage that is whole, as it would come into force.
+#[derive(Debug)]
+pub struct Verdict {
+    /// The version.
+    pub head: Version,
+    /// What differs from what is in force.
+    pub changes: Vec<Change>,
+    /// Whether the digest is the parent's.
+    pub matches: bool,
+}
+
+/// What stages and too early pages there are.
+#[derive(Debug, Default)]
+pub struct Staging {
+    stage: Option<Stage>,
+    /// Pages that came too early, by whether they are of a snapshot and by where they follow.
+    early: BTreeMap<(bool, u64), Page>,
+}
+
+impl Stage {
+    fn new(now: Time, start: u64) -> Stage {
+        let content = match start {
+            0 => Content::Whole(Box::default()),
+            _ => Content::Changes(BTreeMap::new()),
+        };
+        Stage { content, start, position: start, head: Version::default(), since: 0, digest: 0, moved: now }
+    }
+
+    fn is_snapshot(&self) -> bool {
+        self.start == 0
+    }
+
+    fn is_whole(&self) -> bool {
+        self.position == self.head.sequence
+    }
+
+    /// The changes of a page have no numbers of their own: each gets the highest that it can have. So a child of this
+    /// process is told of it again rather than not at all.
+    fn apply(&mut self, now: Time, page: Page) {
+        let first = page.upto.saturating_sub((page.changes.len() as u64).saturating_sub(1));
+        for (sequence, change) in (first..).zip(page.changes) {
+            match &mut self.content {
+                Content::Whole(log) => log.put(sequence, change),
+                Content::Changes(changes) => {
+                    let slot = changes.entry((change.topic, change.key)).or_default();
+                    if slot.0 <= sequence {
+                        *slot = (sequence, change.value);
+                    }
+                }
+            }
+        }
+        self.position = page.upto;
+        (self.head, self.since, self.digest, self.moved) = (page.head, page.since, page.digest, now);
+    }
+
+    fn verdict(&self, log: &Log) -> Verdict {
+        let (changes, digest) =
+            match &self.content {
+                Content::Whole(new) => (log.difference(new), new.digest()),
+                Content::Changes(changes) => {
+                    let change = |((topic, key), (_, value)): (&(Topic, Key), &(u64, Option<Value>))| {
+                        Change { topic: *topic, key: key.clone(), value: value.clone() }
+                    };
+                    log.net(changes.iter().map(change))
+                }
+            };
+        Verdict { head: self.head, changes, matches: digest == self.digest }
+    }
+
+    fn install(self, log: &mut Log) {
+        match self.content {
+            Content::Whole(mut new) => {
+                new.finish(self.head, self.since);
+                *log = *new;
+            }
+            Content::Changes(changes) => {
+                let numbered = |((topic, key), (sequence, value))| (sequence, Change { topic, key, value });
+                log.install(self.head, self.since, changes.into_iter().map(numbered));
+            }
+        }
+    }
+}
+
+impl Staging {
+    /// Where the catch-up under way began, and how far it has come.
+    pub fn reached(&self) -> Option<(u64, u64)> {
+        let moved = self.stage.as_ref().filter(|stage| stage.position > stage.start);
+        moved.map(|stage| (stage.start, stage.position))
+    }
+
+    /// Whether a snapshot is under way.
+    pub fn is_snapshot(&self) -> bool {
+        self.stage.as_ref().is_some_and(Stage::is_snapshot)
+    }
+
+    /// Drops all.
+    pub fn clear(&mut self) {
+        *self = Staging::default();
+    }
+
+    /// Another parent goes on with it: it may begin anew at once.
+    pub fn change_parent(&mut self) {
+        self.early.clear();
+        if let Some(stage) = &mut self.stage {
+            stage.moved = Time(0);
+        }
+    }
+
+    /// Takes in a page of a version later than that in force; whether it moved the stage.
+    pub fn take(&mut self, now: Time, own: u64, page: Page) -> bool {
+        self.choose(now, own, &page);
+        let Some(stage) = &mut self.stage else { return false };
+        let snapshot = page.start == 0;
+        if snapshot != stage.is_snapshot() || page.after > stage.position {
+            self.keep_early(snapshot, page);
+            return false;
+        }
+        let ends = page.upto == page.head.sequence && !stage.is_whole();
+        if page.upto < stage.position || page.upto == stage.position && !ends {
+            return false;
+        }
+        stage.apply(now, page);
+        self.take_early(now);
+        true
+    }
+
+    /// Decides which stage a page belongs to; it begins a new one where there is none, or where the parent has begun anew.
+    fn choose(&mut self, now: Time, own: u64, page: &Page) {
+        let snapshot = page.start == 0;
+        // Changes on top of nothing are none.
+        if !snapshot && own == 0 {
+            return;
+        }
+        let start = if snapshot { 0 } else { own };
+        let anew = match &self.stage {
+            None => true,
+            Some(stage) => {
+                let still = now - stage.moved >= STANDSTILL;
+                match (stage.is_snapshot(), snapshot) {
+                    (false, true) => true,
+                    (true, false) => still && page.after <= own,
+                    _ => still && page.after <= start && page.upto < stage.position,
+                }
+            }
+        };
+        if anew {
+            self.stage = Some(Stage::new(now, start));
+        }
+    }
+
+    fn keep_early(&mut self, snapshot: bool, page: Page) {
+        self.early.insert((snapshot, page.after), page);
+        if self.early.len() > WINDOW {
+            self.early.pop_last();
+        }
+    }
+
+    /// Applies what came too early and now follows, until the stage is whole: then it is judged first.
+    fn take_early(&mut self, now: Time) {
+        let Some(stage) = &mut self.stage else { return };
+        while !stage.is_whole() {
+            let snapshot = stage.is_snapshot();
+            let Some((key, _)) = self.early.range((snapshot, 0)..=(snapshot, stage.position)).next_back()
+            else {
+                return;
+            };
+            let key = *key;
+            let Some(page) = self.early.remove(&key) else { return };
+            if page.upto > stage.position {
+                stage.apply(now, page);
+            }
+        }
+    }
+
+    /// What the stage would bring into force, if it is whole.
+    pub fn verdict(&self, log: &Log) -> Option<Verdict> {
+        self.stage.as_ref().filter(|stage| stage.is_whole()).map(|stage| stage.verdict(log))
+    }
+
+    /// Brings the stage into force; a page that came too early for it, and follows now.
+    pub fn install(&mut self, log: &mut Log) -> Option<Page> {
+        self.stage.take()?.install(log);
+        let now = log.version().sequence;
+        self.early.retain(|(snapshot, _), page| !snapshot && page.upto > now);
+        let key = *self.early.range(..=(false, now)).next_back()?.0;
+        self.early.remove(&key)
+    }
+}
--- /dev/null
+++ b/src/fleet/distribution/tests/commit.rs
@@ -0,0 +1,198 @@
+//! Replicas and publishers: what is committed stays, whoever publishes.
+
+use super::*;
+
+fn domain(replicas: usize) -> Domain {
+    let mut domain = Domain::new(3, replicas, 0, vec![Interest::All]);
+    let publisher = domain.replicas[0];
+    domain.elect(publisher, 600_000);
+    domain.pass(1_000);
+    domain.publish(publisher, vec![class("a", "1"), complete()]);
+    domain.pass(2_000);
+    domain.assert_same(publisher);
+    domain
+}
+
+#[test]
+fn one_replica_publishes_by_itself() {
+    let mut domain = Domain::new(3, 1, 0, vec![Interest::All]);
+    let publisher = domain.replicas[0];
+    let early = domain.publish(publisher, vec![complete()]);
+    assert_eq!(domain.outcome(publisher, early), Some(Err(PublishError::NotPublisher)));
+    domain.elect(publisher, 600_000);
+    let ticket = domain.publish(publisher, (0..500).map(|id| worker(id, 0, 1)).chain([complete()]).collect());
+    domain.pass(3_000);
+    assert!(matches!(domain.outcome(publisher, ticket), Some(Ok(Version { sequence: 501, .. }))));
+    domain.assert_same(publisher);
+}
+
+#[test]
+fn a_publisher_without_a_majority_commits_nothing_and_the_next_one_does() {
+    let mut domain = domain(3);
+    let (old, next) = (domain.replicas[0], domain.replicas[1]);
+    let before = domain.version(old);
+    domain.net.set_links(move |from, to| {
+        (from == old || to == old).then_some(Link { cut: true, ..Link::default() })
+    });
+    let lost = domain.publish(old, vec![class("a", "lost")]);
+    domain.pass(1_000);
+    assert_eq!(domain.version(old), before);
+    domain.elect(next, 600_000);
+    domain.pass(200);
+    let ticket = domain.publish(next, vec![class("a", "2")]);
+    domain.pass(200);
+    assert!(matches!(domain.outcome(next, ticket), Some(Ok(_))));
+    // The old one comes back before its lease is over, and is told that it is overtaken.
+    domain.net.set_links(|_, _| None);
+    domain.pass(3_000);
+    assert_eq!(domain.outcome(old, lost), Some(Err(PublishError::Superseded)));
+    assert_eq!(domain.status(old).publisher, None);
+    domain.assert_same(next);
+    assert_eq!(domain.records(old)[&Key::Class("a".into())], Value::Class("2".into()));
+}
+
+#[test]
+fn a_batch_that_a_majority_accepted_survives_its_publisher_under_its_own_version() {
+    let mut domain = domain(3);
+    let [old, heard, deaf] = domain.replicas[..] else { panic!() };
+    // The other replica accepts, and its answer is lost: nobody knows of a majority.
+    domain.net.set_links(move |from, to| {
+        let cut = to == old && from == heard || from == deaf || to == deaf;
+        cut.then_some(Link { cut: true, ..Link::default() })
+    });
+    let fence = domain.fence;
+    let ticket = domain.publish(old, vec![class("a", "2")]);
+    domain.pass(100);
+    assert_eq!(domain.outcome(old, ticket), None);
+    domain.net.kill(old);
+    domain.net.set_links(|_, _| None);
+    domain.elect(deaf, 600_000);
+    domain.pass(3_000);
+    assert_eq!(domain.version(deaf), Version { fence, sequence: 3 }, "one batch, one version");
+    domain.publish(deaf, vec![class("b", "1")]);
+    domain.pass(2_000);
+    domain.assert_same(deaf);
+    assert_eq!(domain.version(deaf), Version { fence: domain.fence, sequence: 4 });
+    assert_eq!(domain.records(deaf)[&Key::Class("a".into())], Value::Class("2".into()));
+    domain.start(old);
+    domain.pass(3_000);
+    domain.assert_same(deaf);
+}
+
+#[test]
+fn a_publisher_that_is_behind_catches_up_before_it_publishes() {
+    let mut domain = domain(3);
+    let [old, other, behind] = domain.replicas[..] else { panic!() };
+    domain.net.set_links(move |from, to| {
+        (from == behind || to == behind).then_some(Link { cut: true, ..Link::default() })
+    });
+    for n in 0..300 {
+        domain.publish(old, vec![class(&format!("c{n}"), &"x".repeat(200))]);
+        domain.pass(5);
+    }
+    domain.pass(500);
+    domain.net.kill(old);
+    domain.net.set_links(|_, _| None);
+    let ahead = domain.version(other);
+    domain.elect(behind, 600_000);
+    let ticket = domain.publish(behind, vec![class("a", "new")]);
+    domain.pass(6_000);
+    assert!(
+        matches!(domain.outcome(behind, ticket), Some(Ok(version)) if version.sequence == ahead.sequence + 1)
+    );
+    domain.assert_same(behind);
+}
+
+#[test]
+fn a_replica_that_forgot_does_not_count_until_it_has_caught_up() {
+    let mut domain = domain(3);
+    let [publisher, forgot, away] = domain.replicas[..] else { panic!() };
+    domain.net.kill(away);
+    domain.publish(publisher, vec![class("a", "kept")]);
+    domain.pass(500);
+    assert_eq!(domain.version(forgot), domain.version(publisher), "by two of three");
+    let kept = domain.version(publisher);
+    // The third comes back knowing nothing while the others' word does not reach it, and gets the lease.
+    domain.start(away);
+    domain.net.set_links(move |from, to| {
+        let cut = from == publisher || to == publisher;
+        cut.then_some(Link { cut: true, ..Link::default() })
+    });
+    domain.elect(away, 600_000);
+    domain.pass(300);
+    assert_eq!(domain.status(away).publisher, None, "one that remembers is no majority");
+    domain.net.set_links(|_, _| None);
+    domain.pass(3_000);
+    assert!(domain.status(away).publisher.is_some());
+    assert_eq!(domain.version(away), kept);
+    domain.assert_same(away);
+}
+
+#[test]
+fn a_lost_lease_ends_what_waits() {
+    let mut domain = domain(3);
+    let publisher = domain.replicas[0];
+    for at in domain.replicas[1..].to_vec() {
+        domain.net.kill(at);
+    }
+    let begun = domain.publish(publisher, vec![class("a", "2")]);
+    let waits = domain.publish(publisher, vec![class("a", "3")]);
+    let many = domain.publish(publisher, (0..200_000).map(|id| worker(id, 0, 1)).collect());
+    assert_eq!(domain.outcome(publisher, many), Some(Err(PublishError::TooMany)));
+    domain.lease(publisher, None);
+    assert_eq!(domain.outcome(publisher, begun), Some(Err(PublishError::Superseded)));
+    assert_eq!(domain.outcome(publisher, waits), Some(Err(PublishError::NotPublisher)));
+}
+
+#[test]
+fn a_lease_that_runs_out_is_not_used() {
+    let mut domain = domain(3);
+    let publisher = domain.replicas[0];
+    domain.elect(publisher, 1_000);
+    domain.pass(500);
+    assert!(domain.status(publisher).publisher.is_some());
+    domain.pass(501);
+    let late = domain.publish(publisher, vec![class("a", "2")]);
+    assert_eq!(domain.outcome(publisher, late), Some(Err(PublishError::NotPublisher)));
+    assert_eq!(domain.status(publisher).publisher, None);
+}
+
+#[test]
+fn only_replicas_vote_and_only_parents_feed() {
+    let mut domain = domain(3);
+    let (publisher, child, stranger) = (domain.replicas[0], domain.subscribers[0], place(200));
+    let before = domain.version(publisher);
+    for at in domain.replicas[1..].to_vec() {
+        domain.net.kill(at);
+    }
+    let ticket = domain.publish(publisher, vec![class("a", "2")]);
+    let fence = domain.fence;
+    let accepted = Message::Accepted { fence, after: before.sequence };
+    let overtaken = Message::Prepare { fence: fence + 1_000 };
+    let head = Version { fence: fence + 1_000, sequence: 1 };
+    let changes = vec![class("a", "forged")];
+    let digest = changes[0].hash();
+    let page = Message::Page(Page {
+        start: 0,
+        after: 0,
+        upto: 1,
+        head,
+        since: 1,
+        digest,
+        publishes: 0,
+        age_ms: 0,
+        changes,
+    });
+    for (at, message) in
+        [(publisher, accepted), (publisher, overtaken), (publisher, page.clone()), (child, page)]
+    {
+        let messages = [message];
+        domain
+            .net
+            .act(at, |host, now| host.handle(now, Event::Received { from: stranger, messages: &messages }));
+    }
+    domain.pass(100);
+    assert_eq!(domain.outcome(publisher, ticket), None);
+    assert!(domain.status(publisher).publisher.is_some());
+    assert_eq!((domain.version(publisher), domain.version(child)), (before, before));
+}
--- /dev/null
+++ b/src/fleet/distribution/tests/mod.rs
@@ -0,0 +1,257 @@
+//! Tests of the distribution: its parts by themselves, and nodes on a network in virtual time with the shipped datagrams.
+
+mod commit;
+mod tree;
+
+use super::*;
+use crate::fleet::Process as ProcessId;
+use crate::fleet::lease::Hold;
+use crate::interface::{Span, Time, ZoneId};
+use lab::network::{Link, Network, Outgoing, Process};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+const FLEET: u64 = 7;
+const RATE: u64 = 2_000_000;
+
+fn place(n: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, (n / 250) as u8, (n % 250) as u8 + 1], 9_300))
+}
+
+fn worker(id: u64, zone: u8, weight_milli: u32) -> Change {
+    let record = WorkerRecord {
+        address: SocketAddr::from(([10, zone, (id >> 8) as u8, id as u8], 7_000)),
+        zone,
+        cell: id as u16 % 64,
+        kind: 1,
+        draining: false,
+        weight_milli,
+        started_ms: 0,
+    };
+    Change {
+        topic: Topic::workers_of(ZoneId(zone)),
+        key: Key::Worker(id),
+        value: Some(Value::Worker(record)),
+    }
+}
+
+fn gone(id: u64, zone: u8) -> Change {
+    Change { value: None, ..worker(id, zone, 0) }
+}
+
+fn class(name: &str, settings: &str) -> Change {
+    Change {
+        topic: Topic::SETTINGS,
+        key: Key::Class(name.into()),
+        value: Some(Value::Class(settings.into())),
+    }
+}
+
+fn complete() -> Change {
+    Change { topic: Topic::SETTINGS, key: Key::Complete, value: Some(Value::Complete) }
+}
+
+fn zones(zones: &[u8]) -> Interest {
+    Interest::Topics(zones.iter().map(|zone| Topic::workers_of(ZoneId(*zone))).collect())
+}
+
+/// Refuses whatever has a class with these settings.
+struct Refuses(&'static str);
+
+impl Check for Refuses {
+    fn check(&self, changes: &[Change]) -> Result<(), String> {
+        let bad = changes.iter().any(|change| change.value == Some(Value::Class(self.0.into())));
+        if bad { Err(format!("{} is not allowed", self.0)) } else { Ok(()) }
+    }
+}
+
+/// A node as a process that speaks in datagrams.
+struct Host {
+    node: Node,
+    number: u32,
+    /// What came of it, without messages.
+    seen: Vec<(Time, Output)>,
+}
+
+impl Host {
+    fn handle(&mut self, now: lab::network::Time, event: Event) -> Outgoing {
+        let now = Time(now.0);
+        let process = ProcessId { index: self.number, incarnation: 1 };
+        let mut sent = vec![];
+        for output in self.node.handle(now, event) {
+            match output {
+                Output::Send(to, message) => {
+                    let bytes = datagram(FLEET, process, &[message]);
+                    assert!(bytes.len() <= crate::fleet::message::LARGEST, "{}", bytes.len());
+                    sent.push((to, bytes));
+                }
+                other => self.seen.push((now, other)),
+            }
+        }
+        sent
+    }
+}
+
+impl Process for Host {
+    fn due(&self) -> Option<lab::network::Time> {
+        self.node.due().map(|due| lab::network::Time(due.0))
+    }
+
+    fn datagram(&mut self, now: lab::network::Time, from: SocketAddr, bytes: &[u8]) -> Outgoing {
+        let Ok((_, messages)) = read(FLEET, bytes) else { return vec![] };
+        self.handle(now, Event::Received { from, messages: &messages })
+    }
+
+    fn timer(&mut self, now: lab::network::Time) -> Outgoing {
+        self.handle(now, Event::Timer)
+    }
+}
+
+/// A domain: replicas from place 0 on, relays from 10 on, subscribers from 20 on.
+struct Domain {
+    net: Network<Host>,
+    replicas: Vec<SocketAddr>,
+    relays: Vec<SocketAddr>,
+    subscribers: Vec<SocketAddr>,
+    interests: BTreeMap<SocketAddr, Interest>,
+    fence: u64,
+    ticket: u64,
+    rate: u64,
+}
+
+impl Domain {
+    fn new(seed: u64, replicas: usize, relays: usize, subscribers: Vec<Interest>) -> Domain {
+        Domain::paced(seed, replicas, relays, subscribers, RATE)
+    }
+
+    /// One whose parents serve catch-ups with so many bytes a second.
+    fn paced(seed: u64, replicas: usize, relays: usize, subscribers: Vec<Interest>, rate: u64) -> Domain {
+        let replicas: Vec<SocketAddr> = (0..replicas).map(place).collect();
+        let relays: Vec<SocketAddr> = (0..relays).map(|n| place(10 + n)).collect();
+        let interests: BTreeMap<SocketAddr, Interest> =
+            subscribers.into_iter().enumerate().map(|(n, interest)| (place(20 + n), interest)).collect();
+        let subscribers = interests.keys().copied().collect();
+        let net = Network::new(seed, Link::default());
+        let mut domain = Domain { net, replicas, relays, subscribers, interests, fence: 0, ticket: 0, rate };
+        domain.all().into_iter().for_each(|at| domain.start(at));
+        domain
+    }
+
+    fn all(&self) -> Vec<SocketAddr> {
+        [&self.replicas[..], &self.relays, &self.subscribers].concat()
+    }
+
+    fn setting(&self, at: SocketAddr) -> Setting {
+        let (role, parents) = if self.replicas.contains(&at) {
+            (Role::Replica, vec![])
+        } else if self.relays.contains(&at) {
+            (Role::Relay, self.replicas.clone())
+        } else if self.relays.is_empty() {
+            (Role::Subscriber, self.replicas.clone())
+        } else {
+            (Role::Subscriber, self.relays.clone())
+        };
+        Setting {
+            role,
+            at,
+            interest: self.interests.get(&at).cloned().unwrap_or(Interest::All),
+            parents,
+            replicas: self.replicas.clone(),
+            catch_up_bytes_per_second: self.rate,
+            seed: 1,
+        }
+    }
+
+    /// Starts a process that knows nothing.
+    fn start(&mut self, at: SocketAddr) {
+        self.start_with(at, Box::new(Refuses("bad")));
+    }
+
+    fn start_with(&mut self, at: SocketAddr, check: Box<dyn Check>) {
+        let node = Node::new(Time(self.net.now().0), self.setting(at), check);
+        let number = self.all().iter().position(|other| *other == at).unwrap() as u32;
+        self.net.start(at, Host { node, number, seen: vec![] });
+    }
+
+    fn pass(&mut self, ms: u64) {
+        let end = self.net.now() + lab::network::Span::millis(ms);
+        self.net.run_until(end);
+    }
+
+    fn lease(&mut self, at: SocketAddr, hold: Option<Hold>) {
+        self.net.act(at, |host, now| host.handle(now, Event::Lease(hold)));
+    }
+
+    /// A replica gets the lease for so many milliseconds, under a fence higher than all before.
+    fn elect(&mut self, at: SocketAddr, ms: u64) -> u64 {
+        self.fence += 10;
+        let hold = Hold { fence: self.fence, until: Time(self.net.now().0) + Span::millis(ms) };
+        self.lease(at, Some(hold));
+        self.fence
+    }
+
+    fn publish(&mut self, at: SocketAddr, changes: Vec<Change>) -> u64 {
+        self.ticket += 1;
+        let ticket = self.ticket;
+        self.net.act(at, |host, now| host.handle(now, Event::Publish { ticket, changes }));
+        ticket
+    }
+
+    fn host(&self, at: SocketAddr) -> &Host {
+        self.net.process(at).expect("it runs")
+    }
+
+    fn version(&self, at: SocketAddr) -> Version {
+        self.host(at).node.version()
+    }
+
+    fn status(&self, at: SocketAddr) -> Status {
+        self.host(at).node.status(Time(self.net.now().0))
+    }
+
+    fn records(&self, at: SocketAddr) -> BTreeMap<Key, Value> {
+        self.host(at).node.records().map(|(key, value)| (key.clone(), value.clone())).collect()
+    }
+
+    /// What came of a ticket.
+    fn outcome(&self, at: SocketAddr, ticket: u64) -> Option<Result<Version, PublishError>> {
+        self.host(at).seen.iter().find_map(|(_, output)| match output {
+            Output::Published { ticket: of, version } if *of == ticket => Some(Ok(*version)),
+            Output::NotPublished { ticket: of, why } if *of == ticket => Some(Err(why.clone())),
+            _ => None,
+        })
+    }
+
+    /// All that run have the publisher's version, and just its records of their interest.
+    fn assert_same(&self, publisher: SocketAddr) {
+        let version = self.version(publisher);
+        for at in self.all().into_iter().filter(|at| self.net.process(*at).is_some()) {
+            assert_eq!(self.version(at), version, "{at}: {}", self.status(at));
+            let interest = self.interests.get(&at).cloned().unwrap_or(Interest::All);
+            let wanted: BTreeMap<Key, Value> = self
+                .records(publisher)
+                .into_iter()
+                .filter(|(_, value)| match value {
+                    Value::Worker(worker) => interest.covers(Topic::workers_of(ZoneId(worker.zone))),
+                    _ => true,
+                })
+                .collect();
+            assert_eq!(self.records(at), wanted, "{at}");
+        }
+    }
+
+    /// What was told as installed, one after another, comes to what is in force.
+    fn assert_told(&self, at: SocketAddr) {
+        let mut told: BTreeMap<Key, Value> = BTreeMap::new();
+        for (_, output) in &self.host(at).seen {
+            let Output::Installed { changes, .. } = output else { continue };
+            for change in changes {
+                match &change.value {
+                    Some(value) => drop(told.insert(change.key.clone(), value.clone())),
+                    None => drop(told.remove(&change.key)),
+                }
+            }
+        }
+        assert_eq!(told, self.records(at), "{at}");
+    }
+}
