Give each change of a page its own sequence, so that overlapping pages can't hide a record

A page's changes were numbered from its end. Pages carry the steps between sequences now, so that relays count as replicas do. A stage where pages of two histories meet is dropped, and one that has a page of a later version does not go back to an earlier one.

--- a/src/fleet/distribution/children.rs
+++ b/src/fleet/distribution/children.rs
@@ -114,18 +114,16 @@
         let head = log.version();
         let floor = log.floor(&self.interest);
         match report.staged {
-            Some(Progress { start: 0, begun, upto }) => {
-                if upto <= head.sequence && floor <= begun.max(upto) {
-                    return Standing::Snapshot { begun, upto };
-                }
+            Some(Progress { start: 0, begun, upto }) if upto <= head.sequence && floor <= begun.max(upto) => {
+                return Standing::Snapshot { begun, upto };
             }
-            Some(Progress { start, upto, .. }) => {
+            Some(Progress { start, upto, .. }) if start > 0 => {
                 let follows = log.went_through(report.version) && start == report.version.sequence;
                 if follows && (start..=head.sequence).contains(&upto) && floor <= upto {
                     return Standing::Has(upto);
                 }
             }
-            None => {}
+            _ => {}
         }
         let Version { sequence, .. } = report.version;
         let same = report.digest == log.digest_of(&self.interest);
@@ -195,6 +193,7 @@
             publishes: source.publishes,
             age_ms: source.age_ms,
             changes: part.changes,
+            steps: part.steps,
         }
     }
 
--- a/src/fleet/distribution/follower.rs
+++ b/src/fleet/distribution/follower.rs
@@ -168,7 +168,7 @@
         }
         self.parents = parent.into_iter().collect();
         (self.next, self.rounds, self.report_at) = (0, 0, now);
-        self.staging.change_parent();
+        self.staging.change_parent(now);
         if self.current.take().is_some() {
             out.push(Output::Parent(None));
         }
@@ -297,10 +297,9 @@
     /// Whether a page can be true. Nothing that a peer sends is taken in before.
     fn is_possible(&self, page: &Page) -> bool {
         let ordered = page.start <= page.after && page.after <= page.upto && page.upto <= page.head.sequence;
-        let room = page.upto.saturating_sub(page.after) >= page.changes.len() as u64;
         let fits = |change: &Change| self.interest.covers(change.topic) && change.is_well_formed();
         let near = page.head.sequence <= HIGHEST;
-        ordered && near && room && page.changes.iter().all(fits)
+        ordered && near && page.sequences().is_some() && page.changes.iter().all(fits)
     }
 
     fn is_better(&self, page: &Page, context: &Context) -> bool {
@@ -314,7 +313,7 @@
     }
 
     fn adopt(&mut self, now: Time, parent: SocketAddr, out: &mut Vec<Output>) {
-        self.staging.change_parent();
+        self.staging.change_parent(now);
         (self.current, self.probe, self.rounds) = (Some(parent), None, 0);
         self.report_at = self.report_at.min(now + HEARTBEAT);
         self.home_at = now + self.jittered(HOME);
--- a/src/fleet/distribution/log.rs
+++ b/src/fleet/distribution/log.rs
@@ -56,7 +56,9 @@
     pub upto: u64,
     /// Its changes, in order.
     pub changes: Vec<Change>,
-    /// Bytes of the changes.
+    /// How far each one's sequence lies after that before it.
+    pub steps: Vec<u64>,
+    /// Bytes of the changes and their steps.
     pub bytes: usize,
 }
 
@@ -285,24 +287,31 @@
     /// after `removed_after`: before that the child had nothing that could be removed.
     pub fn part(&self, interest: &Interest, after: u64, removed_after: u64) -> Part {
         let mut part = Part { upto: after, ..Part::default() };
-        let next = |log: &'_ TopicLog, after| log.next(after, removed_after).map(|(at, ..)| at);
+        let next = |log: &TopicLog, after| log.next(after, removed_after).map(|(at, ..)| at);
         let topics = self.covered(interest);
-        let mut waiting: BTreeMap<u64, (Topic, &TopicLog)> =
-            topics.filter_map(|(topic, log)| Some((next(log, after)?, (topic, log)))).collect();
-        while let Some((at, (topic, log))) = waiting.pop_first() {
+        let mut waiting: BTreeMap<(u64, Topic), &TopicLog> =
+            topics.filter_map(|(topic, log)| Some(((next(log, after)?, topic), log))).collect();
+        while let Some(((at, topic), log)) = waiting.pop_first() {
             let Some((_, key, entry)) = log.next(at - 1, removed_after) else { continue };
-            let bytes = part.bytes + usize::from(entry.size);
+            let step = at - part.upto;
+            let bytes = part.bytes + usize::from(entry.size) + varint_size(step);
             if bytes > PAGE_BYTES && !part.changes.is_empty() {
                 return part;
             }
             part.bytes = bytes;
             part.upto = at;
             part.changes.push(Change { topic, key: key.clone(), value: entry.value.clone() });
+            part.steps.push(step);
             if let Some(at) = next(log, at) {
-                waiting.insert(at, (topic, log));
+                waiting.insert((at, topic), log);
             }
         }
         part.upto = self.version.sequence.max(after);
         part
     }
 }
+
+/// Bytes of a number on the wire.
+fn varint_size(number: u64) -> usize {
+    (u64::BITS - number.leading_zeros()).div_ceil(7).max(1) as usize
+}
--- a/src/fleet/distribution/stage.rs
+++ b/src/fleet/distribution/stage.rs
@@ -37,6 +37,12 @@
     since: u64,
     digest: u64,
     moved: Time,
+    /// Nothing has come of the present parent yet.
+    new_parent: bool,
+    /// Which record has a sequence.
+    numbers: BTreeMap<u64, (Topic, Key)>,
+    /// Two records had one sequence: pages of two histories have met.
+    mixed: bool,
 }
 
 /// A stage that is whole, as it would come into force.
@@ -73,6 +79,9 @@
             since: 0,
             digest: 0,
             moved: now,
+            new_parent: false,
+            numbers: BTreeMap::new(),
+            mixed: false,
         }
     }
 
@@ -84,11 +93,11 @@
         self.head.sequence > 0 && self.position == self.head.sequence
     }
 
-    /// The changes of a page have no numbers of their own: each gets the highest that it can have. So a child of this
-    /// process is told of it again rather than not at all.
+    /// Pages may overlap: of a record's changes the one with the highest sequence counts.
     fn apply(&mut self, now: Time, page: Page) {
-        let first = page.upto.saturating_sub((page.changes.len() as u64).saturating_sub(1));
-        for (sequence, change) in (first..).zip(page.changes) {
+        let sequences = page.sequences().unwrap_or_default();
+        for (sequence, change) in sequences.into_iter().zip(page.changes) {
+            self.number(sequence, &change);
             match &mut self.content {
                 Content::Whole(log) => log.put(sequence, change),
                 Content::Changes(changes) => {
@@ -100,10 +109,18 @@
             }
         }
         self.position = page.upto;
+        self.new_parent = false;
         self.begun = self.begun.min(page.head.sequence);
         (self.head, self.since, self.digest, self.moved) = (page.head, page.since, page.digest, now);
     }
 
+    /// Takes note of a change's sequence. Within one history no two changes share one.
+    fn number(&mut self, sequence: u64, change: &Change) {
+        let other = |(topic, key): &(Topic, Key)| (*topic, key) != (change.topic, &change.key);
+        self.mixed |= self.numbers.get(&sequence).is_some_and(other);
+        self.numbers.insert(sequence, (change.topic, change.key.clone()));
+    }
+
     fn verdict(&self, log: &Log) -> Verdict {
         let (changes, digest) =
             match &self.content {
@@ -115,7 +132,7 @@
                     log.net(changes.iter().map(change))
                 }
             };
-        Verdict { head: self.head, changes, matches: digest == self.digest }
+        Verdict { head: self.head, changes, matches: digest == self.digest && !self.mixed }
     }
 
     fn install(self, log: &mut Log) {
@@ -150,10 +167,10 @@
     }
 
     /// Another parent goes on with it: it may begin anew at once.
-    pub fn change_parent(&mut self) {
+    pub fn change_parent(&mut self, now: Time) {
         self.early.clear();
         if let Some(stage) = &mut self.stage {
-            stage.moved = Time(0);
+            (stage.moved, stage.new_parent) = (now, true);
         }
     }
 
@@ -162,6 +179,9 @@
         self.choose(now, own, &page);
         let Some(stage) = &mut self.stage else { return false };
         let snapshot = page.start == 0;
+        if page.head < stage.head {
+            return false;
+        }
         if snapshot != stage.is_snapshot() || page.after > stage.position {
             self.keep_early(snapshot, page);
             return false;
@@ -187,10 +207,16 @@
             None => true,
             Some(stage) => {
                 let still = now - stage.moved >= STANDSTILL;
-                match (stage.is_snapshot(), snapshot) {
-                    (false, true) => true,
-                    (true, false) => still && page.after <= own,
-                    _ => still && page.after <= start && page.upto < stage.position,
+                // A version that is earlier than one of which a page was applied can't be come to any more.
+                if page.head < stage.head {
+                    still
+                } else {
+                    let still = still || stage.new_parent;
+                    match (stage.is_snapshot(), snapshot) {
+                        (false, true) => true,
+                        (true, false) => still && page.after <= own,
+                        _ => still && page.after <= start && page.upto < stage.position,
+                    }
                 }
             }
         };
@@ -217,7 +243,7 @@
             };
             let key = *key;
             let Some(page) = self.early.remove(&key) else { return };
-            if page.upto > stage.position {
+            if page.upto > stage.position && page.head >= stage.head {
                 stage.apply(now, page);
             }
         }
--- a/src/fleet/distribution/tests/commit.rs
+++ b/src/fleet/distribution/tests/commit.rs
@@ -132,7 +132,7 @@
 fn a_lost_lease_ends_what_waits() {
     let mut domain = domain(3);
     let publisher = domain.replicas[0];
-    for at in domain.replicas[1..].to_vec() {
+    for at in domain.replicas[1..].iter().copied() {
         domain.net.kill(at);
     }
     let begun = domain.publish(publisher, vec![class("a", "2")]);
@@ -162,7 +162,7 @@
     let mut domain = domain(3);
     let (publisher, child, stranger) = (domain.replicas[0], domain.subscribers[0], place(200));
     let before = domain.version(publisher);
-    for at in domain.replicas[1..].to_vec() {
+    for at in domain.replicas[1..].iter().copied() {
         domain.net.kill(at);
     }
     let ticket = domain.publish(publisher, vec![class("a", "2")]);
@@ -182,6 +182,7 @@
         publishes: 0,
         age_ms: 0,
         changes,
+        steps: vec![1],
     });
     for (at, message) in
         [(publisher, accepted), (publisher, overtaken), (publisher, page.clone()), (child, page)]
--- a/src/fleet/distribution/tests/log.rs
+++ b/src/fleet/distribution/tests/log.rs
@@ -31,7 +31,10 @@
     while after < log.version().sequence {
         let part = log.part(interest, after, removed_after);
         assert!(part.upto > after && part.bytes <= PAGE_BYTES);
-        assert!(part.changes.len() as u64 <= part.upto - after);
+        assert_eq!(part.changes.len(), part.steps.len());
+        assert!(
+            part.steps.iter().all(|step| *step > 0) && part.steps.iter().sum::<u64>() <= part.upto - after
+        );
         part.changes.iter().for_each(|change| apply(&mut model, change));
         after = part.upto;
     }
@@ -106,9 +109,12 @@
             }
             while at < log.version().sequence {
                 let part = log.part(&Interest::All, at, 0);
-                let first = part.upto + 1 - part.changes.len() as u64;
+                let numbers = part.steps.iter().scan(at, |at, step| {
+                    *at += step;
+                    Some(*at)
+                });
                 let head = Version { sequence: part.upto, ..log.version() };
-                relay.install(head, log.since(), (first..).zip(part.changes));
+                relay.install(head, log.since(), numbers.zip(part.changes));
                 at = part.upto;
             }
             prop_assert_eq!(relay.digest(), log.digest());
--- a/src/fleet/distribution/tests/staging.rs
+++ b/src/fleet/distribution/tests/staging.rs
@@ -23,6 +23,7 @@
             publishes: 0,
             age_ms: 0,
             changes: part.changes,
+            steps: part.steps,
         });
         after = part.upto;
     }
@@ -113,23 +114,45 @@
     assert_eq!(reached(&staging), Some((0, pages[0].upto)));
 }
 
-/// A record's older page must not undo what a later one has said.
+/// A record's older page must not undo what a later one has said, nor may overlapping pages leave anything out of the
+/// index from which the child serves others.
 #[test]
-fn an_old_page_does_not_undo_a_later_one() {
-    let mut log = parent(100);
-    let interest = Interest::All;
-    let old = pages(&log, &interest, 0, 0);
-    log.commit(1, [worker(0, 0, 99), gone(1, 1)]);
-    let new = pages(&log, &interest, 0, 0);
-    let mut staging = Staging::default();
-    for page in &new[..2] {
-        staging.take(NOW, 0, page.clone());
+fn overlapping_pages_of_two_versions_serve_whole_snapshots() {
+    let mut log = parent(600);
+    let old = pages(&log, &Interest::All, 0, 0);
+    assert!(old.len() > 6);
+    log.commit(1, (0..40).map(|id| worker(7 * id, (7 * id % 3) as u8, 99)).chain([gone(1, 1)]));
+    let new = pages(&log, &Interest::All, 0, 0);
+    for cut in 1..6 {
+        // Sent again from what was acknowledged, with other limits.
+        let again = pages(&log, &Interest::All, 0, old[cut - 1].after + 3);
+        let (mut staging, mut child) = (Staging::default(), Log::default());
+        let mixed = old[..cut].iter().chain(&again).chain(&old[cut..]).cloned();
+        assert!(settle(&mut staging, &mut child, mixed.collect::<Vec<_>>()), "cut at {cut}");
+        assert_eq!((child.version(), child.digest()), (log.version(), log.digest()), "cut at {cut}");
+        let mut grandchild = Log::default();
+        assert!(settle(&mut Staging::default(), &mut grandchild, pages(&child, &Interest::All, 0, 0)));
+        assert_eq!(grandchild.digest(), log.digest());
+        assert_eq!(pages(&child, &Interest::All, 0, 0), new, "what it serves is what it got");
+        // Once a page of the later version has come, the earlier one is not come to any more.
+        let (mut staging, mut child) = (Staging::default(), Log::default());
+        let mixed = new[..cut].iter().chain(&old[cut..]).chain(&new[cut..]).cloned();
+        assert!(settle(&mut staging, &mut child, mixed.collect::<Vec<_>>()), "cut at {cut}");
+        assert_eq!((child.version(), child.digest()), (log.version(), log.digest()), "cut at {cut}");
     }
-    let mut child = Log::default();
-    // The old parent's last pages overlap with what has come, and the new one's rest follows.
-    let rest: Vec<Page> = old[2..].iter().cloned().chain(new[2..].iter().cloned()).collect();
-    let settled = settle(&mut staging, &mut child, rest);
-    assert!(!settled || child.digest() == log.digest() || child.version() != log.version());
+}
+
+#[test]
+fn pages_of_two_histories_are_not_installed() {
+    let log = parent(300);
+    let mut other = Log::default();
+    // The same records, counted in another order.
+    other.commit(1, [class("a", "1")].into_iter().chain((0..300).map(|id| worker(id, (id % 3) as u8, 1))));
+    let (one, two) = (pages(&log, &Interest::All, 0, 0), pages(&other, &Interest::All, 0, 0));
+    let (mut staging, mut child) = (Staging::default(), Log::default());
+    let mixed = one[..2].iter().chain(&two[1..]).cloned();
+    assert!(!settle(&mut staging, &mut child, mixed.collect::<Vec<_>>()));
+    assert_eq!(child.version(), Version::default());
 }
 
 proptest! {
@@ -203,7 +226,7 @@
         for (id, zone, stays) in later {
             log.commit(1, [if stays { worker(id, zone, 5) } else { gone(id, zone) }]);
         }
-        staging.change_parent();
+        staging.change_parent(NOW);
         let (start, from) = reached(&staging).unwrap_or((start, start));
         let rest = pages(&log, &Interest::All, start, from);
         prop_assert!(settle(&mut staging, &mut child, rest), "a digest was wrong");
--- a/src/fleet/distribution/tests/wire.rs
+++ b/src/fleet/distribution/tests/wire.rs
@@ -16,6 +16,7 @@
         digest: u64::MAX,
         publishes: u64::MAX,
         age_ms: u32::MAX,
+        steps: vec![u64::MAX; changes.len()],
         changes,
     };
     let accepted = Some((u64::MAX, proposal.clone()));
@@ -97,7 +98,8 @@
     let page = ((number(), number(), number()), any_version(), number(), number(), any::<u32>(), changes())
         .prop_map(|((start, after, upto), head, since, digest, age_ms, changes)| {
             let publishes = since;
-            Message::Page(Page { start, after, upto, head, since, digest, publishes, age_ms, changes })
+            let steps = vec![1 + since % 3; changes.len() + usize::from(since % 7 == 6)];
+            Message::Page(Page { start, after, upto, head, since, digest, publishes, age_ms, changes, steps })
         });
     prop_oneof![
         (interest, any_version(), number(), staged).prop_map(|(interest, version, digest, staged)| {
--- a/src/fleet/distribution/wire.rs
+++ b/src/fleet/distribution/wire.rs
@@ -85,11 +85,23 @@
     pub age_ms: u32,
     /// The changes.
     pub changes: Vec<Change>,
+    /// How far each change's sequence lies after that of the one before it; the first's, after `after`.
+    pub steps: Vec<u64>,
 }
 
 impl Page {
     /// The age of one that was never known to be up to date.
     pub const NEVER: u32 = u32::MAX;
+
+    /// The sequence of each change; none where a step can't be true.
+    pub fn sequences(&self) -> Option<Vec<u64>> {
+        let next = |at: &mut u64, step: &u64| {
+            *at = at.checked_add(*step).filter(|sequence| *step > 0 && *sequence <= self.upto)?;
+            Some(*at)
+        };
+        let sequences: Vec<u64> = self.steps.iter().scan(self.after, next).collect();
+        (sequences.len() == self.changes.len() && self.steps.len() == self.changes.len()).then_some(sequences)
+    }
 }
 
 /// A batch of changes that the publisher wants committed as one.
