--- a/src/fleet/distribution/tests/mod.rs
+++ b/src/fleet/distribution/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod commit;
 mod log;
+mod parents;
 mod staging;
 mod tree;
 mod wire;
--- /dev/null
+++ b/src/fleet/distribution/tests/parents.rs
@@ -0,0 +1,145 @@
+//! Parents that are stale, that come back, that are slow or asked by many at once.
+
+use super::*;
+
+const SECOND: u64 = 1_000;
+
+fn domain(subscribers: usize, workers: u64, rate: u64) -> Domain {
+    let mut domain = Domain::paced(5, 3, 2, vec![zones(&[0]); subscribers], rate);
+    let publisher = domain.replicas[0];
+    domain.elect(publisher, 10_000 * SECOND);
+    domain.pass(100);
+    domain.publish(publisher, (0..workers).map(|id| worker(id, 0, 1)).chain([complete()]).collect());
+    for _ in 0..60 {
+        domain.pass(SECOND);
+        if domain.all().iter().all(|at| domain.version(*at) == domain.version(publisher)) {
+            return domain;
+        }
+    }
+    panic!("the first state has not come to all");
+}
+
+fn children_of(domain: &Domain, parent: SocketAddr) -> usize {
+    domain.subscribers.iter().filter(|at| domain.status(**at).parent == Some(parent)).count()
+}
+
+#[test]
+fn children_spread_over_parents_and_come_back_to_one_that_was_away() {
+    let mut domain = domain(60, 20, RATE);
+    let publisher = domain.replicas[0];
+    domain.pass(200 * SECOND);
+    let [one, other] = domain.relays[..] else { panic!() };
+    let before = children_of(&domain, one);
+    assert!((15..=45).contains(&before), "{before} of 60");
+    domain.net.kill(one);
+    domain.pass(3 * SECOND);
+    assert_eq!(children_of(&domain, other), 60);
+    domain.start(one);
+    domain.pass(200 * SECOND);
+    assert_eq!(children_of(&domain, one), before, "each has its own first parent");
+    let status = domain.status(one);
+    assert_eq!((status.children, status.behind), (before, 0), "{status}");
+    domain.assert_same(publisher);
+    let snapshots: u64 = domain.subscribers.iter().map(|at| domain.status(*at).counters.snapshots).sum();
+    assert_eq!(snapshots, 60, "none fetched anything whole for it");
+}
+
+#[test]
+fn a_parent_that_lives_but_hears_nothing_itself_is_left_for_one_that_does() {
+    let mut domain = domain(20, 20, RATE);
+    let publisher = domain.replicas[0];
+    let (stale, replicas) = (domain.relays[0], domain.replicas.clone());
+    let cut = Link { cut: true, ..Link::default() };
+    domain.net.set_links(move |from, to| {
+        let between = |a, b| a == stale && replicas.contains(&b);
+        (between(from, to) || between(to, from)).then_some(cut)
+    });
+    domain.publish(publisher, vec![worker(0, 0, 2)]);
+    domain.pass(20 * SECOND);
+    assert!(domain.status(stale).age.unwrap() > Span::millis(19_000));
+    for at in domain.subscribers.clone() {
+        assert_eq!(domain.version(at), domain.version(publisher), "{at}");
+        assert!(domain.status(at).age.unwrap() < Span::millis(2_500), "{}", domain.status(at));
+    }
+    assert_eq!(domain.records(stale).len(), domain.records(publisher).len(), "and it has what it had");
+}
+
+#[test]
+fn many_that_start_at_once_are_paced_and_changes_do_not_wait_for_them() {
+    let rate = 100_000;
+    let mut domain = domain(40, 1_000, rate);
+    let publisher = domain.replicas[0];
+    domain.pass(10 * SECOND);
+    // Only one relay is left, and all but two of its children know nothing.
+    domain.net.kill(domain.relays[1]);
+    domain.pass(5 * SECOND);
+    let (relay, fresh) = (domain.relays[0], domain.subscribers[2..].to_vec());
+    fresh.iter().for_each(|at| domain.start(*at));
+    let start = domain.net.now();
+    let sent = |domain: &Domain| domain.net.traffic(relay).bytes_sent;
+    let (before, mut seconds) = (sent(&domain), 0);
+    while fresh.iter().any(|at| domain.version(*at) != domain.version(publisher)) {
+        domain.publish(publisher, vec![worker(seconds, 0, 7)]);
+        domain.pass(50);
+        for at in &domain.subscribers[..2] {
+            assert_eq!(domain.version(*at), domain.version(publisher), "at once, while others catch up");
+        }
+        domain.pass(SECOND - 50);
+        seconds += 1;
+        assert!(seconds < 60);
+    }
+    let took = (domain.net.now() - start).secs();
+    let bytes = (sent(&domain) - before) as f64;
+    // Heads of pages, answers to reports and live changes come on top of what is paced.
+    assert!(seconds > 5 && bytes < took * rate as f64 * 1.3 + 20_000.0, "{bytes} bytes in {took} s");
+    domain.pass(2 * SECOND);
+    domain.assert_same(publisher);
+}
+
+#[test]
+fn one_that_reads_nothing_costs_nobody_else() {
+    let mut domain = domain(30, 2_000, 1_000_000);
+    let publisher = domain.replicas[0];
+    let slow = domain.subscribers[0];
+    domain.start(slow);
+    domain.pass(15);
+    assert_eq!(domain.version(slow), Version::default(), "in the middle of its snapshot");
+    domain.net.stop(slow, true);
+    for round in 0..10 {
+        domain.publish(publisher, vec![worker(round, 0, 7)]);
+        domain.pass(20);
+        for at in &domain.subscribers[1..] {
+            assert_eq!(domain.version(*at), domain.version(publisher), "{at}");
+        }
+        domain.pass(SECOND);
+    }
+    let children: usize = domain.relays.iter().map(|at| domain.status(*at).children).sum();
+    assert_eq!(children, 29, "it is forgotten");
+    domain.net.stop(slow, false);
+    domain.pass(5 * SECOND);
+    domain.assert_same(publisher);
+    domain.assert_told(slow);
+}
+
+#[test]
+fn a_region_that_was_cut_off_for_an_hour_takes_what_has_changed_and_no_more() {
+    let mut domain = domain(6, 500, RATE);
+    let publisher = domain.replicas[0];
+    let far = domain.subscribers[..3].to_vec();
+    let cut = Link { cut: true, ..Link::default() };
+    let region = far.clone();
+    domain.net.set_links(move |from, to| (region.contains(&from) != region.contains(&to)).then_some(cut));
+    for id in 0..600 {
+        domain.publish(publisher, vec![if id % 3 == 0 { gone(id, 0) } else { worker(id, 0, 9) }]);
+        domain.pass(6 * SECOND);
+    }
+    let age = domain.status(far[0]).age.unwrap();
+    assert!(age > Span::millis(3_590_000), "{}", domain.status(far[0]));
+    domain.net.set_links(|_, _| None);
+    domain.pass(10 * SECOND);
+    domain.assert_same(publisher);
+    for at in far {
+        assert_eq!(domain.status(at).counters.snapshots, 1, "the first one");
+        domain.assert_told(at);
+    }
+}
