Read new files on a thread of their own at SIGHUP, each parsed once

Cause: the configuration was parsed three times into trees and strings, list and all, on the thread that serves calls, and its list was kept though its events were known. Now a thread reads it: the list into borrowed fields, checked whole and dropped where its events are known, the rest into one tree; the loop checks and swaps. The log line tells both times. A file in which a top-level key stands twice is refused whole, as before for the keys that are read.

--- a/src/config.rs
+++ b/src/config.rs
@@ -6,9 +6,10 @@
 
 use crate::bus::{Entry, News, started_at};
 use crate::interface::*;
-use crate::settings::{Site, read_site};
+use crate::settings::{Site, site_of};
 use serde::Deserialize;
-use serde_json::Value;
+use serde_json::{Map, Value};
+use std::borrow::Cow;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::str::FromStr;
@@ -45,12 +46,19 @@
 
     /// Reads both files whole; nothing of them is used unless all of both can be.
     pub fn read(&self) -> Result<(Config, Operator), String> {
+        self.read_after(None)
+    }
+
+    /// The same for a process that knows the bus's events up to this number.
+    pub fn read_after(&self, offset: Option<u64>) -> Result<(Config, Operator), String> {
         let operator = self.operator()?;
         let text = std::fs::read(&self.config)
             .map_err(|e| format!("configuration: cannot read {}: {e}", self.config.display()))?;
-        let config = read(&text)?;
+        let config = read_after(&text, offset)?;
         operator.fits(&config.site)?;
-        Ok((Config { mgmt: self.mgmt.or(config.mgmt), ..config }, operator))
+        // Only a process that takes over is in need of it.
+        let text = if self.passed.is_some() { text } else { Vec::new() };
+        Ok((Config { mgmt: self.mgmt.or(config.mgmt), text, ..config }, operator))
     }
 }
 
@@ -87,10 +95,57 @@
     pub site: Site,
     /// All that the file holds but the bus's events, read or not.
     pub whole: Value,
-    /// The file itself.
+    /// The file itself, where it is to be kept for a process that takes over.
     pub text: Vec<u8>,
 }
 
+/// The file as it is parsed, once: the bus's events into their own form, all the rest into a tree.
+struct File<'a> {
+    known: Known<'a>,
+    rest: Map<String, Value>,
+}
+
+impl<'de> Deserialize<'de> for File<'de> {
+    fn deserialize<D: serde::Deserializer<'de>>(from: D) -> Result<File<'de>, D::Error> {
+        struct Keys;
+        impl<'de> serde::de::Visitor<'de> for Keys {
+            type Value = File<'de>;
+
+            fn expecting(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+                f.write_str("an object")
+            }
+
+            fn visit_map<A: serde::de::MapAccess<'de>>(self, mut map: A) -> Result<File<'de>, A::Error> {
+                let mut file = File { known: Known::default(), rest: Map::new() };
+                while let Some(key) = map.next_key::<String>()? {
+                    if file.rest.contains_key(&key) {
+                        return Err(serde::de::Error::custom(format!("duplicate field `{key}`")));
+                    }
+                    let value = match key.as_str() {
+                        "known" => {
+                            file.known = map.next_value()?;
+                            Value::Null
+                        }
+                        _ => map.next_value()?,
+                    };
+                    file.rest.insert(key, value);
+                }
+                // A file without events does not count as one that lacks a key.
+                file.rest.insert("known".to_owned(), Value::Null);
+                Ok(file)
+            }
+        }
+        from.deserialize_map(Keys)
+    }
+}
+
+impl Config {
+    /// The classes as the file has them.
+    pub fn classes(&self) -> &[Value] {
+        self.whole["settings"]["classes"].as_array().map_or(&[], Vec::as_slice)
+    }
+}
+
 #[derive(Deserialize)]
 struct Text {
     #[serde(default)]
@@ -102,9 +157,6 @@
     #[serde(default)]
     limits: Limits,
     bus: Option<SocketAddr>,
-    #[serde(default)]
-    known: Known,
-    settings: Value,
 }
 
 #[derive(Deserialize, Default)]
@@ -114,33 +166,38 @@
 }
 
 #[derive(Deserialize, Default)]
-struct Known {
-    #[serde(default)]
-    batch: Vec<KnownEvent>,
+struct Known<'a> {
+    #[serde(default, borrow)]
+    batch: Vec<KnownEvent<'a>>,
 }
 
 #[derive(Deserialize)]
-struct KnownEvent {
+struct KnownEvent<'a> {
     offset: u64,
-    topology: Topology,
+    #[serde(borrow)]
+    topology: Topology<'a>,
 }
 
 #[derive(Deserialize)]
-struct Topology {
+struct Topology<'a> {
     all: bool,
-    #[serde(default)]
-    targets: Vec<Target>,
+    #[serde(default, borrow)]
+    targets: Vec<Target<'a>>,
 }
 
 #[derive(Deserialize)]
-struct Target {
-    uid: String,
+struct Target<'a> {
+    #[serde(borrow)]
+    uid: Cow<'a, str>,
     endpoint: SocketAddr,
-    az: String,
-    model: String,
+    #[serde(borrow)]
+    az: Cow<'a, str>,
+    #[serde(borrow)]
+    model: Cow<'a, str>,
     #[serde(default)]
     pod_group: u16,
-    state: String,
+    #[serde(borrow)]
+    state: Cow<'a, str>,
     #[serde(default = "one")]
     capacity_hint: f64,
     #[serde(default)]
@@ -158,13 +215,23 @@
 
 /// Reads the configuration; the error names what is missing or odd.
 pub fn read(bytes: &[u8]) -> Result<Config, String> {
-    let mut whole: Value = serde_json::from_slice(bytes).map_err(|e| format!("configuration: {e}"))?;
-    let text: Text = serde_json::from_slice(bytes).map_err(|e| format!("configuration: {e}"))?;
-    whole["known"] = Value::Null;
-    let site = read_site(text.settings.to_string().as_bytes())?;
+    read_after(bytes, None)
+}
+
+/// The same for a process that knows the bus's events up to this number: those are checked and not kept.
+pub fn read_after(bytes: &[u8], offset: Option<u64>) -> Result<Config, String> {
+    let file: File = serde_json::from_slice(bytes).map_err(|e| format!("configuration: {e}"))?;
+    let whole = Value::Object(file.rest);
+    let text = Text::deserialize(&whole).map_err(|e| format!("configuration: {e}"))?;
+    let settings = whole.get("settings").ok_or("configuration: missing field `settings`")?;
+    let site = site_of(settings)?;
     let mut known = Vec::new();
-    for event in text.known.batch {
-        let entries = event.topology.targets.iter().map(|target| read_target(target, &site));
+    for event in file.known.batch {
+        let mut entries = event.topology.targets.iter().map(|target| read_target(target, &site));
+        if offset.is_some_and(|offset| event.offset <= offset) {
+            entries.try_for_each(|entry| entry.map(drop))?;
+            continue;
+        }
         let kind = if event.topology.all { ListKind::Full } else { ListKind::Delta };
         known.push(News { offset: event.offset, kind, entries: entries.collect::<Result<_, _>>()? });
     }
@@ -180,7 +247,7 @@
         known,
         site,
         whole,
-        text: bytes.to_vec(),
+        text: Vec::new(),
     })
 }
 
@@ -188,10 +255,8 @@
 /// same type, and its classes can be served. The error names the key.
 pub fn check(new: &Config, used: &Config) -> Result<(), String> {
     lacks(&used.whole, &new.whole, "")?;
-    let classes =
-        |config: &Config| config.whole["settings"]["classes"].as_array().cloned().unwrap_or_default();
     let keyed = ["group", "repeatWindowNs"];
-    let needed = classes(used).into_iter().reduce(|one, other| {
+    let needed = used.classes().iter().cloned().reduce(|one, other| {
         let common = |(key, _): &(&String, &Value)| other.get(key.as_str()).is_some();
         let fields = one.as_object().into_iter().flatten().filter(common);
         fields.map(|(key, value)| (key.clone(), value.clone())).collect()
@@ -204,7 +269,7 @@
         .map(|(key, value)| (key.clone(), value.clone()))
         .collect();
     let mut names = std::collections::BTreeSet::new();
-    for (n, class) in classes(new).iter().enumerate() {
+    for (n, class) in new.classes().iter().enumerate() {
         lacks(&needed, class, &format!("settings.classes[{n}]"))?;
         let name = class["name"].as_str().unwrap_or_default();
         if name.is_empty() || !names.insert(name.to_owned()) {
@@ -257,14 +322,14 @@
     u64::from_str_radix(digits, 16).ok().map(WorkerId)
 }
 
-fn read_target(target: &Target, site: &Site) -> Result<Entry, String> {
+fn read_target(target: &Target<'_>, site: &Site) -> Result<Entry, String> {
     let place = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(0) as u8;
     let odd = |what: &str, value: &str| format!("configuration: known: {what} is '{value}'");
     let member = Member {
         worker: read_worker(&target.uid).ok_or_else(|| odd("uid", &target.uid))?,
         zone: ZoneId(place(&site.zones, &target.az)),
         cell: CellId(target.pod_group),
-        state: match target.state.as_str() {
+        state: match target.state.as_ref() {
             "SERVING" => State::Ready,
             "DRAINING" => State::Draining,
             "DELETED" => State::Gone,
--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -140,3 +140,32 @@
         assert!(error.contains(word), "{from}: {error}");
     }
 }
+
+/// Events that are known are left out, but a file with an odd one is refused all the same; and no key stands twice.
+#[test]
+fn known_events_are_checked_and_left_out() {
+    let event = |offset: u64, uid: &str| {
+        json!({"offset": offset, "topology": {"all": offset == 1, "targets": [{"uid": uid, "az": "a", "model": "std",
+            "endpoint": "127.0.0.1:1", "state": "SERVING"}]}})
+    };
+    let file = |events: &[Value]| {
+        json!({"listen": "127.0.0.1:1", "known": {"batch": events}, "settings": {"classes": [],
+            "bounds": {"mostTries": 3}, "contract": {"coldFrom": 0.2, "coldNs": 1, "fallMultiple": 3, "fallNs": 1},
+            "familyInfo": {"keepNs": 1, "notLoaded": "load", "loadSpanNs": 0}}})
+        .to_string()
+    };
+    let events = [event(2, "s-00000002"), event(1, "s-00000001"), event(3, "s-00000003")];
+    let kept = |after| {
+        let config = read_after(file(&events).as_bytes(), after).unwrap();
+        config.known.iter().map(|news| news.offset).collect::<Vec<_>>()
+    };
+    assert_eq!(kept(None), [1, 2, 3]);
+    assert_eq!(kept(Some(2)), [3]);
+    assert!(kept(Some(3)).is_empty());
+    let odd = file(&[event(1, "s-1")]);
+    assert!(read_after(odd.as_bytes(), Some(9)).unwrap_err().contains("uid is 's-1'"));
+    for twice in ["\"listen\":\"127.0.0.1:2\"", "\"known\":{}"] {
+        let text = file(&events).replacen('{', &format!("{{{twice},"), 1);
+        assert!(read(text.as_bytes()).unwrap_err().contains("duplicate field"), "{twice}");
+    }
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -2,6 +2,7 @@
 
 mod bus;
 mod fleet;
+mod reload;
 mod upgrade;
 
 use crate::backend::{self, Pool};
@@ -13,13 +14,14 @@
 use crate::front::jsonrpc::RpcConnection;
 use crate::front::socket::{self, SocketFile};
 use crate::handover;
-use crate::interface::{ListKind, Member, Span, State, Time};
+use crate::interface::{ListKind, Member, Span, Time};
 use crate::net::{Reactor, Signal, Stream, SystemClock, inherit};
 use crate::ops::{self, MgmtConnection};
 use crate::vrrp::packet::{Advertisement, LARGEST};
 use crate::vrrp::{self, Event};
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
+use reload::Reloads;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -102,13 +104,22 @@
     fleet: Option<fleet::Member>,
     /// When to try again to take the fleet's address over from the old process.
     fleet_again: Option<Time>,
-    /// The pipes of the signals: to end, to print counters, and to read the files anew.
-    pipes: (usize, usize, usize),
+    pipes: Pipes,
+    /// The reading of the files at SIGHUP.
+    reloads: Reloads,
     /// Since when the daemon is on its way out.
     ending: Option<Time>,
     told_late: bool,
 }
 
+/// The pipes that wake the loop: to end, to print counters, and to read the files anew. One more says that they
+/// have been read.
+struct Pipes {
+    end: usize,
+    print: usize,
+    reload: usize,
+}
+
 /// The reading ends of the signals' pipes: to end, to print counters, and to read the files anew.
 struct Signals {
     end: UnixStream,
@@ -141,7 +152,10 @@
         };
         let mut reactor = Reactor::new(clock)?;
         let Signals { end, print, reload } = signals;
-        let pipes = (reactor.watch(end)?, reactor.watch(print)?, reactor.watch(reload)?);
+        let (read, done) = UnixStream::pair()?;
+        let pipes =
+            Pipes { end: reactor.watch(end)?, print: reactor.watch(print)?, reload: reactor.watch(reload)? };
+        reactor.watch(read)?;
         let door = match sources.passed {
             None => reactor.listen(config.listen)?,
             Some(number) => {
@@ -214,6 +228,7 @@
             fleet,
             fleet_again: None,
             pipes,
+            reloads: Reloads::new(done),
             ending: None,
             told_late: false,
         })
@@ -249,9 +264,10 @@
                     Signal::Client(listener) if self.meets_at(listener) => self.accept_peers(listener),
                     Signal::Client(listener) if listener == self.door.0 && !self.door.1 => {}
                     Signal::Client(listener) => self.accept(listener),
-                    Signal::Pipe(pipe) if pipe == self.pipes.0 => self.begin_end(),
-                    Signal::Pipe(pipe) if pipe == self.pipes.1 => self.print(),
-                    Signal::Pipe(_) => self.reload(),
+                    Signal::Pipe(pipe) if pipe == self.pipes.end => self.begin_end(),
+                    Signal::Pipe(pipe) if pipe == self.pipes.print => self.print(),
+                    Signal::Pipe(pipe) if pipe == self.pipes.reload => self.reload(),
+                    Signal::Pipe(_) => self.reloaded(),
                     Signal::Datagram(socket) if self.is_fleet(socket) => self.hear_fleet(),
                     Signal::Datagram(socket) => self.hear(socket),
                 }
@@ -415,103 +431,6 @@
         self.rpc_clients.extend(reactor.add(stream, connection, true, limits, &mut self.core));
     }
 
-    // ---- New configurations
-
-    /// SIGHUP: both files are read whole and checked before anything of them is used; where one is bad, all
-    /// stays as it was. Calls under way go on, and so do connections.
-    fn reload(&mut self) {
-        let read = self.sources.read();
-        let fronts = |(config, operator): (Config, Operator)| {
-            config::check(&config, &self.config)?;
-            self.reload_fronts(&operator).map_err(|e| e.to_string())?;
-            Ok((config, operator))
-        };
-        let (mut config, operator) = match read.and_then(fronts) {
-            Ok(read) => read,
-            Err(why) => {
-                self.core.counters().conf_invalid += 1;
-                return warn!(%why, "reload refused");
-            }
-        };
-        self.core.counters().conf_loaded += 1;
-        let now = self.reactor.now();
-        // What can only be had at a start stays as it is, and is said.
-        let fixed = [
-            ("listen", config.listen.port() != 0 && config.listen != self.config.listen),
-            ("mgmt", config.mgmt != self.config.mgmt && config.mgmt.is_none_or(|at| at.port() != 0)),
-            ("name", config.name != self.config.name),
-            ("zones", config.site.zones != self.config.site.zones),
-            ("kinds", config.site.kinds != self.config.site.kinds),
-            ("vrrp", operator.vrrp != self.operator.vrrp),
-            ("fleet", operator.fleet != self.operator.fleet),
-        ];
-        for (what, _) in fixed.iter().filter(|(_, differs)| *differs) {
-            warn!(what, "reload kept");
-        }
-        (config.listen, config.mgmt) = (self.config.listen, self.config.mgmt);
-        config.name.clone_from(&self.config.name);
-        config.site.zones.clone_from(&self.config.site.zones);
-        config.site.kinds.clone_from(&self.config.site.kinds);
-        let (vrrp, fleet) = (self.operator.vrrp.take(), self.operator.fleet.take());
-        self.operator = Operator { vrrp, fleet, ..operator };
-        self.core.chains_until_given_up(self.operator.chains.until == Until::GivenUp);
-        let known = std::mem::take(&mut config.known);
-        let moved = config.bus != self.config.bus;
-        self.config = config;
-        self.core.replace_site(now, self.config.site.clone());
-        self.apply_limits();
-        self.replace_checkers(now);
-        // The bus's numbers go on. What the file knows is of use where it follows on what is known here.
-        self.follow_bus(now);
-        for news in known {
-            let mut inbox = self.inbox.borrow_mut();
-            let follows = news.kind == ListKind::Full || news.offset == inbox.offset + 1;
-            if news.offset > inbox.offset && follows {
-                inbox.offset = news.offset;
-                inbox.news.push_back(news);
-            }
-        }
-        if moved {
-            self.move_bus(now);
-        }
-        self.keep();
-        info!(offset = self.inbox.borrow().offset, "reloaded");
-    }
-
-    /// The second front's part of the operator's file. Its socket moves if the file names another; clients
-    /// that are connected stay. Where the new socket cannot be had nothing has changed.
-    fn reload_fronts(&mut self, operator: &Operator) -> io::Result<()> {
-        let path = |operator: &Operator| operator.jsonrpc.as_ref().map(|front| front.socket.clone());
-        let same = path(operator) == path(&self.operator);
-        let new = match (&operator.jsonrpc, &self.rpc) {
-            (Some(front), Some((_, file))) if same => return file.set_mode(front.mode),
-            (None, _) => None,
-            (Some(front), _) => {
-                let (listener, file) = socket::bind(&front.socket, front.mode)?;
-                Some((self.reactor.listen_unix(listener)?, file))
-            }
-        };
-        if let Some((listener, _)) = std::mem::replace(&mut self.rpc, new) {
-            self.reactor.unlisten(listener);
-        }
-        Ok(())
-    }
-
-    fn replace_checkers(&mut self, now: Time) {
-        let old = std::mem::take(&mut self.fixed);
-        for (member, path) in self.operator.members(&self.config.site) {
-            self.pool.place(member.worker, backend::Endpoint::Checker(path), None);
-            self.fixed.push(member);
-        }
-        let left = old.into_iter().filter(|o| !self.fixed.iter().any(|n| n.worker == o.worker));
-        let mut changes: Vec<Member> = left.map(|o| Member { state: State::Gone, ..o }).collect();
-        changes.iter().for_each(|gone| self.pool.remove(gone.worker));
-        changes.extend(&self.fixed);
-        if !changes.is_empty() {
-            self.core.members(now, ListKind::Delta, changes);
-        }
-    }
-
     // ---- VRRP
 
     fn vrrp(&mut self, event: Event) {
--- /dev/null
+++ b/src/daemon/reload.rs
@@ -0,0 +1,179 @@
+//! New configurations: SIGHUP has the files read on a thread of their own, for a long list takes far longer to parse
+//! than calls may wait, and what was read is checked and put in force between two turns of the loop.
+
+use super::Daemon;
+use crate::backend;
+use crate::config::{self, Config, Operator, Sources, Until};
+use crate::front::socket;
+use crate::interface::{ListKind, Member, State, Time};
+use std::io::{self, Write};
+use std::os::unix::net::UnixStream;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::{Duration, Instant};
+use tracing::{info, warn};
+
+type Read = Result<(Config, Operator), String>;
+
+/// Where the files' readers say that they are done, and the one that is at work.
+pub(super) struct Reloads {
+    done: UnixStream,
+    reading: Option<Receiver<(Read, Duration)>>,
+    /// The files have changed again since they were opened.
+    again: bool,
+}
+
+impl Reloads {
+    /// The writing end of the pipe that tells the loop of files that were read.
+    pub(super) fn new(done: UnixStream) -> Reloads {
+        Reloads { done, reading: None, again: false }
+    }
+}
+
+/// Reads both files; events of the bus up to this number are checked and left out.
+fn read(sources: &Sources, offset: u64) -> (Read, Duration) {
+    let start = Instant::now();
+    let read = catch_unwind(AssertUnwindSafe(|| sources.read_after(Some(offset))));
+    (read.unwrap_or_else(|_| Err("a fault while they were read".to_owned())), start.elapsed())
+}
+
+impl Daemon {
+    /// SIGHUP: both files are read whole and checked before anything of them is used; where one is bad, all
+    /// stays as it was. Calls under way go on, and so do connections.
+    pub(super) fn reload(&mut self) {
+        if self.reloads.reading.is_some() {
+            return self.reloads.again = true;
+        }
+        let (sources, offset) = (self.sources.clone(), self.inbox.borrow().offset);
+        let (tell, told) = channel();
+        let started = self.reloads.done.try_clone().and_then(|mut done| {
+            std::thread::Builder::new().name("reload".to_owned()).spawn(move || {
+                let _ = tell.send(read(&sources, offset));
+                let _ = done.write_all(&[0]);
+            })
+        });
+        match started {
+            Ok(_) => self.reloads.reading = Some(told),
+            // Without a thread calls wait meanwhile.
+            Err(_) => {
+                let (read, took) = read(&self.sources, offset);
+                self.take_files(read, took);
+            }
+        }
+    }
+
+    /// The files have been read.
+    pub(super) fn reloaded(&mut self) {
+        let Some(read) = self.reloads.reading.as_ref().and_then(|reading| reading.try_recv().ok()) else {
+            return;
+        };
+        self.reloads.reading = None;
+        self.take_files(read.0, read.1);
+        if std::mem::take(&mut self.reloads.again) {
+            self.reload();
+        }
+    }
+
+    fn take_files(&mut self, read: Read, took: Duration) {
+        let start = Instant::now();
+        let fronts = |(config, operator): (Config, Operator)| {
+            config::check(&config, &self.config)?;
+            self.reload_fronts(&operator).map_err(|e| e.to_string())?;
+            Ok((config, operator))
+        };
+        let (config, operator) = match read.and_then(fronts) {
+            Ok(read) => read,
+            Err(why) => {
+                self.core.counters().conf_invalid += 1;
+                return warn!(%why, "reload refused");
+            }
+        };
+        self.core.counters().conf_loaded += 1;
+        self.put_in_force(config, operator);
+        let (offset, read_us) = (self.inbox.borrow().offset, took.as_micros() as u64);
+        info!(offset, read_us, applied_us = start.elapsed().as_micros() as u64, "reloaded");
+    }
+
+    fn put_in_force(&mut self, mut config: Config, operator: Operator) {
+        let now = self.reactor.now();
+        // What can only be had at a start stays as it is, and is said.
+        let fixed = [
+            ("listen", config.listen.port() != 0 && config.listen != self.config.listen),
+            ("mgmt", config.mgmt != self.config.mgmt && config.mgmt.is_none_or(|at| at.port() != 0)),
+            ("name", config.name != self.config.name),
+            ("zones", config.site.zones != self.config.site.zones),
+            ("kinds", config.site.kinds != self.config.site.kinds),
+            ("vrrp", operator.vrrp != self.operator.vrrp),
+            ("fleet", operator.fleet != self.operator.fleet),
+        ];
+        for (what, _) in fixed.iter().filter(|(_, differs)| *differs) {
+            warn!(what, "reload kept");
+        }
+        self.keep_fixed(&mut config);
+        let (vrrp, fleet) = (self.operator.vrrp.take(), self.operator.fleet.take());
+        self.operator = Operator { vrrp, fleet, ..operator };
+        self.core.chains_until_given_up(self.operator.chains.until == Until::GivenUp);
+        let known = std::mem::take(&mut config.known);
+        let moved = config.bus != self.config.bus;
+        self.config = config;
+        self.core.replace_site(now, self.config.site.clone());
+        self.apply_limits();
+        self.replace_checkers(now);
+        // The bus's numbers go on. What the file knows is of use where it follows on what is known here.
+        self.follow_bus(now);
+        for news in known {
+            let mut inbox = self.inbox.borrow_mut();
+            let follows = news.kind == ListKind::Full || news.offset == inbox.offset + 1;
+            if news.offset > inbox.offset && follows {
+                inbox.offset = news.offset;
+                inbox.news.push_back(news);
+            }
+        }
+        if moved {
+            self.move_bus(now);
+        }
+        self.keep();
+    }
+
+    /// What can only be had at a start stays as it is.
+    pub(super) fn keep_fixed(&self, config: &mut Config) {
+        (config.listen, config.mgmt) = (self.config.listen, self.config.mgmt);
+        config.name.clone_from(&self.config.name);
+        config.site.zones.clone_from(&self.config.site.zones);
+        config.site.kinds.clone_from(&self.config.site.kinds);
+    }
+
+    /// The second front's part of the operator's file. Its socket moves if the file names another; clients
+    /// that are connected stay. Where the new socket cannot be had nothing has changed.
+    fn reload_fronts(&mut self, operator: &Operator) -> io::Result<()> {
+        let path = |operator: &Operator| operator.jsonrpc.as_ref().map(|front| front.socket.clone());
+        let same = path(operator) == path(&self.operator);
+        let new = match (&operator.jsonrpc, &self.rpc) {
+            (Some(front), Some((_, file))) if same => return file.set_mode(front.mode),
+            (None, _) => None,
+            (Some(front), _) => {
+                let (listener, file) = socket::bind(&front.socket, front.mode)?;
+                Some((self.reactor.listen_unix(listener)?, file))
+            }
+        };
+        if let Some((listener, _)) = std::mem::replace(&mut self.rpc, new) {
+            self.reactor.unlisten(listener);
+        }
+        Ok(())
+    }
+
+    fn replace_checkers(&mut self, now: Time) {
+        let old = std::mem::take(&mut self.fixed);
+        for (member, path) in self.operator.members(&self.config.site) {
+            self.pool.place(member.worker, backend::Endpoint::Checker(path), None);
+            self.fixed.push(member);
+        }
+        let left = old.into_iter().filter(|o| !self.fixed.iter().any(|n| n.worker == o.worker));
+        let mut changes: Vec<Member> = left.map(|o| Member { state: State::Gone, ..o }).collect();
+        changes.iter().for_each(|gone| self.pool.remove(gone.worker));
+        changes.extend(&self.fixed);
+        if !changes.is_empty() {
+            self.core.members(now, ListKind::Delta, changes);
+        }
+    }
+}
--- a/src/daemon/upgrade.rs
+++ b/src/daemon/upgrade.rs
@@ -203,11 +203,14 @@
     }
 
     /// Keeps the configuration in use, in case another process starts while a broken file is in place.
-    pub(super) fn keep(&self) {
+    pub(super) fn keep(&mut self) {
         let Some(upgrade) = self.upgrade.as_ref().filter(|upgrade| upgrade.machine.serves()) else { return };
         let new = upgrade.kept.with_extension("new");
-        let kept =
-            std::fs::write(&new, &self.config.text).and_then(|()| std::fs::rename(&new, &upgrade.kept));
+        let text = std::mem::take(&mut self.config.text);
+        if text.is_empty() {
+            return;
+        }
+        let kept = std::fs::write(&new, &text).and_then(|()| std::fs::rename(&new, &upgrade.kept));
         if let Err(e) = kept {
             warn!(why = %e, "upgrade configuration not kept");
         }
@@ -276,7 +279,11 @@
 pub(super) fn fall_back(sources: &Sources, name: &str) -> Result<(Config, Operator), String> {
     let read = sources.read();
     let serves = || UnixStream::connect(meeting_place(name)).is_ok();
-    let kept = || config::read(&std::fs::read(kept_place(name)).ok()?).ok();
+    let kept = || {
+        let text = std::fs::read(kept_place(name)).ok()?;
+        let kept = config::read(&text).ok()?;
+        Some(Config { text, ..kept })
+    };
     let Some(kept) = sources.passed.and_then(|_| kept()).filter(|_| serves()) else { return read };
     read.and_then(|(new, operator)| config::check(&new, &kept).map(|()| (new, operator))).or_else(|why| {
         warn!(%why, "upgrade configuration of the old process");
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -186,7 +186,15 @@
 
 /// Reads the settings with what sockets need of them.
 pub fn read_site(text: &[u8]) -> Result<Site, String> {
-    let text: Text = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
+    site(serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?)
+}
+
+/// The same from settings that have been parsed.
+pub fn site_of(settings: &serde_json::Value) -> Result<Site, String> {
+    site(Text::deserialize(settings).map_err(|e| format!("settings: {e}"))?)
+}
+
+fn site(text: Text) -> Result<Site, String> {
     let names = text.classes.iter().map(|class| Some(class.name.clone())).collect();
     let (zones, kinds) = (text.zones.clone(), text.kinds.clone());
     let gauges = text.load_info.names.clone();
