Add the task to publish, which only processes that are to publish want

One process of a domain at a time publishes. Few processes of a fleet do, and the others do not know which: each of them is a candidate, none gives the lease back to whoever comes first in the order of all, and one that leaves tells the electors that it is free. The task comes last, so that today's leases keep their numbers.

--- a/lab/src/processes.rs
+++ b/lab/src/processes.rs
@@ -208,6 +208,7 @@
             delay: plan.delay,
             size: plan.processes as u32,
             shed: None,
+            publishes: false,
             parts: plan.parts,
             guess: self.now / 1_000_000,
             seed: self.rng.random(),
--- a/src/daemon/fleet.rs
+++ b/src/daemon/fleet.rs
@@ -58,6 +58,7 @@
             lease: lease::Setting::new(electors, term, longest, setting.drift_ppm),
             parts: setting.parts,
             shed: setting.shed.then(|| config.site.soonest()),
+            publishes: false,
             // Fences grow by far less than one a millisecond. Nothing else here rests on the time of day.
             guess: now.0 / 1_000_000,
         };
--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -52,6 +52,8 @@
     pub parts: u16,
     /// What is shed the fleet agrees on; answers are wanted within this time.
     pub shed: Option<Span>,
+    /// It is to publish for all of its domain, as one process at a time does; see [`super::distribution`].
+    pub publishes: bool,
     /// How far fences may have come, for the case that a majority of the electors has forgotten at once.
     pub guess: u64,
     /// Decides all that is drawn.
@@ -211,8 +213,11 @@
     pub granted: Option<(Process, Span)>,
 }
 
+/// The one part of [`Task::Publish`].
+const PUBLISH: LeaseId = lease_of(Task::Publish, 0);
+
 /// The name of a task's part among leases.
-fn lease_of(task: Task, part: u16) -> LeaseId {
+const fn lease_of(task: Task, part: u16) -> LeaseId {
     LeaseId(task as u16 * Shares::PARTS + part)
 }
 
@@ -436,14 +441,19 @@
     fn leases(&self) -> Vec<LeaseId> {
         let parts = 0..self.setting.parts;
         let parted = Task::PARTED.iter().flat_map(|task| parts.clone().map(|part| lease_of(*task, part)));
-        parted.chain(self.setting.shed.map(|_| lease_of(Task::Shed, 0))).collect()
+        let shed = self.setting.shed.map(|_| lease_of(Task::Shed, 0));
+        parted.chain(shed).chain(self.setting.publishes.then_some(PUBLISH)).collect()
     }
 
     fn rank(&mut self, now: Time) {
         for lease in self.leases() {
             let own = self.order(lease).iter().position(|index| *index == self.setting.process.index);
-            let rank = own.filter(|own| *own < CANDIDATES).map(|own| own as u32);
-            self.seat.want(now, lease, rank, &self.setting.lease);
+            let own = match lease {
+                // Few processes publish, and nobody is told which: each of them is a candidate.
+                PUBLISH => own.map(|own| own.min(CANDIDATES - 1)),
+                _ => own.filter(|own| *own < CANDIDATES),
+            };
+            self.seat.want(now, lease, own.map(|own| own as u32), &self.setting.lease);
         }
     }
 
@@ -451,8 +461,9 @@
     /// again has to stay for longer, so that a lease does not go to and fro.
     fn prefer(&mut self, now: Time, out: &mut lease::Out) {
         let term = self.setting.lease.term;
-        let held: Vec<(LeaseId, Time)> =
-            self.held.iter().map(|(lease, (_, since))| (*lease, *since)).collect();
+        // Whoever comes first in that order may be a process that does not publish.
+        let held = self.held.iter().filter(|(lease, _)| **lease != PUBLISH);
+        let held: Vec<(LeaseId, Time)> = held.map(|(lease, (_, since))| (*lease, *since)).collect();
         for (lease, since) in held {
             let first = self.order(lease)[0];
             let Some(stay) = self.stays.get(&first).filter(|_| first != self.setting.process.index) else {
@@ -478,8 +489,13 @@
                 continue;
             }
             self.seat.release(now, lease, setting, out);
-            let next = self.order(lease).into_iter().find(|index| *index != self.setting.process.index);
-            out.extend(next.map(|next| (To::Elector(next), lease, lease::Message::Free)));
+            let next: Vec<u32> = match lease {
+                PUBLISH => self.setting.electors.keys().copied().collect(),
+                _ => self.order(lease),
+            };
+            let others = next.into_iter().filter(|index| *index != self.setting.process.index);
+            let count = if lease == PUBLISH { usize::MAX } else { 1 };
+            out.extend(others.take(count).map(|next| (To::Elector(next), lease, lease::Message::Free)));
         }
     }
 
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -30,6 +30,7 @@
         size: 4,
         parts: 1,
         shed: Some(Span::millis(1_000)),
+        publishes: false,
         guess: 0,
         seed: incarnation,
     }
@@ -477,3 +478,51 @@
         "{all:?}"
     );
 }
+
+/// Of five processes two publish, and neither is an elector. One of them at a time holds that task, whoever comes first
+/// in the order of all; it keeps it, and when it leaves or ends the other goes on, under a higher fence.
+#[test]
+fn only_processes_that_publish_hold_that_task_and_they_keep_it() {
+    let mut settings: Vec<Setting> = (0..5).map(|n| setting(n, 10 + u64::from(n), n as u16)).collect();
+    settings[3..].iter_mut().for_each(|setting| setting.publishes = true);
+    let mut net = Net::new(settings.clone());
+    let held = |net: &Net| {
+        let held = net.machines.iter().filter_map(|(at, machine)| {
+            let hold = machine.holds(net.at(*at), Task::Publish, 0)?;
+            Some((*at, hold.fence))
+        });
+        held.collect::<Vec<_>>()
+    };
+    let mut pass = |net: &mut Net, ms: u64| {
+        for _ in 0..ms {
+            net.pass(1);
+            let held = held(net);
+            assert!(
+                held.len() < 2 && held.iter().all(|(at, _)| [place(3), place(4)].contains(at)),
+                "{held:?}"
+            );
+        }
+        held(net)
+    };
+    let first = pass(&mut net, 6_000);
+    assert_eq!(first.len(), 1);
+    assert_eq!(pass(&mut net, 20_000), first, "it stays where it is");
+    let (holder, fence) = first[0];
+    net.give(holder, Event::Leave);
+    let next = pass(&mut net, 1_000);
+    assert!(next.len() == 1 && next[0].0 != holder && next[0].1 > fence, "{next:?}");
+    // It ends without a word, and the one that left has come back.
+    let back = settings.iter().position(|setting| setting.at == holder).unwrap();
+    net.machines.retain(|(at, _)| *at != holder && *at != next[0].0);
+    let again = Setting {
+        process: Process { incarnation: 90, ..settings[back].process },
+        generation: 90,
+        ..settings[back].clone()
+    };
+    net.machines.push((holder, Machine::new(net.at(holder), again)));
+    let last = pass(&mut net, 6_000);
+    assert!(last.len() == 1 && last[0].0 == holder && last[0].1 > next[0].1, "{last:?}");
+    assert!(
+        net.machines[0].1.status(net.at(place(0))).leases.iter().all(|lease| lease.task != Task::Publish)
+    );
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -314,11 +314,13 @@
     Renew,
     /// Saying how much of each class all let in; one part, where there is one.
     Shed,
+    /// Saying what the list of workers and the classes are, to all of a domain; one part, where there is one.
+    Publish,
 }
 
 impl Task {
-    /// All of them.
-    pub const ALL: [Task; 3] = [Task::Probe, Task::Renew, Task::Shed];
+    /// All of them, in the order in which leases are numbered: a new one comes last.
+    pub const ALL: [Task; 4] = [Task::Probe, Task::Renew, Task::Shed, Task::Publish];
 
     /// Those that are cut into parts.
     pub const PARTED: [Task; 2] = [Task::Probe, Task::Renew];
@@ -329,6 +331,7 @@
             Task::Probe => "probe",
             Task::Renew => "renew",
             Task::Shed => "shed",
+            Task::Publish => "publish",
         }
     }
 }
