Put what is distributed in force in the daemon, and publish the publisher's own source

[distribution] in the operator's file, off by default, names a domain, a role and whom to follow. A subscriber hears its parent on a UDP socket in the loop, puts workers that came into the core and the pool as changes, and lays classes over those of its file after the same check as at a reload; the file's list and the bus count no longer then. The replica that holds the publish lease compares its classes and list with what is committed: whole when it gets the lease, only what changed afterwards. SIGHUP keeps the place, and classes that came stay above the file's. Classes are checked against the scheduler's own file, not against those in force: whether a version is taken must not depend on which versions a process has seen.

--- a/src/bus.rs
+++ b/src/bus.rs
@@ -129,6 +129,8 @@
     pub down: bool,
     /// Connections in a row that ended without a frame.
     pub failures: u32,
+    /// A frame has come from this bus, whatever it told.
+    pub heard: bool,
     /// The event before which one was left out, and which was asked for anew.
     pub skipped: Option<u64>,
 }
@@ -162,7 +164,7 @@
                 Ok(Some((news, size))) => {
                     from += size;
                     self.silent_at = hub.now + SILENCE;
-                    inbox.failures = 0;
+                    (inbox.failures, inbox.heard) = (0, true);
                     // Told twice after a new connection: the list moves forward only.
                     let Some(news) = news.filter(|news| news.offset > inbox.offset) else { continue };
                     // Changes lie between: they are asked for once more, on a new connection.
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,7 +1,9 @@
 //! What a scheduler is told at its start, and the operator's file for the second front.
 
+mod distribution;
 mod fleet;
 
+pub use distribution::{Distribution, Role};
 pub use fleet::{Elector, Fleet};
 
 use crate::bus::{Entry, News, started_at};
@@ -10,6 +12,7 @@
 use serde::Deserialize;
 use serde_json::{Map, Value};
 use std::borrow::Cow;
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::str::FromStr;
@@ -144,6 +147,35 @@
     pub fn classes(&self) -> &[Value] {
         self.whole["settings"]["classes"].as_array().map_or(&[], Vec::as_slice)
     }
+
+    /// The same without what may be long.
+    pub fn without_list(&self) -> Config {
+        Config {
+            name: self.name.clone(),
+            known: Vec::new(),
+            site: self.site.clone(),
+            whole: self.whole.clone(),
+            text: Vec::new(),
+            ..*self
+        }
+    }
+
+    /// The same with these classes, by their names, in the place of those of the name or after all others.
+    pub fn with_classes(mut self, classes: &BTreeMap<String, Value>) -> Result<Config, String> {
+        let list = self.whole.pointer_mut("/settings/classes").and_then(Value::as_array_mut);
+        let list = list.ok_or("configuration: settings.classes is missing")?;
+        let places = list.iter().enumerate();
+        let places: BTreeMap<String, usize> =
+            places.filter_map(|(n, class)| Some((class["name"].as_str()?.to_owned(), n))).collect();
+        for (name, class) in classes {
+            match places.get(name) {
+                Some(place) => list[*place] = class.clone(),
+                None => list.push(class.clone()),
+            }
+        }
+        self.site = site_of(&self.whole["settings"])?;
+        Ok(self)
+    }
 }
 
 #[derive(Deserialize)]
@@ -358,6 +390,8 @@
     pub chains: Chains,
     /// The processes that this daemon does the tasks of all with; off where absent.
     pub fleet: Option<Fleet>,
+    /// The domain from which the list and the classes come; off where absent.
+    pub distribution: Option<Distribution>,
 }
 
 /// How chains are taken.
@@ -483,6 +517,9 @@
     if let Some(fleet) = &operator.fleet {
         fleet.check_alone()?;
     }
+    if let Some(distribution) = &operator.distribution {
+        distribution.check_alone(operator.fleet.is_some())?;
+    }
     let mut names = std::collections::BTreeSet::new();
     for checker in &operator.checkers {
         if read_worker(&checker.id).is_none_or(|id| !names.insert(id)) {
@@ -495,7 +532,13 @@
 impl Operator {
     /// Whether it may be used with these settings; the error names the key.
     pub fn fits(&self, site: &Site) -> Result<(), String> {
-        self.fleet.as_ref().map_or(Ok(()), |fleet| fleet.check(site))
+        self.fleet.as_ref().map_or(Ok(()), |fleet| fleet.check(site))?;
+        self.distribution.as_ref().map_or(Ok(()), |distribution| distribution.check(site))
+    }
+
+    /// Whether this process may publish for its domain.
+    pub fn publishes(&self) -> bool {
+        self.distribution.as_ref().is_some_and(|distribution| distribution.role == Role::Replica)
     }
 
     /// The checkers as lines of the list of workers.
--- /dev/null
+++ b/src/config/distribution/tests.rs
@@ -0,0 +1,102 @@
+use super::super::read_operator;
+use super::Role;
+
+const SUBSCRIBER: &str = r#"[distribution]
+name = "tyww"
+bind = "127.0.0.41:9300"
+role = "subscriber"
+parents = ["127.0.0.51:9300", "127.0.0.52:9300"]
+zones = ["a"]
+"#;
+
+const REPLICA: &str = r#"[distribution]
+name = "tyww"
+bind = "127.0.0.61:9300"
+role = "replica"
+replicas = ["127.0.0.61:9300", "127.0.0.62:9300", "127.0.0.63:9300"]
+[fleet]
+name = "tyww"
+bind = "127.0.0.21:9200"
+electors = [{ index = 0, at = "127.0.0.21:9200" }, { index = 1, at = "127.0.0.22:9200" }, { index = 2, at = "127.0.0.23:9200" }]
+"#;
+
+const SITE: &str = r#"{"fleetSize": 4, "index": 0, "classes": [], "zones": ["a", "b"],
+        "bounds": {"mostTries": 3, "peers": true},
+        "contract": {"coldFrom": 0.2, "coldNs": 1, "fallMultiple": 3, "fallNs": 1},
+        "familyInfo": {"keepNs": 1, "notLoaded": "load", "loadSpanNs": 0}}"#;
+
+fn load(text: &str, site: &str) -> Result<(), String> {
+    read_operator(text)?.fits(&crate::settings::read_site(site.as_bytes()).expect("a site"))
+}
+
+#[test]
+fn the_file_under_deploy_is_read() {
+    let file = include_str!("../../../deploy/distribution.toml");
+    let read = |text: &str| read_operator(text).unwrap().distribution.unwrap();
+    assert_eq!(read(file).role, Role::Subscriber);
+    let whole = ["zones =", "catch_up_bytes_per_second ="];
+    let whole = whole.iter().fold(file.to_owned(), |text, key| text.replace(&format!("# {key}"), key));
+    assert_eq!(
+        read(&whole).catch_up_bytes_per_second,
+        read(file).catch_up_bytes_per_second,
+        "the default is told"
+    );
+    assert_eq!(load(SUBSCRIBER, SITE), Ok(()));
+    assert_eq!(load(REPLICA, SITE), Ok(()));
+    assert!(read_operator("").unwrap().distribution.is_none(), "off where nothing is said");
+}
+
+/// Each is refused with the key and the reason.
+#[test]
+fn odd_places_in_a_domain_are_refused() {
+    let parents = r#"parents = ["127.0.0.51:9300", "127.0.0.52:9300"]"#;
+    let many: Vec<String> = (1..=17).map(|n| format!("\"127.0.0.{n}:9300\"")).collect();
+    let many = format!("parents = [{}]", many.join(","));
+    let cases = [
+        (SUBSCRIBER, "name = \"tyww\"", "name = \"\"", "distribution.name is empty"),
+        (SUBSCRIBER, "name = \"tyww\"\n", "", "missing field `name`"),
+        (SUBSCRIBER, "role = \"subscriber\"", "role = \"owner\"", "unknown variant"),
+        (SUBSCRIBER, "127.0.0.41:", "0.0.0.0:", "0.0.0.0:9300 is none"),
+        (SUBSCRIBER, "127.0.0.52:", "10.0.0.52:", "10.0.0.52:9300 is none"),
+        (SUBSCRIBER, "127.0.0.52:", "127.0.0.51:", "distribution.parents names 127.0.0.51:9300 twice"),
+        (SUBSCRIBER, "127.0.0.52:", "127.0.0.41:", "distribution.parents names bind"),
+        (SUBSCRIBER, parents, "", "distribution.parents has 0 entries"),
+        (SUBSCRIBER, parents, many.as_str(), "distribution.parents has 17 entries"),
+        (
+            SUBSCRIBER,
+            "zones",
+            "replicas = [\"127.0.0.61:9300\"]\nzones",
+            "distribution.replicas is for replicas",
+        ),
+        (SUBSCRIBER, "zones", "speed = 1\nzones", "unknown field"),
+        (SUBSCRIBER, "\"a\"", "\"c\"", "distribution.zones names 'c'"),
+        (SUBSCRIBER, "\"a\"", "\"a\", \"a\"", "distribution.zones names 'a'"),
+        (SUBSCRIBER, "subscriber", "relay", "distribution.zones is for subscribers"),
+        (
+            SUBSCRIBER,
+            "zones",
+            "catch_up_bytes_per_second = 16383\nzones",
+            "distribution.catch_up_bytes_per_second",
+        ),
+        (SUBSCRIBER, "zones", "catch_up_bytes_per_second = 1250000001\nzones", "distribution.catch_up_bytes"),
+        (REPLICA, ", \"127.0.0.63:9300\"", "", "distribution.replicas has 2 entries"),
+        (
+            REPLICA,
+            "\"127.0.0.63:9300\"",
+            "\"127.0.0.62:9300\"",
+            "distribution.replicas names 127.0.0.62:9300 twice",
+        ),
+        (REPLICA, "bind = \"127.0.0.61", "bind = \"127.0.0.60", "distribution.replicas lacks bind"),
+        (REPLICA, "role", "parents = [\"127.0.0.51:1\"]\nrole", "distribution.parents is for subscribers"),
+        (REPLICA, "role", "zones = [\"a\"]\nrole", "distribution.zones is for subscribers"),
+    ];
+    for (text, from, to, why) in cases {
+        assert!(text.contains(from), "{from}");
+        let error = load(&text.replacen(from, to, 1), SITE).unwrap_err();
+        assert!(error.starts_with("operator's file: ") && error.contains(why), "{to}: {error}");
+    }
+    let alone = REPLICA.split("[fleet]").next().unwrap();
+    assert!(load(alone, SITE).unwrap_err().contains("distribution.role is replica, which needs [fleet]"));
+    let silent = SITE.replace("\"peers\": true", "\"peers\": false");
+    assert!(load(SUBSCRIBER, &silent).unwrap_err().contains("bounds.peers of the settings is false"));
+}
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -97,6 +97,10 @@
     unreadable,
     /// Panics caught at a connection.
     panics,
+    /// Datagrams of the distribution dropped: malformed, or of another version or domain.
+    distribution_dropped,
+    /// Changes handed over to be published that were not, or not known to be.
+    unpublished,
     /// VRRP advertisements dropped as malformed.
     vrrp_dropped,
     /// Datagrams of the fleet dropped as malformed, of another version or of another fleet.
--- a/src/core/workers.rs
+++ b/src/core/workers.rs
@@ -96,6 +96,11 @@
         self.told.values()
     }
 
+    /// What the list tells of one of them.
+    pub fn listed(&self, worker: WorkerId) -> Option<&Member> {
+        self.told.get(&worker)
+    }
+
     /// Whether a call taken now could be placed: some worker may be sent work.
     pub fn places(&self) -> bool {
         self.told.keys().any(|worker| self.open_to_work(*worker))
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,6 +1,7 @@
 //! The daemon: the core with its fronts, back ends, bus, clock and signals round it.
 
 mod bus;
+mod distribution;
 mod fleet;
 mod reload;
 mod upgrade;
@@ -19,6 +20,7 @@
 use crate::ops::{self, MgmtConnection};
 use crate::vrrp::packet::{Advertisement, LARGEST};
 use crate::vrrp::{self, Event};
+use distribution::Distribution;
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use reload::Reloads;
@@ -104,6 +106,7 @@
     fleet: Option<fleet::Member>,
     /// When to try again to take the fleet's address over from the old process.
     fleet_again: Option<Time>,
+    distribution: Option<Distribution>,
     pipes: Pipes,
     /// The reading of the files at SIGHUP.
     reloads: Reloads,
@@ -146,9 +149,9 @@
 
 impl Daemon {
     fn new(mut config: Config, operator: Operator, sources: Sources, signals: Signals) -> io::Result<Daemon> {
-        let clock = match operator.fleet {
-            None => SystemClock::new(),
-            Some(_) => SystemClock::counting_sleep(),
+        let clock = match (&operator.fleet, &operator.distribution) {
+            (None, None) => SystemClock::new(),
+            _ => SystemClock::counting_sleep(),
         };
         let mut reactor = Reactor::new(clock)?;
         let Signals { end, print, reload } = signals;
@@ -189,8 +192,14 @@
         };
         let fleet = match operator.fleet.as_ref().filter(|_| upgrade.is_none()) {
             None => None,
-            Some(setting) => Some(fleet::Member::new(setting, &config, &mut reactor)?),
+            Some(setting) => Some(fleet::Member::new(setting, operator.publishes(), &config, &mut reactor)?),
         };
+        let mut distribution = operator.distribution.as_ref().map(|_| Distribution::new(&config));
+        if let (Some(distribution), Some(setting), None) =
+            (&mut distribution, &operator.distribution, &upgrade)
+        {
+            distribution.join(setting, &config, &mut reactor)?;
+        }
         reactor.active = operator.vrrp.is_none();
         let mut core = Core::new(config.site.clone(), config.seed);
         core.chains_until_given_up(operator.chains.until == Until::GivenUp);
@@ -227,6 +236,7 @@
             router,
             fleet,
             fleet_again: None,
+            distribution,
             pipes,
             reloads: Reloads::new(done),
             ending: None,
@@ -253,7 +263,7 @@
             let met = self.upgrade.as_ref().and_then(|upgrade| upgrade.machine.due());
             let router = self.router.as_ref().and_then(|router| router.machine.due());
             let until = self.core.next_due().into_iter().chain(self.bus_again);
-            let fleet = self.fleet_due();
+            let fleet = self.fleet_due().into_iter().chain(self.distribution_due());
             // Before the end, what has come in the meantime is looked for once more.
             let last = self.ended().then(|| self.reactor.now());
             let last = last.into_iter().chain(self.accept_again.values().copied());
@@ -269,6 +279,7 @@
                     Signal::Pipe(pipe) if pipe == self.pipes.reload => self.reload(),
                     Signal::Pipe(_) => self.reloaded(),
                     Signal::Datagram(socket) if self.is_fleet(socket) => self.hear_fleet(),
+                    Signal::Datagram(socket) if self.is_distribution(socket) => self.hear_distribution(),
                     Signal::Datagram(socket) => self.hear(socket),
                 }
             }
@@ -277,6 +288,8 @@
             self.take_fleet();
             self.tell_demand();
             self.fleet(crate::fleet::Event::Timer);
+            self.take_distribution();
+            self.distribute(crate::fleet::distribution::Event::Timer);
             self.upgrade(handover::Event::Timer);
             self.settle();
             if let Some(why) = self.upgrade.as_ref().and_then(|upgrade| upgrade.failed) {
@@ -484,6 +497,7 @@
         self.upgrade(handover::Event::Leaving);
         self.vrrp(Event::Shutdown);
         self.fleet(crate::fleet::Event::Leave);
+        self.give_distribution(false);
         self.leave_all();
     }
 
--- a/src/daemon/bus.rs
+++ b/src/daemon/bus.rs
@@ -43,6 +43,9 @@
     }
 
     pub(super) fn learn(&mut self, now: Time, news: News) {
+        if self.list_is_distributed() {
+            return;
+        }
         if news.kind == ListKind::Full {
             let listed: BTreeSet<_> = news.entries.iter().map(|entry| entry.member.worker).collect();
             let fixed: BTreeSet<_> = self.fixed.iter().map(|member| member.worker).collect();
@@ -60,7 +63,10 @@
         if news.kind == ListKind::Full {
             members.extend(&self.fixed);
         }
+        let told =
+            (news.kind == ListKind::Delta).then(|| members.iter().map(|member| member.worker).collect());
         self.core.members(now, news.kind, members);
+        self.source_changed(told);
     }
 
     /// The bus has another address: the old one tells nothing more. The new one is asked at once, from the
--- /dev/null
+++ b/src/daemon/distribution.rs
@@ -0,0 +1,440 @@
+//! The daemon in its domain: the node's datagrams and clock, and what a version that was installed puts in force.
+
+mod classes;
+mod publisher;
+
+use super::Daemon;
+use crate::backend::Endpoint;
+use crate::config::{self, Config};
+use crate::fleet::distribution::{
+    self, Change, Check, Event, Interest, Key, Node, Output, Role, Setting, Topic, Value, Version,
+    WorkerRecord,
+};
+use crate::fleet::message::{self, LARGEST};
+use crate::fleet::{Process, lease::Hold};
+use crate::interface::{ListKind, Member, Span, State, Time, WorkerId, ZoneId};
+use crate::net::Reactor;
+use classes::{ClassCheck, Classes, NoCheck};
+use publisher::{Next, Publisher};
+use serde_json::Value as Json;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::rc::Rc;
+use tracing::{error, info, warn};
+
+/// Datagrams taken in one turn of the loop: a flood must not keep calls waiting.
+const TURN: usize = 256;
+/// Pause before the domain's address is tried again, while the old process has it.
+const AGAIN: Span = Span::millis(50);
+
+/// What this process is in its domain, and what it has from there. The latter stays when the place goes to another
+/// process, as at an upgrade.
+pub(super) struct Distribution {
+    place: Option<Place>,
+    /// When to try again to take the address over from the old process.
+    again: Option<Time>,
+    classes: Rc<RefCell<Classes>>,
+    /// The list of workers came from the domain: what the file and the bus say counts no longer.
+    pub(super) lists: bool,
+}
+
+/// A process's place in its domain.
+struct Place {
+    node: Rc<RefCell<Node>>,
+    socket: usize,
+    role: Role,
+    /// Stands for the domain's name in datagrams.
+    domain: u64,
+    process: Process,
+    /// Whether anything was installed since this place was taken.
+    installed: bool,
+    /// Of a replica.
+    publisher: Option<Publisher>,
+}
+
+impl Distribution {
+    /// One that has no place yet.
+    pub(super) fn new(config: &Config) -> Distribution {
+        let classes = Rc::new(RefCell::new(Classes::new(config)));
+        Distribution { place: None, again: None, classes, lists: false }
+    }
+
+    /// Takes this process's place.
+    pub(super) fn join(
+        &mut self,
+        setting: &config::Distribution,
+        config: &Config,
+        reactor: &mut Reactor,
+    ) -> io::Result<()> {
+        let (socket, at) = reactor.hear(setting.bind)?;
+        let now = reactor.now();
+        let seed = super::fleet::draw(config.seed, now.0);
+        let role = match setting.role {
+            config::Role::Subscriber => Role::Subscriber,
+            config::Role::Relay => Role::Relay,
+            config::Role::Replica => Role::Replica,
+        };
+        let setting_name = setting.name.clone();
+        let setting = Setting {
+            role,
+            at,
+            interest: interest(setting.zones.as_deref(), &config.site.zones),
+            parents: setting.parents.clone(),
+            replicas: setting.replicas.clone(),
+            catch_up_bytes_per_second: setting.catch_up_bytes_per_second,
+            seed,
+        };
+        self.classes.borrow_mut().begin();
+        let check: Box<dyn Check> = match role {
+            // It hands on what schedulers judge for themselves.
+            Role::Relay => Box::new(NoCheck),
+            Role::Subscriber | Role::Replica => Box::new(ClassCheck(self.classes.clone())),
+        };
+        let node = Rc::new(RefCell::new(Node::new(now, setting, check)));
+        reactor.distribution = Some(node.clone());
+        self.place = Some(Place {
+            node,
+            socket,
+            role,
+            domain: message::fleet(&setting_name, &[]),
+            process: Process { index: config.site.settings.index, incarnation: seed },
+            installed: false,
+            publisher: (role == Role::Replica).then(Publisher::default),
+        });
+        Ok(())
+    }
+}
+
+/// The topics of a subscriber's zones, in order.
+fn interest(zones: Option<&[String]>, all: &[String]) -> Interest {
+    let Some(zones) = zones else { return Interest::All };
+    let place = |zone: &String| all.iter().position(|known| known == zone);
+    let topics: BTreeSet<Topic> =
+        zones.iter().filter_map(place).map(|place| Topic::workers_of(ZoneId(place as u8))).collect();
+    Interest::Topics(topics.into_iter().collect())
+}
+
+/// The classes of a configuration by their names, as they are distributed.
+fn classes_of(config: &Config) -> BTreeMap<Key, Value> {
+    let class = |class: &Json| {
+        Some((Key::Class(class["name"].as_str()?.to_owned()), Value::Class(class.to_string())))
+    };
+    config.classes().iter().filter_map(class).collect()
+}
+
+fn number(version: Version) -> String {
+    format!("{}.{}", version.fence, version.sequence)
+}
+
+impl Daemon {
+    fn place(&self) -> Option<&Place> {
+        self.distribution.as_ref()?.place.as_ref()
+    }
+
+    fn publisher(&mut self) -> Option<&mut Publisher> {
+        self.distribution.as_mut()?.place.as_mut()?.publisher.as_mut()
+    }
+
+    /// The place in the domain is that of the process that takes the clients, as that in the fleet is.
+    pub(super) fn give_distribution(&mut self, open: bool) {
+        let Some(distribution) = &mut self.distribution else { return };
+        if !open && let Some(place) = distribution.place.take() {
+            self.reactor.unhear(place.socket);
+            (self.reactor.distribution, distribution.again) = (None, None);
+        }
+        if open && distribution.place.is_none() {
+            distribution.again = Some(self.reactor.now());
+        }
+    }
+
+    /// Tries to take the address in the domain, for as long as another process has it.
+    pub(super) fn take_distribution(&mut self) {
+        let now = self.reactor.now();
+        let (Some(distribution), Some(setting)) = (&mut self.distribution, &self.operator.distribution)
+        else {
+            return;
+        };
+        if distribution.again.is_none_or(|at| at > now) || self.ending.is_some() {
+            return;
+        }
+        distribution.again = None;
+        match distribution.join(setting, &self.config, &mut self.reactor) {
+            Ok(()) => self.distribute(Event::Timer),
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse => distribution.again = Some(now + AGAIN),
+            Err(why) => warn!(%why, "upgrade no distribution"),
+        }
+    }
+
+    /// When the domain wants to be turned to next.
+    pub(super) fn distribution_due(&self) -> Option<Time> {
+        let due = self.place().and_then(|place| place.node.borrow().due());
+        due.into_iter().chain(self.distribution.as_ref().and_then(|distribution| distribution.again)).min()
+    }
+
+    pub(super) fn is_distribution(&self, socket: usize) -> bool {
+        self.place().is_some_and(|place| place.socket == socket)
+    }
+
+    /// Hears what waits.
+    pub(super) fn hear_distribution(&mut self) {
+        let mut bytes = [0; LARGEST + 1];
+        for _ in 0..TURN {
+            let Some(place) = self.place() else { return };
+            let Some((size, from)) = self.reactor.datagram(place.socket, &mut bytes) else { return };
+            match distribution::read(place.domain, &bytes[..size]) {
+                Ok((_, messages)) => self.distribute(Event::Received { from, messages: &messages }),
+                Err(why) => {
+                    self.core.counters().distribution_dropped += 1;
+                    if self.core.may_log(self.reactor.now()) {
+                        warn!(%from, ?why, "distribution dropped");
+                    }
+                }
+            }
+        }
+        if let Some(place) = self.place() {
+            self.reactor.hear_again(place.socket);
+        }
+    }
+
+    /// The publish lease is held, held for longer, or held no longer.
+    pub(super) fn lease_distribution(&mut self, hold: Option<Hold>) {
+        let Some(publisher) = self.publisher() else { return };
+        publisher.lease(hold.map(|hold| hold.fence));
+        self.distribute(Event::Lease(hold));
+    }
+
+    /// Tells the node what has happened, and does what it says.
+    pub(super) fn distribute(&mut self, event: Event) {
+        let now = self.reactor.now();
+        let Some(place) = self.place() else { return };
+        if matches!(event, Event::Timer) && place.node.borrow().due().is_none_or(|at| at > now) {
+            return;
+        }
+        let (socket, domain, process) = (place.socket, place.domain, place.process);
+        let all = place.node.borrow_mut().handle(now, event);
+        for output in all {
+            match output {
+                Output::Send(to, message) => {
+                    let bytes = distribution::datagram(domain, process, &[message]);
+                    self.reactor.send_datagram(socket, &bytes, to);
+                }
+                Output::Installed { version, changes } => self.install(now, version, &changes),
+                Output::Refused { version, why } => {
+                    warn!(version = number(version), why, "distribution refused");
+                }
+                Output::Parent(parent) => {
+                    info!(at = parent.map(tracing::field::display), "distribution parent");
+                }
+                Output::Published { ticket, version } => {
+                    if let Some(changes) = self.publisher().and_then(|publisher| publisher.published(ticket))
+                    {
+                        info!(version = number(version), changes, "distribution published");
+                    }
+                }
+                Output::NotPublished { ticket, why } => {
+                    let Some(publisher) = self.publisher() else { continue };
+                    publisher.not_published(ticket, &why);
+                    warn!(?why, "distribution not published");
+                    self.core.counters().unpublished += 1;
+                }
+            }
+        }
+        self.publish();
+    }
+
+    // ---- What comes into force
+
+    /// A version is in force in the domain. Only a subscriber does what it says: the others serve, if they serve
+    /// calls at all, by their own file and bus.
+    fn install(&mut self, now: Time, version: Version, changes: &[Change]) {
+        let Some(Distribution { place: Some(place), classes, .. }) = &mut self.distribution else { return };
+        let first = !std::mem::replace(&mut place.installed, true);
+        if place.role == Role::Subscriber {
+            let classes = classes.borrow_mut().install(changes);
+            match classes {
+                Ok(Some(config)) => self.use_classes(now, config),
+                Ok(None) => {}
+                Err(why) => error!(%why, "distribution classes kept"),
+            }
+            self.install_workers(now, first, changes);
+        }
+        info!(version = number(version), changes = changes.len(), "distribution installed");
+    }
+
+    fn use_classes(&mut self, now: Time, mut config: Config) {
+        self.keep_fixed(&mut config);
+        self.config = config;
+        self.core.replace_site(now, self.config.site.clone());
+    }
+
+    fn install_workers(&mut self, now: Time, first: bool, changes: &[Change]) {
+        let mut workers: BTreeMap<u64, Option<&WorkerRecord>> = BTreeMap::new();
+        for change in changes {
+            match (&change.key, &change.value) {
+                (Key::Worker(id), Some(Value::Worker(record))) => drop(workers.insert(*id, Some(record))),
+                // Where it has moved to another topic it stands there.
+                (Key::Worker(id), _) => drop(workers.entry(*id).or_insert(None)),
+                _ => {}
+            }
+        }
+        if workers.is_empty() {
+            return;
+        }
+        // The first ones are the whole list, in the place of what the file and the bus have told.
+        let kind = if first { ListKind::Full } else { ListKind::Delta };
+        if first {
+            let fixed: BTreeSet<_> = self.fixed.iter().map(|member| member.worker).collect();
+            self.pool.retain(|worker| workers.contains_key(&worker.0) || fixed.contains(&worker));
+        }
+        let mut members: Vec<Member> = Vec::with_capacity(workers.len());
+        for (id, record) in workers {
+            let worker = WorkerId(id);
+            match record {
+                Some(record) => {
+                    let member = record.member(id);
+                    self.pool.place(worker, Endpoint::Agent(record.address), member.started);
+                    members.push(member);
+                }
+                None => {
+                    self.pool.remove(worker);
+                    members.push(Member { worker, state: State::Gone, ..Member::default() });
+                }
+            }
+        }
+        if first {
+            members.extend(&self.fixed);
+        }
+        if let Some(distribution) = &mut self.distribution {
+            distribution.lists = true;
+        }
+        self.core.members(now, kind, members);
+    }
+
+    /// Whether the list of workers is the domain's, so that nothing else counts for it.
+    pub(super) fn list_is_distributed(&self) -> bool {
+        self.distribution.as_ref().is_some_and(|distribution| distribution.lists)
+    }
+
+    // ---- New files
+
+    /// A configuration as a file says it, and the same as it is to be used: classes that came from the domain stay
+    /// above the file's. A replica refuses a class that would not fit into a datagram.
+    pub(super) fn lay_over(&self, file: Config) -> Result<(Option<Config>, Config), String> {
+        let Some(distribution) = &self.distribution else { return Ok((None, file)) };
+        if self.operator.publishes() {
+            for (key, value) in classes_of(&file) {
+                let change = Change { topic: Topic::SETTINGS, key, value: Some(value) };
+                if !change.is_well_formed() {
+                    return Err(format!("configuration: {:?} is too long to be distributed", change.key));
+                }
+            }
+        }
+        let alone = file.without_list();
+        let used = distribution.classes.borrow().laid_over(file)?;
+        Ok((Some(alone), used))
+    }
+
+    /// The configuration in use is another one from now on: this is what its file says of it.
+    pub(super) fn laid(&mut self, file: Option<Config>, before: &Config) {
+        let (Some(distribution), Some(mut file)) = (&self.distribution, file) else { return };
+        self.keep_fixed(&mut file);
+        distribution.classes.borrow_mut().replace(file);
+        let (old, new) = (classes_of(before), classes_of(&self.config));
+        let both = old.keys().chain(new.keys());
+        let differ: Vec<Key> = both.filter(|key| old.get(key) != new.get(key)).cloned().collect();
+        if let Some(publisher) = self.publisher() {
+            publisher.changed(differ);
+        }
+        self.publish();
+    }
+
+    // ---- What is published
+
+    /// News of the bus or the file's list: these workers, or any.
+    pub(super) fn source_changed(&mut self, workers: Option<Vec<WorkerId>>) {
+        let Some(publisher) = self.publisher() else { return };
+        match workers {
+            Some(workers) => publisher.changed(workers.into_iter().map(|worker| Key::Worker(worker.0))),
+            None => publisher.replaced(),
+        }
+        self.publish();
+    }
+
+    /// Publishes what waits, if this process may now. One ticket at a time: the next goes when it is committed.
+    fn publish(&mut self) {
+        let Some(place) = self.place() else { return };
+        let Some(publisher) = place.publisher.as_ref().filter(|publisher| publisher.waits()) else { return };
+        let node = place.node.clone();
+        let serves = node.borrow().publishes(self.reactor.now());
+        if publisher.fence.is_none() || serves != publisher.fence {
+            return;
+        }
+        let held_back = self.held_back(&node.borrow());
+        let Some(publisher) = self.publisher() else { return };
+        if std::mem::replace(&mut publisher.held_back, held_back) != held_back
+            && let Some(why) = held_back
+        {
+            warn!(why, "distribution held back");
+        }
+        if held_back.is_some() {
+            return;
+        }
+        loop {
+            let Some(publisher) = self.publisher() else { return };
+            match publisher.next() {
+                Next::Rest => return,
+                Next::CompareAll => {
+                    let changes = self.compare_all(&node.borrow());
+                    if let Some(publisher) = self.publisher() {
+                        publisher.compared(true, changes);
+                    }
+                }
+                Next::Compare(keys) => {
+                    let changes = self.compare(&node.borrow(), &keys);
+                    if let Some(publisher) = self.publisher() {
+                        publisher.compared(false, changes);
+                    }
+                }
+                Next::Publish(ticket, changes) => return self.distribute(Event::Publish { ticket, changes }),
+            }
+        }
+    }
+
+    /// Why the own source is not to be published: one that was just started may not know of any worker yet.
+    fn held_back(&self, node: &Node) -> Option<&'static str> {
+        if self.config.bus.is_some() && !self.inbox.borrow().heard {
+            return Some("the bus was not heard yet");
+        }
+        let none = self.core.list().next().is_none();
+        (none && node.records().any(|(key, _)| matches!(key, Key::Worker(_))))
+            .then_some("the own list is empty")
+    }
+
+    fn compare_all(&self, node: &Node) -> Vec<Change> {
+        let mut source = classes_of(&self.config);
+        source.extend(self.core.list().filter_map(|member| self.worker_record(member)));
+        let mut changes = publisher::difference(source, node.records());
+        changes.extend(node.record(&Key::Complete).is_none().then(publisher::complete));
+        changes
+    }
+
+    fn compare(&self, node: &Node, keys: &BTreeSet<Key>) -> Vec<Change> {
+        let mut classes = match keys.iter().any(|key| matches!(key, Key::Class(_))) {
+            true => classes_of(&self.config),
+            false => BTreeMap::new(),
+        };
+        let source = keys.iter().filter_map(|key| match key {
+            Key::Worker(id) => self.worker_record(self.core.listed(WorkerId(*id))?),
+            key => classes.remove_entry(key),
+        });
+        let committed = keys.iter().filter_map(|key| Some((key, node.record(key)?)));
+        publisher::difference(source.collect(), committed)
+    }
+
+    /// The record of a line of the own list; none for a checker of this host.
+    fn worker_record(&self, member: &Member) -> Option<(Key, Value)> {
+        let record = WorkerRecord::of(member, self.pool.address(member.worker)?)?;
+        Some((Key::Worker(member.worker.0), Value::Worker(record)))
+    }
+}
--- /dev/null
+++ b/src/daemon/distribution/classes.rs
@@ -0,0 +1,104 @@
+//! The classes that came by distribution, laid over those of the file by name.
+
+use crate::config::{self, Config};
+use crate::fleet::distribution::{Change, Check, Key, Value};
+use serde_json::Value as Json;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+type ByName = BTreeMap<String, Json>;
+
+/// What the file says, and what came.
+pub(super) struct Classes {
+    file: Config,
+    came: ByName,
+    /// Nothing has come since this process took its place: what comes next stands for all of what came before.
+    fresh: bool,
+}
+
+impl Classes {
+    /// Of a process to which nothing has come.
+    pub(super) fn new(config: &Config) -> Classes {
+        Classes { file: config.without_list(), came: ByName::new(), fresh: true }
+    }
+
+    /// This process takes its place in the domain.
+    pub(super) fn begin(&mut self) {
+        self.fresh = true;
+    }
+
+    /// A configuration as a file says it, with the classes that came laid over.
+    pub(super) fn laid_over(&self, file: Config) -> Result<Config, String> {
+        match self.came.is_empty() {
+            true => Ok(file),
+            false => file.with_classes(&self.came),
+        }
+    }
+
+    /// This is what the file says from now on.
+    pub(super) fn replace(&mut self, file: Config) {
+        self.file = file;
+    }
+
+    /// What the changes make of the classes; none where they change none. They are checked against the file, and not
+    /// against what came before: whether a version is taken must not depend on which versions a process has seen.
+    fn after(&self, changes: &[Change]) -> Result<Option<(ByName, Config)>, String> {
+        let mut came = if self.fresh { ByName::new() } else { self.came.clone() };
+        let mut touched = self.fresh && !self.came.is_empty();
+        for change in changes {
+            let Key::Class(name) = &change.key else { continue };
+            touched = true;
+            match &change.value {
+                Some(Value::Class(text)) => drop(came.insert(name.clone(), read_class(name, text)?)),
+                _ => drop(came.remove(name)),
+            }
+        }
+        if !touched {
+            return Ok(None);
+        }
+        let config = self.file.clone().with_classes(&came)?;
+        config::check(&config, &self.file)?;
+        Ok(Some((came, config)))
+    }
+
+    /// Takes the changes in; the configuration that is to be in force then, where they change a class.
+    pub(super) fn install(&mut self, changes: &[Change]) -> Result<Option<Config>, String> {
+        let after = self.after(changes)?;
+        self.fresh = false;
+        Ok(after.map(|(came, config)| {
+            self.came = came;
+            config
+        }))
+    }
+}
+
+/// A class as it is distributed: JSON with the name under which it goes.
+fn read_class(name: &str, text: &str) -> Result<Json, String> {
+    let class: Json = serde_json::from_str(text).map_err(|e| format!("class '{name}': {e}"))?;
+    match class["name"] == *name {
+        true => Ok(class),
+        false => Err(format!("class '{name}': its name is {}", class["name"])),
+    }
+}
+
+/// Judges changes by what they would make of the configuration in use, and changes nothing.
+pub(super) struct ClassCheck(pub(super) Rc<RefCell<Classes>>);
+
+impl Check for ClassCheck {
+    fn check(&self, changes: &[Change]) -> Result<(), String> {
+        self.0.borrow().after(changes).map(drop)
+    }
+}
+
+/// For processes that only hand on what comes.
+pub(super) struct NoCheck;
+
+impl Check for NoCheck {
+    fn check(&self, _changes: &[Change]) -> Result<(), String> {
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/daemon/fleet.rs
+++ b/src/daemon/fleet.rs
@@ -33,7 +33,13 @@
 }
 
 impl Member {
-    pub(super) fn new(setting: &config::Fleet, config: &Config, reactor: &mut Reactor) -> io::Result<Member> {
+    /// A process that has just started; whether it may publish for its domain.
+    pub(super) fn new(
+        setting: &config::Fleet,
+        publishes: bool,
+        config: &Config,
+        reactor: &mut Reactor,
+    ) -> io::Result<Member> {
         let (socket, at) = reactor.hear(setting.bind)?;
         let now = reactor.now();
         let process = Process { index: config.site.settings.index, incarnation: draw(config.seed, now.0) };
@@ -58,7 +64,7 @@
             lease: lease::Setting::new(electors, term, longest, setting.drift_ppm),
             parts: setting.parts,
             shed: setting.shed.then(|| config.site.soonest()),
-            publishes: false,
+            publishes,
             // Fences grow by far less than one a millisecond. Nothing else here rests on the time of day.
             guess: now.0 / 1_000_000,
         };
@@ -75,7 +81,7 @@
 }
 
 /// A number that no other start has: the system's own randomness, and what is known of this one.
-fn draw(seed: u64, now: u64) -> u64 {
+pub(super) fn draw(seed: u64, now: u64) -> u64 {
     use std::hash::{BuildHasher, RandomState};
     RandomState::new().hash_one((seed, now, std::process::id()))
 }
@@ -114,7 +120,8 @@
             return;
         }
         self.fleet_again = None;
-        match Member::new(&setting, &self.config, &mut self.reactor) {
+        let publishes = self.operator.publishes();
+        match Member::new(&setting, publishes, &self.config, &mut self.reactor) {
             Ok(member) => {
                 self.fleet = Some(member);
                 self.join_fleet();
@@ -169,6 +176,7 @@
             return;
         }
         let all = member.machine.borrow_mut().handle(now, event);
+        let mut publishing = None;
         for what in all {
             match what {
                 Do::Send(to, bytes) => self.reactor.send_datagram(member.socket, &bytes, to),
@@ -184,7 +192,10 @@
                             info!(task = name, part, "fleet lost");
                         }
                     }
-                    self.core.hold(now, task, part, hold);
+                    match task {
+                        Task::Publish => publishing = Some(hold),
+                        _ => self.core.hold(now, task, part, hold),
+                    }
                 }
                 Do::Heard(Subject::Worker(worker), Word::Answers(answers), at) => {
                     self.core.told(now, WorkerId(worker), answers, at);
@@ -210,5 +221,8 @@
                 }
             }
         }
+        if let Some(hold) = publishing {
+            self.lease_distribution(hold);
+        }
     }
 }
--- a/src/daemon/reload.rs
+++ b/src/daemon/reload.rs
@@ -44,7 +44,9 @@
         if self.reloads.reading.is_some() {
             return self.reloads.again = true;
         }
-        let (sources, offset) = (self.sources.clone(), self.inbox.borrow().offset);
+        // Where the list comes from elsewhere all of it is known.
+        let offset = if self.list_is_distributed() { u64::MAX } else { self.inbox.borrow().offset };
+        let sources = self.sources.clone();
         let (tell, told) = channel();
         let started = self.reloads.done.try_clone().and_then(|mut done| {
             std::thread::Builder::new().name("reload".to_owned()).spawn(move || {
@@ -77,11 +79,12 @@
     fn take_files(&mut self, read: Read, took: Duration) {
         let start = Instant::now();
         let fronts = |(config, operator): (Config, Operator)| {
+            let (file, config) = self.lay_over(config)?;
             config::check(&config, &self.config)?;
             self.reload_fronts(&operator).map_err(|e| e.to_string())?;
-            Ok((config, operator))
+            Ok((file, config, operator))
         };
-        let (config, operator) = match read.and_then(fronts) {
+        let (file, config, operator) = match read.and_then(fronts) {
             Ok(read) => read,
             Err(why) => {
                 self.core.counters().conf_invalid += 1;
@@ -89,12 +92,12 @@
             }
         };
         self.core.counters().conf_loaded += 1;
-        self.put_in_force(config, operator);
+        self.put_in_force(file, config, operator);
         let (offset, read_us) = (self.inbox.borrow().offset, took.as_micros() as u64);
         info!(offset, read_us, applied_us = start.elapsed().as_micros() as u64, "reloaded");
     }
 
-    fn put_in_force(&mut self, mut config: Config, operator: Operator) {
+    fn put_in_force(&mut self, file: Option<Config>, mut config: Config, operator: Operator) {
         let now = self.reactor.now();
         // What can only be had at a start stays as it is, and is said.
         let fixed = [
@@ -105,17 +108,19 @@
             ("kinds", config.site.kinds != self.config.site.kinds),
             ("vrrp", operator.vrrp != self.operator.vrrp),
             ("fleet", operator.fleet != self.operator.fleet),
+            ("distribution", operator.distribution != self.operator.distribution),
         ];
         for (what, _) in fixed.iter().filter(|(_, differs)| *differs) {
             warn!(what, "reload kept");
         }
         self.keep_fixed(&mut config);
         let (vrrp, fleet) = (self.operator.vrrp.take(), self.operator.fleet.take());
-        self.operator = Operator { vrrp, fleet, ..operator };
+        let distribution = self.operator.distribution.take();
+        self.operator = Operator { vrrp, fleet, distribution, ..operator };
         self.core.chains_until_given_up(self.operator.chains.until == Until::GivenUp);
         let known = std::mem::take(&mut config.known);
         let moved = config.bus != self.config.bus;
-        self.config = config;
+        let before = std::mem::replace(&mut self.config, config);
         self.core.replace_site(now, self.config.site.clone());
         self.apply_limits();
         self.replace_checkers(now);
@@ -133,6 +138,7 @@
             self.move_bus(now);
         }
         self.keep();
+        self.laid(file, &before);
     }
 
     /// What can only be had at a start stays as it is.
--- a/src/daemon/upgrade.rs
+++ b/src/daemon/upgrade.rs
@@ -240,6 +240,7 @@
             self.door.1 = open;
             self.reactor.open = open;
             self.give_fleet(open);
+            self.give_distribution(open);
         }
     }
 
@@ -264,10 +265,14 @@
         }
         let offset = self.inbox.borrow().offset;
         let same = self.sums.back().is_some_and(|last| known.events.contains(last));
-        if same && known.offset > offset {
+        let ahead = same && known.offset > offset;
+        // A list that was distributed is newer than any file's, and the bus's numbers say nothing of it.
+        if ahead || self.distribution.is_some() && !known.list.is_empty() {
             let entry = |line: &Line| bus::Entry { member: line.member(), address: line.address() };
             let entries = known.list.iter().map(entry).collect();
-            self.inbox.borrow_mut().offset = known.offset;
+            if ahead {
+                self.inbox.borrow_mut().offset = known.offset;
+            }
             self.learn(now, News { offset: known.offset, kind: ListKind::Full, entries });
         }
         info!(offset = known.offset, out = known.out.len(), "upgrade took over");
--- a/src/fleet/distribution/node.rs
+++ b/src/fleet/distribution/node.rs
@@ -358,6 +358,16 @@
         self.log.records().map(|(_, key, value)| (key, value))
     }
 
+    /// A record in force.
+    pub fn record(&self, key: &Key) -> Option<&Value> {
+        self.log.get(self.log.topic_of(key)?, key)
+    }
+
+    /// The fence under which it publishes, while it does.
+    pub fn publishes(&self, now: Time) -> Option<u64> {
+        self.publisher.serves(now)
+    }
+
     /// The version in force.
     pub fn version(&self) -> Version {
         self.log.version()
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -493,7 +493,7 @@
         });
         held.collect::<Vec<_>>()
     };
-    let mut pass = |net: &mut Net, ms: u64| {
+    let pass = |net: &mut Net, ms: u64| {
         for _ in 0..ms {
             net.pass(1);
             let held = held(net);
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -5,6 +5,7 @@
 use crate::chain::End;
 use crate::core::Core;
 use crate::fleet::Machine;
+use crate::fleet::distribution::Node;
 use crate::interface::{Span, Time};
 use mio::net::{TcpListener, TcpStream, UnixListener, UnixStream};
 use mio::{Events, Interest, Poll, Token};
@@ -45,6 +46,8 @@
     pub open: bool,
     /// This process's place in its fleet, if it has one.
     pub fleet: Option<Rc<RefCell<Machine>>>,
+    /// Its place in a domain, if it has one.
+    pub distribution: Option<Rc<RefCell<Node>>>,
 }
 
 /// A connection as an object: the reactor calls it back with what happens to it.
@@ -190,6 +193,8 @@
     pub open: bool,
     /// And this; none where there is no fleet.
     pub fleet: Option<Rc<RefCell<Machine>>>,
+    /// And this; none where nothing is distributed.
+    pub distribution: Option<Rc<RefCell<Node>>>,
 }
 
 impl Reactor {
@@ -213,6 +218,7 @@
             active: true,
             open: true,
             fleet: None,
+            distribution: None,
         })
     }
 
@@ -387,11 +393,24 @@
         self.entries.contains_key(&token).then_some(token.0 as u64)
     }
 
+    /// What callbacks may use now.
+    fn hub<'a>(&self, core: &'a mut Core) -> Hub<'a> {
+        Hub {
+            core,
+            now: self.clock.now(),
+            clock: self.clock,
+            ready: self.ready,
+            active: self.active,
+            open: self.open,
+            fleet: self.fleet.clone(),
+            distribution: self.distribution.clone(),
+        }
+    }
+
     /// Calls a connection back, with panics caught: they end this connection alone.
     fn call(&mut self, token: Token, core: &mut Core, what: impl FnOnce(&mut Entry, &mut Hub) -> Flow) {
-        let (now, ready, active, open) = (self.clock.now(), self.ready, self.active, self.open);
+        let hub = &mut self.hub(core);
         let Some(entry) = self.entries.get_mut(&token) else { return };
-        let hub = &mut Hub { core, now, clock: self.clock, ready, active, open, fleet: self.fleet.clone() };
         let before = entry.link.waiting();
         let flow = catch_unwind(AssertUnwindSafe(|| {
             let mut flow = what(entry, hub);
@@ -446,8 +465,7 @@
         if let Some(at) = entry.due {
             self.timers.remove(&(at, token));
         }
-        let (now, ready, active, open) = (self.clock.now(), self.ready, self.active, self.open);
-        let hub = &mut Hub { core, now, clock: self.clock, ready, active, open, fleet: self.fleet.clone() };
+        let hub = &mut self.hub(core);
         let closed = catch_unwind(AssertUnwindSafe(|| entry.connection.closed(&entry.link, hub)));
         if closed.is_err() {
             hub.core.counters().panics += 1;
--- a/src/ops/mgmt.rs
+++ b/src/ops/mgmt.rs
@@ -31,11 +31,14 @@
             Call::Figures => {
                 let fleet = hub.fleet.as_ref().map(|fleet| fleet.borrow().status(hub.now));
                 let fleet = fleet.map(|status| status.figures()).unwrap_or_default();
-                return Ok(hub.core.figures().to_string() + &fleet);
+                let domain = hub.distribution.as_ref().map(|node| node.borrow().status(hub.now).figures());
+                return Ok(hub.core.figures().to_string() + &fleet + &domain.unwrap_or_default());
             }
             Call::Fleet => {
-                let fleet = hub.fleet.as_ref().ok_or(No(404, "this scheduler is in no fleet"))?;
-                return Ok(fleet.borrow().status(hub.now).to_string());
+                let fleet = hub.fleet.as_ref().map(|fleet| fleet.borrow().status(hub.now).to_string());
+                let domain = hub.distribution.as_ref().map(|node| node.borrow().status(hub.now).to_string());
+                let text: String = fleet.into_iter().chain(domain).collect();
+                return Some(text).filter(|t| !t.is_empty()).ok_or(No(404, "this scheduler is in no fleet"));
             }
             Call::Exclude(worker) => hub.core.by_hand(hub.now, worker, true),
             Call::Include(worker) => hub.core.by_hand(hub.now, worker, false),
