--- a/src/daemon/upgrade.rs
+++ b/src/daemon/upgrade.rs
@@ -203,11 +203,14 @@
     }
 
     /// Keeps the configuration in use, in case another process starts while a broken file is in place.
-    pub(super) fn keep(&self) {
+    pub(super) fn keep(&mut self) {
         let Some(upgrade) = self.upgrade.as_ref().filter(|upgrade| upgrade.machine.serves()) else { return };
         let new = upgrade.kept.with_extension("new");
-        let kept =
-            std::fs::write(&new, &self.config.text).and_then(|()| std::fs::rename(&new, &upgrade.kept));
+        let text = std::mem::take(&mut self.config.text);
+        if text.is_empty() {
+            return;
+        }
+        let kept = std::fs::write(&new, &text).and_then(|()| std::fs::rename(&new, &upgrade.kept));
         if let Err(e) = kept {
             warn!(why = %e, "upgrade configuration not kept");
         }
@@ -237,6 +240,7 @@
             self.door.1 = open;
             self.reactor.open = open;
             self.give_fleet(open);
+            self.give_distribution(open);
         }
     }
 
@@ -261,10 +265,14 @@
         }
         let offset = self.inbox.borrow().offset;
         let same = self.sums.back().is_some_and(|last| known.events.contains(last));
-        if same && known.offset > offset {
+        let ahead = same && known.offset > offset;
+        // A list that was distributed is newer than any file's, and the bus's numbers say nothing of it.
+        if ahead || self.distribution.is_some() && !known.list.is_empty() {
             let entry = |line: &Line| bus::Entry { member: line.member(), address: line.address() };
             let entries = known.list.iter().map(entry).collect();
-            self.inbox.borrow_mut().offset = known.offset;
+            if ahead {
+                self.inbox.borrow_mut().offset = known.offset;
+            }
             self.learn(now, News { offset: known.offset, kind: ListKind::Full, entries });
         }
         info!(offset = known.offset, out = known.out.len(), "upgrade took over");
@@ -276,7 +284,11 @@
 pub(super) fn fall_back(sources: &Sources, name: &str) -> Result<(Config, Operator), String> {
     let read = sources.read();
     let serves = || UnixStream::connect(meeting_place(name)).is_ok();
-    let kept = || config::read(&std::fs::read(kept_place(name)).ok()?).ok();
+    let kept = || {
+        let text = std::fs::read(kept_place(name)).ok()?;
+        let kept = config::read(&text).ok()?;
+        Some(Config { text, ..kept })
+    };
     let Some(kept) = sources.passed.and_then(|_| kept()).filter(|_| serves()) else { return read };
     read.and_then(|(new, operator)| config::check(&new, &kept).map(|()| (new, operator))).or_else(|why| {
         warn!(%why, "upgrade configuration of the old process");
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -5,6 +5,7 @@
 use crate::chain::End;
 use crate::core::Core;
 use crate::fleet::Machine;
+use crate::fleet::distribution::Node;
 use crate::interface::Time;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -47,6 +48,8 @@
     pub open: bool,
     /// This process's place in its fleet, if it has one.
     pub fleet: Option<Rc<RefCell<Machine>>>,
+    /// Its place in a domain, if it has one.
+    pub distribution: Option<Rc<RefCell<Node>>>,
 }
 
 /// A connection as an object: the reactor calls it back with what happens to it.
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -5,6 +5,7 @@
 use crate::call::AttemptId;
 use crate::core::Core;
 use crate::fleet::Machine;
+use crate::fleet::distribution::Node;
 use crate::interface::{Span, Time};
 use mio::net::{TcpListener, UnixListener};
 use mio::{Events, Poll, Token};
@@ -138,6 +139,8 @@
     pub open: bool,
     /// And this; none where there is no fleet.
     pub fleet: Option<Rc<RefCell<Machine>>>,
+    /// And this; none where nothing is distributed.
+    pub distribution: Option<Rc<RefCell<Node>>>,
 }
 
 impl Reactor {
@@ -161,6 +164,7 @@
             active: true,
             open: true,
             fleet: None,
+            distribution: None,
         })
     }
 
@@ -195,6 +199,20 @@
         self.entries.contains_key(&token).then_some(token.0 as u64)
     }
 
+    /// What callbacks may use now.
+    fn context<'a>(&self, core: &'a mut Core) -> Context<'a> {
+        Context {
+            core,
+            now: self.clock.now(),
+            clock: self.clock,
+            ready: self.ready,
+            active: self.active,
+            open: self.open,
+            fleet: self.fleet.clone(),
+            distribution: self.distribution.clone(),
+        }
+    }
+
     /// Calls a connection back, with panics caught: they end this connection alone.
     fn call(
         &mut self,
@@ -202,10 +220,8 @@
         core: &mut Core,
         what: impl FnOnce(&mut Entry, &mut Context) -> ControlFlow,
     ) {
-        let (now, ready, active, open) = (self.clock.now(), self.ready, self.active, self.open);
+        let context = &mut self.context(core);
         let Some(entry) = self.entries.get_mut(&token) else { return };
-        let context =
-            &mut Context { core, now, clock: self.clock, ready, active, open, fleet: self.fleet.clone() };
         let before = entry.link.waiting();
         let flow = catch_unwind(AssertUnwindSafe(|| {
             let mut flow = what(entry, context);
@@ -260,9 +276,7 @@
         if let Some(at) = entry.due {
             self.timers.remove(&(at, token));
         }
-        let (now, ready, active, open) = (self.clock.now(), self.ready, self.active, self.open);
-        let context =
-            &mut Context { core, now, clock: self.clock, ready, active, open, fleet: self.fleet.clone() };
+        let context = &mut self.context(core);
         let closed = catch_unwind(AssertUnwindSafe(|| entry.connection.closed(&entry.link, context)));
         if closed.is_err() {
             context.core.counters().panics += 1;
--- a/src/ops/mgmt.rs
+++ b/src/ops/mgmt.rs
@@ -33,11 +33,17 @@
             Call::Figures => {
                 let fleet = context.fleet.as_ref().map(|fleet| fleet.borrow().status(context.now));
                 let fleet = fleet.map(|status| status.figures()).unwrap_or_default();
-                return Ok(context.core.figures().to_string() + &fleet);
+                let domain =
+                    context.distribution.as_ref().map(|node| node.borrow().status(context.now).figures());
+                return Ok(context.core.figures().to_string() + &fleet + &domain.unwrap_or_default());
             }
             Call::Fleet => {
-                let fleet = context.fleet.as_ref().ok_or(HttpError(404, "this scheduler is in no fleet"))?;
-                return Ok(fleet.borrow().status(context.now).to_string());
+                let fleet = context.fleet.as_ref().map(|fleet| fleet.borrow().status(context.now).to_string());
+                let domain =
+                    context.distribution.as_ref().map(|node| node.borrow().status(context.now).to_string());
+                let text: String = fleet.into_iter().chain(domain).collect();
+                let known = Some(text).filter(|text| !text.is_empty());
+                return known.ok_or(HttpError(404, "this scheduler is in no fleet"));
             }
             Call::Exclude(worker) => context.core.by_hand(context.now, worker, true),
             Call::Include(worker) => context.core.by_hand(context.now, worker, false),
