Measure what control costs by size: lab scale, with hollow members in virtual time and real processes

Figures for a fleet of thousands were guesses: lab processes counts datagrams of one fleet, and nothing measured processor time, memory, starts, reloads or the module by the size of the list.

lab scale plays hollow members of a fleet (the shipped machine, in virtual time) and real schedulers on loopback, each part in a process of its own, and writes rows as JSON, whole or not at all. lab scale SERIES plays prepared sizes along an axis and fits them.

The distribution domain is not played yet.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod network;
 pub mod processes;
 pub mod rig;
+pub mod scale;
 pub mod stand_ins;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -5,6 +5,7 @@
 use lab::processes::{self, Plan};
 use lab::rig::scenario::{self, Scenario};
 use lab::rig::world::{self, Options};
+use lab::scale;
 use mintgate::Span;
 use mintgate::config::Sources;
 use std::path::PathBuf;
@@ -88,6 +89,15 @@
         #[arg(long, default_value_t = 1.0)]
         drift: f64,
     },
+    /// What control costs each process, by the number of schedulers, workers, functions, changes and regions: hollow
+    /// processes in virtual time, and real ones on loopback.
+    Scale(scale::Options),
+    /// One part of a scale run; its plan comes in as JSON.
+    #[command(hide = true)]
+    ScalePart {
+        /// Which part.
+        part: scale::Part,
+    },
     /// One scheduler of a rehearsal.
     #[command(hide = true)]
     Scheduler {
@@ -116,6 +126,8 @@
             let name = name.unwrap_or_else(|| "short-day".to_owned());
             rehearse(&name, seed..seed + seeds, (alone, unshed), json, plot, logs)
         }
+        What::Scale(options) => scale::run(&options).map(|()| true),
+        What::ScalePart { part } => scale::run_part(part).map(|()| true),
         What::Scheduler { operator } => serve(operator).map(|()| true),
     };
     match done {
--- /dev/null
+++ b/lab/src/scale/module.rs
@@ -0,0 +1,117 @@
+//! The decision module alone: what calls of functions cost that were never called before, and calls after that, by the
+//! workers listed; and what the walk of all workers costs that it does all the time.
+
+use super::configuration::Configuration;
+use super::report::quantile;
+use super::{Plan, Row, Rows, Setup, system};
+use mintgate::core::{Core, Incoming, Owner};
+use mintgate::{FunctionId, ListKind, Span, Time, config};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Instant;
+
+/// All first calls come within this time: functions without a call are forgotten after ten seconds.
+const WITHIN: Span = Span::millis(6_000);
+/// Memory that is looked at is that of this many functions at least, or what little each keeps would not show.
+const LEAST_FUNCTIONS: usize = 2_000;
+/// Or of as many as keep so much by the design that has a whole order for each.
+const ENOUGH: usize = 200 << 20;
+
+/// Plays it.
+pub fn play(plan: &Plan) -> Vec<Row> {
+    let functions = functions(plan);
+    let mut rows = Rows::new(plan, "hollow", Setup::Alone);
+    rows.like().functions = functions;
+    let mut core = listed(plan);
+    let mut player = Player { core: &mut core, now: Time(10_000_000_000), calls: 0 };
+    player.pass(Span::millis(3_000));
+    let before = system::resident(std::process::id()).unwrap_or(0);
+    let step = Span(WITHIN.0 / functions as u64);
+    let mut first: Vec<f64> = (0..functions).map(|n| player.call(n as u64, step)).collect();
+    let kept = system::growth_each(before, functions);
+    let mut further: Vec<f64> = (0..functions).map(|n| player.call(n as u64, Span(step.0 / 4))).collect();
+    let mut walks: Vec<f64> = (0..20).map(|_| player.pass(Span::millis(200))).collect();
+    for times in [&mut first, &mut further, &mut walks] {
+        times.sort_by(f64::total_cmp);
+    }
+    let mean = |times: &[f64]| times.iter().sum::<f64>() / times.len().max(1) as f64;
+    rows.add("scheduler", "first_call_ms", "ms", mean(&first) * 1e3);
+    rows.add("scheduler", "first_call_ms_p99", "ms", quantile(&first, 0.99).unwrap_or(0.0) * 1e3);
+    rows.add("scheduler", "further_call_us", "us", mean(&further) * 1e6);
+    rows.add("scheduler", "further_call_us_p99", "us", quantile(&further, 0.99).unwrap_or(0.0) * 1e6);
+    rows.add("scheduler", "kept_bytes_per_function", "B", kept);
+    rows.add("scheduler", "walk_ms", "ms", quantile(&walks, 0.5).unwrap_or(0.0) * 1e3);
+    rows.rows
+}
+
+/// As many as the plan says, and so many more that what they keep shows.
+fn functions(plan: &Plan) -> usize {
+    let enough = (ENOUGH / (plan.workers * 16)).clamp(1, LEAST_FUNCTIONS);
+    plan.functions.max(enough)
+}
+
+/// A core that knows the list.
+fn listed(plan: &Plan) -> Core {
+    let text = Configuration::new(plan.workers, SocketAddr::from((Ipv4Addr::LOCALHOST, 9))).text();
+    // What was written here can be read.
+    let read = config::read(&text).unwrap_or_else(|why| panic!("a configuration of our own: {why}"));
+    let mut core = Core::new(read.site, plan.seed);
+    for news in read.known {
+        let members = news.entries.iter().map(|entry| entry.member).collect();
+        core.members(Time(1_000_000_000), ListKind::Full, members);
+    }
+    core
+}
+
+struct Player<'a> {
+    core: &'a mut Core,
+    now: Time,
+    calls: u64,
+}
+
+impl Player<'_> {
+    /// Lets time pass; how many seconds the module took for it.
+    fn pass(&mut self, span: Span) -> f64 {
+        let end = self.now + span;
+        let mut took = 0.0;
+        while let Some(due) = self.core.next_due().filter(|due| *due <= end) {
+            self.now = self.now.max(due);
+            let begun = Instant::now();
+            self.core.wake(self.now);
+            took += begun.elapsed().as_secs_f64();
+            self.drain();
+        }
+        self.now = end;
+        took
+    }
+
+    fn drain(&mut self) {
+        while self.core.next_command().is_some() {}
+    }
+
+    /// One call of a function, after a pause; how many seconds it took. Its client leaves at once, so that no answer of
+    /// a worker is needed and calls do not add up.
+    fn call(&mut self, function: u64, pause: Span) -> f64 {
+        self.pass(pause);
+        self.calls += 1;
+        let owner = Owner { connection: 1, stream: self.calls };
+        let call = Incoming {
+            owner,
+            reference: format!("{:016x}", self.calls),
+            class: "practice-check".to_owned(),
+            function: FunctionId(function.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1),
+            key: None,
+            memory_mb: 512.0,
+            lanes: 2.0,
+            load_time: None,
+            deadline: self.now + Span::millis(2_000),
+            body: vec![],
+        };
+        let begun = Instant::now();
+        self.core.call(self.now, call);
+        let took = begun.elapsed().as_secs_f64();
+        self.drain();
+        self.core.withdraw(self.now, owner);
+        self.drain();
+        took
+    }
+}
--- /dev/null
+++ b/lab/src/scale/series.rs
@@ -0,0 +1,102 @@
+//! Prepared series: one size at a time grows, the others stay.
+
+use super::{Part, Plan, Setup};
+
+/// A prepared series.
+pub struct Series {
+    /// Its name.
+    pub name: &'static str,
+    /// What it is played for.
+    pub about: &'static str,
+    points: fn(&Plan) -> Vec<(f64, Plan)>,
+}
+
+/// Sizes along the axes. Members of one fleet can't be more.
+const MEMBERS: [usize; 3] = [30, 100, 300];
+const WORKERS: [usize; 4] = [1_000, 4_000, 16_000, 46_000];
+const MODULE_WORKERS: [usize; 5] = [120, 1_000, 4_000, 16_000, 46_000];
+const FUNCTIONS: [usize; 3] = [100, 300, 1_000];
+const CHANGES: [f64; 3] = [0.1, 0.78, 7.8];
+const REGIONS: [usize; 3] = [1, 3, 10];
+/// Members of the fleet that is spread over regions, so that each has ten.
+const REGION_MEMBERS: usize = 100;
+
+/// All there are.
+pub fn series() -> [Series; 5] {
+    [
+        Series {
+            name: "schedulers",
+            about: "hollow schedulers, with real ones beside them: 30 to 300 members of one fleet",
+            points: schedulers,
+        },
+        Series {
+            name: "workers",
+            about: "workers on the list, 1,000 to 46,000, at real schedulers, idle and with changes",
+            points: workers,
+        },
+        Series {
+            name: "functions",
+            about: "the module alone at 120 to 46,000 workers, and 100 to 1,000 functions at real schedulers",
+            points: functions,
+        },
+        Series {
+            name: "changes",
+            about: "changes a second, 0.1 to 7.8, at hollow and real schedulers",
+            points: changes,
+        },
+        Series {
+            name: "regions",
+            about: "regions, 1 to 10, over which hollow schedulers are spread",
+            points: regions,
+        },
+    ]
+}
+
+impl Series {
+    /// The one of this name; the error names all.
+    pub fn find(name: &str) -> Result<Series, String> {
+        let names: Vec<&str> = series().iter().map(|series| series.name).collect();
+        let found = series().into_iter().find(|series| series.name == name);
+        found.ok_or_else(|| format!("there is no series '{name}', but {}", names.join(", ")))
+    }
+
+    /// Where along its axis what is played; sizes along other axes are those of the base.
+    pub fn points(&self, base: &Plan) -> Vec<(f64, Plan)> {
+        (self.points)(base)
+    }
+}
+
+/// The parts of the base that are set up so.
+fn of_setup(base: &Plan, setup: Setup) -> Vec<Part> {
+    base.wanted.iter().copied().filter(|part| part.setup() == setup).collect()
+}
+
+fn schedulers(base: &Plan) -> Vec<(f64, Plan)> {
+    let wanted = of_setup(base, Setup::Members);
+    let base = Plan { functions: 0, wanted, ..base.clone() };
+    MEMBERS.map(|hollow| (hollow as f64, Plan { hollow, ..base.clone() })).to_vec()
+}
+
+fn workers(base: &Plan) -> Vec<(f64, Plan)> {
+    let base = Plan { functions: 0, ..base.clone() };
+    WORKERS.map(|workers| (workers as f64, Plan { workers, ..base.clone() })).to_vec()
+}
+
+fn functions(base: &Plan) -> Vec<(f64, Plan)> {
+    let module = Plan { wanted: vec![Part::Module], ..base.clone() };
+    let real = Plan { wanted: vec![Part::RealAlone], changes: 0.0, ..base.clone() };
+    let module = MODULE_WORKERS.map(|workers| (workers as f64, Plan { workers, ..module.clone() }));
+    let called = FUNCTIONS.map(|functions| (functions as f64, Plan { functions, ..real.clone() }));
+    module.into_iter().chain(called.into_iter().filter(|_| base.real > 0)).collect()
+}
+
+fn changes(base: &Plan) -> Vec<(f64, Plan)> {
+    let base = Plan { functions: 0, ..base.clone() };
+    CHANGES.map(|changes| (changes, Plan { changes, ..base.clone() })).to_vec()
+}
+
+fn regions(base: &Plan) -> Vec<(f64, Plan)> {
+    let hollow = if base.hollow > 0 { REGION_MEMBERS } else { 0 };
+    let base = Plan { functions: 0, real: 0, hollow, ..base.clone() };
+    REGIONS.map(|regions| (regions as f64, Plan { regions, ..base.clone() })).to_vec()
+}
