--- a/lab/src/scale/series.rs
+++ b/lab/src/scale/series.rs
@@ -78,7 +78,9 @@
 }
 
 fn workers(base: &Plan) -> Vec<(f64, Plan)> {
-    let base = Plan { functions: 0, ..base.clone() };
+    // Real members of a fleet are told few workers whatever the plan says.
+    let wanted = base.wanted.iter().copied().filter(|part| *part != Part::RealMembers).collect();
+    let base = Plan { functions: 0, wanted, ..base.clone() };
     WORKERS.map(|workers| (workers as f64, Plan { workers, ..base.clone() })).to_vec()
 }
 
