Play whole distribution domains in scale runs

Cause: what a domain costs each process by the number of schedulers was not measured. Parts with hollow processes and parts with real ones are played beside each other. The module's calls are of functions too large to be held everywhere; the walk with one that is held is measured by itself, for it took minutes.

--- a/lab/src/hollow.rs
+++ b/lab/src/hollow.rs
@@ -10,6 +10,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 /// See the module's page.
 pub struct HollowNode {
@@ -27,6 +28,7 @@
     parents: Vec<(Time, Option<SocketAddr>)>,
     pages: u64,
     changes: u64,
+    spent: Duration,
 }
 
 impl HollowNode {
@@ -39,6 +41,7 @@
         check: Box<dyn distribution::Check>,
         ledger: Rc<RefCell<Ledger>>,
     ) -> HollowNode {
+        let begun = Instant::now();
         HollowNode {
             at: setting.at,
             role: setting.role,
@@ -54,6 +57,7 @@
             pages: 0,
             changes: 0,
             node: Node::new(now, setting, check),
+            spent: begun.elapsed(),
         }
     }
 
@@ -103,17 +107,28 @@
         self.changes
     }
 
+    /// Time in the machine's own calls and in the codec, by this computer's clock. It decides nothing.
+    pub fn spent(&self) -> Duration {
+        self.spent
+    }
+
     /// Has the machine take in an event, and does what it says.
     pub fn handle(&mut self, now: Time, event: Event) -> Outgoing {
         if let Event::Lease(hold) = &event {
             self.hold = *hold;
         }
+        let begun = Instant::now();
         let outputs = self.node.handle(now, event);
+        self.spent += begun.elapsed();
         let mut outgoing = vec![];
         let last = outputs.iter().rposition(|output| matches!(output, Output::Installed { .. }));
         for (number, output) in outputs.into_iter().enumerate() {
             match output {
-                Output::Send(to, message) => outgoing.push((to, self.encode(to, message))),
+                Output::Send(to, message) => {
+                    let begun = Instant::now();
+                    outgoing.push((to, self.encode(to, message)));
+                    self.spent += begun.elapsed();
+                }
                 Output::Installed { version, changes } => {
                     self.installed(now, version, &changes, last == Some(number));
                 }
@@ -188,7 +203,10 @@
     }
 
     fn datagram(&mut self, now: Time, from: SocketAddr, bytes: &[u8]) -> Outgoing {
-        let Ok(datagram) = message::read(self.fleet, bytes) else { return vec![] };
+        let begun = Instant::now();
+        let read = message::read(self.fleet, bytes);
+        self.spent += begun.elapsed();
+        let Ok(datagram) = read else { return vec![] };
         self.watch(&datagram.distribution);
         self.handle(now, Event::Received { from, messages: &datagram.distribution })
     }
--- a/lab/src/scale.rs
+++ b/lab/src/scale.rs
@@ -17,7 +17,9 @@
 
 mod children;
 mod configuration;
+mod costs;
 mod daemon;
+mod distribution;
 mod faults;
 mod fit;
 mod members;
@@ -126,11 +128,8 @@
     let mut played = vec![];
     for (n, (along, plan)) in points.iter().enumerate() {
         let place = format!("{} of {}", n + 1, points.len());
-        for part in plan.parts() {
-            eprintln!("scale: point {place}: {part:?} {}", plan.sizes());
-            let rows = children::play(plan, part)?;
-            played.extend(rows.into_iter().map(|row| (*along, row)));
-        }
+        eprintln!("scale: point {place}: {}", plan.sizes());
+        played.extend(play(plan)?.into_iter().map(|row| (*along, row)));
     }
     let fits = if points.len() > 1 { fit::fits(&played) } else { vec![] };
     print!("{}", report::table(&played));
@@ -153,6 +152,25 @@
     target.map_or(Ok(()), |target| target.write(&about, &rows, &fits))
 }
 
+/// Plays all parts of a plan: those with hollow processes one after the other, and beside them those with real ones.
+fn play(plan: &Plan) -> Result<Vec<Row>, String> {
+    let (real, hollow): (Vec<Part>, Vec<Part>) = plan.parts().into_iter().partition(|part| part.is_real());
+    let lane = |parts: Vec<Part>| -> Result<Vec<Row>, String> {
+        let mut rows = vec![];
+        for part in parts {
+            eprintln!("scale: {part:?}");
+            rows.extend(children::play(plan, part)?);
+        }
+        Ok(rows)
+    };
+    std::thread::scope(|scope| {
+        let real = scope.spawn(|| lane(real));
+        let hollow = lane(hollow);
+        let real = real.join().unwrap_or_else(|_| Err("the real schedulers' rig has failed".to_owned()));
+        Ok(hollow?.into_iter().chain(real?).collect())
+    })
+}
+
 /// What was called, with the names of files but not their folders, which are this machine's alone.
 fn command() -> String {
     let name = |text: String| match Path::new(&text).file_name() {
--- a/lab/src/scale/members.rs
+++ b/lab/src/scale/members.rs
@@ -2,10 +2,11 @@
 //! the list as it comes today, by a whole configuration for each change.
 
 use super::configuration::Configuration;
-use super::faults::{Faults, Regions};
+use super::costs::{self, Cost, Moment};
+use super::faults::{Breakable, Faults};
 use super::report::{mean_and_most, quantile};
 use super::{Plan, Row, Rows, Setup, system};
-use crate::network::{Network, Outgoing, Process, Traffic};
+use crate::network::{Link, Network, Outgoing, Process};
 use mintgate::core::Core;
 use mintgate::fleet::news::{Subject, Word};
 use mintgate::fleet::overload::{self, Demand};
@@ -13,8 +14,10 @@
 use mintgate::{ListKind, Span, Time, config};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use std::collections::BTreeMap;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// Members that grant leases.
@@ -25,6 +28,8 @@
 const PARTS: u16 = 3;
 /// Answers are wanted within this time, by the strictest class.
 const AIM: Span = Span::millis(1_000);
+/// Time between two neighbouring regions, one way.
+const HOP: Span = Span::millis(12);
 /// Members start within this time.
 const STARTS: Span = Span::millis(1_000);
 /// The longest that is waited for all to know all.
@@ -122,144 +127,200 @@
     u32::from(*at.ip()).saturating_sub(0x7f00_0001) as usize
 }
 
+/// So many regions on a ring; a process belongs to the one of its index, by turns.
+#[derive(Clone, Copy)]
+struct Regions(usize);
+
+impl Regions {
+    fn link(self, from: usize, to: usize) -> Link {
+        let apart = (from % self.0).abs_diff(to % self.0);
+        let hops = apart.min(self.0 - apart) as u64;
+        let well = Link::default();
+        let (delay, jitter) = (well.delay.0 + hops * HOP.0, well.jitter.0 + hops * HOP.0 / 10);
+        Link { delay: Span(delay), jitter: Span(jitter), ..well }
+    }
+
+    /// The longest that processes are told a datagram takes: what an operator's file has by default, or twice what the
+    /// farthest regions need.
+    fn longest(self) -> Span {
+        let far = self.link(0, self.0 / 2);
+        Span::millis(100).max(Span((far.delay.0 + far.jitter.0) * 2))
+    }
+}
+
+/// All members, and what cuts them off.
+struct Fleet<'a> {
+    plan: &'a Plan,
+    network: Network<Member>,
+    regions: Regions,
+    incarnation: u64,
+    cut: Rc<RefCell<BTreeSet<usize>>>,
+}
+
+impl Breakable for Fleet<'_> {
+    fn now(&self) -> Time {
+        self.network.now()
+    }
+
+    fn kill(&mut self, index: usize) {
+        self.network.kill(place(index));
+    }
+
+    fn start(&mut self, index: usize) {
+        self.incarnation += 1;
+        let member = Member::new(self.network.now(), index, self.incarnation, self.plan, self.regions);
+        self.network.start(place(index), member);
+    }
+
+    fn stop(&mut self, index: usize, stopped: bool) {
+        self.network.stop(place(index), stopped);
+    }
+
+    fn cut(&mut self, index: usize, cut: bool) {
+        let mut all = self.cut.borrow_mut();
+        if cut {
+            all.insert(index);
+        } else {
+            all.remove(&index);
+        }
+    }
+}
+
 /// Plays them.
 pub fn play(plan: &Plan) -> Result<Vec<Row>, String> {
     let before = system::resident(std::process::id()).unwrap_or(0);
-    let count = plan.members();
-    let regions = Regions(plan.regions);
-    let mut network = Network::new(plan.seed, regions.link(0, 0));
-    let mut faults = Faults::new(plan.seed, plan.faults, regions, index_of);
-    network.set_links(faults.links());
-    start(&mut network, plan, regions);
-    let settled = settle(&mut network);
-    eprintln!("scale: {count} hollow members have met after {:.1} s of virtual time", settled.secs());
-    let from = Window::of(&network);
-    let told = measure(&mut network, plan, &mut faults, regions);
-    let window = Window::of(&network).since(&from, plan.seconds as f64);
+    let mut fleet = Fleet::new(plan);
+    fleet.start_all();
+    let settled = fleet.settle();
+    eprintln!(
+        "scale: {} hollow members have met after {:.1} s of virtual time",
+        plan.members(),
+        settled.secs()
+    );
+    let from = fleet.moment();
+    let told = fleet.measure();
+    let costs = fleet.moment().since(&from, plan.seconds as f64);
     // What was told last may still be on its way.
-    let end = network.now() + REACHES;
-    network.run_until(end);
-    let memory = system::growth_each(before, count);
-    Ok(rows(plan, &network, &window, &told, memory))
+    let end = fleet.now() + REACHES;
+    fleet.network.run_until(end);
+    let memory = system::growth_each(before, plan.members());
+    Ok(fleet.rows(&costs, &told, memory))
 }
 
-fn start(network: &mut Network<Member>, plan: &Plan, regions: Regions) {
-    let mut rng = SmallRng::seed_from_u64(plan.seed);
-    let base = network.now();
-    let mut starts: Vec<(Time, usize)> =
-        (0..plan.members()).map(|index| (base + Span(rng.random_range(0..STARTS.0)), index)).collect();
-    starts.sort_unstable();
-    for (at, index) in starts {
-        network.run_until(at);
-        network.start(place(index), Member::new(at, index, 1, plan, regions));
+impl<'a> Fleet<'a> {
+    fn new(plan: &'a Plan) -> Fleet<'a> {
+        let regions = Regions(plan.regions);
+        let mut network = Network::new(plan.seed, Link::default());
+        let cut = Rc::new(RefCell::new(BTreeSet::new()));
+        let table = cut.clone();
+        network.set_links(move |from, to| {
+            let (table, from, to) = (table.borrow(), index_of(from), index_of(to));
+            Some(Link { cut: table.contains(&from) || table.contains(&to), ..regions.link(from, to) })
+        });
+        Fleet { plan, network, regions, incarnation: 0, cut }
     }
-}
 
-/// Lets all meet, and a little more; how long it took.
-fn settle(network: &mut Network<Member>) -> Span {
-    let base = network.now();
-    loop {
-        let next = network.now() + LOOK;
-        network.run_until(next);
-        let all = network.processes().all(|(_, member)| member.knew_all.is_some());
-        if all || next - base >= SETTLES {
-            break;
+    fn start_all(&mut self) {
+        let mut rng = SmallRng::seed_from_u64(self.plan.seed);
+        let base = self.now();
+        let starts =
+            (0..self.plan.members()).map(|index| (base + Span(rng.random_range(0..STARTS.0)), index));
+        let mut starts: Vec<(Time, usize)> = starts.collect();
+        starts.sort_unstable();
+        for (at, index) in starts {
+            self.network.run_until(at);
+            self.start(index);
         }
     }
-    let took = network.now() - base;
-    let calm = network.now() + Span(TERM.0 * 3);
-    network.run_until(calm);
-    took
-}
 
-/// Plays the measured seconds, with faults and news; when each piece of news was told, by the worker that it is of.
-fn measure(
-    network: &mut Network<Member>,
-    plan: &Plan,
-    faults: &mut Faults,
-    regions: Regions,
-) -> BTreeMap<u64, Time> {
-    let mut told = BTreeMap::new();
-    let (base, length) = (network.now(), Span::millis(plan.seconds * 1_000));
-    let step = if plan.changes > 0.0 { Span((1e9 / plan.changes) as u64) } else { length };
-    let mut next = base + Span(step.0 / 2);
-    let mut incarnation = 1;
-    faults.begin(base);
-    while network.now() < base + length {
-        let until = next.min(faults.due().unwrap_or(next)).min(base + length);
-        network.run_until(until);
-        faults.happen(network, place, plan.members(), |now, index| {
-            incarnation += 1;
-            Member::new(now, index, incarnation, plan, regions)
-        });
-        if until == next && plan.changes > 0.0 {
-            let (worker, now) = (told.len() as u64 + 1, network.now());
-            let at = place(worker as usize % plan.members());
-            if network.process(at).is_some() {
-                told.insert(worker, now);
-                network.act(at, |member, now| {
-                    member.handle(now, Event::Seen(Subject::Worker(worker), Word::Answers(true)))
-                });
+    /// Lets all meet, and a little more; how long it took.
+    fn settle(&mut self) -> Span {
+        let base = self.now();
+        loop {
+            let next = self.now() + LOOK;
+            self.network.run_until(next);
+            let all = self.network.processes().all(|(_, member)| member.knew_all.is_some());
+            if all || next - base >= SETTLES {
+                break;
             }
-            next = next + step;
-        } else if until == next {
-            next = base + length;
         }
+        let took = self.now() - base;
+        let calm = self.now() + Span(TERM.0 * 3);
+        self.network.run_until(calm);
+        took
     }
-    faults.heal(network, place, |now, index| {
-        incarnation += 1;
-        Member::new(now, index, incarnation, plan, regions)
-    });
-    told
-}
 
-/// What processes have sent, received and spent up to a moment.
-struct Window {
-    traffic: BTreeMap<SocketAddr, Traffic>,
-    spent: BTreeMap<SocketAddr, Duration>,
-    /// Of the thread that plays: on the clock, and on a processor.
-    thread: (Instant, Option<Duration>),
-}
-
-/// The cost of one process a second.
-struct Cost {
-    at: SocketAddr,
-    bytes: f64,
-    messages: f64,
-    cpu_percent: f64,
-}
+    fn moment(&self) -> Moment {
+        let each = |(at, member): (SocketAddr, &Member)| (at, self.network.traffic(at), member.spent);
+        Moment::of(self.network.processes().map(each))
+    }
 
-impl Window {
-    fn of(network: &Network<Member>) -> Window {
-        Window {
-            traffic: network.processes().map(|(at, _)| (at, network.traffic(at))).collect(),
-            spent: network.processes().map(|(at, member)| (at, member.spent)).collect(),
-            thread: (Instant::now(), system::thread_time()),
+    /// Plays the measured seconds, with faults and news; when each piece of news was told, by the worker that it is of.
+    fn measure(&mut self) -> BTreeMap<u64, Time> {
+        let (base, mut told) = (self.now(), BTreeMap::new());
+        let end = base + Span::millis(self.plan.seconds * 1_000);
+        let step = (self.plan.changes > 0.0).then(|| Span((1e9 / self.plan.changes) as u64));
+        let mut next = step.map(|step| base + Span(step.0 / 2));
+        let mut faults = Faults::new(self.plan.seed, self.plan.faults, base);
+        while self.now() < end {
+            let until = next.into_iter().chain(faults.due()).chain([end]).min().unwrap_or(end).min(end);
+            self.network.run_until(until);
+            faults.happen(self, self.plan.members());
+            if next.is_some_and(|at| at <= until) {
+                self.tell(told.len() as u64 + 1, &mut told);
+                next = step.map(|step| until + step);
+            }
         }
+        faults.heal(self);
+        told
     }
 
-    /// Of processes that ran all the time, each one's costs since then.
-    fn since(&self, from: &Window, seconds: f64) -> Vec<Cost> {
-        let wall = (self.thread.0 - from.thread.0).as_secs_f64();
-        let on = self.thread.1.zip(from.thread.1).map(|(to, from)| (to - from).as_secs_f64());
-        // On a busy machine the thread waits for its processor, within calls as without.
-        let part = on.map_or(1.0, |on| (on / wall.max(1e-9)).min(1.0));
-        let cost = |(at, traffic): (&SocketAddr, &Traffic)| {
-            let before = from.traffic.get(at)?;
-            let spent = self.spent.get(at)?.checked_sub(*from.spent.get(at)?)?;
-            let bytes = traffic.bytes_sent + traffic.bytes_received;
-            let messages = traffic.datagrams_sent + traffic.datagrams_received;
-            let bytes = bytes.checked_sub(before.bytes_sent + before.bytes_received)?;
-            let messages = messages.checked_sub(before.datagrams_sent + before.datagrams_received)?;
-            let cpu_percent = spent.as_secs_f64() * part * 100.0 / seconds;
-            Some(Cost {
-                at: *at,
-                bytes: bytes as f64 / seconds,
-                messages: messages as f64 / seconds,
-                cpu_percent,
-            })
-        };
-        self.traffic.iter().filter_map(cost).collect()
+    /// One member has news of a worker.
+    fn tell(&mut self, worker: u64, told: &mut BTreeMap<u64, Time>) {
+        told.insert(worker, self.now());
+        self.network.act(place(worker as usize % self.plan.members()), |member, now| {
+            member.handle(now, Event::Seen(Subject::Worker(worker), Word::Answers(true)))
+        });
+    }
+
+    fn rows(&self, costs: &[Cost], told: &BTreeMap<u64, Time>, memory: f64) -> Vec<Row> {
+        let plan = self.plan;
+        let mut rows = Rows::new(plan, "hollow", Setup::Members);
+        let like = rows.like();
+        (like.hollow, like.changes_per_second, like.faults_per_second) =
+            (plan.members(), plan.changes, plan.faults);
+        let (file_bytes, file_seconds) = whole_file(plan);
+        let (file, reading) = (plan.changes * file_bytes, plan.changes * file_seconds * 100.0);
+        for role in ["scheduler", "elector"] {
+            let of_role = |at: SocketAddr| (index_of(at) < ELECTORS) == (role == "elector");
+            let of: Vec<Cost> = costs.iter().filter(|cost| of_role(cost.at)).copied().collect();
+            let with_file = |cost: &Cost| Cost {
+                bytes: cost.bytes + file,
+                cpu_percent: cost.cpu_percent + reading,
+                ..*cost
+            };
+            costs::add(&mut rows, role, &of.iter().map(with_file).collect::<Vec<_>>());
+            rows.add(
+                role,
+                "fleet_bytes_per_second",
+                "B/s",
+                mean_and_most(of.iter().map(|cost| cost.bytes)).0,
+            );
+            let cpu = mean_and_most(of.iter().map(|cost| cost.cpu_percent)).0;
+            rows.add(role, "fleet_cpu_percent_of_core", "%", cpu);
+            rows.add(role, "configuration_bytes_per_second", "B/s", file);
+            rows.add(role, "configuration_cpu_percent_of_core", "%", reading);
+            rows.add(role, "resident_mb", "MB", memory / 1e6);
+            let members = self.network.processes().filter(|(at, _)| of_role(*at)).map(|(_, member)| member);
+            let starts = members.filter_map(|member| Some((member.knew_all? - member.started).secs()));
+            rows.add(role, "start_seconds", "s", mean_and_most(starts).0);
+        }
+        rows.add("scheduler", "configuration_bytes", "B", file_bytes);
+        rows.add("scheduler", "configuration_seconds", "s", file_seconds);
+        let heard = self.network.processes().flat_map(|(_, member)| member.news.iter());
+        let reached = heard.filter_map(|(worker, at)| Some((*at - *told.get(worker)?).secs()));
+        rows.add_seconds("scheduler", "gossip_seconds_to_all", &mut reached.collect::<Vec<_>>());
+        rows.rows
     }
 }
 
@@ -285,48 +346,3 @@
     times.sort_by(f64::total_cmp);
     (text.len() as f64, quantile(&times, 0.5).unwrap_or(0.0))
 }
-
-fn rows(
-    plan: &Plan,
-    network: &Network<Member>,
-    window: &[Cost],
-    told: &BTreeMap<u64, Time>,
-    memory: f64,
-) -> Vec<Row> {
-    let mut rows = Rows::new(plan, "hollow", Setup::Members);
-    let like = rows.like();
-    (like.hollow, like.changes_per_second, like.faults_per_second) =
-        (plan.members(), plan.changes, plan.faults);
-    let (file_bytes, file_seconds) = whole_file(plan);
-    for role in ["scheduler", "elector"] {
-        let of_role = |at: SocketAddr| (index_of(at) < ELECTORS) == (role == "elector");
-        let costs: Vec<&Cost> = window.iter().filter(|cost| of_role(cost.at)).collect();
-        let (bytes, most) = mean_and_most(costs.iter().map(|cost| cost.bytes));
-        let (messages, _) = mean_and_most(costs.iter().map(|cost| cost.messages));
-        let (cpu, _) = mean_and_most(costs.iter().map(|cost| cost.cpu_percent));
-        let (file, reading) = (plan.changes * file_bytes, plan.changes * file_seconds * 100.0);
-        rows.add(role, "fleet_bytes_per_second", "B/s", bytes);
-        rows.add(role, "configuration_bytes_per_second", "B/s", file);
-        rows.add(role, "control_bytes_per_second", "B/s", bytes + file);
-        rows.add(role, "control_bytes_per_second_max", "B/s", most + file);
-        rows.add(role, "messages_per_second", "1/s", messages);
-        rows.add(role, "fleet_cpu_percent_of_core", "%", cpu);
-        rows.add(role, "configuration_cpu_percent_of_core", "%", reading);
-        rows.add(role, "cpu_percent_of_core", "%", cpu + reading);
-        rows.add(role, "resident_mb", "MB", memory / 1e6);
-        let first =
-            network.processes().filter(|(at, member)| of_role(*at) && member.machine.members().count() > 0);
-        let starts = first.filter_map(|(_, member)| Some((member.knew_all? - member.started).secs()));
-        rows.add(role, "start_seconds", "s", mean_and_most(starts).0);
-    }
-    rows.add("scheduler", "configuration_bytes", "B", file_bytes);
-    rows.add("scheduler", "configuration_seconds", "s", file_seconds);
-    let members = network.processes().map(|(_, member)| member);
-    let reached = |member: &Member| -> Vec<f64> {
-        let heard = member.news.iter().filter_map(|(worker, at)| Some((*at - *told.get(worker)?).secs()));
-        heard.collect()
-    };
-    let mut seconds: Vec<f64> = members.flat_map(reached).collect();
-    rows.add_seconds("scheduler", "gossip_seconds_to_all", &mut seconds);
-    rows.rows
-}
--- a/lab/src/scale/module.rs
+++ b/lab/src/scale/module.rs
@@ -16,6 +16,14 @@
 /// Or of as many as keep so much by the design that has a whole order for each.
 const ENOUGH: usize = 200 << 20;
 
+/// Time between two looks of the module at all workers.
+const WALK: Span = Span::millis(200);
+/// So many of them: a function must be called often for three rankings until copies are held.
+const GOLD_WALKS: usize = 40;
+/// Memory of a copy that is too large to be held at all workers, and of one that is not.
+const LARGE_MB: f64 = 1_024.0;
+const SMALL_MB: f64 = 64.0;
+
 /// Plays it.
 pub fn play(plan: &Plan) -> Vec<Row> {
     let functions = functions(plan);
@@ -26,10 +34,12 @@
     player.pass(Span::millis(3_000));
     let before = system::resident(std::process::id()).unwrap_or(0);
     let step = Span(WITHIN.0 / functions as u64);
-    let mut first: Vec<f64> = (0..functions).map(|n| player.call(n as u64, step)).collect();
+    let mut first: Vec<f64> = (0..functions).map(|n| player.call(n as u64, step, LARGE_MB)).collect();
     let kept = system::growth_each(before, functions);
-    let mut further: Vec<f64> = (0..functions).map(|n| player.call(n as u64, Span(step.0 / 4))).collect();
-    let mut walks: Vec<f64> = (0..20).map(|_| player.pass(Span::millis(200))).collect();
+    let mut further: Vec<f64> =
+        (0..functions).map(|n| player.call(n as u64, Span(step.0 / 4), LARGE_MB)).collect();
+    let mut walks: Vec<f64> = (0..20).map(|_| player.pass(WALK)).collect();
+    let gold = player.gold_walk();
     for times in [&mut first, &mut further, &mut walks] {
         times.sort_by(f64::total_cmp);
     }
@@ -40,6 +50,7 @@
     rows.add("scheduler", "further_call_us_p99", "us", quantile(&further, 0.99).unwrap_or(0.0) * 1e6);
     rows.add("scheduler", "kept_bytes_per_function", "B", kept);
     rows.add("scheduler", "walk_ms", "ms", quantile(&walks, 0.5).unwrap_or(0.0) * 1e3);
+    rows.add("scheduler", "gold_walk_ms", "ms", gold * 1e3);
     rows.rows
 }
 
@@ -84,13 +95,29 @@
         took
     }
 
+    /// The longest that one look at all workers takes while one function is called so often that a copy is held at all of
+    /// them, in the time in which the first copies are ordered. No worker answers.
+    fn gold_walk(&mut self) -> f64 {
+        let usual = (0..5).map(|_| self.pass(WALK)).fold(0.0, f64::max);
+        let mut longest = 0.0f64;
+        for _ in 0..GOLD_WALKS {
+            self.call(u64::MAX, Span(0), SMALL_MB);
+            longest = longest.max(self.pass(WALK));
+            // One such walk may take as long as a run.
+            if longest > usual * 10.0 && longest > 1.0 {
+                break;
+            }
+        }
+        longest
+    }
+
     fn drain(&mut self) {
         while self.core.next_command().is_some() {}
     }
 
     /// One call of a function, after a pause; how many seconds it took. Its client leaves at once, so that no answer of
     /// a worker is needed and calls do not add up.
-    fn call(&mut self, function: u64, pause: Span) -> f64 {
+    fn call(&mut self, function: u64, pause: Span, memory_mb: f64) -> f64 {
         self.pass(pause);
         self.calls += 1;
         let owner = Owner { connection: 1, stream: self.calls };
@@ -100,7 +127,7 @@
             class: "practice-check".to_owned(),
             function: FunctionId(function.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1),
             key: None,
-            memory_mb: 512.0,
+            memory_mb,
             lanes: 2.0,
             load_time: None,
             deadline: self.now + Span::millis(2_000),
--- a/lab/src/scale/plan.rs
+++ b/lab/src/scale/plan.rs
@@ -1,6 +1,6 @@
 //! What is played: sizes, their bounds, and the parts of a run.
 
-use super::{Row, members, module, real, real_fleet, system};
+use super::{Row, distribution, members, module, real, real_fleet, system};
 use clap::ValueEnum;
 use serde::{Deserialize, Serialize};
 use std::path::PathBuf;
@@ -31,6 +31,9 @@
 /// Memory that one hollow process takes at most: for each member that it knows, and besides.
 const HOLLOW_BYTES: (usize, usize) = (600, 64 << 10);
 
+/// Memory of one record at one hollow process of a domain at most.
+const RECORD_BYTES: usize = 600;
+
 /// How schedulers are set up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, ValueEnum)]
 #[serde(rename_all = "kebab-case")]
@@ -39,6 +42,8 @@
     Alone,
     /// Each is a member of one fleet.
     Members,
+    /// Each is a subscriber of a distribution domain.
+    Distribution,
 }
 
 impl Setup {
@@ -47,6 +52,7 @@
         match self {
             Setup::Alone => "alone",
             Setup::Members => "members",
+            Setup::Distribution => "distribution",
         }
     }
 }
@@ -58,6 +64,8 @@
     Module,
     /// Hollow members of a fleet.
     HollowMembers,
+    /// Hollow processes of a distribution domain.
+    HollowDistribution,
     /// Real schedulers, each on its own.
     RealAlone,
     /// Real members of a fleet.
@@ -66,21 +74,29 @@
 
 impl Part {
     /// All there are, in the order in which they are played.
-    pub const ALL: [Part; 4] = [Part::Module, Part::HollowMembers, Part::RealAlone, Part::RealMembers];
+    pub const ALL: [Part; 5] =
+        [Part::Module, Part::HollowMembers, Part::HollowDistribution, Part::RealAlone, Part::RealMembers];
 
     /// How schedulers are set up in it.
     pub fn setup(self) -> Setup {
         match self {
             Part::Module | Part::RealAlone => Setup::Alone,
             Part::HollowMembers | Part::RealMembers => Setup::Members,
+            Part::HollowDistribution => Setup::Distribution,
         }
     }
 
+    /// Whether it is played with real schedulers.
+    pub fn is_real(self) -> bool {
+        matches!(self, Part::RealAlone | Part::RealMembers)
+    }
+
     /// Plays it in this process.
     pub fn play(self, plan: &Plan) -> Result<Vec<Row>, String> {
         match self {
             Part::Module => Ok(module::play(plan)),
             Part::HollowMembers => members::play(plan),
+            Part::HollowDistribution => distribution::play(plan),
             Part::RealAlone => real::play(plan),
             Part::RealMembers => real_fleet::play(plan),
         }
@@ -137,7 +153,7 @@
     pub fn parts(&self) -> Vec<Part> {
         let possible = |part: &Part| match part {
             Part::Module => self.functions > 0,
-            Part::HollowMembers => self.hollow > 0,
+            Part::HollowMembers | Part::HollowDistribution => self.hollow > 0,
             Part::RealAlone => self.real > 0,
             // Three electors make the least fleet.
             Part::RealMembers => self.real >= 3,
@@ -198,12 +214,21 @@
         Ok(())
     }
 
+    /// A domain of schedulers that hold the records of one zone each, and of control processes that hold all; and the
+    /// same without schedulers, the source and what the audit keeps.
+    fn domain_bytes(&self) -> usize {
+        let control = (distribution::REPLICAS + distribution::RELAYS) * 2 + 4;
+        let records = self.hollow * self.workers.div_ceil(ZONES) + control * self.workers;
+        records * RECORD_BYTES + self.hollow * HOLLOW_BYTES.1
+    }
+
     /// Bytes that the largest part takes at most, by what was measured of each process.
     pub fn memory(&self) -> usize {
         let order = self.workers * self.functions * ORDER_BYTES;
         let each = |part: Part| match part {
             Part::Module => order,
             Part::HollowMembers => self.members() * (HOLLOW_BYTES.0 * self.members() + HOLLOW_BYTES.1),
+            Part::HollowDistribution => self.domain_bytes(),
             Part::RealAlone => {
                 // Functions are called at a few of them.
                 self.real * (self.workers * REAL_BYTES.0 + REAL_BYTES.1) + real::CALLED * order
--- a/lab/src/scale/series.rs
+++ b/lab/src/scale/series.rs
@@ -11,7 +11,9 @@
     points: fn(&Plan) -> Vec<(f64, Plan)>,
 }
 
-/// Sizes along the axes. Members of one fleet can't be more.
+/// Sizes along the axes.
+const SCHEDULERS: [usize; 3] = [500, 2_000, 6_000];
+/// Members of one fleet, which can't be more.
 const MEMBERS: [usize; 3] = [30, 100, 300];
 const WORKERS: [usize; 4] = [1_000, 4_000, 16_000, 46_000];
 const MODULE_WORKERS: [usize; 5] = [120, 1_000, 4_000, 16_000, 46_000];
@@ -26,7 +28,7 @@
     [
         Series {
             name: "schedulers",
-            about: "hollow schedulers, with real ones beside them: 30 to 300 members of one fleet",
+            about: "500 to 6,000 hollow subscribers of a domain and 30 to 300 hollow members of a fleet, beside real ones",
             points: schedulers,
         },
         Series {
@@ -72,9 +74,11 @@
 }
 
 fn schedulers(base: &Plan) -> Vec<(f64, Plan)> {
-    let wanted = of_setup(base, Setup::Members);
-    let base = Plan { functions: 0, wanted, ..base.clone() };
-    MEMBERS.map(|hollow| (hollow as f64, Plan { hollow, ..base.clone() })).to_vec()
+    let of = |setup| Plan { functions: 0, wanted: of_setup(base, setup), ..base.clone() };
+    let (members, domain) = (of(Setup::Members), of(Setup::Distribution));
+    let members = MEMBERS.map(|hollow| (hollow as f64, Plan { hollow, ..members.clone() }));
+    let domain = SCHEDULERS.map(|hollow| (hollow as f64, Plan { hollow, ..domain.clone() }));
+    members.into_iter().chain(domain).filter(|(_, plan)| !plan.wanted.is_empty()).collect()
 }
 
 fn workers(base: &Plan) -> Vec<(f64, Plan)> {
