--- /dev/null
+++ b/lab/src/capacity/codec.rs
@@ -0,0 +1,104 @@
+//! Sizes on the wire, asked of the shipped codec with records like those of the target fleet.
+
+use mintgate::ZoneId;
+use mintgate::fleet::distribution::{
+    self, Change, Interest, Key, Message, Page, Report, Topic, Value, Version, WorkerRecord,
+};
+use mintgate::fleet::news::{Item, Subject, Word};
+use mintgate::fleet::overload::Demand;
+use mintgate::fleet::{Process, message};
+use std::net::{Ipv4Addr, SocketAddr};
+
+/// A sequence as it stands after a year of changes.
+const LATE: u64 = 50_000_000;
+/// A fence: milliseconds of Unix time at its start.
+const FENCE: u64 = 1_796_165_888_725;
+
+fn process() -> Process {
+    Process { index: 17_999, incarnation: u64::MAX / 3 }
+}
+
+fn bytes(message: Message) -> f64 {
+    distribution::datagram(FENCE, process(), &[message]).len() as f64
+}
+
+fn page(changes: Vec<Change>) -> Message {
+    let head = Version { fence: FENCE, sequence: LATE };
+    let after = LATE - changes.len() as u64;
+    let (digest, since, publishes, age_ms) = (u64::MAX / 5, LATE - 10_000, 0, 250);
+    Message::Page(Page { start: after, after, upto: LATE, head, since, digest, publishes, age_ms, changes })
+}
+
+fn worker(id: u64) -> Change {
+    let address = SocketAddr::from((Ipv4Addr::new(10, 200, 30, 40), 9_000));
+    let (zone, cell) = (17, 200);
+    let record = WorkerRecord {
+        address,
+        zone,
+        cell,
+        kind: 1,
+        draining: false,
+        weight_milli: 1_000,
+        started_ms: FENCE,
+    };
+    Change {
+        topic: Topic::workers_of(ZoneId(zone)),
+        key: Key::Worker(id),
+        value: Some(Value::Worker(record)),
+    }
+}
+
+fn class(name: u64, length: f64) -> Change {
+    let text = "x".repeat(length as usize);
+    Change {
+        topic: Topic::SETTINGS,
+        key: Key::Class(format!("class-{name:06}")),
+        value: Some(Value::Class(text)),
+    }
+}
+
+/// What one change more takes in a page.
+fn each(change: impl Fn(u64) -> Change) -> f64 {
+    bytes(page((0..2).map(|n| change(40_000 + n)).collect())) - bytes(page(vec![change(40_000)]))
+}
+
+/// A worker's record.
+pub fn worker_bytes() -> f64 {
+    each(worker)
+}
+
+/// The record of a class whose text is so long.
+pub fn class_bytes(length: f64) -> f64 {
+    each(|n| class(n, length))
+}
+
+/// A page without changes.
+pub fn empty_page_bytes() -> f64 {
+    bytes(page(vec![]))
+}
+
+/// A child's heartbeat.
+pub fn report_bytes() -> f64 {
+    let version = Version { fence: FENCE, sequence: LATE };
+    bytes(Message::Report(Report { interest: Interest::All, version, digest: u64::MAX / 5, staged: None }))
+}
+
+/// So many bytes of changes in full pages, heads included.
+pub fn paged(bytes: f64) -> f64 {
+    bytes * (1.0 + empty_page_bytes() / distribution::PAGE_BYTES as f64)
+}
+
+/// A scheduler's word to the overload controller of what has come to it.
+pub fn demand_bytes() -> f64 {
+    let demand = Demand { offered: [100, 11, 0, 0], served: 110, open: 22 };
+    let item = Item { subject: Subject::Process(17_999), word: Word::Demand(demand), age_ms: 0 };
+    let datagram = message::Datagram {
+        from: process(),
+        leases: vec![],
+        swim: vec![],
+        who: None,
+        news: vec![item],
+        distribution: vec![],
+    };
+    message::write(FENCE, &datagram).len() as f64
+}
--- /dev/null
+++ b/lab/src/capacity/roles.rs
@@ -0,0 +1,281 @@
+//! What each role holds, says and spends on the median day, against its budget.
+
+use super::codec;
+use super::estimate::{Estimate, count, show};
+use super::grid::Grid;
+use super::model::Model;
+
+/// Sizes that follow from targets and assumptions.
+pub fn sizes(model: &Model) -> String {
+    let mut grid = Grid::new(&[
+        "of the",
+        "schedulers",
+        "workers",
+        "functions",
+        "calls a second",
+        "changes a second heard",
+    ]);
+    let (regions, zones) = (model.target("regions"), model.assumed("zones_in_all"));
+    let restarts = model.worker_restarts() * model.assumed("changes_a_restart");
+    let settings = model.settings_changes();
+    let of = |what: &str, schedulers: f64, workers: f64, functions: f64, calls: f64, changes: f64| {
+        [what.to_owned(), count(schedulers), count(workers), count(functions), count(calls), show(changes)]
+    };
+    let calls = model.target("calls_a_second");
+    let (all, workers) = (model.target("schedulers"), model.workers());
+    let region_changes = settings + restarts / regions;
+    grid.push(&of("whole fleet", all, workers, model.target("functions"), calls, settings + restarts));
+    let functions = model.functions_of_region();
+    grid.push(&of("region", all / regions, workers / regions, functions, calls / regions, region_changes));
+    grid.push(&of("zone", all / zones, workers / zones, functions, calls / zones, region_changes));
+    grid.push(&of(
+        "scheduler",
+        1.0,
+        workers / regions,
+        functions,
+        model.calls_of_scheduler(),
+        region_changes,
+    ));
+    grid.text()
+}
+
+/// Which fleets and domains a scheduler belongs to, and their sizes against what the program bears.
+pub fn places(model: &Model) -> String {
+    let mut grid = Grid::new(&["of which it is a part", "how large", "bound in the program", "holds"]);
+    let mut row = |what: &str, large: f64, bound: &str| {
+        let most = model.target(bound);
+        grid.push(&[
+            what.to_owned(),
+            count(large),
+            format!("{} (`{bound}`)", count(most)),
+            Estimate::from(large).against(most),
+        ]);
+    };
+    let all = model.target("schedulers");
+    row("one fleet of members over all regions (rejected)", all, "members_bound");
+    row("a fleet of members for each region", model.schedulers_of_region(), "members_bound");
+    row(
+        "subjects of gossip in such a fleet: its members, and workers that are silent (a zone's at the worst)",
+        model.schedulers_of_region() + model.workers_of_zone(),
+        "gossip_bound",
+    );
+    row(
+        "children of a control process, the other one of its zone pair gone",
+        model.children_alone(),
+        "children_bound",
+    );
+    row(
+        "children of one control process, were there one domain with one process (rejected)",
+        all,
+        "children_bound",
+    );
+    grid.text()
+}
+
+/// A row of the roles' table.
+struct Line<'a> {
+    role: &'a str,
+    what: &'a str,
+    value: Estimate,
+    unit: &'a str,
+    budget: f64,
+}
+
+fn lines(of: Vec<Line>) -> String {
+    let mut grid = Grid::new(&["role", "what", "at the target size", "budget", "holds", "from"]);
+    for line in of {
+        let has = line.budget.is_finite();
+        let budget = if has { Estimate::from(line.budget).show(line.unit) } else { "none named".to_owned() };
+        let holds = if has { line.value.against(line.budget) } else { String::new() };
+        grid.push(&[
+            line.role.to_owned(),
+            line.what.to_owned(),
+            line.value.show(line.unit),
+            budget,
+            holds,
+            line.value.basis.name().to_owned(),
+        ]);
+    }
+    grid.text()
+}
+
+/// Bytes that a scheduler sends and receives a second on the median day: two domains and its fleet of members.
+pub fn scheduler_bytes(model: &Model) -> Estimate {
+    // The measured domain carries all changes; the other one is idle beside it.
+    let domain = model.measured("bytes", model.target("schedulers"));
+    domain + idle_domain() + model.measured("members_bytes", model.schedulers_of_region())
+}
+
+/// Heartbeats of a domain with nothing to tell, both ways.
+pub fn idle_domain() -> f64 {
+    HEARTBEATS * (codec::report_bytes() + codec::empty_page_bytes())
+}
+
+/// A child's heartbeats a second.
+pub const HEARTBEATS: f64 = 2.0;
+
+/// Bytes of a scheduler's own copy of what it follows, as they come over the wire.
+pub fn state_bytes(model: &Model) -> f64 {
+    let settings = model.assumed("settings_records") * codec::class_bytes(model.assumed("class_bytes"));
+    codec::paged(model.workers_of_region() * codec::worker_bytes() + settings)
+}
+
+/// Bytes a second at whoever holds the overload controller's lease in a fleet of one region.
+pub fn controller_bytes(model: &Model) -> f64 {
+    let told = model.schedulers_of_region() * DEMANDS * codec::demand_bytes();
+    told + model.schedulers_of_region().min(model.target("told_at_once")) * DEMANDS * codec::demand_bytes()
+}
+
+/// Words of demand a second from each member.
+const DEMANDS: f64 = 4.0;
+
+/// The scheduler's table.
+pub fn scheduler(model: &Model) -> String {
+    let (all, workers, region) = (model.target("schedulers"), model.workers(), model.workers_of_region());
+    let memory = model.target("control_memory_mb");
+    let cpu = model.target("control_cpu_percent");
+    let functions = model.measured("function_bytes", workers) * model.functions_in_window() / 1e6;
+    let line = |what, value, unit, budget| Line { role: "scheduler", what, value, unit, budget };
+    let bytes = scheduler_bytes(model);
+    lines(vec![
+        line("state: list of its region and settings, on the wire", state_bytes(model).into(), "B", f64::NAN),
+        line("bytes a second: two domains, one fleet of members", bytes, "B/s", model.byte_budget()),
+        line("messages a second of distribution", model.measured("messages", all), "1/s", f64::NAN),
+        line("processor, no calls, list of its region", model.measured("cpu", region), "%", cpu),
+        line("processor, no calls, list of the whole fleet", model.measured("cpu", workers), "%", cpu),
+        line(
+            "processor with the mean rate of changes, list of the whole fleet",
+            model.measured("cpu_changes", workers),
+            "%",
+            cpu,
+        ),
+        line(
+            "processor of membership, leases and gossip",
+            model.measured("members_cpu", model.schedulers_of_region()),
+            "%",
+            cpu,
+        ),
+        line("memory, list of its region", model.measured("memory_mb", region), "MB", memory),
+        line("memory, list of the whole fleet", model.measured("memory_mb", workers), "MB", memory),
+        line("memory of functions in the module's window, beside it", functions, "MB", memory),
+        line(
+            "memory of membership",
+            model.measured("members_memory_mb", model.schedulers_of_region()),
+            "MB",
+            memory,
+        ),
+        line(
+            "first call of a function",
+            model.measured("first_call_ms", workers),
+            "ms",
+            model.target("first_call_ms"),
+        ),
+        line(
+            "start until it serves, list of the whole fleet",
+            model.measured("start", workers),
+            "s",
+            f64::NAN,
+        ),
+        line(
+            "longest standstill of the serving thread",
+            model.measured("still_ms", workers),
+            "ms",
+            model.target("still_ms"),
+        ),
+        line("a change in force, median", model.measured("in_force_median", all), "s", f64::NAN),
+        line(
+            "a change in force, 99 in 100",
+            model.measured("in_force_p99", all),
+            "s",
+            model.target("in_force_p99_seconds"),
+        ),
+        line(
+            "a change in force, last",
+            model.measured("in_force_last", all),
+            "s",
+            model.target("in_force_seconds"),
+        ),
+        line(
+            "one scheduler more: the one that holds the overload controller, bytes a second",
+            controller_bytes(model).into(),
+            "B/s",
+            model.byte_budget(),
+        ),
+    ])
+}
+
+/// The control machines' and the plug-in's table.
+pub fn control(model: &Model) -> String {
+    let (children, alone) = (model.children(), model.children_alone());
+    let (bandwidth, core) =
+        (model.assumed("control_machine_bytes"), model.assumed("control_machine_cpu_percent"));
+    let memory = model.assumed("control_machine_mb");
+    let mut all = vec![];
+    for (role, prefix) in [("relay", "relay"), ("replica, publisher", "replica")] {
+        let at = |quantity: &str, children: f64| model.measured(&format!("{prefix}_{quantity}"), children);
+        let mut push = |what, value, unit, budget| all.push(Line { role, what, value, unit, budget });
+        push("bytes a second, both of a region up", at("bytes", children), "B/s", bandwidth);
+        push("bytes a second, alone", at("bytes", alone), "B/s", bandwidth);
+        push("messages a second, alone", at("messages", alone), "1/s", f64::NAN);
+        push("processor, alone", at("cpu", alone), "%", core);
+        push("memory, alone", at("memory_mb", alone), "MB", memory);
+    }
+    let members = model.schedulers_of_region();
+    let elector = |what, name: &str, unit, budget| Line {
+        role: "elector",
+        what,
+        value: model.measured(name, members),
+        unit,
+        budget,
+    };
+    all.push(elector("bytes a second", "elector_bytes", "B/s", bandwidth));
+    all.push(elector("messages a second", "elector_messages", "1/s", f64::NAN));
+    all.push(elector("processor", "elector_cpu", "%", core));
+    let workers = model.workers();
+    let plug_in = |what, value, unit, budget| Line { role: "plug-in", what, value, unit, budget };
+    let functions = model.measured("function_bytes", workers) * model.functions_in_window() / 1e6;
+    all.push(plug_in(
+        "memory of functions, calls as a scheduler's",
+        functions,
+        "MB",
+        model.target("control_memory_mb"),
+    ));
+    all.push(plug_in(
+        "first call of a function",
+        model.measured("first_call_ms", workers),
+        "ms",
+        model.target("first_call_ms"),
+    ));
+    let walk = model.measured("walk_ms", workers) * WALKS / 10.0;
+    all.push(plug_in(
+        "processor of the module alone, no calls",
+        walk,
+        "%",
+        model.target("control_cpu_percent"),
+    ));
+    lines(all)
+}
+
+/// Times a second that the module looks at its holds (`walk_ms` is of one of them), in calls of 200 ms.
+const WALKS: f64 = 5.0;
+
+/// Which control process stands on which machine.
+pub fn machines(model: &Model) -> String {
+    let (regions, each) = (model.target("regions"), model.assumed("control_machines_a_region"));
+    let (global, all) = (model.assumed("global_replicas"), model.target("control_machines"));
+    let mut grid = Grid::new(&["machines", "how many", "what runs there"]);
+    let mut row =
+        |what: &str, many: f64, runs: &str| grid.push(&[what.to_owned(), count(many), runs.to_owned()]);
+    row(
+        "in each region, one in each of its zones as far as they go",
+        regions * each,
+        "a replica of the region's domain, a relay of the global one, an elector of the region's fleet; serves the region's schedulers",
+    );
+    row(
+        "in as many regions, one each",
+        global,
+        "a replica of the global domain; and the third replica and elector of two other regions",
+    );
+    row("spare", all - regions * each - global, "takes the place of one that fails, by the operator");
+    grid.text()
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,5 +1,6 @@
 //! The laboratory: plays what the scheduler decides, in virtual time and with real processes, and reports.
 
+pub mod capacity;
 pub mod chains;
 mod fleet;
 pub mod network;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! The laboratory: plays what the scheduler decides, in virtual time and with real processes, and reports.
 
 use clap::{Parser, Subcommand};
+use lab::capacity;
 use lab::chains;
 use lab::processes::{self, Plan};
 use lab::rig::scenario::{self, Scenario};
@@ -49,6 +50,15 @@
         #[arg(long)]
         list: bool,
     },
+    /// Writes the tables of `docs/CAPACITY.md` from targets, assumptions and recorded runs.
+    Capacity {
+        /// Writes nothing, and fails where page and data differ.
+        #[arg(long)]
+        check: bool,
+        /// The repository.
+        #[arg(long, value_name = "FOLDER", default_value = ".")]
+        root: PathBuf,
+    },
     /// Chains under one deadline, against the same steps as separate calls and against estimates without loads.
     Chains {
         /// Chains to play at each load.
@@ -104,6 +114,7 @@
             let plan = Plan { processes, electors, faults, length, calm, drift, ..Plan::default() };
             return processes::report(&plan, seed..seed + seeds);
         }
+        What::Capacity { check, root } => capacity::run(&root, check).map(|()| true),
         What::Chains { chains, seed, rates } => {
             print!("{}", chains::report(chains, seed, &rates));
             Ok(true)
