Show what carries each row of the capacity page, and a control machine as a whole

Rows told what is over its budget but not which mechanism is to carry it; a control machine's three processes stood apart.

--- a/lab/src/capacity/data.rs
+++ b/lab/src/capacity/data.rs
@@ -55,6 +55,9 @@
     /// What other fields must be.
     #[serde(default, rename = "where")]
     pub filter: BTreeMap<String, toml::Value>,
+    /// What other fields must be more than.
+    #[serde(default)]
+    pub above: BTreeMap<String, f64>,
 }
 
 /// A run of `lab scale` as it was recorded.
@@ -189,6 +192,7 @@
             is(row, "role", &measure.role)
                 && is(row, "quantity", &measure.quantity)
                 && measure.filter.iter().all(|(field, wanted)| equals(field_of(row, field), wanted))
+                && measure.above.iter().all(|(field, least)| above(field_of(row, field), *least))
         };
         let rows: Vec<&Json> = run.rows.iter().filter(fits).collect();
         match rows.is_empty() {
@@ -223,6 +227,10 @@
     value.as_f64().filter(|value| value.is_finite())
 }
 
+fn above(value: Option<&Json>, least: f64) -> bool {
+    value.and_then(number).is_some_and(|value| value > least)
+}
+
 fn equals(value: Option<&Json>, wanted: &toml::Value) -> bool {
     let Some(value) = value else { return false };
     match wanted {
--- a/lab/src/capacity/mechanisms.rs
+++ b/lab/src/capacity/mechanisms.rs
@@ -18,7 +18,8 @@
 
 impl Candidate {
     fn factor(&self) -> f64 {
-        (self.before / self.budget).value
+        // What was not measured comes last.
+        Some((self.before / self.budget).value).filter(|factor| factor.is_finite()).unwrap_or(-1.0)
     }
 }
 
--- a/lab/src/capacity/moments.rs
+++ b/lab/src/capacity/moments.rs
@@ -106,14 +106,20 @@
         "holds",
         "processor over the window",
         "holds",
+        "memory meanwhile",
+        "holds",
         "carried by",
     ]);
     let each = model.growth("cpu_by_changes") / 100.0;
     let idle = roles::scheduler_bytes(model);
     let resting = model.measured("cpu", model.workers_of_region());
+    let held = model.measured("memory_mb", model.workers_of_region());
+    let staged = model.growth("memory_mb");
     for moment in moments(model) {
         let mean = idle + moment.bytes / window;
         let cpu = resting + each * moment.records / window * 100.0;
+        // What comes stands beside what is in force until it is whole.
+        let memory = held + staged * moment.records;
         grid.push(&[
             moment.name.to_owned(),
             show(moment.records),
@@ -122,6 +128,8 @@
             mean.against(model.byte_budget()),
             cpu.show("%"),
             cpu.against(model.target("control_cpu_percent")),
+            memory.show("MB"),
+            memory.against(model.target("control_memory_mb")),
             moment.carries.to_owned(),
         ]);
     }
--- a/lab/src/capacity/questions.rs
+++ b/lab/src/capacity/questions.rs
@@ -14,6 +14,8 @@
     let once = Estimate::from(instances * record);
     let life = model.assumed("keep_alive_seconds");
     let turnover = Estimate::from(2.0 * cold_bound(model) * record);
+    let told = model.workers_of_zone() * model.assumed("instances_a_worker") * record;
+    let gone = Estimate::from(told / model.target("in_force_seconds"));
     let load = Estimate::from(instances * model.assumed("instance_load_bytes"));
     let list = Estimate::from(codec::paged(model.workers_of_region() * codec::worker_bytes()));
     let changes = Estimate::from(model.list_changes() * codec::worker_bytes());
@@ -34,6 +36,7 @@
             turnover.show("B/s"),
             turnover.against(budget),
         ))
+        .row(line("the instances of a zone that is gone, in time", gone.show("B/s"), gone.against(budget)))
         .row(line("how busy each instance is, once a second", load.show("B/s"), load.against(budget)))
         .row(line(
             &format!("its region's {} workers, whole, after a restart", count(model.workers_of_region())),
--- a/lab/src/capacity/roles.rs
+++ b/lab/src/capacity/roles.rs
@@ -79,10 +79,12 @@
     value: Estimate,
     unit: &'a str,
     budget: f64,
+    by: &'a str,
 }
 
 fn lines(of: Vec<Line>) -> String {
-    let mut grid = Grid::new(&["role", "what", "at the target size", "budget", "holds", "from"]);
+    let mut grid =
+        Grid::new(&["role", "what", "at the target size", "budget", "holds", "from", "carried by"]);
     for line in of {
         let has = line.budget.is_finite();
         let budget = if has { Estimate::from(line.budget).show(line.unit) } else { "none named".to_owned() };
@@ -94,6 +96,7 @@
             budget,
             holds,
             line.value.basis.name().to_owned(),
+            line.by.to_owned(),
         ]);
     }
     grid.text()
@@ -134,74 +137,62 @@
     let (all, workers, region) = (model.target("schedulers"), model.workers(), model.workers_of_region());
     let memory = model.target("control_memory_mb");
     let cpu = model.target("control_cpu_percent");
+    let bytes = model.byte_budget();
     let functions = model.measured("function_bytes", workers) * model.functions_in_window() / 1e6;
-    let line = |what, value, unit, budget| Line { role: "scheduler", what, value, unit, budget };
-    let bytes = scheduler_bytes(model);
-    lines(vec![
-        line("state: list of its region and settings, on the wire", state_bytes(model).into(), "B", f64::NAN),
-        line("bytes a second: two domains, one fleet of members", bytes, "B/s", model.byte_budget()),
-        line("messages a second of distribution", model.measured("messages", all), "1/s", f64::NAN),
-        line("processor, no calls, list of its region", model.measured("cpu", region), "%", cpu),
-        line("processor, no calls, list of the whole fleet", model.measured("cpu", workers), "%", cpu),
-        line(
-            "processor with the mean rate of changes, list of the whole fleet",
-            model.measured("cpu_changes", workers),
-            "%",
-            cpu,
-        ),
-        line(
-            "processor of membership, leases and gossip",
-            model.measured("members_cpu", model.schedulers_of_region()),
-            "%",
-            cpu,
-        ),
-        line("memory, list of its region", model.measured("memory_mb", region), "MB", memory),
-        line("memory, list of the whole fleet", model.measured("memory_mb", workers), "MB", memory),
-        line("memory of functions in the module's window, beside it", functions, "MB", memory),
-        line(
-            "memory of membership",
-            model.measured("members_memory_mb", model.schedulers_of_region()),
-            "MB",
-            memory,
-        ),
-        line(
-            "first call of a function",
-            model.measured("first_call_ms", workers),
-            "ms",
-            model.target("first_call_ms"),
-        ),
-        line(
-            "start until it serves, list of the whole fleet",
-            model.measured("start", workers),
-            "s",
-            f64::NAN,
-        ),
-        line(
-            "longest standstill of the serving thread",
-            model.measured("still_ms", workers),
-            "ms",
-            model.target("still_ms"),
-        ),
-        line("a change in force, median", model.measured("in_force_median", all), "s", f64::NAN),
-        line(
-            "a change in force, 99 in 100",
-            model.measured("in_force_p99", all),
-            "s",
-            model.target("in_force_p99_seconds"),
-        ),
-        line(
-            "a change in force, last",
-            model.measured("in_force_last", all),
-            "s",
-            model.target("in_force_seconds"),
-        ),
-        line(
-            "one scheduler more: the one that holds the overload controller, bytes a second",
-            controller_bytes(model).into(),
-            "B/s",
-            model.byte_budget(),
-        ),
-    ])
+    let members = model.schedulers_of_region();
+    let mut of = vec![];
+    let mut push = |by, what, value: Estimate, unit, budget| {
+        of.push(Line { role: "scheduler", what, value, unit, budget, by });
+    };
+    let by = "distribution";
+    push(by, "state: list of its region and settings, on the wire", state_bytes(model).into(), "B", f64::NAN);
+    push(by, "bytes a second: two domains, a fleet of members", scheduler_bytes(model), "B/s", bytes);
+    push(by, "messages a second of one domain", model.measured("messages", all), "1/s", f64::NAN);
+    push(
+        by,
+        "processor, mean rate of changes, list of the fleet",
+        model.measured("cpu_changes", workers),
+        "%",
+        cpu,
+    );
+    push(
+        by,
+        "longest standstill, list of the fleet",
+        model.measured("still_ms", workers),
+        "ms",
+        model.target("still_ms"),
+    );
+    push(by, "a change in force, median", model.measured("in_force_median", all), "s", f64::NAN);
+    let aim = model.target("in_force_p99_seconds");
+    push(by, "a change in force, at 99%", model.measured("in_force_p99", all), "s", aim);
+    push(
+        by,
+        "a change in force, last",
+        model.measured("in_force_last", all),
+        "s",
+        model.target("in_force_seconds"),
+    );
+    let by = "list by regions";
+    push(by, "processor, no calls, list of its region", model.measured("cpu", region), "%", cpu);
+    push(by, "processor, no calls, list of the fleet", model.measured("cpu", workers), "%", cpu);
+    push(by, "memory, list of its region", model.measured("memory_mb", region), "MB", memory);
+    push(by, "memory, list of the fleet", model.measured("memory_mb", workers), "MB", memory);
+    push(by, "start until it serves, list of the fleet", model.measured("start", workers), "s", f64::NAN);
+    let by = "module's order by function";
+    push(by, "memory of functions in the window, beside it", functions, "MB", memory);
+    let first = model.target("first_call_ms");
+    push(by, "first call of a function", model.measured("first_call_ms", workers), "ms", first);
+    let by = "fleet of members by regions";
+    push(by, "processor of membership, leases, gossip", model.measured("members_cpu", members), "%", cpu);
+    push(by, "memory of membership", model.measured("members_memory_mb", members), "MB", memory);
+    push(
+        "none yet",
+        "who holds the overload controller: bytes a second",
+        controller_bytes(model).into(),
+        "B/s",
+        bytes,
+    );
+    lines(of)
 }
 
 /// The control machines' and the plug-in's table.
@@ -213,7 +204,9 @@
     let mut all = vec![];
     for (role, prefix) in [("relay", "relay"), ("replica, publisher", "replica")] {
         let at = |quantity: &str, children: f64| model.measured(&format!("{prefix}_{quantity}"), children);
-        let mut push = |what, value, unit, budget| all.push(Line { role, what, value, unit, budget });
+        let mut push = |what, value, unit, budget| {
+            all.push(Line { role, what, value, unit, budget, by: "distribution" });
+        };
         push("bytes a second, both of a region up", at("bytes", children), "B/s", bandwidth);
         push("bytes a second, alone", at("bytes", alone), "B/s", bandwidth);
         push("messages a second, alone", at("messages", alone), "1/s", f64::NAN);
@@ -221,38 +214,34 @@
         push("memory, alone", at("memory_mb", alone), "MB", memory);
     }
     let members = model.schedulers_of_region();
-    let elector = |what, name: &str, unit, budget| Line {
-        role: "elector",
-        what,
-        value: model.measured(name, members),
-        unit,
-        budget,
-    };
-    all.push(elector("bytes a second", "elector_bytes", "B/s", bandwidth));
-    all.push(elector("messages a second", "elector_messages", "1/s", f64::NAN));
-    all.push(elector("processor", "elector_cpu", "%", core));
+    for (what, name, unit, budget) in [
+        ("bytes a second", "elector_bytes", "B/s", bandwidth),
+        ("messages a second", "elector_messages", "1/s", f64::NAN),
+        ("processor", "elector_cpu", "%", core),
+    ] {
+        let value = model.measured(name, members);
+        all.push(Line { role: "elector", what, value, unit, budget, by: "fleet of members by regions" });
+    }
+    // One machine alone in its region: its region's replica, the global domain's relay, an elector.
+    for (what, name, elector, unit, budget) in [
+        ("bytes a second of all three, alone", "bytes", "elector_bytes", "B/s", bandwidth),
+        ("processor of all three, alone", "cpu", "elector_cpu", "%", core),
+    ] {
+        let both = ["relay", "replica"].map(|role| model.measured(&format!("{role}_{name}"), alone));
+        let value = both[0] + both[1] + model.measured(elector, members);
+        all.push(Line { role: "control machine", what, value, unit, budget, by: "all" });
+    }
     let workers = model.workers();
-    let plug_in = |what, value, unit, budget| Line { role: "plug-in", what, value, unit, budget };
     let functions = model.measured("function_bytes", workers) * model.functions_in_window() / 1e6;
-    all.push(plug_in(
-        "memory of functions, calls as a scheduler's",
-        functions,
-        "MB",
-        model.target("control_memory_mb"),
-    ));
-    all.push(plug_in(
-        "first call of a function",
-        model.measured("first_call_ms", workers),
-        "ms",
-        model.target("first_call_ms"),
-    ));
+    let first = model.target("first_call_ms");
     let walk = model.measured("walk_ms", workers) * WALKS / 10.0;
-    all.push(plug_in(
-        "processor of the module alone, no calls",
-        walk,
-        "%",
-        model.target("control_cpu_percent"),
-    ));
+    for (what, value, unit, budget) in [
+        ("memory of functions, calls as a scheduler's", functions, "MB", model.target("control_memory_mb")),
+        ("first call of a function", model.measured("first_call_ms", workers), "ms", first),
+        ("processor of the module alone, no calls", walk, "%", model.target("control_cpu_percent")),
+    ] {
+        all.push(Line { role: "plug-in", what, value, unit, budget, by: "module's order by function" });
+    }
     lines(all)
 }
 
--- a/lab/src/capacity/sensitivity.rs
+++ b/lab/src/capacity/sensitivity.rs
@@ -18,7 +18,8 @@
     let cold = questions::cold_bound(model) / model.assumed("stores");
     let lanes = questions::lanes_wanted(model, cold).map_or(f64::INFINITY, |lanes| lanes as f64);
     let zone = moments::seconds_paced(model, state, model.schedulers_of_zone());
-    let hearing = model.target("instances") * model.assumed("instance_record_bytes") / model.byte_budget();
+    let record = model.assumed("instance_record_bytes");
+    let hearing = model.target("instances") * record / model.byte_budget();
     let reach =
         if model.assumed("cut_off_regions_count") > 0.0 { model.target("cut_hours") * 3_600.0 } else { 0.0 };
     let zone_part = model.workers_of_zone() / model.workers();
@@ -38,6 +39,11 @@
         ("functions homed at a worker", (model.target("functions") / model.workers()).into(), ""),
         ("functions in a region", model.functions_of_region().into(), ""),
         ("hearing of all instances once", hearing.into(), "s"),
+        (
+            "hearing of rare ones' loads and unloads",
+            (2.0 * questions::cold_bound(model) * record).into(),
+            "B/s",
+        ),
         ("cold starts a second at most", questions::cold_bound(model).into(), ""),
         ("fetches at a time at a store", lanes.into(), ""),
         ("a change in force in a region that is cut off, at the latest", reach.into(), "s"),
