Show what was played at each size, and the two layouts of control machines

The page had no place for seconds to all, returns and starts, and did not say which layout a process can join today.

--- a/lab/src/capacity.rs
+++ b/lab/src/capacity.rs
@@ -12,6 +12,7 @@
 mod model;
 mod moments;
 mod page;
+mod played;
 mod questions;
 mod roles;
 mod sensitivity;
@@ -41,6 +42,7 @@
         ("control", roles::control(&model)),
         ("moments-scheduler", moments::scheduler(&model)),
         ("moments-control", moments::control(&model)),
+        ("played", played::played(&model)),
         ("mechanisms", mechanisms::ranking(&model)),
         ("reach", questions::reach(&model)),
         ("without-control", questions::without_control(&model)),
--- a/lab/src/capacity/data.rs
+++ b/lab/src/capacity/data.rs
@@ -52,6 +52,9 @@
     pub quantity: String,
     /// The field along which it is fitted; without one the rows are averaged.
     pub along: Option<String>,
+    /// By what places on the axis are divided: rows count schedulers where a measure is by the children of one of several.
+    #[serde(default = "one")]
+    pub divide: f64,
     /// What other fields must be.
     #[serde(default, rename = "where")]
     pub filter: BTreeMap<String, toml::Value>,
@@ -105,6 +108,10 @@
     measure: Vec<Measure>,
 }
 
+fn one() -> f64 {
+    1.0
+}
+
 fn text(path: &Path) -> Result<String, String> {
     std::fs::read_to_string(path).map_err(|e| format!("cannot read {}: {e}", path.display()))
 }
@@ -208,7 +215,7 @@
     pub fn fit(&self, measure: &Measure) -> Result<Fit, String> {
         let rows = self.rows(measure)?;
         let place = |row: &Json| match &measure.along {
-            Some(along) => field_of(row, along).and_then(number),
+            Some(along) => field_of(row, along).and_then(number).map(|place| place / measure.divide),
             None => Some(0.0),
         };
         let point = |row: &&Json| Some((place(row)?, row.get("value").and_then(number)?));
--- a/lab/src/capacity/mechanisms.rs
+++ b/lab/src/capacity/mechanisms.rs
@@ -87,6 +87,15 @@
             model.measured("first_call_ms", workers) * model.calls_of_scheduler() / 10.0,
             order,
         ),
+        of(
+            "module's order by function",
+            "standstill for one look at holds, one gold function on its way",
+            "ms",
+            model.target("still_ms"),
+            model.measured("before_gold_walk_ms", workers),
+            model.measured("gold_walk_ms", workers),
+            order,
+        ),
         of(
             "cells: a part of the fleet for each scheduler",
             "idle processor",
--- a/lab/src/capacity/model.rs
+++ b/lab/src/capacity/model.rs
@@ -66,6 +66,12 @@
         }
     }
 
+    /// The points of a measured quantity, where there is one.
+    pub fn points(&self, name: &str) -> Option<&(&'a Measure, Fit)> {
+        self.asked.borrow_mut().insert(name.to_owned());
+        self.fits.get(name)
+    }
+
     /// How much a measured quantity grows for each unit of its axis; missing where it is no line.
     pub fn growth(&self, name: &str) -> Estimate {
         self.asked.borrow_mut().insert(name.to_owned());
--- a/lab/src/capacity/sources.rs
+++ b/lab/src/capacity/sources.rs
@@ -65,7 +65,10 @@
     ]);
     for (name, (measure, fit)) in &model.fits {
         let (first, last) = (fit.points[0], fit.points[fit.points.len() - 1]);
-        let along = measure.along.clone().unwrap_or_default();
+        let mut along = measure.along.clone().unwrap_or_default();
+        if measure.divide != 1.0 {
+            along = format!("{along} / {}", plain(measure.divide));
+        }
         let alone = measure.along.is_none() || fit.points.len() == 1;
         let shape = match fit.shape {
             _ if alone => "one size".to_owned(),
