--- a/lab/src/capacity/codec.rs
+++ b/lab/src/capacity/codec.rs
@@ -26,7 +26,19 @@
     let head = Version { fence: FENCE, sequence: LATE };
     let after = LATE - changes.len() as u64;
     let (digest, since, publishes, age_ms) = (u64::MAX / 5, LATE - 10_000, 0, 250);
-    Message::Page(Page { start: after, after, upto: LATE, head, since, digest, publishes, age_ms, changes })
+    let steps = vec![1; changes.len()];
+    Message::Page(Page {
+        start: after,
+        after,
+        upto: LATE,
+        head,
+        since,
+        digest,
+        publishes,
+        age_ms,
+        changes,
+        steps,
+    })
 }
 
 fn worker(id: u64) -> Change {
--- a/lab/src/scale/members.rs
+++ b/lab/src/scale/members.rs
@@ -70,6 +70,7 @@
             size: size as u32,
             parts: PARTS,
             shed: Some(AIM),
+            publishes: false,
             guess: now.0 / 1_000_000,
             seed: plan.seed.wrapping_mul(1_000_003).wrapping_add(incarnation),
         };
--- a/src/ops/mgmt.rs
+++ b/src/ops/mgmt.rs
@@ -38,7 +38,8 @@
                 return Ok(context.core.figures().to_string() + &fleet + &domain.unwrap_or_default());
             }
             Call::Fleet => {
-                let fleet = context.fleet.as_ref().map(|fleet| fleet.borrow().status(context.now).to_string());
+                let fleet =
+                    context.fleet.as_ref().map(|fleet| fleet.borrow().status(context.now).to_string());
                 let domain =
                     context.distribution.as_ref().map(|node| node.borrow().status(context.now).to_string());
                 let text: String = fleet.into_iter().chain(domain).collect();
