Look at marked workers in the idle walk, and find loads under way without a walk

Cause: every 200 ms the module walked all workers for crowding (each with the comparison of all classes), cold budgets twice, and dark zones twice; each call whose copies lacked walked all workers for loads under way; the figures compared each worker with a list of all.

Change: only workers with calls of ours can lack room. Workers that are cold, or broke and have not been heard since, are marked; where none is cold no budget is filled, and where nothing can be dark zones are not looked at. Loads under way are kept by function until they end. Slowness is computed once for each worker looked at.

After a reload that makes the cold span longer, workers that were warm and are cold again start with what their budget would have gained since they were warm; before, with what it had been filled to all along. Else decisions are the same.

--- /dev/null
+++ b/src/agenda.rs
@@ -0,0 +1,49 @@
+//! What is due when, and the wake that was last asked for.
+
+use crate::interface::{Span, Time};
+use std::collections::BTreeSet;
+
+/// Things that fall due, each at its time; those of one time in their own order.
+pub struct Agenda<T> {
+    due: BTreeSet<(Time, T)>,
+    /// The earliest wake that is under way.
+    armed: Option<Time>,
+}
+
+impl<T> Default for Agenda<T> {
+    fn default() -> Agenda<T> {
+        Agenda { due: BTreeSet::new(), armed: None }
+    }
+}
+
+impl<T: Copy + Ord> Agenda<T> {
+    /// Puts a thing down.
+    pub fn add(&mut self, at: Time, what: T) {
+        self.due.insert((at, what));
+    }
+
+    /// Whether nothing was put down that is still to come.
+    pub fn is_empty(&self) -> bool {
+        self.due.is_empty()
+    }
+
+    /// Takes what is due by now, the earliest first.
+    pub fn next(&mut self, now: Time) -> Option<T> {
+        let &(at, what) = self.due.first().filter(|(at, _)| *at <= now)?;
+        self.due.remove(&(at, what));
+        Some(what)
+    }
+
+    /// A wake has come.
+    pub fn woken(&mut self) {
+        self.armed = None;
+    }
+
+    /// After what time a wake is needed that comes before the one under way.
+    pub fn wake(&mut self, now: Time) -> Option<Span> {
+        let next = self.due.first().map(|(at, _)| *at);
+        let next = next.filter(|at| self.armed.is_none_or(|armed| *at < armed))?;
+        self.armed = Some(next);
+        Some(next - now)
+    }
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,11 +3,13 @@
 //! Parts, in order: constants; state; events in; ranking; placement; gates (the only ways out); answers
 //! (belief and health); holds; cold starts. `docs/design.md` says what of the published design is kept.
 
+use crate::agenda::Agenda;
 use crate::interface::*;
+use crate::recent::Recent;
 use crate::rendezvous::{Order, Rendezvous, mix};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Time between two rankings; five of them make the moving window of ten seconds (design page).
 const RERANK: Span = Span::millis(2000);
@@ -185,14 +187,15 @@
     functions: BTreeMap<FunctionId, Function>,
     requests: BTreeMap<RequestId, Request>,
     attempts: BTreeMap<(RequestId, u16), Attempt>,
-    due: BTreeSet<(Time, Due)>,
-    armed: Option<Time>,
+    due: Agenda<Due>,
+    /// Workers that are cold, or broke and have not been heard since, or were so when last looked at.
+    marked: BTreeSet<WorkerId>,
+    /// Where loads are ordered that have not ended.
+    ordered: BTreeSet<(FunctionId, WorkerId)>,
     /// Zones silent as a whole: since and until when they are passed by, and how often they were.
     dark: BTreeMap<ZoneId, (Time, Time, u32)>,
     usual: Vec<f64>,
-    orders: VecDeque<Time>,
-    arrivals: VecDeque<Time>,
-    served: VecDeque<Time>,
+    recent: Recent,
     /// Starts of the window's buckets, the current one first.
     turned: [Time; BUCKETS],
     /// The listed workers, for the order in which calls of a function look at them.
@@ -214,13 +217,12 @@
             functions: BTreeMap::new(),
             requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
-            due: BTreeSet::new(),
-            armed: None,
+            due: Agenda::default(),
+            marked: BTreeSet::new(),
+            ordered: BTreeSet::new(),
             dark: BTreeMap::new(),
             usual,
-            orders: VecDeque::new(),
-            arrivals: VecDeque::new(),
-            served: VecDeque::new(),
+            recent: Recent::default(),
             turned: [Time(0); BUCKETS],
             rendezvous: Rendezvous::default(),
             crowding: 0.0,
@@ -234,6 +236,8 @@
         let known = |n: &usize| old.get(*n).filter(|class| **class == new[*n]).map(|_| self.usual[*n]);
         self.usual = (0..new.len()).map(|n| known(&n).unwrap_or(new[n].aim.secs() / 4.0)).collect();
         self.settings = settings;
+        // What is cold may be another matter now.
+        self.marked.extend(self.workers.keys());
         for (id, worker) in &self.workers {
             self.rendezvous.set(*id, size(&self.settings, &worker.member));
         }
@@ -243,7 +247,7 @@
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
         if self.due.is_empty() {
-            self.due.insert((self.now + HOLD_PACE, Due::Holds));
+            self.due.add(self.now + HOLD_PACE, Due::Holds);
             self.turned = [self.now; BUCKETS];
             out.extend((self.settings.discovery == Discovery::OnRequest).then_some(Action::Subscribe));
         }
@@ -257,21 +261,16 @@
             Event::Wanted(key, memory_mb) => self.wanted(key, memory_mb, out),
             Event::Shares(shares) => self.shares = shares,
             Event::Told(worker, answers, at) => self.told(worker, answers, at),
-            Event::Wake => self.armed = None,
+            Event::Wake => self.due.woken(),
         }
-        while let Some(&(at, due)) = self.due.first().filter(|(at, _)| *at <= self.now) {
-            self.due.remove(&(at, due));
+        while let Some(due) = self.due.next(self.now) {
             match due {
                 Due::Holds => self.holds(out),
                 Due::End(id) => self.give_up(id, out),
                 Due::Place(id) => self.place(id, out),
             }
         }
-        let next = self.due.first().map(|(at, _)| *at);
-        if let Some(at) = next.filter(|at| self.armed.is_none_or(|armed| *at < armed)) {
-            self.armed = Some(at);
-            out.push(Action::Wake { after: at - self.now });
-        }
+        out.extend(self.due.wake(self.now).map(|after| Action::Wake { after }));
     }
 
     // ---- Events in
@@ -302,25 +301,25 @@
             let (born, heard, slow, limit) = (self.now, self.now, 1.0, LIMIT.1);
             let fresh = Worker { member, born, heard, slow, limit, tokens, ..Worker::default() };
             self.workers.insert(member.worker, fresh);
+            self.marked.extend(member.started.map(|_| member.worker));
         }
     }
 
     fn call(&mut self, call: Call, out: &mut Actions) {
-        let class = usize::from(call.class.0);
-        self.arrivals.push_back(self.now);
+        let (key, class) = (call.function, usize::from(call.class.0));
+        self.recent.arrivals.add(self.now);
         if class >= self.settings.classes.len() {
             return out.push(Action::Fail { id: call.id });
         }
-        let function = self.functions.entry(call.function).or_default();
+        let function = self.functions.entry(key).or_default();
         function.memory_mb = call.memory_mb.clamp(0.0, 1e12);
         function.lanes = (call.lanes.clamp(1.0, 64.0) as u32).max(1);
         function.counts[0] += 1;
         let end = self.now + call.remaining;
         let aim = self.settings.classes[class].aim.min(call.remaining);
-        let request =
-            Request { function: call.function, class, came: self.now, aim, end, ..Request::default() };
+        let request = Request { function: key, class, came: self.now, aim, end, ..Request::default() };
         self.requests.insert(call.id, request);
-        self.due.insert((end - self.settings.tick, Due::End(call.id)));
+        self.due.add(end - self.settings.tick, Due::End(call.id));
         self.place(call.id, out);
     }
 
@@ -342,17 +341,14 @@
         let chosen = self.functions.iter().filter(|(_, f)| f.calls() >= BRONZE_CALLS);
         let mut ranks: Vec<_> = chosen.map(|(id, f)| (std::cmp::Reverse(f.calls()), *id)).collect();
         ranks.sort_unstable();
-        let least = self.settings.loading.memory_mb.iter().copied().fold(f64::INFINITY, f64::min);
-        let mut room = least * GOLD_MEMORY;
-        let mut top = BTreeSet::new();
-        for (_, id) in ranks {
-            room -= self.functions[&id].memory_mb;
-            if !room.is_finite() || room < 0.0 {
-                break;
-            }
-            top.insert(id);
-        }
-        let now = self.now;
+        let memory = self.settings.loading.memory_mb.iter().copied();
+        let mut room = memory.fold(f64::INFINITY, f64::min) * GOLD_MEMORY;
+        let fits = |id: &FunctionId| {
+            room -= self.functions[id].memory_mb;
+            room.is_finite() && room >= 0.0
+        };
+        let top: BTreeSet<_> = ranks.into_iter().map(|(_, id)| id).take_while(fits).collect();
+        let (now, keep) = (self.now, self.settings.loading.keep);
         for (id, function) in &mut self.functions {
             function.turns = if top.contains(id) == function.gold { 0 } else { function.turns + 1 };
             if function.turns >= GOLD_TURNS {
@@ -361,7 +357,6 @@
             function.counts.rotate_right(1);
             function.counts[0] = 0;
         }
-        let keep = self.settings.loading.keep;
         let asked: BTreeSet<FunctionId> = self.requests.values().map(|r| r.function).collect();
         self.functions.retain(|id, f| f.gold || f.calls() > 0 || asked.contains(id));
         for worker in self.workers.values_mut() {
@@ -402,11 +397,10 @@
             return self.give_up(id, out);
         }
         let (key, class, missed) = (request.function, request.class, request.missed.clone());
-        let Some(function) = self.functions.get(&key) else { return self.give_up(id, out) };
-        let lanes = function.lanes;
+        let Some(lanes) = self.functions.get(&key).map(|f| f.lanes) else { return self.give_up(id, out) };
         let copies = self.wanted_copies(key, class);
         let able = self.able(id, key, copies * 2 + NEAR);
-        let order = self.healthy(able);
+        let order = self.healthy(able.iter().map(|id| (id, &self.workers[id])));
         let open = |w: &WorkerId| self.has_room(*w, class);
         if !order.iter().any(open) {
             return self.hold_back(id, out);
@@ -415,10 +409,9 @@
         // Where a call loads what it lacks, the first in hash order stand for all front ends, or soon will.
         let common = if self.settings.loading.on_miss == OnMiss::Load { copies.min(order.len()) } else { 0 };
         let assumed = &order[..common];
-        let stands = |w: &WorkerId| self.believed_warm(key, *w);
         let assume = |w: &WorkerId| assumed.contains(w) && !self.lately_missed(key, *w);
-        let warm: Vec<WorkerId> =
-            order.iter().copied().filter(|w| !missed.contains(w) && (stands(w) || assume(w))).collect();
+        let stands = |w: &WorkerId| !missed.contains(w) && (self.believed_warm(key, *w) || assume(w));
+        let warm: Vec<WorkerId> = order.iter().copied().filter(stands).collect();
         let free = |w: &&WorkerId| self.lanes_taken(key, **w) < lanes;
         if self.bronze(key)
             && let Some(home) = warm.iter().filter(|w| open(w)).find(free)
@@ -500,7 +493,7 @@
 
     /// Places a request again after a pause, if it still waits then.
     fn later(&mut self, id: RequestId, pause: Span) {
-        self.due.insert((self.now + pause, Due::Place(id)));
+        self.due.add(self.now + pause, Due::Place(id));
     }
 
     fn pair(&self, key: FunctionId, worker: WorkerId) -> Option<&Pair> {
@@ -521,7 +514,8 @@
     }
 
     fn pending_loads(&self, key: FunctionId) -> usize {
-        let orders = self.workers.values().filter_map(|w| w.pairs.get(&key)?.ordered);
+        let places = self.ordered.range((key, WorkerId(0))..=(key, WorkerId(u64::MAX)));
+        let orders = places.filter_map(|(_, worker)| self.pair(key, *worker)?.ordered);
         orders.filter(|at| self.now - *at < LOAD_PATIENCE).count()
     }
 
@@ -535,58 +529,56 @@
     /// The least busy of some workers, one with a free lane before one without; ties break randomly.
     fn least_busy(&self, key: FunctionId, among: &[WorkerId], salt: u64) -> Option<WorkerId> {
         let lanes = self.functions.get(&key).map_or(1, |f| f.lanes);
-        let cost = |w: WorkerId| {
-            let over = (self.lanes_taken(key, w) + 1).saturating_sub(lanes);
-            self.busy(w) + 2.0 * f64::from(over)
-        };
+        let over = |w: WorkerId| (self.lanes_taken(key, w) + 1).saturating_sub(lanes);
+        let cost = |w: WorkerId| self.busy(w) + 2.0 * f64::from(over(w));
         let drawn = among.iter().map(|w| (cost(*w), mix(salt ^ w.0), *w));
         drawn.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))).map(|(_, _, w)| w)
     }
 
     /// How many ready workers are avoided now by choice, and have nothing open of ours.
     pub fn avoided(&self) -> usize {
-        let ready = self.workers.values().filter(|w| w.member.state == State::Ready);
-        let kept = self.healthy(ready.clone().map(|w| w.member.worker).collect());
-        ready.filter(|w| w.in_flight == 0 && !kept.contains(&w.member.worker)).count()
+        let ready = self.workers.iter().filter(|(_, w)| w.member.state == State::Ready);
+        let kept: BTreeSet<WorkerId> = self.healthy(ready.clone()).into_iter().collect();
+        ready.filter(|(id, w)| w.in_flight == 0 && !kept.contains(id)).count()
     }
 
     /// Leaves out the shunned, the dark and those far slower than the rest, unless more than half would be.
-    fn healthy(&self, order: Vec<WorkerId>) -> Vec<WorkerId> {
-        let slowness = |w: &WorkerId| self.workers[w].slowness(self.now);
-        let bound = order.iter().map(slowness).sum::<f64>() / order.len().max(1) as f64 * SLOW_LEFT;
+    fn healthy<'a>(&self, order: impl Iterator<Item = (&'a WorkerId, &'a Worker)>) -> Vec<WorkerId> {
+        let order: Vec<_> = order.map(|(id, w)| (*id, w, w.slowness(self.now))).collect();
+        let bound = order.iter().map(|(.., slow)| slow).sum::<f64>() / order.len().max(1) as f64 * SLOW_LEFT;
         let dark = |w: &Worker| self.dark.get(&w.member.zone).is_some_and(|dark| dark.1 > self.now);
         let told = |w: &Worker| w.silent.is_some_and(|at| at > w.heard && self.now - at < TOLD);
-        let out = |w: &Worker| w.shun_until > self.now || told(w) || dark(w) || w.slowness(self.now) > bound;
-        let kept: Vec<WorkerId> = order.iter().copied().filter(|w| !out(&self.workers[w])).collect();
-        if kept.len() * 2 >= order.len() { kept } else { order }
+        let out = |w: &Worker, slow: f64| w.shun_until > self.now || told(w) || dark(w) || slow > bound;
+        let kept: Vec<_> = order.iter().filter(|(_, w, slow)| !out(w, *slow)).map(|(id, ..)| *id).collect();
+        if kept.len() * 2 >= order.len() { kept } else { order.iter().map(|(id, ..)| *id).collect() }
     }
 
     // ---- Gates: the only ways out
 
     /// Listed and ready, within the cold budget, attempts left, one at a time, and allowed by the effect.
     fn may_send(&self, id: RequestId, worker: WorkerId) -> bool {
-        let (Some(request), Some(w)) = (self.requests.get(&id), self.workers.get(&worker)) else {
-            return false;
-        };
-        if w.member.state != State::Ready
-            || request.out.is_some()
-            || request.attempts >= self.settings.classes[request.class].max_attempts
-            || !self.bears(w)
-        {
+        let Some(request) = self.requests.get(&id) else { return false };
+        let Some(w) = self.workers.get(&worker) else { return false };
+        let class = &self.settings.classes[request.class];
+        let left = request.out.is_none() && request.attempts < class.max_attempts;
+        if !left || w.member.state != State::Ready || !self.bears(w) {
             return false;
         }
         let Some(ran) = request.ran else { return true };
-        match self.settings.classes[request.class].effect {
+        let group = match class.effect {
+            Effect::Keyed { group: Group::Zone, .. } => w.member.zone == ran.zone,
+            Effect::Keyed { group: Group::Cell, .. } => w.member.cell == ran.cell,
+            _ => true,
+        };
+        group && self.may_repeat(class.effect, ran.since)
+    }
+
+    /// Whether what may have run, first at that time, may be repeated now.
+    fn may_repeat(&self, effect: Effect, ran: Time) -> bool {
+        match effect {
             Effect::Safe => true,
+            Effect::Keyed { window, .. } => self.now + KEY_MARGIN < ran + window,
             Effect::Unsafe => false,
-            Effect::Keyed { group, window } => {
-                let same = match group {
-                    Group::All => true,
-                    Group::Zone => w.member.zone == ran.zone,
-                    Group::Cell => w.member.cell == ran.cell,
-                };
-                same && self.now < ran.since + window - KEY_MARGIN
-            }
         }
     }
 
@@ -601,9 +593,8 @@
             return self.later(id, RETRY);
         }
         let now = self.now;
-        let (Some(request), Some(w)) = (self.requests.get_mut(&id), self.workers.get_mut(&worker)) else {
-            return;
-        };
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(w) = self.workers.get_mut(&worker) else { return };
         let attempt = request.attempts;
         (request.attempts, request.out) = (attempt + 1, Some(attempt));
         let place = Ran { since: now, zone: w.member.zone, cell: w.member.cell };
@@ -630,9 +621,8 @@
             return false;
         }
         let Some(ration) = self.settings.rules.ration else { return true };
-        let since = self.now - ration.span;
-        let orders = self.orders.iter().filter(|at| **at >= since).count() as f64;
-        let calls = self.arrivals.iter().filter(|at| **at > since).count() as f64;
+        let orders = self.recent.orders.count_if(|at| at >= self.now - ration.span);
+        let calls = self.recent.arrivals.count_if(|at| at > self.now - ration.span);
         orders + 1.0 <= ration.free + ration.share * calls
     }
 
@@ -644,9 +634,10 @@
         w.tokens.0 -= 1.0;
         let pair = w.pairs.entry(key).or_default();
         pair.ordered = Some(self.now);
+        self.ordered.insert((key, worker));
         let (copies, part) = what;
         pair.raised = if copies > 1 { (copies, self.now) } else { pair.raised };
-        self.orders.push_back(self.now);
+        self.recent.orders.add(self.now);
         out.push(Action::Load { worker, function: key, copies, part });
     }
 
@@ -683,8 +674,8 @@
         // Where it failed it would most likely fail again, and at once.
         let failed = matches!(outcome.status, Status::Miss | Status::Error | Status::Full);
         request.missed.extend(failed.then_some(attempt.worker));
-        let effect = self.settings.classes[request.class].effect;
-        let unsafe_ran = request.ran.is_some() && effect == Effect::Unsafe;
+        let unsafe_ran =
+            request.ran.is_some() && self.settings.classes[request.class].effect == Effect::Unsafe;
         if outcome.status == Status::Timeout || now >= request.end || unsafe_ran {
             return self.give_up(outcome.id, out);
         }
@@ -716,7 +707,7 @@
         }
         match outcome.status {
             Status::Ok => {
-                self.served.push_back(now);
+                self.recent.served.add(now);
                 w.failures = if w.errors > ERRORS.2 / 2.0 { w.failures } else { 0 };
                 pair.stood(now + keep);
                 let usual = &mut self.usual[attempt.class];
@@ -753,6 +744,7 @@
             }
             Status::Error | Status::Moot => {}
         }
+        self.marked.extend((w.broke == now).then_some(attempt.worker));
     }
 
     /// Looks at workers that are silent while calls are out: they are slow, and the more are, maybe cut off.
@@ -789,6 +781,7 @@
     /// Asks the workers of our parts, for all of the fleet, whether they live.
     fn watch(&mut self, out: &mut Actions) {
         let (now, shares) = (self.now, &self.shares);
+        let Some(_) = shares.own.iter().find(|(task, _)| *task == Task::Probe) else { return };
         for (id, w) in self.workers.iter_mut().filter(|(_, w)| !w.probed && now - w.heard >= SUSPECT.2) {
             let part = (mix(id.0) % u64::from(shares.parts.max(1))) as u16;
             if shares.own.contains(&(Task::Probe, part)) {
@@ -800,16 +793,20 @@
 
     /// A zone silent as a whole while calls are out in it is dark: its workers are not tried one by one.
     fn darken(&mut self) {
+        let now = self.now;
+        let long = self.attempts.values().filter(|a| now - a.place.since > DARK.0);
+        let calls = long.map(|a| (a.place.zone, a.place.since));
+        let broken = self.marked.iter().filter_map(|id| self.workers.get(id)).filter(|w| w.broke > w.heard);
+        let unheard: Vec<_> = calls.chain(broken.map(|w| (w.member.zone, w.broke))).collect();
+        if self.dark.is_empty() && unheard.len() < DARK.1 {
+            return;
+        }
         let mut zones: BTreeMap<ZoneId, (Time, usize)> = BTreeMap::new();
         for w in self.workers.values() {
             let zone = zones.entry(w.member.zone).or_default();
             zone.0 = zone.0.max(w.heard);
         }
-        let now = self.now;
-        let long = self.attempts.values().filter(|a| now - a.place.since > DARK.0);
-        let calls = long.map(|a| (a.place.zone, a.place.since));
-        let lost = self.workers.values().map(|w| (w.member.zone, w.broke));
-        for (zone, at) in calls.chain(lost) {
+        for (zone, at) in unheard {
             zones.entry(zone).and_modify(|zone| zone.1 += usize::from(at > zone.0));
         }
         self.dark.retain(|zone, dark| zones.get(zone).is_some_and(|(heard, _)| *heard <= dark.0));
@@ -839,12 +836,8 @@
         for ((id, number), attempt) in self.attempts.iter().filter(|(_, a)| a.worker == worker) {
             let Some(request) = self.requests.get(id).filter(|r| r.out == Some(*number)) else { continue };
             let ran = request.ran.unwrap_or(attempt.place).since;
-            let again = match self.settings.classes[request.class].effect {
-                Effect::Safe => true,
-                Effect::Keyed { window, .. } => now + KEY_MARGIN < ran + window,
-                Effect::Unsafe => false,
-            };
-            if again && request.attempts < self.settings.classes[request.class].max_attempts {
+            let class = &self.settings.classes[request.class];
+            if self.may_repeat(class.effect, ran) && request.attempts < class.max_attempts {
                 out.push(Action::Cancel { id: *id, attempt: *number });
             }
         }
@@ -869,8 +862,8 @@
     }
 
     fn loaded(&mut self, loaded: Loaded, out: &mut Actions) {
-        let (now, keep) = (self.now, self.settings.loading.keep);
-        let key = loaded.function;
+        let (now, keep, key) = (self.now, self.settings.loading.keep, loaded.function);
+        self.ordered.remove(&(key, loaded.worker));
         if let Some(w) = self.workers.get_mut(&loaded.worker) {
             if matches!(loaded.status, Status::Ok | Status::Full | Status::Error) {
                 (w.heard, w.unanswered) = (now, 0);
@@ -887,6 +880,7 @@
                     }
                 }
             }
+            self.marked.extend((w.broke == now).then_some(loaded.worker));
         }
         let mut waiting = Vec::new();
         for (id, request) in self.requests.iter_mut().filter(|(_, r)| r.waiting && r.function == key) {
@@ -899,7 +893,7 @@
     /// A call of this function is to come soon: a copy is ordered at its home, if none stands there.
     fn wanted(&mut self, key: FunctionId, memory_mb: f64, out: &mut Actions) {
         self.functions.entry(key).or_default().memory_mb = memory_mb;
-        let healthy = self.healthy(self.workers.keys().copied().collect());
+        let healthy = self.healthy(self.workers.iter());
         let home = self.rendezvous.first(key.0, healthy, 1).pop().filter(|w| !self.believed_warm(key, *w));
         home.into_iter().for_each(|home| self.order_load(home, key, (1, None), out));
     }
@@ -907,7 +901,7 @@
     // ---- Holds: gold stands everywhere
 
     fn holds(&mut self, out: &mut Actions) {
-        self.due.insert((self.now + HOLD_PACE, Due::Holds));
+        self.due.add(self.now + HOLD_PACE, Due::Holds);
         self.prune();
         self.rerank();
         self.suspect(out);
@@ -937,11 +931,11 @@
     /// Forgets what has left every window.
     fn prune(&mut self) {
         let span = self.settings.rules.ration.map_or(RATE_SPAN, |r| r.span);
-        for times in [&mut self.orders, &mut self.arrivals, &mut self.served] {
-            times.retain(|at| *at >= self.now - span);
-        }
-        let full = self.workers.keys().filter(|w| !self.has_room(**w, 0)).count() as f64;
-        self.crowding = full / self.workers.len().max(1) as f64;
+        self.recent.forget(self.now, span);
+        // Who has none of our calls has room.
+        let called: BTreeSet<WorkerId> = self.attempts.values().map(|a| a.worker).collect();
+        let full = called.iter().filter(|w| self.workers.contains_key(w) && !self.has_room(**w, 0)).count();
+        self.crowding = full as f64 / self.workers.len().max(1) as f64;
         self.fill(span);
     }
 
@@ -951,15 +945,22 @@
     /// it can: so the parts of all front ends add up to no more than a cold one's budget.
     fn fill(&mut self, span: Span) {
         let (rules, now) = (&self.settings.rules, self.now);
+        let age = |w: &Worker| w.member.started.map(|at| now - at).filter(|age| *age < rules.cold_span);
+        let marked = |w: &Worker| age(w).is_some() || w.broke > w.heard;
+        self.marked.retain(|id| self.workers.get(id).is_some_and(marked));
+        let cold = |id: &WorkerId| age(&self.workers[id]).is_some();
+        let cold: Vec<WorkerId> = self.marked.iter().copied().filter(cold).collect();
+        let Some(_) = cold.first() else { return };
         let part = |w: &Worker| {
-            let age = w.member.started.map_or(1.0, |at| (now - at).secs() / rules.cold_span.secs());
+            let age = age(w).map_or(1.0, |age| age.secs() / rules.cold_span.secs());
             rules.cold_from + (1.0 - rules.cold_from) * age.min(1.0)
         };
         let all: f64 = self.workers.values().filter(|w| w.member.state == State::Ready).map(part).sum();
-        let served = (self.served.len() as f64).max(self.arrivals.len() as f64 * UNSERVED);
+        let served = self.recent.served.count().max(self.recent.arrivals.count() * UNSERVED);
         let counted_for = (now - self.turned[BUCKETS - 1]).secs().clamp(1.0, span.secs().max(1.0));
         let rate = served / counted_for / all.max(1.0) * rules.fall_multiple;
-        for w in self.workers.values_mut() {
+        for id in cold {
+            let Some(w) = self.workers.get_mut(&id) else { continue };
             let more = rate * part(w) * (now - w.tokens.1).secs();
             w.tokens = ((w.tokens.0 + more).min(more.max(1.0)), now);
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -70,6 +70,7 @@
 //! ```
 #![forbid(unsafe_code)]
 
+mod agenda;
 pub mod backend;
 mod brain;
 pub mod bus;
@@ -86,6 +87,7 @@
 pub mod log;
 pub mod net;
 pub mod ops;
+mod recent;
 mod rendezvous;
 pub mod settings;
 pub mod vrrp;
--- /dev/null
+++ b/src/recent.rs
@@ -0,0 +1,45 @@
+//! When things happened lately.
+
+use crate::interface::{Span, Time};
+use std::collections::VecDeque;
+
+/// Times of one kind of thing.
+#[derive(Default)]
+pub struct Times(VecDeque<Time>);
+
+impl Times {
+    /// It has happened once more.
+    pub fn add(&mut self, at: Time) {
+        self.0.push_back(at);
+    }
+
+    /// How often it has happened, as far as is remembered.
+    pub fn count(&self) -> f64 {
+        self.0.len() as f64
+    }
+
+    /// How often it has happened at a time that passes.
+    pub fn count_if(&self, passes: impl Fn(Time) -> bool) -> f64 {
+        self.0.iter().filter(|at| passes(**at)).count() as f64
+    }
+}
+
+/// What a front end counts in a moving window.
+#[derive(Default)]
+pub struct Recent {
+    /// Its orders to load.
+    pub orders: Times,
+    /// Calls that came in.
+    pub arrivals: Times,
+    /// Calls that were served.
+    pub served: Times,
+}
+
+impl Recent {
+    /// Forgets what happened longer ago than a span.
+    pub fn forget(&mut self, now: Time, span: Span) {
+        for times in [&mut self.orders, &mut self.arrivals, &mut self.served] {
+            times.0.retain(|at| *at >= now - span);
+        }
+    }
+}
--- a/tests/layers.rs
+++ b/tests/layers.rs
@@ -69,7 +69,19 @@
     assert!(imports.len() > 10 && imports["core"].contains("brain"), "{imports:?}");
     assert_eq!(circle(&imports), None);
     // The parts without I/O stay so.
-    for pure in ["brain", "call", "chain", "core", "fleet", "interface", "settings", "vrrp"] {
+    for pure in [
+        "agenda",
+        "brain",
+        "call",
+        "chain",
+        "core",
+        "fleet",
+        "interface",
+        "recent",
+        "rendezvous",
+        "settings",
+        "vrrp",
+    ] {
         assert!(imports[pure].iter().all(|part| part != "net" && part != "daemon"), "{pure} imports I/O");
     }
 }
