Hold gold by a walk of ids alone, and look at fewer numbers for a function's first call

Cause: a gold function's holds went through the module's large records of all workers every 200 ms, and the order's first look at a worker converted and multiplied floats.

Change: whose a copy is is asked of the listed ids first; a whole-number bound comes before the one by size.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -915,8 +915,8 @@
             let ours = |whose| whose == self.settings.index || self.shares.stands_in(whose).is_some();
             let until = |w: &Worker| w.pairs.get(&key).map_or(Time(0), |p| p.warm_until);
             let due = |w: &Worker| w.shun_until <= self.now && until(w) <= self.now + lead;
-            let held = self.workers.iter().filter(|(id, w)| due(w) && ours(whose(**id)));
-            for worker in self.rendezvous.first(key.0, held.map(|(id, _)| *id), usize::MAX) {
+            let held = self.rendezvous.workers().filter(|id| ours(whose(*id)) && due(&self.workers[id]));
+            for worker in self.rendezvous.first(key.0, held, usize::MAX) {
                 let w = &self.workers[&worker];
                 let part = self.shares.stands_in(whose(worker));
                 // A first hold costs a load: one under way a worker and a function floods neither.
--- a/src/rendezvous.rs
+++ b/src/rendezvous.rs
@@ -22,6 +22,8 @@
     places: HashMap<WorkerId, usize>,
     /// All sizes together.
     total: f64,
+    /// The largest size that there has been.
+    largest: f64,
     /// The workers changed last, the latest at the end.
     changed: VecDeque<WorkerId>,
     /// Counts changes.
@@ -61,6 +63,7 @@
 impl Rendezvous {
     /// Lists a worker, or changes its size.
     pub fn set(&mut self, worker: WorkerId, size: f64) {
+        self.largest = self.largest.max(size);
         match self.places.get(&worker) {
             Some(place) if self.entries[*place].size == size => return,
             Some(place) => {
@@ -105,6 +108,11 @@
         self.entries.len()
     }
 
+    /// Who is listed, in no order.
+    pub fn workers(&self) -> impl Iterator<Item = WorkerId> {
+        self.entries.iter().map(|entry| entry.worker)
+    }
+
     /// Brings the order of a key up to the list of now, with so many workers in it, or all that there are.
     pub fn update(&self, key: u64, order: &mut Order, wanted: usize) {
         let wanted = wanted.min(self.entries.len());
@@ -147,9 +155,13 @@
 
     /// All workers whose score is within the bound, in order.
     fn within(&self, key: u64, bound: f64) -> Vec<(f64, WorkerId)> {
-        // As -ln(x) >= 1 - x, nobody within the bound fails this cheaper test; the margin is far above any rounding.
+        // As -ln(x) >= 1 - x, nobody within the bound fails the cheaper tests; the margin is far above any rounding.
         let reach = bound * UNITS * (1.0 + 1e-9);
-        let near = |entry: &&Entry| (!mix(key ^ entry.mixed) >> 11) as f64 <= reach * entry.size;
+        let furthest = (reach * self.largest) as u64;
+        let near = |entry: &&Entry| {
+            let away = !mix(key ^ entry.mixed) >> 11;
+            away <= furthest && away as f64 <= reach * entry.size
+        };
         let near = self.entries.iter().filter(|entry| bound.is_infinite() || near(entry));
         let ranked = near.map(|entry| entry.ranked(key));
         let mut ranked: Vec<_> = ranked.filter(|(score, _)| lies_within(*score, bound)).collect();
