Never let a majority that has forgotten some of itself go on by time alone

Time alone is enough now only where a majority has forgotten; else a majority that remembers is waited for, or all. Without parents a child pauses 1 s at most, not 4: that is less than its ordinary reports, and a parent that is back is found within a round.

--- a/src/fleet/distribution/follower.rs
+++ b/src/fleet/distribution/follower.rs
@@ -18,8 +18,9 @@
 pub const HEARTBEAT: Span = Span::millis(500);
 /// A parent that has been silent for so long is left: three heartbeats.
 pub const SILENCE: Span = Span::millis(1_500);
-/// Without any parent the pause between reports doubles with each round over all of them, so often at most: to 4 s.
-const BACKOFF: u32 = 3;
+/// Without any parent the pause between reports doubles with each round over all of them, so often at most: to 1 s. That is less
+/// than what the same children report once they have parents, and a parent that is back is found within a round.
+const BACKOFF: u32 = 1;
 /// A parent that was last up to date longer ago than this is stale: another one is looked at.
 const STALE_MS: u32 = 5_000;
 /// How often a child looks whether its parent is stale.
--- a/src/fleet/distribution/publisher.rs
+++ b/src/fleet/distribution/publisher.rs
@@ -14,8 +14,9 @@
 
 /// What was not answered is asked again after so long.
 const RETRY: Span = Span::millis(250);
-/// For so long it waits for a majority of replicas that remember, before a majority of any has to do: what a replica takes that
-/// starts or whose link fails for a moment.
+/// For so long it waits for all replicas, where a majority of them has forgotten what it accepted: what a replica takes that starts
+/// or whose link fails for a moment. Where less than a majority has forgotten, it waits for a majority that remembers, or for
+/// all: nothing that was acknowledged is lost while a majority lives.
 const RECALL: Span = Span::millis(5_000);
 /// A catch-up with another replica that takes longer than this is begun anew, maybe with another one.
 const CATCH_UP: Span = Span::millis(10_000);
@@ -205,7 +206,8 @@
         let Phase::Preparing { since, promises } = &self.phase else { return };
         let recovered = promises.values().filter(|promised| promised.recovered).count();
         let all = promises.len() > self.replicas.len();
-        let late = now - *since >= RECALL && promises.len() >= majority;
+        // Where a majority has forgotten, waiting for one that remembers would be in vain.
+        let late = now - *since >= RECALL && promises.len() - recovered >= majority;
         if recovered < majority && !all && !late {
             return;
         }
--- a/src/fleet/distribution/tests/commit.rs
+++ b/src/fleet/distribution/tests/commit.rs
@@ -128,6 +128,45 @@
     domain.assert_same(away);
 }
 
+/// Nothing that was acknowledged may be lost while a majority lives, however long one of it is out of reach.
+#[test]
+fn one_that_remembers_and_one_that_forgot_wait_for_the_third() {
+    let mut domain = domain(3);
+    let [publisher, forgot, lags] = domain.replicas[..] else { panic!() };
+    let cut = Link { cut: true, ..Link::default() };
+    domain.net.set_links(move |from, to| (from == lags || to == lags).then_some(cut));
+    let kept = domain.publish(publisher, vec![class("a", "kept")]);
+    domain.pass(500);
+    assert!(matches!(domain.outcome(publisher, kept), Some(Ok(_))));
+    domain.start(forgot);
+    domain.net.set_links(move |from, to| (from == publisher || to == publisher).then_some(cut));
+    domain.elect(lags, 600_000);
+    domain.pass(60_000);
+    assert_eq!(domain.status(lags).publisher, None);
+    domain.net.set_links(|_, _| None);
+    domain.pass(3_000);
+    assert_eq!(domain.records(lags)[&Key::Class("a".into())], Value::Class("kept".into()));
+    domain.assert_same(lags);
+}
+
+#[test]
+fn when_a_majority_has_forgotten_the_others_are_not_waited_for_for_ever() {
+    let mut domain = domain(3);
+    let [gone, one, other] = domain.replicas[..] else { panic!() };
+    domain.net.kill(gone);
+    domain.start(one);
+    domain.start(other);
+    domain.elect(one, 600_000);
+    domain.pass(4_000);
+    assert_eq!(domain.status(one).publisher, None, "the third may answer yet");
+    domain.pass(2_000);
+    assert!(domain.status(one).publisher.is_some());
+    let ticket = domain.publish(one, vec![class("a", "anew"), complete()]);
+    domain.pass(5_000);
+    assert!(matches!(domain.outcome(one, ticket), Some(Ok(_))));
+    domain.assert_same(one);
+}
+
 #[test]
 fn a_lost_lease_ends_what_waits() {
     let mut domain = domain(3);
