--- a/src/main.rs
+++ b/src/main.rs
@@ -81,6 +81,9 @@
     if let Some(fleet) = operator.fleet {
         println!("fleet {}: {} electors, term {} ms", fleet.name, fleet.electors.len(), fleet.term_ms);
     }
+    if let Some(domain) = operator.distribution {
+        println!("distribution {}: {:?}", domain.name, domain.role);
+    }
     Ok(())
 }
 
