--- a/src/config.rs
+++ b/src/config.rs
@@ -515,7 +515,7 @@
         }
     }
     if let Some(fleet) = &operator.fleet {
-        fleet.check_alone()?;
+        fleet.check_alone(operator.publishes())?;
     }
     if let Some(distribution) = &operator.distribution {
         distribution.check_alone(operator.fleet.is_some())?;
--- a/src/config/distribution/tests.rs
+++ b/src/config/distribution/tests.rs
@@ -43,6 +43,12 @@
     );
     assert_eq!(load(SUBSCRIBER, SITE), Ok(()));
     assert_eq!(load(REPLICA, SITE), Ok(()));
+    let idle = REPLICA.replace("[fleet]\n", "[fleet]\nparts = 0\n");
+    assert_eq!(load(&idle, SITE), Ok(()), "replicas may do nothing else");
+    let relay = idle
+        .replace("role = \"replica\"\nreplicas", "role = \"relay\"\nparents")
+        .replace("\"127.0.0.61:9300\", ", "");
+    assert!(load(&relay, SITE).unwrap_err().contains("fleet.parts is not between"));
     assert!(read_operator("").unwrap().distribution.is_none(), "off where nothing is said");
 }
 
--- a/src/config/fleet.rs
+++ b/src/config/fleet.rs
@@ -30,7 +30,7 @@
     /// How far the rate of a clock may be off, in millionths.
     #[serde(default = "default_drift")]
     pub drift_ppm: u64,
-    /// Parts into which each task is cut.
+    /// Parts into which each task is cut; none where the fleet only publishes.
     #[serde(default = "default_parts")]
     pub parts: u16,
     /// The fleet agrees on what is shed when more calls come than the workers bear.
@@ -77,8 +77,9 @@
 const DRIFT_PPM: u64 = 100_000;
 
 impl Fleet {
-    /// What must hold whatever the settings are; the error names the key.
-    pub(super) fn check_alone(&self) -> Result<(), String> {
+    /// What must hold whatever the settings are; the error names the key. Only processes that publish may be there for
+    /// nothing else.
+    pub(super) fn check_alone(&self, publishes: bool) -> Result<(), String> {
         let odd = |what: String| Err(format!("operator's file: fleet.{what}"));
         let count = self.electors.len();
         if ![3, 5, 7].contains(&count) {
@@ -108,7 +109,7 @@
         if self.drift_ppm > DRIFT_PPM {
             return odd(format!("drift_ppm is over {DRIFT_PPM}"));
         }
-        if self.parts == 0 || self.parts > Shares::PARTS {
+        if self.parts == 0 && !publishes || self.parts > Shares::PARTS {
             return odd(format!("parts is not between 1 and {}", Shares::PARTS));
         }
         Ok(())
--- a/src/daemon/distribution.rs
+++ b/src/daemon/distribution.rs
@@ -21,6 +21,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::rc::Rc;
+use std::time::Instant;
 use tracing::{error, info, warn};
 
 /// Datagrams taken in one turn of the loop: a flood must not keep calls waiting.
@@ -250,6 +251,7 @@
     fn install(&mut self, now: Time, version: Version, changes: &[Change]) {
         let Some(Distribution { place: Some(place), classes, .. }) = &mut self.distribution else { return };
         let first = !std::mem::replace(&mut place.installed, true);
+        let start = Instant::now();
         if place.role == Role::Subscriber {
             let classes = classes.borrow_mut().install(changes);
             match classes {
@@ -259,7 +261,8 @@
             }
             self.install_workers(now, first, changes);
         }
-        info!(version = number(version), changes = changes.len(), "distribution installed");
+        let applied_us = start.elapsed().as_micros() as u64;
+        info!(version = number(version), changes = changes.len(), applied_us, "distribution installed");
     }
 
     fn use_classes(&mut self, now: Time, mut config: Config) {
--- a/tests/distribution_processes.rs
+++ b/tests/distribution_processes.rs
@@ -5,8 +5,10 @@
 use rig::*;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
-use std::thread::sleep;
+use std::sync::{Arc, Mutex};
+use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
 /// A domain's version: the fence, and the sequence number.
@@ -79,13 +81,17 @@
 }
 
 impl Domain {
-    /// Three replicas that know these workers, and children that know none; the settings of a process of an index are as
-    /// `own` makes them.
-    fn start(
+    /// Three replicas that know these workers, and children that know none.
+    fn start(block: usize, workers: &[&Worker], relays: usize, subscribers: usize) -> Domain {
+        Domain::with(block, workers, (relays, subscribers), None, |_, _| {})
+    }
+
+    /// The same, where replicas follow this bus, and the settings of a process of an index are as `own` makes them.
+    fn with(
         block: usize,
         workers: &[&Worker],
-        relays: usize,
-        subscribers: usize,
+        (relays, subscribers): (usize, usize),
+        bus: Option<SocketAddr>,
         own: impl Fn(usize, &mut Value),
     ) -> Domain {
         let (fleet, replica_places) = (places(block, 1, 3), places(block, 11, 3));
@@ -95,10 +101,10 @@
         let replica = |n: usize| {
             let mut settings = peer(n);
             own(n, &mut settings);
-            Daemon::with(workers, settings, None, |_| {
+            Daemon::with(workers, settings, bus, |_| {
                 format!(
                     "[fleet]\nname = \"test\"\nbind = \"{}\"\nelectors = [{}]\nterm_ms = 800\ndelay_ms = 20\n\
-                     parts = 1\n[distribution]\nname = \"test\"\nbind = \"{}\"\nrole = \"replica\"\nreplicas = {}\n",
+                     parts = 0\n[distribution]\nname = \"test\"\nbind = \"{}\"\nrole = \"replica\"\nreplicas = {}\n",
                     fleet[n],
                     electors.join(", "),
                     replica_places[n],
@@ -202,7 +208,7 @@
 #[test]
 fn a_change_by_sighup_at_the_publisher_reaches_all() {
     let workers = [Worker::agent(), Worker::agent()];
-    let domain = Domain::start(2, &[&workers[0]], 2, 3, |_, _| {});
+    let domain = Domain::start(2, &[&workers[0]], 2, 3);
     let publisher = domain.publisher(0);
     domain.subscribers.iter().for_each(|subscriber| wait_figure(subscriber, "cluster_size", 1));
     let config = listing(&domain.replicas[publisher].config, 2, &[&workers[0], &workers[1]]);
@@ -241,7 +247,7 @@
 #[test]
 fn where_the_publisher_is_killed_another_goes_on_under_a_higher_fence() {
     let worker = Worker::agent();
-    let mut domain = Domain::start(3, &[&worker], 1, 2, |_, _| {});
+    let mut domain = Domain::start(3, &[&worker], 1, 2);
     worker.serve(echo);
     let first = domain.publisher(0);
     let (fence, _) = domain.reaches(&[0, 1]);
@@ -263,7 +269,7 @@
 #[test]
 fn the_children_of_a_relay_that_is_killed_follow_another() {
     let worker = Worker::agent();
-    let mut domain = Domain::start(4, &[&worker], 2, 3, |_, _| {});
+    let mut domain = Domain::start(4, &[&worker], 2, 3);
     worker.serve(echo);
     let publisher = domain.publisher(0);
     domain.reaches(&[0, 1, 2]);
@@ -302,7 +308,7 @@
             tone(settings);
         }
     };
-    let mut domain = Domain::start(5, &[&workers[0]], 0, 2, own);
+    let mut domain = Domain::with(5, &[&workers[0]], (0, 2), None, own);
     let publisher = domain.publisher(0);
     let (fence, _) = domain.reaches(&[0, 1]);
     domain.subscribers.iter().for_each(|subscriber| wait_figure(subscriber, "cluster_size", 1));
@@ -355,7 +361,7 @@
 #[test]
 fn without_any_control_process_calls_are_served_and_after_their_return_changes_come() {
     let workers = [Worker::agent(), Worker::agent()];
-    let mut domain = Domain::start(6, &[&workers[0]], 1, 2, |_, _| {});
+    let mut domain = Domain::start(6, &[&workers[0]], 1, 2);
     domain.publisher(0);
     let (fence, _) = domain.reaches(&[0, 1]);
     domain.subscribers.iter().for_each(|subscriber| wait_figure(subscriber, "cluster_size", 1));
@@ -387,7 +393,7 @@
 #[test]
 fn a_call_under_way_keeps_the_settings_under_which_it_came() {
     let worker = Worker::agent();
-    let domain = Domain::start(7, &[&worker], 0, 1, |_, _| {});
+    let domain = Domain::start(7, &[&worker], 0, 1);
     let publisher = domain.publisher(0);
     domain.reaches(&[0]);
     let subscriber = &domain.subscribers[0];
@@ -417,7 +423,7 @@
 #[test]
 fn a_scheduler_that_was_stopped_catches_up() {
     let worker = Worker::agent();
-    let domain = Domain::start(8, &[&worker], 1, 2, |_, _| {});
+    let domain = Domain::start(8, &[&worker], 1, 2);
     worker.serve(echo);
     let publisher = domain.publisher(0);
     domain.reaches(&[0, 1]);
@@ -444,7 +450,7 @@
 #[test]
 fn at_an_upgrade_the_new_process_takes_the_place_in_the_domain() {
     let worker = Worker::agent();
-    let domain = Domain::start(9, &[&worker], 0, 0, |_, _| {});
+    let domain = Domain::start(9, &[&worker], 0, 0);
     worker.serve(echo);
     let publisher = domain.publisher(0);
     let door = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -473,7 +479,7 @@
 #[test]
 fn a_subscriber_gets_the_zones_that_it_wants() {
     let workers = [Worker::agent(), Worker::agent()];
-    let domain = Domain::start(10, &[&workers[0]], 0, 0, |_, _| {});
+    let domain = Domain::start(10, &[&workers[0]], 0, 0);
     domain.publisher(0);
     let at = places(10, 31, 2);
     let children: BTreeMap<&str, Daemon> = [("a", at[0]), ("b", at[1])]
@@ -489,3 +495,89 @@
     wait_figure(&children["a"], "cluster_size", 1);
     assert_eq!(children["b"].figure("cluster_size"), Some(0), "all workers are in the other zone");
 }
+
+/// What a bus tells, once it does: whoever comes is sent all events after the number that it names, and empty frames.
+#[derive(Default)]
+struct Told {
+    speaks: bool,
+    events: Vec<(u64, Vec<u8>)>,
+}
+
+fn play(bus: Bus) -> (SocketAddr, Arc<Mutex<Told>>) {
+    let (at, told) = (bus.0.local_addr().unwrap(), Arc::new(Mutex::new(Told::default())));
+    let kept = told.clone();
+    thread::spawn(move || {
+        loop {
+            let ((mut stream, mut offset), told) = (bus.accept(), kept.clone());
+            thread::spawn(move || {
+                loop {
+                    let mut bytes = vec![];
+                    if let Some(told) = Some(told.lock().unwrap()).filter(|told| told.speaks) {
+                        let known = offset;
+                        for (number, event) in told.events.iter().filter(|(number, _)| *number > known) {
+                            bytes.extend(event);
+                            offset = *number;
+                        }
+                        bytes.extend([&[0, 0, 0, 9][..], &[0; 9]].concat());
+                    }
+                    if stream.write_all(&bytes).is_err() {
+                        return;
+                    }
+                    sleep(Duration::from_millis(50));
+                }
+            });
+        }
+    });
+    (at, told)
+}
+
+/// A publisher that has not heard its bus yet publishes nothing, for its list may be old; then what the bus tells goes to
+/// all, a change as one change.
+#[test]
+fn what_the_publishers_bus_tells_goes_to_all() {
+    let workers = [Worker::agent(), Worker::agent()];
+    let (bus, told) = play(Bus::new());
+    let domain = Domain::with(11, &[&workers[0]], (1, 1), Some(bus), |_, _| {});
+    until("held back", || {
+        domain.replicas.iter().find(|replica| count(replica, "distribution held back") > 0)
+    });
+    assert_eq!(domain.published(), None);
+    told.lock().unwrap().speaks = true;
+    let publisher = domain.publisher(0);
+    let subscriber = &domain.subscribers[0];
+    domain.reaches(&[0]);
+    wait_figure(subscriber, "cluster_size", 1);
+    let published = count(&domain.replicas[publisher], "distribution published");
+    told.lock().unwrap().events.push((2, event(2, 2, &workers[1], 0)));
+    wait_figure(subscriber, "cluster_size", 2);
+    domain.replicas[publisher].wait_log_times("distribution published", published + 1);
+    let log = domain.replicas[publisher].log.lock().unwrap().clone();
+    assert!(
+        log.lines().rfind(|line| line.contains("distribution published")).unwrap().ends_with("changes=1")
+    );
+    told.lock().unwrap().events.push((3, event(3, 1, &workers[0], 2)));
+    wait_figure(subscriber, "cluster_size", 1);
+    let _served = workers.map(|worker| worker.serve(echo));
+    assert_eq!(serve(subscriber, "practice-check", 1), 79);
+}
+
+/// `mintgate check` tells the place in a domain, and refuses an odd one.
+#[test]
+fn check_says_whether_it_would_start() {
+    let folder = Folder::new();
+    let config = json!({"name": "n0", "listen": "127.0.0.1:0", "settings": peer(0)});
+    std::fs::write(folder.at("config.json"), config.to_string()).unwrap();
+    let good = include_str!("../deploy/distribution.toml");
+    let check = |operator: &str| {
+        std::fs::write(folder.at("operator.toml"), operator).unwrap();
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_mintgate"));
+        command.arg("--operator").arg(folder.at("operator.toml")).arg("check");
+        let output = command.env("GW_CONFIG", folder.at("config.json")).output().unwrap();
+        let text = [output.stdout, output.stderr].concat();
+        (output.status.success(), String::from_utf8(text).unwrap())
+    };
+    let (well, text) = check(good);
+    assert!(well && text.contains("distribution tyww-coding-lab: Subscriber"), "{text}");
+    let (well, text) = check(&good.replace("\"subscriber\"", "\"relay\"\nzones = [\"a\"]"));
+    assert!(!well && text.contains("distribution.zones"), "{text}");
+}
