--- /dev/null
+++ b/lab/src/domain/ledger.rs
@@ -0,0 +1,380 @@
+//! What was committed in a domain, kept outside of it, and the rules that every process is held to against it.
+
+use mintgate::Time;
+use mintgate::fleet::distribution::{Change, Interest, Key, Node, PublishError, Role, Topic, Value, Version};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+
+/// Broken rules that are told; more say no more.
+const TOLD: usize = 50;
+
+/// Records by topic and key.
+pub type Records = BTreeMap<(Topic, Key), Value>;
+
+/// A batch of changes that was given to a publisher.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    /// When.
+    pub at: Time,
+    /// The changes.
+    pub changes: Vec<Change>,
+    /// What came of it, and when.
+    pub outcome: Option<(Time, Result<Version, PublishError>)>,
+}
+
+/// One history of the domain. Another begins where a majority of the replicas has lost all.
+#[derive(Default)]
+struct Era {
+    /// Before the first change of the log.
+    first: Records,
+    head: u64,
+    log: Vec<(u64, Change)>,
+    records: Records,
+    /// For each topic its digest from a sequence on.
+    digests: BTreeMap<Topic, Vec<(u64, u64)>>,
+    complete: Option<u64>,
+}
+
+impl Era {
+    fn of(node: &Node, version: Version) -> Era {
+        let records = records_of(node);
+        let mut era = Era { first: records.clone(), head: version.sequence, records, ..Era::default() };
+        for ((topic, key), value) in &era.records {
+            let hash = hash_of(*topic, key, value);
+            let digests = era.digests.entry(*topic).or_insert_with(|| vec![(version.sequence, 0)]);
+            digests[0].1 = digests[0].1.wrapping_add(hash);
+        }
+        era.complete =
+            era.records.contains_key(&(Topic::SETTINGS, Key::Complete)).then_some(version.sequence);
+        era
+    }
+
+    fn append(&mut self, sequence: u64, changes: &[Change]) {
+        for change in changes {
+            self.log.push((sequence, change.clone()));
+            let place = (change.topic, change.key.clone());
+            let before = match &change.value {
+                Some(value) => self.records.insert(place, value.clone()),
+                None => self.records.remove(&place),
+            };
+            let removed = before.map_or(0, |value| hash_of(change.topic, &change.key, &value));
+            let added = change.value.as_ref().map_or(0, |value| hash_of(change.topic, &change.key, value));
+            let digests = self.digests.entry(change.topic).or_default();
+            let digest = digests.last().map_or(0, |(_, digest)| *digest);
+            let digest = digest.wrapping_sub(removed).wrapping_add(added);
+            match digests.last_mut() {
+                Some(last) if last.0 == sequence => last.1 = digest,
+                _ => digests.push((sequence, digest)),
+            }
+            if change.key == Key::Complete && change.value.is_some() {
+                self.complete.get_or_insert(sequence);
+            }
+        }
+        self.head = sequence;
+    }
+
+    fn digest(&self, interest: &Interest, sequence: u64) -> u64 {
+        let at = |digests: &Vec<(u64, u64)>| {
+            let after = digests.partition_point(|(from, _)| *from <= sequence);
+            after.checked_sub(1).map_or(0, |last| digests[last].1)
+        };
+        match interest {
+            Interest::All => self.digests.values().map(at).fold(0, u64::wrapping_add),
+            Interest::Topics(topics) => {
+                let settings = (!topics.contains(&Topic::SETTINGS)).then_some(&Topic::SETTINGS);
+                let all = topics.iter().chain(settings);
+                all.filter_map(|topic| self.digests.get(topic)).map(at).fold(0, u64::wrapping_add)
+            }
+        }
+    }
+
+    fn records_at(&self, sequence: u64) -> Records {
+        if sequence >= self.head {
+            return self.records.clone();
+        }
+        let mut records = self.first.clone();
+        for (_, change) in self.log.iter().take_while(|(at, _)| *at <= sequence) {
+            let place = (change.topic, change.key.clone());
+            match &change.value {
+                Some(value) => records.insert(place, value.clone()),
+                None => records.remove(&place),
+            };
+        }
+        records
+    }
+}
+
+pub(super) fn hash_of(topic: Topic, key: &Key, value: &Value) -> u64 {
+    Change { topic, key: key.clone(), value: Some(value.clone()) }.hash()
+}
+
+/// The topic to which a standing record belongs.
+pub fn topic_of(value: &Value) -> Topic {
+    match value {
+        Value::Worker(worker) => Topic::workers_of(mintgate::ZoneId(worker.zone)),
+        Value::Complete | Value::Class(_) => Topic::SETTINGS,
+    }
+}
+
+/// What is in force at a process.
+pub fn records_of(node: &Node) -> Records {
+    node.records().map(|(key, value)| ((topic_of(value), key.clone()), value.clone())).collect()
+}
+
+/// See the module's page.
+pub struct Ledger {
+    quorum: usize,
+    eras: Vec<Era>,
+    versions: HashMap<Version, usize>,
+    head: Version,
+    /// Who has accepted the batch of a fence after a sequence.
+    accepted: BTreeMap<(u64, u64), BTreeSet<SocketAddr>>,
+    /// Replicas that have known all that was committed since they came to know it first.
+    established: BTreeSet<SocketAddr>,
+    /// Replicas that have started with nothing, and the sequence from which on they know all.
+    recovering: BTreeMap<SocketAddr, u64>,
+    majority_lost: bool,
+    asked: BTreeMap<u64, Asked>,
+    /// Datagrams and bytes on links that are watched.
+    watched: BTreeMap<(SocketAddr, SocketAddr), (u64, u64)>,
+    broken: Vec<String>,
+}
+
+impl Ledger {
+    /// Of a domain of these replicas, which start with nothing.
+    pub fn new(replicas: &[SocketAddr]) -> Ledger {
+        Ledger {
+            quorum: replicas.len() / 2 + 1,
+            eras: vec![Era::default()],
+            versions: HashMap::from([(Version::default(), 0)]),
+            head: Version::default(),
+            accepted: BTreeMap::new(),
+            established: replicas.iter().copied().collect(),
+            recovering: BTreeMap::new(),
+            majority_lost: false,
+            asked: BTreeMap::new(),
+            watched: BTreeMap::new(),
+            broken: vec![],
+        }
+    }
+
+    /// The last version that was committed.
+    pub fn head(&self) -> Version {
+        self.head
+    }
+
+    /// Rules that were broken.
+    pub fn broken(&self) -> &[String] {
+        &self.broken
+    }
+
+    /// Histories of the domain: one more each time that a majority of the replicas had lost all.
+    pub fn eras(&self) -> usize {
+        self.eras.len()
+    }
+
+    /// Whether a replica has known all that was committed since it came to know it first: it was there from the start, or
+    /// has caught up since it started.
+    pub fn is_established(&self, at: SocketAddr) -> bool {
+        self.established.contains(&at)
+    }
+
+    /// What was asked of publishers, by ticket.
+    pub fn asked(&self, ticket: u64) -> Option<&Asked> {
+        self.asked.get(&ticket)
+    }
+
+    /// All that was committed and stands.
+    pub fn records(&self) -> &Records {
+        &self.era().records
+    }
+
+    fn era(&self) -> &Era {
+        &self.eras[self.eras.len() - 1]
+    }
+
+    /// A rule was broken.
+    pub fn broke(&mut self, what: String) {
+        if self.broken.len() < TOLD {
+            self.broken.push(what);
+        }
+    }
+
+    /// Counts what goes from one process to another from now on.
+    pub fn watch(&mut self, from: SocketAddr, to: SocketAddr) {
+        self.watched.insert((from, to), (0, 0));
+    }
+
+    /// Datagrams and bytes counted on a watched link.
+    pub fn counted(&self, from: SocketAddr, to: SocketAddr) -> (u64, u64) {
+        self.watched.get(&(from, to)).copied().unwrap_or_default()
+    }
+
+    pub(crate) fn sent(&mut self, from: SocketAddr, to: SocketAddr, bytes: usize) {
+        if self.watched.is_empty() {
+            return;
+        }
+        if let Some(count) = self.watched.get_mut(&(from, to)) {
+            *count = (count.0 + 1, count.1 + bytes as u64);
+        }
+    }
+
+    /// A replica has started with nothing.
+    pub(crate) fn started(&mut self, at: SocketAddr) {
+        self.recovering.insert(at, self.head.sequence);
+    }
+
+    /// A replica has lost all.
+    pub(crate) fn killed(&mut self, at: SocketAddr) {
+        self.recovering.remove(&at);
+        self.established.remove(&at);
+        if self.established.len() < self.quorum {
+            self.majority_lost = true;
+        }
+    }
+
+    pub(crate) fn accepted(&mut self, at: SocketAddr, fence: u64, after: u64) {
+        self.accepted.entry((fence, after)).or_default().insert(at);
+    }
+
+    pub(crate) fn ask(&mut self, ticket: u64, at: Time, changes: Vec<Change>) {
+        self.asked.insert(ticket, Asked { at, changes, outcome: None });
+    }
+
+    pub(crate) fn published(&mut self, now: Time, ticket: u64, outcome: Result<Version, PublishError>) {
+        if let Ok(version) = &outcome
+            && !self.versions.contains_key(version)
+        {
+            self.broke(format!("ticket {ticket} was published as {version:?}, which was not committed"));
+        }
+        let Some(asked) = self.asked.get_mut(&ticket) else {
+            return self.broke(format!("ticket {ticket} was never asked for"));
+        };
+        if let Some((_, before)) = asked.outcome.replace((now, outcome.clone())) {
+            self.broke(format!("ticket {ticket} came to {before:?} and to {outcome:?}"));
+        }
+    }
+
+    /// A publisher has a version of its own in force that follows on `before`.
+    pub(crate) fn committed(
+        &mut self,
+        at: SocketAddr,
+        before: Version,
+        version: Version,
+        changes: &[Change],
+        node: Option<&Node>,
+    ) {
+        if self.versions.contains_key(&version) {
+            return;
+        }
+        let voters = self.accepted.remove(&(version.fence, before.sequence)).unwrap_or_default();
+        if 1 + voters.iter().filter(|voter| **voter != at).count() < self.quorum {
+            self.broke(format!("{at} committed {version:?} with the votes of {voters:?} only"));
+        }
+        self.accepted.retain(|(fence, after), _| *fence >= version.fence && *after >= before.sequence);
+        let current = self.eras.len() - 1;
+        let follows = self.versions.get(&before) == Some(&current);
+        let era = &mut self.eras[current];
+        if follows && before.sequence == era.head {
+            era.append(version.sequence, changes);
+        } else {
+            // The same state under another fence, or another history.
+            let same = follows && version.sequence <= era.head;
+            let digest = era.digest(&Interest::All, version.sequence);
+            if !same || node.is_some_and(|node| node.digest() != digest) {
+                self.begin_era(at, before, version, node);
+            }
+        }
+        self.versions.insert(version, self.eras.len() - 1);
+        self.head = self.head.max(version);
+    }
+
+    fn begin_era(&mut self, at: SocketAddr, before: Version, version: Version, node: Option<&Node>) {
+        if !self.majority_lost {
+            let head = self.head;
+            self.broke(format!("{at} committed {version:?} on {before:?} though {head:?} was committed"));
+        }
+        let Some(node) = node else { return };
+        self.eras.push(Era::of(node, version));
+        self.established.insert(at);
+        self.recovering.remove(&at);
+        for needed in self.recovering.values_mut() {
+            *needed = version.sequence;
+        }
+        let others: Vec<SocketAddr> = self.established.iter().copied().filter(|other| *other != at).collect();
+        for other in others {
+            self.established.remove(&other);
+            self.recovering.insert(other, version.sequence);
+        }
+    }
+
+    /// A version has come into force at a process, with the digest of what it holds where nothing follows at once.
+    pub(crate) fn installed(
+        &mut self,
+        at: SocketAddr,
+        role: Role,
+        interest: &Interest,
+        version: Version,
+        digest: Option<u64>,
+    ) {
+        let Some(number) = self.versions.get(&version).copied() else {
+            return self.broke(format!("{at} has {version:?} in force, which was never committed"));
+        };
+        let era = &self.eras[number];
+        let committed = era.digest(interest, version.sequence);
+        let complete = era.complete.is_some_and(|complete| complete <= version.sequence);
+        if digest.is_some_and(|digest| digest != committed) {
+            self.broke(format!("{at} holds other records at {version:?} than were committed"));
+        }
+        if role != Role::Replica && !complete {
+            self.broke(format!("{at} has {version:?} in force, which is not whole"));
+        }
+        let knows = number + 1 == self.eras.len()
+            && self.recovering.get(&at).is_some_and(|needed| *needed <= version.sequence);
+        if knows {
+            self.recovering.remove(&at);
+            self.established.insert(at);
+            self.majority_lost &= self.established.len() < self.quorum;
+        }
+    }
+
+    /// What an interest holds at a version; none where that was never committed.
+    pub fn records_at(&self, version: Version, interest: &Interest) -> Option<Records> {
+        let era = &self.eras[*self.versions.get(&version)?];
+        let mut records = era.records_at(version.sequence);
+        records.retain(|(topic, _), _| interest.covers(*topic));
+        Some(records)
+    }
+
+    /// Changes that were acknowledged as published and do not stand, though nothing that was asked for later, or whose
+    /// outcome is open, is about the same record.
+    pub fn lost(&self) -> Vec<String> {
+        if self.eras.len() > 1 {
+            return vec![];
+        }
+        let mut last: BTreeMap<(Topic, &Key), (Version, u64, &Change)> = BTreeMap::new();
+        let mut open: BTreeSet<(Topic, &Key)> = BTreeSet::new();
+        for (ticket, asked) in &self.asked {
+            for change in &asked.changes {
+                let place = (change.topic, &change.key);
+                match &asked.outcome {
+                    Some((_, Ok(version))) => {
+                        let entry = last.entry(place).or_insert((*version, *ticket, change));
+                        if (entry.0, entry.1) <= (*version, *ticket) {
+                            *entry = (*version, *ticket, change);
+                        }
+                    }
+                    None | Some((_, Err(PublishError::Superseded))) => {
+                        open.insert(place);
+                    }
+                    Some((_, Err(_))) => {}
+                }
+            }
+        }
+        last.retain(|place, _| !open.contains(place));
+        let stands = |change: &Change| self.era().records.get(&(change.topic, change.key.clone()));
+        let lost = last.values().filter(|(.., change)| stands(change) != change.value.as_ref());
+        lost.map(|(version, ticket, change)| format!("ticket {ticket} of {version:?}: {change:?} is lost"))
+            .collect()
+    }
+}
--- /dev/null
+++ b/lab/src/domain/links.rs
@@ -0,0 +1,47 @@
+//! Which links of a domain are how: regions far from each other, sides that are cut off, and links that are ill.
+
+use crate::network::Link;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+/// See the module's page. What is named more closely counts.
+pub(super) struct Links {
+    /// Regions, and a link between two of them. Process `n` is in region `n % regions`.
+    pub(super) regions: usize,
+    pub(super) far: Link,
+    /// Processes that reach only those of the same side; who is not named is on side 0.
+    pub(super) sides: HashMap<SocketAddr, usize>,
+    pub(super) processes: HashMap<SocketAddr, Link>,
+    pub(super) pairs: HashMap<(SocketAddr, SocketAddr), Link>,
+    pub(super) all: Option<Link>,
+}
+
+impl Links {
+    pub(super) fn new(regions: usize, far: Link) -> Links {
+        let (sides, processes, pairs) = (HashMap::new(), HashMap::new(), HashMap::new());
+        Links { regions, far, sides, processes, pairs, all: None }
+    }
+
+    pub(super) fn reaches(&self, from: SocketAddr, to: SocketAddr) -> bool {
+        let side = |at| self.sides.get(&at).copied().unwrap_or(0);
+        self.sides.is_empty() || side(from) == side(to)
+    }
+
+    pub(super) fn link(&self, from: SocketAddr, to: SocketAddr) -> Option<Link> {
+        if !self.reaches(from, to) {
+            return Some(Link { cut: true, ..Link::default() });
+        }
+        if let Some(link) = self.pairs.get(&(from, to)) {
+            return Some(*link);
+        }
+        if !self.processes.is_empty()
+            && let Some(link) = self.processes.get(&from).or(self.processes.get(&to))
+        {
+            return Some(*link);
+        }
+        if self.regions > 1 && super::number_of(from) % self.regions != super::number_of(to) % self.regions {
+            return Some(self.far);
+        }
+        self.all
+    }
+}
--- /dev/null
+++ b/lab/src/hollow.rs
@@ -0,0 +1,204 @@
+//! A process of a distribution domain without sockets or a clock: the shipped [`Node`] behind the shipped datagram codec,
+//! so that the bytes counted are real. Whatever comes into force at it is told to the [`Ledger`].
+
+use crate::domain::ledger::Ledger;
+use crate::network::{Outgoing, Process};
+use mintgate::fleet::distribution::{self, Event, Interest, Message, Node, Output, Role, Setting, Version};
+use mintgate::fleet::lease::Hold;
+use mintgate::fleet::{self, message};
+use mintgate::{Span, Time};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// See the module's page.
+pub struct HollowNode {
+    node: Node,
+    at: SocketAddr,
+    role: Role,
+    interest: Interest,
+    process: fleet::Process,
+    fleet: u64,
+    hold: Option<Hold>,
+    ledger: Rc<RefCell<Ledger>>,
+    version: Version,
+    installs: Vec<(Time, Version)>,
+    refusals: Vec<(Time, Version, String)>,
+    parents: Vec<(Time, Option<SocketAddr>)>,
+    pages: u64,
+    changes: u64,
+}
+
+impl HollowNode {
+    /// A process that starts now.
+    pub fn new(
+        now: Time,
+        fleet: u64,
+        process: fleet::Process,
+        setting: Setting,
+        check: Box<dyn distribution::Check>,
+        ledger: Rc<RefCell<Ledger>>,
+    ) -> HollowNode {
+        HollowNode {
+            at: setting.at,
+            role: setting.role,
+            interest: setting.interest.clone(),
+            process,
+            fleet,
+            hold: None,
+            ledger,
+            version: Version::default(),
+            installs: vec![],
+            refusals: vec![],
+            parents: vec![],
+            pages: 0,
+            changes: 0,
+            node: Node::new(now, setting, check),
+        }
+    }
+
+    /// The shipped machine.
+    pub fn node(&self) -> &Node {
+        &self.node
+    }
+
+    /// Its role.
+    pub fn role(&self) -> Role {
+        self.role
+    }
+
+    /// What it wants.
+    pub fn interest(&self) -> &Interest {
+        &self.interest
+    }
+
+    /// What came into force here, and when; versions rise.
+    pub fn installs(&self) -> &[(Time, Version)] {
+        &self.installs
+    }
+
+    /// When this version or a later one came into force here.
+    pub fn in_force(&self, version: Version) -> Option<Time> {
+        let first = self.installs.partition_point(|(_, installed)| *installed < version);
+        self.installs.get(first).map(|(at, _)| *at)
+    }
+
+    /// Versions that did not pass the checks here, and why.
+    pub fn refusals(&self) -> &[(Time, Version, String)] {
+        &self.refusals
+    }
+
+    /// Parents that were followed, and since when.
+    pub fn parents(&self) -> &[(Time, Option<SocketAddr>)] {
+        &self.parents
+    }
+
+    /// Pages with changes that have come.
+    pub fn pages(&self) -> u64 {
+        self.pages
+    }
+
+    /// Changes that came into force here, each time that they did.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// Has the machine take in an event, and does what it says.
+    pub fn handle(&mut self, now: Time, event: Event) -> Outgoing {
+        if let Event::Lease(hold) = &event {
+            self.hold = *hold;
+        }
+        let outputs = self.node.handle(now, event);
+        let mut outgoing = vec![];
+        let last = outputs.iter().rposition(|output| matches!(output, Output::Installed { .. }));
+        for (number, output) in outputs.into_iter().enumerate() {
+            match output {
+                Output::Send(to, message) => outgoing.push((to, self.encode(to, message))),
+                Output::Installed { version, changes } => {
+                    self.installed(now, version, &changes, last == Some(number));
+                }
+                Output::Refused { version, why } => self.refusals.push((now, version, why)),
+                Output::Published { ticket, version } => {
+                    self.ledger.borrow_mut().published(now, ticket, Ok(version));
+                }
+                Output::NotPublished { ticket, why } => {
+                    self.ledger.borrow_mut().published(now, ticket, Err(why));
+                }
+                Output::Parent(parent) => self.parents.push((now, parent)),
+            }
+        }
+        let version = self.node.version();
+        if version != self.version {
+            // Taken over without a change, such as another fence of the same state.
+            self.installed(now, version, &[], true);
+        }
+        outgoing
+    }
+
+    fn encode(&self, to: SocketAddr, message: Message) -> Vec<u8> {
+        let mut ledger = self.ledger.borrow_mut();
+        if let Message::Accepted { fence, after } = &message {
+            ledger.accepted(self.at, *fence, *after);
+        }
+        let bytes = distribution::datagram(self.fleet, self.process, std::slice::from_ref(&message));
+        if bytes.len() > message::LARGEST {
+            ledger.broke(format!("{} sent a datagram of {} bytes", self.at, bytes.len()));
+        }
+        ledger.sent(self.at, to, bytes.len());
+        bytes
+    }
+
+    fn installed(&mut self, now: Time, version: Version, changes: &[distribution::Change], last: bool) {
+        let mut ledger = self.ledger.borrow_mut();
+        if version < self.version {
+            ledger.broke(format!("{} went back from {:?} to {version:?}", self.at, self.version));
+        }
+        if let Some(change) = changes.iter().find(|change| !self.interest.covers(change.topic)) {
+            ledger.broke(format!("{} has {change:?} in force, which it did not want", self.at));
+        }
+        let publishes =
+            self.role == Role::Replica && self.hold.is_some_and(|hold| hold.fence == version.fence);
+        if publishes {
+            ledger.committed(self.at, self.version, version, changes, last.then_some(&self.node));
+        }
+        let digest = last.then(|| self.node.digest());
+        ledger.installed(self.at, self.role, &self.interest, version, digest);
+        self.version = version;
+        self.changes += changes.len() as u64;
+        self.installs.push((now, version));
+    }
+
+    /// Rules that what comes must keep whatever the machine makes of it.
+    fn watch(&mut self, messages: &[Message]) {
+        for message in messages {
+            let Message::Page(page) = message else { continue };
+            self.pages += u64::from(!page.changes.is_empty());
+            if let Some(change) = page.changes.iter().find(|change| !self.interest.covers(change.topic)) {
+                self.ledger
+                    .borrow_mut()
+                    .broke(format!("{} was sent {change:?}, which it did not want", self.at));
+            }
+        }
+    }
+}
+
+impl Process for HollowNode {
+    fn due(&self) -> Option<Time> {
+        self.node.due()
+    }
+
+    fn datagram(&mut self, now: Time, from: SocketAddr, bytes: &[u8]) -> Outgoing {
+        let Ok(datagram) = message::read(self.fleet, bytes) else { return vec![] };
+        self.watch(&datagram.distribution);
+        self.handle(now, Event::Received { from, messages: &datagram.distribution })
+    }
+
+    fn timer(&mut self, now: Time) -> Outgoing {
+        self.handle(now, Event::Timer)
+    }
+}
+
+/// How long after `since`; 0 where it was before.
+pub(crate) fn elapsed(since: Time, at: Time) -> Span {
+    Span(at.0.saturating_sub(since.0))
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,7 +1,9 @@
 //! The laboratory: plays what the scheduler decides, in virtual time and with real processes, and reports.
 
 pub mod chains;
+pub mod domain;
 mod fleet;
+pub mod hollow;
 pub mod network;
 pub mod processes;
 pub mod rig;
