--- a/lab/src/domain.rs
+++ b/lab/src/domain.rs
@@ -5,6 +5,8 @@
 pub mod ledger;
 mod links;
 mod measure;
+#[cfg(test)]
+mod tests;
 
 pub use measure::{Load, Reach};
 
