Have the ledger know a batch that a later publisher commits under its first fence

Cause: an open batch keeps the fence of the publisher that proposed it, so its committer was taken for a reader. Change: any version that a holder of the lease has first counts as its commit, with the votes of its own fence.

--- a/lab/src/domain/ledger.rs
+++ b/lab/src/domain/ledger.rs
@@ -255,10 +255,12 @@
         }
     }
 
-    /// A publisher has a version of its own in force that follows on `before`.
+    /// A replica that publishes under this fence has a version in force that follows on `before`. It need not be the first
+    /// that has it.
     pub(crate) fn committed(
         &mut self,
         at: SocketAddr,
+        fence: u64,
         before: Version,
         version: Version,
         changes: &[Change],
@@ -267,11 +269,11 @@
         if self.versions.contains_key(&version) {
             return;
         }
-        let voters = self.accepted.remove(&(version.fence, before.sequence)).unwrap_or_default();
+        let voters = self.accepted.remove(&(fence, before.sequence)).unwrap_or_default();
         if 1 + voters.iter().filter(|voter| **voter != at).count() < self.quorum {
             self.broke(format!("{at} committed {version:?} with the votes of {voters:?} only"));
         }
-        self.accepted.retain(|(fence, after), _| *fence >= version.fence && *after >= before.sequence);
+        self.accepted.retain(|(voted, after), _| *voted >= fence && *after >= before.sequence);
         let current = self.eras.len() - 1;
         let follows = self.versions.get(&before) == Some(&current);
         let era = &mut self.eras[current];
--- a/lab/src/domain/tests.rs
+++ b/lab/src/domain/tests.rs
@@ -47,7 +47,7 @@
     for other in (0..3).filter(|other| *other != publisher).take(votes - 1) {
         ledger.accepted(address_of(other), version.fence, before.sequence);
     }
-    ledger.committed(address_of(publisher), before, version, changes, None);
+    ledger.committed(address_of(publisher), version.fence, before, version, changes, None);
 }
 
 #[track_caller]
--- a/lab/src/hollow.rs
+++ b/lab/src/hollow.rs
@@ -156,10 +156,10 @@
         if let Some(change) = changes.iter().find(|change| !self.interest.covers(change.topic)) {
             ledger.broke(format!("{} has {change:?} in force, which it did not want", self.at));
         }
-        let publishes =
-            self.role == Role::Replica && self.hold.is_some_and(|hold| hold.fence == version.fence);
-        if publishes {
-            ledger.committed(self.at, self.version, version, changes, last.then_some(&self.node));
+        // Whoever holds the lease, or believes it, commits; an open batch of a publisher before it keeps that one's fence.
+        if let Some(hold) = self.hold.filter(|_| self.role == Role::Replica) {
+            let node = last.then_some(&self.node);
+            ledger.committed(self.at, hold.fence, self.version, version, changes, node);
         }
         let digest = last.then(|| self.node.digest());
         ledger.installed(self.at, self.role, &self.interest, version, digest);
