--- /dev/null
+++ b/tests/distribution/days.rs
@@ -0,0 +1,191 @@
+//! Days of a distribution domain on which much goes wrong, as a seed draws it: processes are killed, started with nothing,
+//! stopped and continued, sides are cut off, links are ill, and former publishers go on believing that they hold the lease.
+//! A majority of the replicas always lives. The domain holds every process to the rules at every step; at the end all is
+//! well again, and all must come to hold the same.
+
+use crate::behind;
+use lab::domain::{Domain, Plan};
+use lab::network::Link;
+use mintgate::fleet::distribution::Role;
+use mintgate::fleet::lease::Hold;
+use mintgate::{Span, Time};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+const LENGTH: Span = Span::millis(90_000);
+const STEP: Span = Span::millis(250);
+
+/// What ends later.
+enum End {
+    Start(Role, usize),
+    Continue(Role, usize),
+    Heal,
+    Disbelieve(usize),
+}
+
+struct Day {
+    domain: Domain,
+    rng: SmallRng,
+    ends: Vec<(Time, End)>,
+    faults: usize,
+}
+
+impl Day {
+    fn later(&mut self, end: End) {
+        let span = Span::millis(self.rng.random_range(300..9_000));
+        self.ends.push((self.domain.now() + span, end));
+    }
+
+    /// Whether a majority that knows all is left without this one.
+    fn may_lose(&self, index: usize) -> bool {
+        let replicas = self.domain.plan().replicas;
+        let ledger = self.domain.ledger();
+        let others = (0..replicas).filter(|other| *other != index);
+        let knowing =
+            others.filter(|other| ledger.is_established(self.domain.address(Role::Replica, *other)));
+        knowing.count() > replicas / 2
+    }
+
+    fn fault(&mut self) {
+        let all = self.domain.all();
+        let control = self.domain.control();
+        let any = all[self.rng.random_range(0..all.len())];
+        let (role, index) = control[self.rng.random_range(0..control.len())];
+        let replica = self.rng.random_range(0..self.domain.plan().replicas);
+        self.faults += 1;
+        match self.rng.random_range(0..8) {
+            0 | 1 if role != Role::Replica || self.may_lose(index) => {
+                self.domain.kill(role, index);
+                self.later(End::Start(role, index));
+            }
+            // Started at once, with nothing.
+            2 if role != Role::Replica || self.may_lose(index) => self.domain.start(role, index),
+            3 => {
+                let (role, index) = if any.0 == Role::Replica { (role, index) } else { any };
+                self.domain.stop(role, index, true);
+                self.later(End::Continue(role, index));
+            }
+            4 => {
+                let share = self.rng.random_range(0.1..0.6);
+                let side = all.into_iter().filter(|_| self.rng.random_bool(share)).collect();
+                self.domain.cut(&[side]);
+                self.later(End::Heal);
+            }
+            5 => {
+                let link = Link {
+                    loss: self.rng.random_range(0.0..0.5),
+                    repeat: 0.2,
+                    spoil: 0.05,
+                    jitter: Span::millis(self.rng.random_range(1..1_000)),
+                    ..Link::default()
+                };
+                self.domain.set_all_links(link);
+                self.later(End::Heal);
+            }
+            6 => {
+                let link = Link { delay: Span::millis(self.rng.random_range(50..800)), ..Link::default() };
+                self.domain.set_links_of(role, index, link);
+                self.later(End::Heal);
+            }
+            _ => {
+                // A clock that stood still, or a lease service that failed: a former holder still believes.
+                let Some(fence) = self.domain.fence_of(replica) else { return };
+                let until = self.domain.now() + Span::millis(20_000);
+                self.domain.believe(replica, Some(Hold { fence, until }));
+                let change = self.domain.touch(1);
+                self.domain.publish_at(replica, change);
+                self.later(End::Disbelieve(replica));
+            }
+        }
+    }
+
+    fn end(&mut self, end: End) {
+        match end {
+            End::Start(role, index) if self.domain.process(role, index).is_none() => {
+                self.domain.start(role, index)
+            }
+            End::Start(..) => {}
+            End::Continue(role, index) => self.domain.stop(role, index, false),
+            End::Heal => self.domain.heal(),
+            End::Disbelieve(replica) => {
+                if self.domain.holder() != Some(replica) {
+                    self.domain.believe(replica, None);
+                }
+            }
+        }
+    }
+
+    fn end_due(&mut self) {
+        let now = self.domain.now();
+        let (due, rest) = std::mem::take(&mut self.ends).into_iter().partition(|(at, _)| *at <= now);
+        self.ends = rest;
+        for (_, end) in due {
+            self.end(end);
+        }
+    }
+
+    fn play(&mut self) {
+        let end = self.domain.now() + LENGTH;
+        while self.domain.now() < end {
+            if self.rng.random_bool(0.2) {
+                self.fault();
+            }
+            let count = self.rng.random_range(1..5);
+            let mut changes = self.domain.touch(count);
+            if self.rng.random_bool(0.1) {
+                let worker = self.rng.random_range(0..self.domain.plan().workers as u64);
+                changes.extend(self.domain.remove_worker(worker));
+            }
+            self.domain.publish(changes);
+            self.domain.run(STEP);
+            self.end_due();
+        }
+        for (_, end) in std::mem::take(&mut self.ends) {
+            self.end(end);
+        }
+        self.domain.heal();
+    }
+}
+
+fn play(seed: u64, plan: Plan) {
+    let mut domain = Domain::new(Plan { seed, ..plan });
+    domain.run(Span::millis(1_000));
+    domain.fill().unwrap_or_else(|why| panic!("seed {seed}: {why}"));
+    let mut day = Day { domain, rng: SmallRng::seed_from_u64(seed), ends: vec![], faults: 0 };
+    day.play();
+    let settled = day.domain.settle(Span::millis(30_000));
+    // Whoever publishes still does.
+    let change = day.domain.touch(1);
+    let last = day.domain.publish_now(change);
+    let settled = settled && day.domain.settle(Span::millis(5_000));
+    let broken = day.domain.audit();
+    assert!(broken.is_empty(), "seed {seed}: {broken:#?}");
+    assert!(matches!(last, Some(Ok(_))), "seed {seed}: {last:?}");
+    assert!(settled, "seed {seed}: not at {:?}: {:#?}", day.domain.ledger().head(), behind(&day.domain));
+    assert_eq!(day.domain.ledger().eras(), 1, "seed {seed}: the majority's state was lost");
+    assert!(day.faults > 30, "seed {seed}: {} faults", day.faults);
+}
+
+/// As many days as `DISTRIBUTION_DAYS` says, or the usual number.
+fn play_all(first: u64, usual: u64, plan: Plan) {
+    let count = std::env::var("DISTRIBUTION_DAYS").ok().and_then(|count| count.parse().ok()).unwrap_or(usual);
+    for seed in first..first + count {
+        play(seed, plan.clone());
+    }
+}
+
+#[test]
+fn days_of_three_replicas_end_well() {
+    play_all(10_000, 20, Plan { replicas: 3, relays: 3, subscribers: 16, workers: 300, ..Plan::default() });
+}
+
+#[test]
+fn days_of_five_replicas_in_two_regions_end_well() {
+    let plan = Plan { replicas: 5, relays: 4, subscribers: 16, workers: 300, regions: 2, ..Plan::default() };
+    play_all(20_000, 24, plan);
+}
+
+#[test]
+fn days_without_relays_end_well() {
+    play_all(30_000, 20, Plan { replicas: 3, relays: 0, subscribers: 12, workers: 300, ..Plan::default() });
+}
--- /dev/null
+++ b/tests/distribution/failures.rs
@@ -0,0 +1,295 @@
+//! Processes, links and regions that fail.
+
+use crate::*;
+use lab::network::Link;
+use mintgate::fleet::lease::Hold;
+
+#[test]
+fn a_parent_killed_in_mid_snapshot_leaves_its_children_whole() {
+    for seed in SEEDS {
+        let plan =
+            Plan { workers: 4_000, zones: 2, catch_up_bytes_per_second: 100_000, seed, ..Plan::default() };
+        let mut domain = filled(plan);
+        let subscribers = all_of(Role::Subscriber, 0..40);
+        for (role, index) in &subscribers {
+            domain.start(*role, *index);
+        }
+        domain.run(Span::millis(1_000 + 100 * (seed % 7)));
+        let victim = domain.address(Role::Relay, 0);
+        let caught: Vec<usize> = (0..40)
+            .filter(|index| parent_of(&domain, Role::Subscriber, *index) == Some(victim))
+            .filter(|index| {
+                let process = domain.process(Role::Subscriber, *index).unwrap();
+                process.pages() > 2 && process.installs().is_empty()
+            })
+            .collect();
+        assert!(caught.len() >= 3, "seed {seed}: {} children were in mid-snapshot", caught.len());
+        domain.kill(Role::Relay, 0);
+        let change = domain.touch(1);
+        published(&mut domain, change);
+        ends_well(&mut domain, seconds(60));
+        let whole = |index: &usize| domain.process(Role::Subscriber, *index).unwrap().installs().len();
+        assert!(caught.iter().all(|index| whole(index) >= 1), "seed {seed}");
+    }
+}
+
+#[test]
+fn children_keep_their_state_while_all_control_processes_are_gone_and_come_back_empty() {
+    for seed in SEEDS {
+        let mut domain = filled(Plan { seed, ..Plan::default() });
+        let change = domain.touch(3);
+        published(&mut domain, change);
+        ends_well(&mut domain, seconds(5));
+        let before = versions(&domain);
+        for (role, index) in domain.control() {
+            domain.kill(role, index);
+        }
+        domain.run(seconds(60));
+        assert_eq!(versions(&domain), before, "seed {seed}");
+        for (_, process) in domain.running(Role::Subscriber) {
+            let age = process.node().status(domain.now()).age;
+            assert!(age.is_some_and(|age| age >= seconds(55)), "seed {seed}: the age shown is {age:?}");
+        }
+        for (role, index) in domain.control() {
+            domain.start(role, index);
+        }
+        domain.run(seconds(10));
+        assert_eq!(versions(&domain), before, "seed {seed}: something was taken from empty parents");
+        let changes = |domain: &Domain| -> Vec<u64> {
+            domain.running(Role::Subscriber).map(|(_, process)| process.changes()).collect()
+        };
+        let counted = changes(&domain);
+        let moved = domain.touch_worker(5);
+        domain.fill().unwrap_or_else(|why| panic!("seed {seed}: {why}"));
+        ends_well(&mut domain, seconds(60));
+        assert_eq!(domain.ledger().eras(), 2, "seed {seed}");
+        for (index, (now, before)) in changes(&domain).into_iter().zip(counted).enumerate() {
+            // Only what differs comes into force, though the whole list was sent.
+            let wanted = u64::from(domain.interest(index).covers(moved.topic));
+            assert_eq!(now - before, wanted, "seed {seed}: at subscriber {index}");
+            let status = domain.process(Role::Subscriber, index).unwrap().node().status(domain.now());
+            assert!(status.age.is_some_and(|age| age < seconds(3)), "seed {seed}: {:?}", status.age);
+        }
+    }
+}
+
+#[test]
+fn a_batch_of_a_publisher_on_the_minoritys_side_never_stands() {
+    for seed in SEEDS {
+        let mut domain = filled(Plan { replicas: 5, seed, ..Plan::default() });
+        domain.look_after_lease(false);
+        let old = domain.holder().unwrap();
+        let (mate, new) = ((old + 1) % 5, (old + 2) % 5);
+        let fence = domain.fence();
+        // The lease service has failed: both believe that they hold the lease, for as long as the test lasts.
+        domain.believe(old, Some(Hold { fence, until: domain.now() + seconds(3_600) }));
+        let mut side = vec![(Role::Replica, old), (Role::Replica, mate)];
+        side.extend(all_of(Role::Relay, 0..2));
+        side.extend(all_of(Role::Subscriber, 0..20));
+        domain.cut(&[side]);
+        let lost = domain.touch_worker(1);
+        let refused = domain.publish_at(old, vec![lost.clone()]);
+        domain.run(seconds(3));
+        domain.grant(new, seconds(3_600));
+        let stands = domain.touch_worker(1);
+        let ticket = domain.publish_at(new, vec![stands.clone()]);
+        domain.run(seconds(10));
+        assert!(matches!(domain.outcome(ticket), Some(Ok(_))), "seed {seed}: {:?}", domain.outcome(ticket));
+        assert!(!matches!(domain.outcome(refused), Some(Ok(_))), "seed {seed}");
+        assert!(!anybody_holds(&domain, &lost), "seed {seed}");
+        domain.heal();
+        // The old one goes on trying.
+        let late = domain.touch_worker(2);
+        let late_ticket = domain.publish_at(old, vec![late.clone()]);
+        domain.run(seconds(10));
+        for ticket in [refused, late_ticket] {
+            assert!(
+                matches!(domain.outcome(ticket), Some(Err(_))),
+                "seed {seed}: {:?}",
+                domain.outcome(ticket)
+            );
+        }
+        assert!(!anybody_holds(&domain, &lost) && !anybody_holds(&domain, &late), "seed {seed}");
+        let next = domain.touch_worker(3);
+        let ticket = domain.publish_at(new, vec![next]);
+        domain.run(seconds(2));
+        assert!(matches!(domain.outcome(ticket), Some(Ok(_))), "seed {seed}: {:?}", domain.outcome(ticket));
+        ends_well(&mut domain, seconds(10));
+        assert!((0..5).all(|index| holds(&domain, Role::Replica, index, &stands)), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_batch_that_a_majority_has_accepted_stands_though_its_publisher_was_stopped() {
+    for seed in SEEDS {
+        let mut domain = filled(Plan { seed, ..Plan::default() });
+        domain.look_after_lease(false);
+        let old = domain.holder().unwrap();
+        let new = (old + 1) % 3;
+        let open = domain.touch_worker(1);
+        let ticket = domain.publish_at(old, vec![open.clone()]);
+        // Accepted by the two others, and not yet known to the publisher.
+        domain.stop(Role::Replica, old, true);
+        domain.run(seconds(3));
+        assert_eq!(domain.outcome(ticket), None, "seed {seed}");
+        domain.grant(new, seconds(3_600));
+        let next = domain.touch_worker(2);
+        let next_ticket = domain.publish_at(new, vec![next.clone()]);
+        domain.run(seconds(5));
+        assert!(matches!(domain.outcome(next_ticket), Some(Ok(_))), "seed {seed}");
+        for change in [&open, &next] {
+            assert!(holds(&domain, Role::Replica, new, change), "seed {seed}: {change:?} was accepted");
+        }
+        domain.stop(Role::Replica, old, false);
+        domain.run(seconds(1));
+        domain.believe(old, None);
+        ends_well(&mut domain, seconds(10));
+        assert!(domain.outcome(ticket).is_some(), "seed {seed}: the old publisher never answered");
+    }
+}
+
+#[test]
+fn what_was_acknowledged_outlives_a_replica_that_lost_all_and_one_that_lags() {
+    for seed in SEEDS {
+        let mut domain = filled(Plan { seed, ..Plan::default() });
+        domain.look_after_lease(false);
+        let old = domain.holder().unwrap();
+        let (accepts, lags) = ((old + 1) % 3, (old + 2) % 3);
+        domain.grant(old, seconds(3));
+        // One replica hears nothing of a change that the two others commit.
+        domain.set_links_of(Role::Replica, lags, Link { cut: true, ..Link::default() });
+        let change = domain.touch_worker(1);
+        published(&mut domain, vec![change.clone()]);
+        // Then one of the two starts with nothing, and the one that lags becomes the publisher, while the third, which
+        // knows all and lives, is slow to answer.
+        domain.start(Role::Replica, accepts);
+        domain.heal();
+        let slow = Link { delay: Span::millis(400), ..Link::default() };
+        domain.set_links_of(Role::Replica, old, slow);
+        domain.run(seconds(3));
+        domain.believe(old, None);
+        domain.grant(lags, seconds(3_600));
+        let next = domain.touch_worker(2);
+        let ticket = domain.publish_at(lags, vec![next]);
+        domain.run(seconds(10));
+        domain.heal();
+        assert!(matches!(domain.outcome(ticket), Some(Ok(_))), "seed {seed}: {:?}", domain.outcome(ticket));
+        ends_well(&mut domain, seconds(10));
+        assert!(holds(&domain, Role::Replica, lags, &change), "seed {seed}: an acknowledged change is lost");
+    }
+}
+
+#[test]
+fn a_region_cut_off_for_an_hour_changes_nothing_and_catches_up_by_changes() {
+    for seed in SEEDS {
+        let plan = Plan { replicas: 5, subscribers: 20, workers: 1_000, regions: 2, seed, ..Plan::default() };
+        let mut domain = filled(plan);
+        // Region 1, by the numbers of processes: the replicas 1 and 3, and half of all others.
+        let odd = |(role, index): &(Role, usize)| {
+            let first = match role {
+                Role::Replica => 0,
+                Role::Relay => 5,
+                Role::Subscriber => 9,
+            };
+            (first + index) % 2 == 1
+        };
+        let side: Vec<(Role, usize)> = domain.all().into_iter().filter(odd).collect();
+        let subscriber = side.iter().find(|(role, _)| *role == Role::Subscriber).unwrap().1;
+        domain.cut(std::slice::from_ref(&side));
+        domain.run(seconds(5));
+        let fence = domain.fence();
+        let mut refused = vec![];
+        for round in 0..12 {
+            let mut changes = domain.touch(2);
+            changes.extend(domain.remove_worker(900 + round));
+            let asked = domain.now();
+            let version = published(&mut domain, changes);
+            let minority = domain.touch_worker(round);
+            // The minority's replica tries as one that knows that it is no publisher, and as one that believes it is.
+            if round % 4 == 1 {
+                domain.believe(1, Some(Hold { fence, until: domain.now() + seconds(100) }));
+            }
+            refused.push((domain.publish_at(1, vec![minority.clone()]), minority));
+            domain.run(seconds(100));
+            domain.believe(1, None);
+            domain.run(seconds(200));
+            let reached = domain.reach(asked, version, |at, _| {
+                side.iter().all(|(role, index)| domain.address(*role, *index) != at)
+            });
+            assert!(reached.missing == 0 && reached.last < seconds(6), "seed {seed}: {reached:?}");
+        }
+        let cut_off = domain.process(Role::Subscriber, subscriber).unwrap();
+        let age = cut_off.node().status(domain.now()).age;
+        assert!(age.is_some_and(|age| age > seconds(3_500)), "seed {seed}: the age shown is {age:?}");
+        let pages = cut_off.pages();
+        domain.heal();
+        ends_well(&mut domain, seconds(10));
+        for (ticket, change) in refused {
+            assert!(
+                matches!(domain.outcome(ticket), Some(Err(_))),
+                "seed {seed}: {:?}",
+                domain.outcome(ticket)
+            );
+            assert!(!anybody_holds(&domain, &change), "seed {seed}: {change:?} was refused");
+        }
+        // 36 changes at most, of a zone with 250 workers: a page or two, and no whole list.
+        let pages = domain.process(Role::Subscriber, subscriber).unwrap().pages() - pages;
+        assert!((1..=3).contains(&pages), "seed {seed}: {pages} pages");
+    }
+}
+
+#[test]
+fn lost_repeated_reordered_spoilt_and_late_datagrams_delay_and_break_nothing() {
+    for seed in SEEDS {
+        let mut domain = filled(Plan { seed, ..Plan::default() });
+        for (loss, jitter, rounds) in [(0.1, 200, 150), (0.4, 50, 100), (0.05, 1_500, 100)] {
+            let jitter = Span::millis(jitter);
+            domain.set_all_links(Link { loss, repeat: 0.2, spoil: 0.05, jitter, ..Link::default() });
+            for _ in 0..rounds {
+                let changes = domain.touch(2);
+                domain.publish(changes);
+                domain.run(Span::millis(200));
+            }
+        }
+        domain.heal();
+        ends_well(&mut domain, seconds(15));
+        // What was given to a publisher stands, or it was said that it doesn't.
+        let answered = (1..).map_while(|ticket| domain.ledger().asked(ticket).cloned());
+        let (some, none): (Vec<_>, Vec<_>) = answered.partition(|asked| asked.outcome.is_some());
+        assert!(none.is_empty(), "seed {seed}: {} publications were never answered", none.len());
+        let stood = some.iter().filter(|asked| matches!(asked.outcome, Some((_, Ok(_))))).count();
+        assert!(stood * 10 >= some.len() * 9, "seed {seed}: {stood} of {} were published", some.len());
+    }
+}
+
+#[test]
+fn a_process_stopped_for_ten_seconds_goes_on_where_the_others_are() {
+    for seed in SEEDS {
+        let mut domain = filled(Plan { seed, ..Plan::default() });
+        let publisher = domain.holder().unwrap();
+        for (role, index) in [(Role::Subscriber, 4), (Role::Relay, 1), (Role::Replica, publisher)] {
+            domain.stop(role, index, true);
+            let mut asked = vec![];
+            for _ in 0..20 {
+                let changes = domain.touch(2);
+                asked.push(domain.publish(changes));
+                domain.run(Span::millis(500));
+            }
+            domain.stop(role, index, false);
+            ends_well(&mut domain, seconds(5));
+            let stood: Vec<u64> =
+                asked.into_iter().filter(|ticket| matches!(domain.outcome(*ticket), Some(Ok(_)))).collect();
+            // A publisher's place is taken when its lease has ended.
+            assert!(stood.len() >= if role == Role::Replica { 12 } else { 20 }, "seed {seed}: {role:?}");
+            if role == Role::Subscriber {
+                let stopped = domain.address(role, index);
+                for ticket in stood {
+                    let asked = domain.ledger().asked(ticket).cloned().unwrap();
+                    let Some((_, Ok(version))) = asked.outcome else { continue };
+                    let reach = domain.reach(asked.at, version, |at, _| at != stopped);
+                    assert!(reach.missing == 0 && reach.last < SECOND, "seed {seed}: {reach:?}");
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/distribution/load.rs
@@ -0,0 +1,234 @@
+//! Many at once, bursts, slow ones and dead ones: what it costs, and whom.
+
+use crate::*;
+use lab::network::Link;
+use mintgate::Time;
+
+/// What a control process may send in a second while others catch up: its rate for catch-ups and a quarter of it at once,
+/// and two answers of 100 bytes a second for each child.
+fn bound(domain: &Domain, children: usize) -> u64 {
+    domain.plan().catch_up_bytes_per_second * 5 / 4 + children as u64 * 200
+}
+
+#[track_caller]
+fn peaks_stay_under(domain: &Domain, bound: u64) {
+    let seed = domain.plan().seed;
+    for (at, bytes) in domain.peaks() {
+        assert!(*bytes <= bound, "seed {seed}: {at} sent {bytes} bytes in a second, {bound} are allowed");
+    }
+}
+
+#[test]
+fn a_third_of_the_schedulers_restarted_at_once_is_served_at_a_pace_and_costs_the_others_nothing() {
+    for seed in SEEDS {
+        let plan = Plan {
+            subscribers: 300,
+            workers: 4_000,
+            catch_up_bytes_per_second: 200_000,
+            seed,
+            ..Plan::default()
+        };
+        let mut domain = filled(plan);
+        domain.run(seconds(2));
+        domain.forget_peaks();
+        for index in (0..300).step_by(3) {
+            domain.start(Role::Subscriber, index);
+        }
+        let asked = domain.now();
+        domain.run(Span::millis(700));
+        let change = domain.touch(4);
+        let since = domain.now();
+        let version = published(&mut domain, change);
+        assert!(!domain.all_have_head(), "seed {seed}: the catch-up was over too soon to test anything");
+        ends_well(&mut domain, seconds(60));
+        peaks_stay_under(&domain, bound(&domain, 300));
+        let restarted =
+            |at: SocketAddr| (0..300).step_by(3).any(|n| domain.address(Role::Subscriber, n) == at);
+        let others = domain.reach(since, version, |at, _| !restarted(at));
+        assert!(others.missing == 0 && others.last < SECOND, "seed {seed}: {others:?}");
+        let all = domain.reach(asked, version, |_, _| true);
+        assert!(all.missing == 0 && all.last < seconds(20), "seed {seed}: {all:?}");
+    }
+}
+
+#[test]
+fn nine_hundred_schedulers_come_back_at_once() {
+    for seed in SEEDS {
+        let plan = Plan {
+            relays: 6,
+            subscribers: 900,
+            workers: 2_000,
+            catch_up_bytes_per_second: 500_000,
+            seed,
+            ..Plan::default()
+        };
+        let mut domain = filled(plan);
+        for index in 0..900 {
+            domain.kill(Role::Subscriber, index);
+        }
+        domain.run(seconds(10));
+        domain.forget_peaks();
+        for index in 0..900 {
+            domain.start(Role::Subscriber, index);
+        }
+        let since = domain.now();
+        ends_well(&mut domain, seconds(60));
+        let head = domain.ledger().head();
+        let reach = domain.reach(since, head, |_, _| true);
+        assert!(reach.of == 900 && reach.missing == 0 && reach.last < seconds(30), "seed {seed}: {reach:?}");
+        peaks_stay_under(&domain, bound(&domain, 900));
+        // They spread over the relays.
+        for index in 0..6 {
+            let children = domain.process(Role::Relay, index).unwrap().node().status(domain.now()).children;
+            assert!((75..=300).contains(&children), "seed {seed}: relay {index} has {children} children");
+        }
+    }
+}
+
+#[test]
+fn a_burst_of_ten_times_the_mean_rate_is_in_force_in_time() {
+    for seed in SEEDS {
+        let mut domain = filled(Plan { subscribers: 200, workers: 1_000, seed, ..Plan::default() });
+        // 67,000 changes a day are 0.78 a second.
+        let mut tickets = vec![];
+        let mut most = 0.0_f64;
+        for _ in 0..60 {
+            for _ in 0..8 {
+                let change = domain.touch(1);
+                tickets.push(domain.publish(change));
+                domain.run(Span::millis(128 - seed % 5));
+            }
+            let [_, _, subscribers] = domain.measure(Span::millis(20));
+            most = most.max(subscribers.bytes_max);
+        }
+        let [_, _, calm] = domain.measure(seconds(10));
+        assert!(calm.bytes_max < 2_000.0, "seed {seed}: {calm:?}");
+        ends_well(&mut domain, seconds(5));
+        for ticket in tickets {
+            let reach = domain.reach_of(ticket);
+            let in_time = |reach: &lab::domain::Reach| {
+                reach.missing == 0 && reach.percentile_99 < SECOND && reach.last < seconds(6)
+            };
+            assert!(reach.as_ref().is_some_and(in_time), "seed {seed}: {reach:?}");
+        }
+    }
+}
+
+/// Plays thirty changes over 15 s with one subscriber like this, and says how long the last of all others took for each.
+fn with_one_reader(seed: u64, ill: impl Fn(&mut Domain)) -> (Vec<Span>, u64) {
+    let mut domain = filled(Plan { subscribers: 100, workers: 1_000, zones: 1, seed, ..Plan::default() });
+    let slow = domain.address(Role::Subscriber, 7);
+    let relays: Vec<SocketAddr> = (0..4).map(|index| domain.address(Role::Relay, index)).collect();
+    for relay in &relays {
+        domain.watch(*relay, slow);
+    }
+    // All acknowledgements of the first list are in.
+    domain.run(seconds(2));
+    ill(&mut domain);
+    let mut asked: Vec<(Time, Version)> = vec![];
+    for _ in 0..30 {
+        let changes = domain.touch(25);
+        asked.push((domain.now(), published(&mut domain, changes)));
+        domain.run(Span::millis(500));
+    }
+    let bytes = relays.iter().map(|relay| domain.ledger().counted(*relay, slow).1).sum();
+    domain.run(seconds(2));
+    let last = |(since, version): &(Time, Version)| {
+        let reach = domain.reach(*since, *version, |at, _| at != slow);
+        assert_eq!(reach.missing, 0, "seed {seed}");
+        reach.last
+    };
+    let spans = asked.iter().map(last).collect();
+    domain.heal();
+    domain.stop(Role::Subscriber, 7, false);
+    ends_well(&mut domain, seconds(20));
+    (spans, bytes)
+}
+
+#[test]
+fn one_slow_reader_costs_nobody_else() {
+    for seed in SEEDS {
+        let (calm, usual) = with_one_reader(seed, |_| {});
+        let most = |spans: &[Span]| spans.iter().copied().max().unwrap_or_default();
+        assert!(most(&calm) < Span::millis(100), "seed {seed}: {calm:?}");
+        let stopped = |domain: &mut Domain| domain.stop(Role::Subscriber, 7, true);
+        let late = |domain: &mut Domain| {
+            let link = Link { delay: Span::millis(1_000), loss: 0.3, ..Link::default() };
+            domain.set_links_of(Role::Subscriber, 7, link);
+        };
+        // It is heard and hears nothing.
+        let deaf = |domain: &mut Domain| {
+            for relay in 0..4 {
+                let (from, to) = (domain.address(Role::Relay, relay), domain.address(Role::Subscriber, 7));
+                domain.set_link(from, to, Link { cut: true, ..Link::default() });
+            }
+        };
+        for (name, ill) in [("stopped", &stopped as &dyn Fn(&mut Domain)), ("late", &late), ("deaf", &deaf)] {
+            let (spans, bytes) = with_one_reader(seed, ill);
+            assert!(
+                most(&spans).0 <= most(&calm).0 + Span::millis(20).0,
+                "seed {seed}: {:?} with one reader {name}, {:?} without",
+                most(&spans),
+                most(&calm)
+            );
+            // A window of 16 pages, each sent again at most twice a second.
+            let bound = usual + 15 * 2 * 16 * 1_400;
+            assert!(
+                bytes < bound,
+                "seed {seed}: {bytes} bytes went to one reader that is {name}, {usual} usually"
+            );
+        }
+    }
+}
+
+#[test]
+fn with_one_control_process_in_four_dead_changes_are_in_force_in_time() {
+    for seed in SEEDS {
+        let plan = Plan { replicas: 3, relays: 5, subscribers: 300, workers: 1_000, seed, ..Plan::default() };
+        let mut domain = filled(plan);
+        let publisher = domain.holder().unwrap();
+        let change = domain.touch(1);
+        let before = domain.publish(change);
+        domain.run(Span(200_000));
+        domain.kill(Role::Relay, seed as usize % 5);
+        domain.run(seconds(5));
+        let change = domain.touch(1);
+        domain.kill(Role::Replica, publisher);
+        let while_electing = domain.publish(change.clone());
+        domain.run_until(Span::millis(10), seconds(10), |domain| {
+            domain.holder().is_some_and(|holder| holder != publisher)
+        });
+        let again = domain.publish(change);
+        domain.run(seconds(6));
+        // The moments of the deaths: the last has it within 6 s.
+        assert!(
+            !matches!(domain.outcome(while_electing), Some(Ok(_))),
+            "seed {seed}: a dead publisher answered"
+        );
+        for ticket in [before, again] {
+            let reach = domain.reach_of(ticket);
+            assert!(
+                reach.as_ref().is_some_and(|reach| reach.missing == 0 && reach.last < seconds(6)),
+                "seed {seed}: {reach:?}"
+            );
+        }
+        // While they are dead: as the aim says.
+        let tickets: Vec<u64> = (0..40)
+            .map(|_| {
+                let change = domain.touch(1);
+                let ticket = domain.publish(change);
+                domain.run(Span::millis(700));
+                ticket
+            })
+            .collect();
+        domain.run(seconds(6));
+        for ticket in tickets {
+            let reach = domain.reach_of(ticket);
+            let in_time = |reach: &lab::domain::Reach| {
+                reach.missing == 0 && reach.percentile_99 < SECOND && reach.last < seconds(6)
+            };
+            assert!(reach.as_ref().is_some_and(in_time), "seed {seed}: {reach:?}");
+        }
+        ends_well(&mut domain, seconds(5));
+    }
+}
