--- a/tests/distribution/failures.rs
+++ b/tests/distribution/failures.rs
@@ -179,6 +179,41 @@
     }
 }
 
+#[test]
+fn a_publisher_that_lags_does_not_go_on_without_the_majority_that_lives() {
+    for seed in SEEDS {
+        let mut domain = filled(Plan { seed, ..Plan::default() });
+        domain.look_after_lease(false);
+        let old = domain.holder().unwrap();
+        let (accepts, lags) = ((old + 1) % 3, (old + 2) % 3);
+        domain.grant(old, seconds(3));
+        let cut = Link { cut: true, ..Link::default() };
+        domain.set_links_of(Role::Replica, lags, cut);
+        let change = domain.touch_worker(1);
+        published(&mut domain, vec![change.clone()]);
+        // As before, but the one that knows all can't be reached for half a minute. It lives, and so does the one that lags:
+        // together they are the majority without which nothing may be committed.
+        domain.start(Role::Replica, accepts);
+        domain.heal();
+        domain.set_links_of(Role::Replica, old, cut);
+        domain.run(seconds(3));
+        domain.believe(old, None);
+        domain.grant(lags, seconds(3_600));
+        let next = domain.touch_worker(2);
+        let ticket = domain.publish_at(lags, vec![next]);
+        domain.run(seconds(30));
+        assert!(!matches!(domain.outcome(ticket), Some(Ok(_))), "seed {seed}: published by one that lags");
+        domain.heal();
+        domain.run(seconds(5));
+        let again = domain.touch_worker(3);
+        let again = domain.publish_at(lags, vec![again]);
+        domain.run(seconds(5));
+        assert!(matches!(domain.outcome(again), Some(Ok(_))), "seed {seed}: {:?}", domain.outcome(again));
+        ends_well(&mut domain, seconds(10));
+        assert!(holds(&domain, Role::Replica, lags, &change), "seed {seed}: an acknowledged change is lost");
+    }
+}
+
 #[test]
 fn a_region_cut_off_for_an_hour_changes_nothing_and_catches_up_by_changes() {
     for seed in SEEDS {
--- a/tests/distribution/load.rs
+++ b/tests/distribution/load.rs
@@ -77,6 +77,10 @@
         let reach = domain.reach(since, head, |_, _| true);
         assert!(reach.of == 900 && reach.missing == 0 && reach.last < seconds(30), "seed {seed}: {reach:?}");
         peaks_stay_under(&domain, bound(&domain, 900));
+        // A whole list is sent once: hardly anything is sent again.
+        let pages: Vec<u64> = domain.running(Role::Subscriber).map(|(_, process)| process.pages()).collect();
+        let (least, sum) = (pages.iter().min().unwrap(), pages.iter().sum::<u64>());
+        assert!(sum * 4 <= least * 900 * 5, "seed {seed}: {least} pages are a whole list, {sum} were sent");
         // They spread over the relays.
         for index in 0..6 {
             let children = domain.process(Role::Relay, index).unwrap().node().status(domain.now()).children;
@@ -85,6 +89,22 @@
     }
 }
 
+#[test]
+fn a_zone_whose_workers_are_all_replaced_at_once_is_in_force_in_time() {
+    for seed in SEEDS {
+        // A zone of the size designed for: 46,000 workers in 20 zones.
+        let plan = Plan { replicas: 5, subscribers: 100, workers: 4_600, zones: 2, seed, ..Plan::default() };
+        let mut domain = filled(plan);
+        let changes: Vec<Change> = (0..4_600).step_by(2).map(|worker| domain.touch_worker(worker)).collect();
+        let ticket = domain.publish(changes);
+        domain.run(seconds(10));
+        let reach = domain.reach_of(ticket);
+        let in_time = |reach: &lab::domain::Reach| reach.missing == 0 && reach.last < seconds(6);
+        assert!(reach.as_ref().is_some_and(in_time), "seed {seed}: {reach:?}");
+        ends_well(&mut domain, seconds(5));
+    }
+}
+
 #[test]
 fn a_burst_of_ten_times_the_mean_rate_is_in_force_in_time() {
     for seed in SEEDS {
