Play real processes of a distribution domain in scale runs

Cause: what the mechanism costs real schedulers, beside today's whole files, was not measured. Change: lab scale starts three replicas, two relays and the schedulers as subscribers on loopback, counts their datagrams by taps, and measures idle seconds, changes, standstills and all schedulers back at once. An error tells a scheduler's last lines.

--- a/lab/src/scale.rs
+++ b/lab/src/scale.rs
@@ -26,10 +26,12 @@
 mod module;
 mod plan;
 mod real;
+mod real_domain;
 mod real_fleet;
 mod report;
 mod series;
 mod system;
+mod tap;
 
 pub use fit::{Fit, fit};
 pub use plan::{Part, Plan, Setup};
--- a/lab/src/scale/daemon.rs
+++ b/lab/src/scale/daemon.rs
@@ -14,6 +14,9 @@
 /// Nothing of a scheduler is waited for longer; a run in which it is has failed.
 pub const LONG: Duration = Duration::from_secs(60);
 
+/// Lines of a scheduler's log that an error tells at most.
+const SAID: usize = 8;
+
 /// A running scheduler.
 pub struct Daemon {
     child: Child,
@@ -84,14 +87,17 @@
     /// The next line of its log that holds this, and when it came.
     pub fn wait(&self, what: &str) -> Result<(Instant, String), String> {
         let until = Instant::now() + LONG;
-        let mut last = String::new();
+        let mut before = vec![];
         loop {
             let left = until.saturating_duration_since(Instant::now());
             match self.log.recv_timeout(left) {
                 Ok((at, line)) if line.contains(what) => return Ok((at, line)),
                 Ok((_, line)) if line.contains("refused") => return Err(format!("a scheduler says: {line}")),
-                Ok((_, line)) => last = line,
-                Err(_) => return Err(format!("a scheduler does not say '{what}'; its last word: '{last}'")),
+                Ok((_, line)) => before.push(line),
+                Err(_) => {
+                    let said = before[before.len().saturating_sub(SAID)..].join("\n");
+                    return Err(format!("a scheduler does not say '{what}', but at last: {said}"));
+                }
             }
         }
     }
@@ -136,17 +142,19 @@
     }
 }
 
-/// Each one's processor time over some seconds, in percent of a core.
+/// Processor time that each has taken so far.
+pub fn processor_times(daemons: &[Daemon]) -> Vec<Duration> {
+    daemons.iter().map(|daemon| system::processor_time(daemon.id()).unwrap_or_default()).collect()
+}
+
+/// Each one's processor time while something happens, in percent of a core.
 pub fn processor_percent(
     daemons: &[Daemon],
-    mut during: impl FnMut() -> Result<(), String>,
+    during: impl FnOnce() -> Result<(), String>,
 ) -> Result<Vec<f64>, String> {
-    let times = || -> Vec<Duration> {
-        daemons.iter().map(|daemon| system::processor_time(daemon.id()).unwrap_or_default()).collect()
-    };
-    let (begun, before) = (Instant::now(), times());
+    let (begun, before) = (Instant::now(), processor_times(daemons));
     during()?;
-    let (wall, after) = (begun.elapsed().as_secs_f64(), times());
+    let (wall, after) = (begun.elapsed().as_secs_f64(), processor_times(daemons));
     let percent = |(after, before): (&Duration, &Duration)| (*after - *before).as_secs_f64() * 100.0 / wall;
     Ok(after.iter().zip(&before).map(percent).collect())
 }
--- a/lab/src/scale/plan.rs
+++ b/lab/src/scale/plan.rs
@@ -1,6 +1,6 @@
 //! What is played: sizes, their bounds, and the parts of a run.
 
-use super::{Row, distribution, members, module, real, real_fleet, system};
+use super::{Row, distribution, members, module, real, real_domain, real_fleet, system};
 use clap::ValueEnum;
 use serde::{Deserialize, Serialize};
 use std::path::PathBuf;
@@ -70,25 +70,33 @@
     RealAlone,
     /// Real members of a fleet.
     RealMembers,
+    /// Real processes of a distribution domain.
+    RealDistribution,
 }
 
 impl Part {
     /// All there are, in the order in which they are played.
-    pub const ALL: [Part; 5] =
-        [Part::Module, Part::HollowMembers, Part::HollowDistribution, Part::RealAlone, Part::RealMembers];
+    pub const ALL: [Part; 6] = [
+        Part::Module,
+        Part::HollowMembers,
+        Part::HollowDistribution,
+        Part::RealAlone,
+        Part::RealMembers,
+        Part::RealDistribution,
+    ];
 
     /// How schedulers are set up in it.
     pub fn setup(self) -> Setup {
         match self {
             Part::Module | Part::RealAlone => Setup::Alone,
             Part::HollowMembers | Part::RealMembers => Setup::Members,
-            Part::HollowDistribution => Setup::Distribution,
+            Part::HollowDistribution | Part::RealDistribution => Setup::Distribution,
         }
     }
 
     /// Whether it is played with real schedulers.
     pub fn is_real(self) -> bool {
-        matches!(self, Part::RealAlone | Part::RealMembers)
+        matches!(self, Part::RealAlone | Part::RealMembers | Part::RealDistribution)
     }
 
     /// Plays it in this process.
@@ -99,6 +107,7 @@
             Part::HollowDistribution => distribution::play(plan),
             Part::RealAlone => real::play(plan),
             Part::RealMembers => real_fleet::play(plan),
+            Part::RealDistribution => real_domain::play(plan),
         }
     }
 }
@@ -154,7 +163,7 @@
         let possible = |part: &Part| match part {
             Part::Module => self.functions > 0,
             Part::HollowMembers | Part::HollowDistribution => self.hollow > 0,
-            Part::RealAlone => self.real > 0,
+            Part::RealAlone | Part::RealDistribution => self.real > 0,
             // Three electors make the least fleet.
             Part::RealMembers => self.real >= 3,
         };
@@ -234,6 +243,10 @@
                 self.real * (self.workers * REAL_BYTES.0 + REAL_BYTES.1) + real::CALLED * order
             }
             Part::RealMembers => self.real * REAL_BYTES.1,
+            Part::RealDistribution => {
+                let all = self.real + real_domain::REPLICAS + real_domain::RELAYS;
+                all * (self.workers * REAL_BYTES.0 + REAL_BYTES.1)
+            }
         };
         self.parts().into_iter().map(each).max().unwrap_or(0)
     }
--- a/lab/src/scale/real.rs
+++ b/lab/src/scale/real.rs
@@ -200,7 +200,7 @@
 }
 
 /// The longest that a scheduler took to answer a client while something happened.
-fn longest_round_trip(
+pub fn longest_round_trip(
     at: std::net::SocketAddr,
     during: impl FnOnce() -> Result<(), String>,
 ) -> Result<Duration, String> {
--- a/lab/tests/scale.rs
+++ b/lab/tests/scale.rs
@@ -178,16 +178,16 @@
     ["cpu", "resident", "configuration_seconds"].iter().any(|part| quantity.contains(part))
 }
 
-#[test]
-fn one_seed_gives_the_same_figures_in_virtual_time() {
+/// Plays one seed twice and another once, in virtual time, and holds the figures against each other; the first one's rows.
+fn same_seed_same_figures(setup: &str, hollow: &str) -> Vec<Value> {
     let folder = Folder::new();
     let play = |name: &str, seed: &str| -> Vec<Value> {
         let path = folder.at(name);
         let output = scale(&[
             "--setup",
-            "members",
+            setup,
             "--hollow",
-            "12",
+            hollow,
             "--real",
             "0",
             "--workers",
@@ -196,6 +196,8 @@
             "0",
             "--seconds",
             "3",
+            "--changes",
+            "2",
             "--faults",
             "1",
             "--regions",
@@ -208,13 +210,32 @@
         assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
         rows(&path)
     };
+    let same = |rows: &[Value]| rows.iter().filter(|row| !of_machine(row)).cloned().collect::<Vec<_>>();
     let first = play("first", "5");
-    check(&first, "hollow", "members", &[("scheduler", &COSTS), ("elector", &COSTS)]);
-    let same = |rows: Vec<Value>| rows.into_iter().filter(|row| !of_machine(row)).collect::<Vec<_>>();
-    let (first, again, other) = (same(first), same(play("again", "5")), same(play("other", "6")));
-    assert!(first.len() >= 10);
-    assert_eq!(first, again);
-    assert_ne!(first, other);
+    let (again, other) = (play("again", "5"), play("other", "6"));
+    assert!(same(&first).len() >= 10);
+    assert_eq!(same(&first), same(&again));
+    assert_ne!(same(&first), same(&other));
+    first
+}
+
+#[test]
+fn one_seed_gives_the_same_figures_of_members() {
+    let rows = same_seed_same_figures("members", "12");
+    check(&rows, "hollow", "members", &[("scheduler", &COSTS), ("elector", &COSTS)]);
+}
+
+#[test]
+fn one_seed_gives_the_same_figures_of_a_domain() {
+    let rows = same_seed_same_figures("distribution", "30");
+    for role in ["scheduler", "relay", "replica"] {
+        check(&rows, "hollow", "distribution", &[(role, &COSTS), (role, &REACHED)]);
+    }
+    let missing = rows.iter().filter(|row| row["quantity"].as_str().unwrap().ends_with("_missing"));
+    assert!(
+        missing.clone().count() >= 3 && missing.clone().all(|row| row["value"] == 0.0),
+        "a change did not arrive"
+    );
 }
 
 #[test]
