Tell how long a whole list takes to be committed in a domain

Cause: at 46,000 workers it took 70 s of virtual time, and real processes were given up after 60 s. Change: a row list_seconds of the role replica; the first list is waited for 600 s.

--- a/lab/src/scale/daemon.rs
+++ b/lab/src/scale/daemon.rs
@@ -86,7 +86,12 @@
 
     /// The next line of its log that holds this, and when it came.
     pub fn wait(&self, what: &str) -> Result<(Instant, String), String> {
-        let until = Instant::now() + LONG;
+        self.wait_for(what, LONG)
+    }
+
+    /// The same, where it may take longer.
+    pub fn wait_for(&self, what: &str, limit: Duration) -> Result<(Instant, String), String> {
+        let until = Instant::now() + limit;
         let mut before = vec![];
         loop {
             let left = until.saturating_duration_since(Instant::now());
--- a/lab/src/scale/distribution.rs
+++ b/lab/src/scale/distribution.rs
@@ -62,11 +62,11 @@
     // What any domain needs once is there before anything is measured.
     drop(standing(&Plan { workers: ZONES, ..plan.clone() }, 1)?);
     let before = system::resident(own).unwrap_or(0);
-    let control = standing(plan, 0)?;
+    let (control, _) = standing(plan, 0)?;
     let control_bytes = system::growth_each(before, 1);
     let before = system::resident(own).unwrap_or(0);
     // What the first domain keeps must not be used again by the second, or that would seem to need less.
-    let domain = standing(plan, plan.hollow)?;
+    let (domain, filled) = standing(plan, plan.hollow)?;
     let all_bytes = system::growth_each(before, 1);
     drop(control);
     let mut play = Play { plan, domain, rows: Rows::new(plan, "hollow", Setup::Distribution) };
@@ -74,6 +74,7 @@
         (all_bytes - control_bytes).max(0.0) / plan.hollow as f64,
         control_bytes / (REPLICAS + RELAYS) as f64,
     );
+    play.rows.add("replica", "list_seconds", "s", filled.secs());
     play.memory(each);
     play.idle();
     if plan.changes > 0.0 {
@@ -89,8 +90,8 @@
     Ok(play.rows.rows)
 }
 
-/// A domain in which the whole list is in force everywhere.
-fn standing(plan: &Plan, subscribers: usize) -> Result<Domain, String> {
+/// A domain in which the whole list is in force everywhere, and how long it took to be committed.
+fn standing(plan: &Plan, subscribers: usize) -> Result<(Domain, Span), String> {
     let mut domain = Domain::new(domain::Plan {
         replicas: REPLICAS,
         relays: RELAYS,
@@ -105,6 +106,7 @@
     });
     let begun = domain.now();
     domain.fill()?;
+    let filled = domain.now() - begun;
     if !domain.settle(LONG) {
         return Err(format!("{subscribers} schedulers did not have the list within {} s", LONG.secs()));
     }
@@ -113,7 +115,7 @@
         "scale: {subscribers} hollow subscribers have the list after {:.1} s of virtual time",
         took.secs()
     );
-    Ok(domain)
+    Ok((domain, filled))
 }
 
 /// A change that the source wants published.
--- a/lab/src/scale/real_domain.rs
+++ b/lab/src/scale/real_domain.rs
@@ -19,6 +19,8 @@
 pub const RELAYS: usize = 2;
 /// Time after a start until all that belongs to it has passed.
 const CALM: Duration = Duration::from_secs(2);
+/// The longest that the whole list may take from the replicas' start until a relay has it.
+const LIST: Duration = Duration::from_secs(600);
 /// Changes during which a client looks for standstills of a scheduler.
 const WATCHED: usize = 5;
 /// After a change all that belongs to it has passed at a scheduler.
@@ -97,6 +99,7 @@
         let (fleet, replicas) = (places(10, REPLICAS)?, places(11, REPLICAS)?);
         let electors = fleet.iter().enumerate().map(|(n, at)| format!("{{ index = {n}, at = \"{at}\" }}"));
         let electors = electors.collect::<Vec<_>>().join(", ");
+        let begun = Instant::now();
         for n in 0..REPLICAS {
             let operator = format!(
                 "[fleet]\nname = \"scale\"\nbind = \"{}\"\nelectors = [{electors}]\n\
@@ -113,9 +116,10 @@
         for (n, at) in relays.iter().enumerate() {
             let config = empty.of_member(REPLICAS + n, self.size()).text();
             let daemon = self.daemon(&format!("relay-{n}"), &config, &child("relay", *at, &replicas))?;
-            daemon.wait("distribution installed")?;
+            daemon.wait_for("distribution installed", LIST)?;
             self.relays.push(daemon);
         }
+        self.rows.add("replica", "list_seconds", "s", begun.elapsed().as_secs_f64());
         let mut seconds = vec![];
         for (n, at) in places(13, self.plan.real)?.into_iter().enumerate() {
             let count = Arc::new(Count::default());
