Show slopes two in a row with who was hollow or real, and what was played at each size

The page had grown past what anybody reads; membership does not follow a line along schedulers, so its rows show the most of the runs and the bound of the protocol instead.

--- a/lab/src/capacity/estimate.rs
+++ b/lab/src/capacity/estimate.rs
@@ -14,8 +14,8 @@
     Between,
     /// Beyond them, by a line or a curve.
     Beyond,
-    /// At one other size, and no more.
-    OneSize,
+    /// The most of the sizes that were run, whichever the target is.
+    AsRun,
     /// There is no run.
     Missing,
 }
@@ -28,7 +28,7 @@
             Basis::Measured => "measured",
             Basis::Between => "between sizes",
             Basis::Beyond => "beyond sizes",
-            Basis::OneSize => "one size",
+            Basis::AsRun => "most of the runs",
             Basis::Missing => "not measured",
         }
     }
@@ -125,7 +125,10 @@
         let step = 10_f64.powi(-digits);
         return thousands(((value / step).round() * step) as i64);
     }
-    let text = format!("{value:.*}", digits.min(6) as usize);
+    if value.abs() < 1e-4 {
+        return format!("{value:.2e}");
+    }
+    let text = format!("{value:.*}", digits as usize);
     if text.contains('.') { text.trim_end_matches('0').trim_end_matches('.').to_owned() } else { text }
 }
 
--- a/lab/src/capacity/model.rs
+++ b/lab/src/capacity/model.rs
@@ -59,13 +59,20 @@
         self.asked.borrow_mut().insert(name.to_owned());
         match self.fits.get(name) {
             Some((measure, fit)) if measure.along.is_none() => {
-                Estimate { value: fit.points[0].1, basis: Basis::OneSize }
+                Estimate { value: fit.points[0].1, basis: Basis::AsRun }
             }
             Some((_, fit)) => Estimate::read(fit.at(at)),
             None => Estimate::MISSING,
         }
     }
 
+    /// The most of a measured quantity at any size that was run: for what neither grows with the fleet nor follows a line.
+    pub fn most(&self, name: &str) -> Estimate {
+        let most = |(_, fit): &(&Measure, Fit)| fit.points.iter().map(|(_, y)| *y).fold(f64::MIN, f64::max);
+        let most = self.points(name).map(most);
+        most.map_or(Estimate::MISSING, |value| Estimate { value, basis: Basis::AsRun })
+    }
+
     /// The points of a measured quantity, where there is one.
     pub fn points(&self, name: &str) -> Option<&(&'a Measure, Fit)> {
         self.asked.borrow_mut().insert(name.to_owned());
--- a/lab/src/capacity/roles.rs
+++ b/lab/src/capacity/roles.rs
@@ -102,11 +102,11 @@
     grid.text()
 }
 
-/// Bytes that a scheduler sends and receives a second on the median day: two domains and its fleet of members.
+/// Bytes that a scheduler sends and receives a second on the median day for two domains.
 pub fn scheduler_bytes(model: &Model) -> Estimate {
     // The measured domain carries all changes; the other one is idle beside it.
     let domain = model.measured("bytes", model.target("schedulers"));
-    domain + idle_domain() + model.measured("members_bytes", model.schedulers_of_region())
+    domain + idle_domain()
 }
 
 /// Heartbeats of a domain with nothing to tell, both ways.
@@ -129,8 +129,16 @@
     told + model.schedulers_of_region().min(model.target("told_at_once")) * DEMANDS * codec::demand_bytes()
 }
 
-/// Words of demand a second from each member.
+/// Words of demand a second from each member; gossip goes out as often.
 const DEMANDS: f64 = 4.0;
+/// Members that gossip is told to each time.
+const TOLD: f64 = 2.0;
+
+/// Bytes of gossip that a member sends and receives a second where no datagram has room left, as with `shed` in a fleet of
+/// a region's size: a word of each member is told on and on.
+fn gossip_most(model: &Model) -> f64 {
+    2.0 * DEMANDS * TOLD * model.target("datagram_bytes")
+}
 
 /// The scheduler's table.
 pub fn scheduler(model: &Model) -> String {
@@ -139,14 +147,13 @@
     let cpu = model.target("control_cpu_percent");
     let bytes = model.byte_budget();
     let functions = model.measured("function_bytes", workers) * model.functions_in_window() / 1e6;
-    let members = model.schedulers_of_region();
     let mut of = vec![];
     let mut push = |by, what, value: Estimate, unit, budget| {
         of.push(Line { role: "scheduler", what, value, unit, budget, by });
     };
     let by = "distribution";
     push(by, "state: list of its region and settings, on the wire", state_bytes(model).into(), "B", f64::NAN);
-    push(by, "bytes a second: two domains, a fleet of members", scheduler_bytes(model), "B/s", bytes);
+    push(by, "bytes a second, two domains", scheduler_bytes(model), "B/s", bytes);
     push(by, "messages a second of one domain", model.measured("messages", all), "1/s", f64::NAN);
     push(
         by,
@@ -173,8 +180,11 @@
     let first = model.target("first_call_ms");
     push(by, "first call of a function", model.measured("first_call_ms", workers), "ms", first);
     let by = "fleet of members by regions";
-    push(by, "processor of membership, leases, gossip", model.measured("members_cpu", members), "%", cpu);
-    push(by, "memory of membership", model.measured("members_memory_mb", members), "MB", memory);
+    push(by, "bytes a second of membership, leases, gossip", model.most("members_bytes"), "B/s", bytes);
+    push(by, "the same of real processes", model.most("members_real_bytes"), "B/s", bytes);
+    push(by, "the same at most, every datagram of gossip full", gossip_most(model).into(), "B/s", bytes);
+    push(by, "processor of membership, leases, gossip", model.most("members_cpu"), "%", cpu);
+    push(by, "memory of membership", model.most("members_memory_mb"), "MB", memory);
     push(
         "none yet",
         "who holds the overload controller: bytes a second",
@@ -192,33 +202,37 @@
         (model.assumed("control_machine_bytes"), model.assumed("control_machine_cpu_percent"));
     let memory = model.assumed("control_machine_mb");
     let mut all = vec![];
-    for (role, prefix) in [("relay", "relay"), ("replica, publisher", "replica")] {
-        let at = |quantity: &str, children: f64| model.measured(&format!("{prefix}_{quantity}"), children);
-        let mut push = |what, value, unit, budget| {
-            all.push(Line { role, what, value, unit, budget, by: "distribution" });
-        };
-        push("bytes a second, both of a region up", at("bytes", children), "B/s", bandwidth);
-        push("bytes a second, alone", at("bytes", alone), "B/s", bandwidth);
-        push("messages a second, alone", at("messages", alone), "1/s", f64::NAN);
-        push("processor, alone", at("cpu", alone), "%", core);
-        push("memory, alone", at("memory_mb", alone), "MB", memory);
+    let serves = "relay, or replica that serves children";
+    for (what, name, at, unit, budget) in [
+        ("bytes a second, both of a region up", "relay_bytes", children, "B/s", bandwidth),
+        ("bytes a second, alone", "relay_bytes", alone, "B/s", bandwidth),
+        ("messages a second, alone", "relay_messages", alone, "1/s", f64::NAN),
+        ("processor, alone", "relay_cpu", alone, "%", core),
+        ("memory, list of the fleet", "relay_memory_mb", model.workers(), "MB", memory),
+    ] {
+        let value = model.measured(name, at);
+        all.push(Line { role: serves, what, value, unit, budget, by: "distribution" });
+    }
+    for (what, name, unit, budget) in
+        [("bytes a second", "replica_bytes", "B/s", bandwidth), ("processor", "replica_cpu", "%", core)]
+    {
+        let value = model.most(name);
+        all.push(Line { role: "replica with relays only", what, value, unit, budget, by: "distribution" });
     }
-    let members = model.schedulers_of_region();
     for (what, name, unit, budget) in [
         ("bytes a second", "elector_bytes", "B/s", bandwidth),
         ("messages a second", "elector_messages", "1/s", f64::NAN),
         ("processor", "elector_cpu", "%", core),
     ] {
-        let value = model.measured(name, members);
+        let value = model.most(name);
         all.push(Line { role: "elector", what, value, unit, budget, by: "fleet of members by regions" });
     }
-    // One machine alone in its region: its region's replica, the global domain's relay, an elector.
+    // One machine alone in its region: it serves all its schedulers in both domains, and is an elector.
     for (what, name, elector, unit, budget) in [
-        ("bytes a second of all three, alone", "bytes", "elector_bytes", "B/s", bandwidth),
-        ("processor of all three, alone", "cpu", "elector_cpu", "%", core),
+        ("bytes a second of all, alone", "relay_bytes", "elector_bytes", "B/s", bandwidth),
+        ("processor of all, alone", "relay_cpu", "elector_cpu", "%", core),
     ] {
-        let both = ["relay", "replica"].map(|role| model.measured(&format!("{role}_{name}"), alone));
-        let value = both[0] + both[1] + model.measured(elector, members);
+        let value = model.measured(name, alone) * 2.0 + model.most(elector);
         all.push(Line { role: "control machine", what, value, unit, budget, by: "all" });
     }
     let workers = model.workers();
--- a/lab/src/capacity/sensitivity.rs
+++ b/lab/src/capacity/sensitivity.rs
@@ -26,7 +26,8 @@
     let pace = model.assumed("catch_up_bytes_per_second");
     let alone = model.children_alone();
     let cpu_part = model.measured("relay_cpu", alone) / model.assumed("control_machine_cpu_percent");
-    let memory_part = model.measured("relay_memory_mb", alone) / model.assumed("control_machine_mb");
+    let memory_part =
+        model.measured("relay_memory_mb", model.workers()) / model.assumed("control_machine_mb");
     vec![
         ("workers", model.workers().into(), ""),
         ("workers of a region", model.workers_of_region().into(), ""),
@@ -83,7 +84,7 @@
             "%",
         ),
         ("processor of a relay alone, of what it may", cpu_part * 100.0, "%"),
-        ("memory of a relay alone, of what it may", memory_part * 100.0, "%"),
+        ("memory of a relay, of what it may", memory_part * 100.0, "%"),
         ("idle processor with a region's list", model.measured("cpu", model.workers_of_region()), "%"),
     ]
 }
--- a/lab/src/capacity/sources.rs
+++ b/lab/src/capacity/sources.rs
@@ -1,24 +1,32 @@
 //! The tables that show what all others rest on: targets, assumptions, runs and slopes.
 
-use super::data::Target;
+use super::data::{Measure, Run, Target};
 use super::estimate::{count, show};
 use super::fit::Shape;
 use super::grid::Grid;
 use super::model::Model;
 use super::sensitivity;
+use std::collections::BTreeSet;
 
-/// Sizes and budgets that the operators have named, and bounds of the program: two in a row.
+/// Tables of many small entries have so many in a row.
+const IN_A_ROW: usize = 2;
+
+/// So many entries in a row, each with these heads.
+fn side_by_side<const N: usize>(head: [&str; N], entries: Vec<[String; N]>) -> String {
+    let mut grid = Grid::new(&[head; IN_A_ROW].concat());
+    for row in entries.chunks(IN_A_ROW) {
+        let missing = vec![String::new(); N * (IN_A_ROW - row.len())];
+        grid.push(&[row.concat(), missing].concat());
+    }
+    grid.text()
+}
+
+/// Sizes and budgets that the operators have named, and bounds of the program.
 pub fn targets(model: &Model) -> String {
-    let head = ["target", "value", "what it says"];
-    let mut grid = Grid::new(&[head, head].concat());
     let cells = |target: &Target| {
         [target.name.clone(), format!("{} {}", plain(target.value), target.unit), target.what.clone()]
     };
-    for pair in model.data.targets.chunks(2) {
-        let second = pair.get(1).map(cells).unwrap_or_default();
-        grid.push(&[cells(&pair[0]), second].concat());
-    }
-    grid.text()
+    side_by_side(["target", "value", "what it says"], model.data.targets.iter().map(cells).collect())
 }
 
 fn plain(value: f64) -> String {
@@ -42,55 +50,45 @@
 
 /// The runs that figures come from.
 pub fn runs(model: &Model) -> String {
-    let mut grid = Grid::new(&["run", "command", "version", "seed", "rows"]);
-    for (name, run) in &model.data.runs {
-        let rows = run.rows.len().to_string();
-        grid.push(&[name.clone(), format!("`{}`", run.command), run.version.clone(), run.seed.clone(), rows]);
-    }
-    grid.text()
+    let cells = |(name, run): (&String, &Run)| {
+        let of = format!("{}, seed {}, {} rows", run.version, run.seed, run.rows.len());
+        [name.clone(), format!("`{}`", run.command), of]
+    };
+    side_by_side(["run", "command", "version"], model.data.runs.iter().map(cells).collect())
+}
+
+/// What the rows of a measure say in a field, each once.
+fn values(model: &Model, measure: &Measure, field: &str) -> String {
+    let rows = model.data.rows(measure).unwrap_or_default();
+    let values: BTreeSet<&str> = rows.iter().filter_map(|row| row.get(field)?.as_str()).collect();
+    values.into_iter().collect::<Vec<_>>().join(" and ")
 }
 
 /// How measured quantities grow.
 pub fn slopes(model: &Model) -> String {
-    let mut grid = Grid::new(&[
-        "measure",
-        "of",
-        "run",
-        "along",
-        "from .. to",
-        "at the ends",
-        "each unit more",
-        "r squared",
-        "shape",
-    ]);
-    for (name, (measure, fit)) in &model.fits {
+    let rows = model.fits.iter().map(|(name, (measure, fit))| {
+        let [unit, how, setup] = ["unit", "measured", "setup"].map(|field| values(model, measure, field));
+        let of =
+            format!("`{name}`: {} `{}`, {how}, {setup}; {}", measure.role, measure.quantity, measure.run);
         let (first, last) = (fit.points[0], fit.points[fit.points.len() - 1]);
-        let mut along = measure.along.clone().unwrap_or_default();
-        if measure.divide != 1.0 {
-            along = format!("{along} / {}", plain(measure.divide));
-        }
-        let alone = measure.along.is_none() || fit.points.len() == 1;
+        let Some(along) = measure.along.as_ref().filter(|_| fit.points.len() > 1) else {
+            return [of, format!("{} {unit}", show(first.1)), "one size".to_owned()];
+        };
+        let by = if measure.divide == 1.0 { String::new() } else { format!(" / {}", plain(measure.divide)) };
+        let ends = format!(
+            "{along}{by} {} .. {}: {} .. {} {unit}",
+            count(first.0),
+            count(last.0),
+            show(first.1),
+            show(last.1)
+        );
         let shape = match fit.shape {
-            _ if alone => "one size".to_owned(),
             Shape::Flat => "flat".to_owned(),
             Shape::Line => "line".to_owned(),
             Shape::Curve(power) => format!("curve, power {}", show(power)),
             Shape::Scattered => "neither line nor curve".to_owned(),
         };
-        let ends = if alone { show(first.1) } else { format!("{} .. {}", show(first.1), show(last.1)) };
-        let range = if alone { show(first.0) } else { format!("{} .. {}", count(first.0), count(last.0)) };
-        let line = |text: String| if alone { String::new() } else { text };
-        grid.push(&[
-            (*name).to_owned(),
-            format!("{}, `{}`", measure.role, measure.quantity),
-            measure.run.clone(),
-            along,
-            line(range),
-            ends,
-            line(show(fit.slope)),
-            line(format!("{:.3}", fit.r_squared)),
-            shape,
-        ]);
-    }
-    grid.text()
+        [of, ends, format!("{shape}; {} each, r squared {:.3}", show(fit.slope), fit.r_squared)]
+    });
+    side_by_side(["measure", "at the ends", "fit"], rows.collect())
 }
