--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -2,8 +2,11 @@
 
 pub mod capacity;
 pub mod chains;
+pub mod domain;
 mod fleet;
+pub mod hollow;
 pub mod network;
 pub mod processes;
 pub mod rig;
+pub mod scale;
 pub mod stand_ins;
