Derive how long commits take over regions, and follow the pages' own sequences

A batch costs a round trip to a majority, which the page did not tell; pages carry a sequence for each change now.

--- a/lab/src/capacity.rs
+++ b/lab/src/capacity.rs
@@ -42,6 +42,7 @@
         ("control", roles::control(&model)),
         ("moments-scheduler", moments::scheduler(&model)),
         ("moments-control", moments::control(&model)),
+        ("commits", moments::commits(&model)),
         ("played", played::played(&model)),
         ("mechanisms", mechanisms::ranking(&model)),
         ("reach", questions::reach(&model)),
--- a/lab/src/capacity/codec.rs
+++ b/lab/src/capacity/codec.rs
@@ -26,7 +26,9 @@
     let head = Version { fence: FENCE, sequence: LATE };
     let after = LATE - changes.len() as u64;
     let (digest, since, publishes, age_ms) = (u64::MAX / 5, LATE - 10_000, 0, 250);
-    Message::Page(Page { start: after, after, upto: LATE, head, since, digest, publishes, age_ms, changes })
+    let steps = vec![1; changes.len()];
+    let (start, upto) = (after, LATE);
+    Message::Page(Page { start, after, upto, head, since, digest, publishes, age_ms, steps, changes })
 }
 
 fn worker(id: u64) -> Change {
@@ -85,7 +87,17 @@
 
 /// So many bytes of changes in full pages, heads included.
 pub fn paged(bytes: f64) -> f64 {
-    bytes * (1.0 + empty_page_bytes() / distribution::PAGE_BYTES as f64)
+    bytes * (1.0 + empty_page_bytes() / page_room())
+}
+
+/// Bytes of changes that one page or batch holds.
+pub fn page_room() -> f64 {
+    distribution::PAGE_BYTES as f64
+}
+
+/// Changes of workers that fit into one batch.
+pub fn workers_a_batch() -> f64 {
+    (page_room() / worker_bytes()).floor()
 }
 
 /// A scheduler's word to the overload controller of what has come to it.
--- a/lab/src/capacity/moments.rs
+++ b/lab/src/capacity/moments.rs
@@ -1,7 +1,7 @@
 //! The worst moments: what they bring to a scheduler and to a control process.
 
 use super::codec;
-use super::estimate::{Estimate, show};
+use super::estimate::{Estimate, count, show};
 use super::grid::Grid;
 use super::model::Model;
 use super::roles;
@@ -180,3 +180,43 @@
     }
     grid.text()
 }
+
+/// How long commits take: one batch at a time, each a round trip to a majority of replicas.
+pub fn commits(model: &Model) -> String {
+    let (far, near) = (model.assumed("round_trip_between_regions"), model.assumed("round_trip_in_a_region"));
+    let target = model.target("in_force_seconds");
+    let burst = model.settings_changes() * model.target("burst_times");
+    let head = [
+        "what",
+        "changes",
+        "batches",
+        "one domain over regions",
+        "within the target",
+        "a domain a region",
+        "within the target",
+    ];
+    let mut grid = Grid::new(&head);
+    let class = codec::class_bytes(model.assumed("class_bytes"));
+    let classes = (codec::page_room() / class).floor().max(1.0);
+    for (what, changes, each, by_regions) in [
+        ("one change of settings, in the global domain", 1.0, 1.0, far),
+        ("a second of settings at ten times the mean, in the global domain", burst, classes, far),
+        ("a rack of workers gone", model.assumed("machines_a_rack"), codec::workers_a_batch(), near),
+        ("a zone's workers back at once", model.workers_of_zone(), codec::workers_a_batch(), near),
+        ("the first list of a region", model.workers_of_region(), codec::workers_a_batch(), near),
+        ("the first list of the fleet", model.workers(), codec::workers_a_batch(), near),
+    ] {
+        let batches = (changes / each).ceil();
+        let times = [far, by_regions].map(|round_trip| Estimate::from(batches * round_trip));
+        grid.push(&[
+            what.to_owned(),
+            show(changes),
+            count(batches),
+            times[0].show("s"),
+            times[0].against(target),
+            times[1].show("s"),
+            times[1].against(target),
+        ]);
+    }
+    grid.text()
+}
--- a/lab/src/capacity/sensitivity.rs
+++ b/lab/src/capacity/sensitivity.rs
@@ -25,6 +25,8 @@
     let zone_part = model.workers_of_zone() / model.workers();
     let pace = model.assumed("catch_up_bytes_per_second");
     let alone = model.children_alone();
+    let (far, near) = (model.assumed("round_trip_between_regions"), model.assumed("round_trip_in_a_region"));
+    let zone_batches = (model.workers_of_zone() / codec::workers_a_batch()).ceil();
     let cpu_part = model.measured("relay_cpu", alone) / model.assumed("control_machine_cpu_percent");
     let memory_part =
         model.measured("relay_memory_mb", model.workers()) / model.assumed("control_machine_mb");
@@ -53,6 +55,8 @@
             (model.assumed("machines_a_rack") / model.workers_of_region() * 100.0).into(),
             "%",
         ),
+        ("a zone's workers back, committed over regions", (zone_batches * far).into(), "s"),
+        ("the same in a region", (zone_batches * near).into(), "s"),
         ("spare control machines", spare(model).into(), ""),
         ("children of a control process", model.children().into(), ""),
         (
