Keep cold and broken workers apart, so that a fleet all cold costs no more than before

Change: two sets; a round looks at each cold worker once, to fill its budget and see whether it is still cold.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -188,8 +188,9 @@
     requests: BTreeMap<RequestId, Request>,
     attempts: BTreeMap<(RequestId, u16), Attempt>,
     due: Agenda<Due>,
-    /// Workers that are cold, or broke and have not been heard since, or were so when last looked at.
-    marked: BTreeSet<WorkerId>,
+    /// Workers that are cold, and that broke and have not been heard since, or were so when last looked at.
+    cold: BTreeSet<WorkerId>,
+    broken: BTreeSet<WorkerId>,
     /// Where loads are ordered that have not ended.
     ordered: BTreeSet<(FunctionId, WorkerId)>,
     /// Zones silent as a whole: since and until when they are passed by, and how often they were.
@@ -218,7 +219,8 @@
             requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
             due: Agenda::default(),
-            marked: BTreeSet::new(),
+            cold: BTreeSet::new(),
+            broken: BTreeSet::new(),
             ordered: BTreeSet::new(),
             dark: BTreeMap::new(),
             usual,
@@ -237,7 +239,7 @@
         self.usual = (0..new.len()).map(|n| known(&n).unwrap_or(new[n].aim.secs() / 4.0)).collect();
         self.settings = settings;
         // What is cold may be another matter now.
-        self.marked.extend(self.workers.keys());
+        self.cold.extend(self.workers.keys());
         for (id, worker) in &self.workers {
             self.rendezvous.set(*id, size(&self.settings, &worker.member));
         }
@@ -301,7 +303,7 @@
             let (born, heard, slow, limit) = (self.now, self.now, 1.0, LIMIT.1);
             let fresh = Worker { member, born, heard, slow, limit, tokens, ..Worker::default() };
             self.workers.insert(member.worker, fresh);
-            self.marked.extend(member.started.map(|_| member.worker));
+            self.cold.extend(member.started.map(|_| member.worker));
         }
     }
 
@@ -744,7 +746,7 @@
             }
             Status::Error | Status::Moot => {}
         }
-        self.marked.extend((w.broke == now).then_some(attempt.worker));
+        self.broken.extend((w.broke == now).then_some(attempt.worker));
     }
 
     /// Looks at workers that are silent while calls are out: they are slow, and the more are, maybe cut off.
@@ -796,8 +798,9 @@
         let now = self.now;
         let long = self.attempts.values().filter(|a| now - a.place.since > DARK.0);
         let calls = long.map(|a| (a.place.zone, a.place.since));
-        let broken = self.marked.iter().filter_map(|id| self.workers.get(id)).filter(|w| w.broke > w.heard);
-        let unheard: Vec<_> = calls.chain(broken.map(|w| (w.member.zone, w.broke))).collect();
+        self.broken.retain(|id| self.workers.get(id).is_some_and(|w| w.broke > w.heard));
+        let broken = self.broken.iter().map(|id| &self.workers[id]).map(|w| (w.member.zone, w.broke));
+        let unheard: Vec<_> = calls.chain(broken).collect();
         if self.dark.is_empty() && unheard.len() < DARK.1 {
             return;
         }
@@ -880,7 +883,7 @@
                     }
                 }
             }
-            self.marked.extend((w.broke == now).then_some(loaded.worker));
+            self.broken.extend((w.broke == now).then_some(loaded.worker));
         }
         let mut waiting = Vec::new();
         for (id, request) in self.requests.iter_mut().filter(|(_, r)| r.waiting && r.function == key) {
@@ -945,25 +948,22 @@
     /// it can: so the parts of all front ends add up to no more than a cold one's budget.
     fn fill(&mut self, span: Span) {
         let (rules, now) = (&self.settings.rules, self.now);
-        let age = |w: &Worker| w.member.started.map(|at| now - at).filter(|age| *age < rules.cold_span);
-        let marked = |w: &Worker| age(w).is_some() || w.broke > w.heard;
-        self.marked.retain(|id| self.workers.get(id).is_some_and(marked));
-        let cold = |id: &WorkerId| age(&self.workers[id]).is_some();
-        let cold: Vec<WorkerId> = self.marked.iter().copied().filter(cold).collect();
-        let Some(_) = cold.first() else { return };
+        let Some(_) = self.cold.first() else { return };
+        let cold = |w: &Worker| w.member.started.filter(|at| now - *at < rules.cold_span);
         let part = |w: &Worker| {
-            let age = age(w).map_or(1.0, |age| age.secs() / rules.cold_span.secs());
+            let age = cold(w).map_or(1.0, |at| (now - at).secs() / rules.cold_span.secs());
             rules.cold_from + (1.0 - rules.cold_from) * age.min(1.0)
         };
         let all: f64 = self.workers.values().filter(|w| w.member.state == State::Ready).map(part).sum();
         let served = self.recent.served.count().max(self.recent.arrivals.count() * UNSERVED);
         let counted_for = (now - self.turned[BUCKETS - 1]).secs().clamp(1.0, span.secs().max(1.0));
         let rate = served / counted_for / all.max(1.0) * rules.fall_multiple;
-        for id in cold {
-            let Some(w) = self.workers.get_mut(&id) else { continue };
+        self.cold.retain(|id| {
+            let Some(w) = self.workers.get_mut(id) else { return false };
             let more = rate * part(w) * (now - w.tokens.1).secs();
             w.tokens = ((w.tokens.0 + more).min(more.max(1.0)), now);
-        }
+            cold(w).is_some()
+        });
     }
 }
 
