--- a/src/fleet/distribution/tests/parents.rs
+++ b/src/fleet/distribution/tests/parents.rs
@@ -166,3 +166,34 @@
     assert!(domain.relays.iter().all(|at| domain.status(*at).counters.resent <= before.resent + 3));
     assert!(after > before.pages || domain.status(at).parent != Some(relay));
 }
+
+#[test]
+fn a_child_does_not_go_back_with_a_parent_that_is_behind_it() {
+    let mut domain = domain(10, 20, RATE);
+    let publisher = domain.replicas[0];
+    let [ahead, behind] = domain.relays[..] else { panic!() };
+    let (cut, replicas) = (Link { cut: true, ..Link::default() }, domain.replicas.clone());
+    domain.net.set_links(move |from, to| {
+        let between = |a, b| a == behind && replicas.contains(&b);
+        (between(from, to) || between(to, from)).then_some(cut)
+    });
+    domain.publish(publisher, vec![worker(0, 0, 2), gone(1, 0)]);
+    domain.pass(20 * SECOND);
+    domain.net.kill(ahead);
+    domain.pass(30 * SECOND);
+    assert!(domain.version(behind) < domain.version(publisher));
+    for at in domain.subscribers.clone() {
+        assert_eq!(domain.version(at), domain.version(publisher), "{at}");
+        assert_eq!(domain.status(at).parent, Some(behind), "better than none");
+        assert!(domain.status(at).age.unwrap() > Span::millis(28_000), "it does not count as up to date");
+    }
+    assert!(domain.status(behind).counters.ahead > 0);
+    domain.net.set_links(|_, _| None);
+    domain.pass(10 * SECOND);
+    domain.assert_same(publisher);
+    for at in domain.subscribers.clone() {
+        domain.assert_told(at);
+        assert!(domain.status(at).age.unwrap() < Span::millis(2_500), "{}", domain.status(at));
+        assert_eq!(domain.status(at).counters.mismatches, 0, "{at}");
+    }
+}
