--- a/src/fleet/distribution/publisher.rs
+++ b/src/fleet/distribution/publisher.rs
@@ -14,8 +14,9 @@
 
 /// What was not answered is asked again after so long.
 const RETRY: Span = Span::millis(250);
-/// For so long it waits for a majority of replicas that remember, before a majority of any has to do: what a replica takes that
-/// starts or whose link fails for a moment.
+/// For so long it waits for all replicas, where a majority of them has forgotten what it accepted: what a replica takes that starts
+/// or whose link fails for a moment. Where less than a majority has forgotten, it waits for a majority that remembers, or for
+/// all: nothing that was acknowledged is lost while a majority lives.
 const RECALL: Span = Span::millis(5_000);
 /// A catch-up with another replica that takes longer than this is begun anew, maybe with another one.
 const CATCH_UP: Span = Span::millis(10_000);
@@ -58,6 +59,8 @@
 struct Flight {
     proposal: Proposal,
     accepted: BTreeSet<SocketAddr>,
+    /// Replicas that could not accept it, for they have not caught up yet.
+    behind: BTreeSet<SocketAddr>,
     /// Tickets whose last changes these are.
     tickets: Vec<u64>,
 }
@@ -203,7 +206,8 @@
         let Phase::Preparing { since, promises } = &self.phase else { return };
         let recovered = promises.values().filter(|promised| promised.recovered).count();
         let all = promises.len() > self.replicas.len();
-        let late = now - *since >= RECALL && promises.len() >= majority;
+        // Where a majority has forgotten, waiting for one that remembers would be in vain.
+        let late = now - *since >= RECALL && promises.len() - recovered >= majority;
         if recovered < majority && !all && !late {
             return;
         }
@@ -258,7 +262,7 @@
         let Some(fence) = self.fence(now) else { return };
         let own = matches!(voter.accept(fence, proposal.clone(), log), Message::Accepted { .. });
         let accepted = own.then_some(self.own).into_iter().collect();
-        self.flight = Some(Flight { proposal, accepted, tickets });
+        self.flight = Some(Flight { proposal, accepted, behind: BTreeSet::new(), tickets });
         self.offer(now, wants);
         self.conclude(now, wants);
     }
@@ -362,12 +366,25 @@
                     self.conclude(now, &mut wants);
                 }
             }
-            Message::Rejected { promised, .. } => wants = self.overtaken(promised),
+            Message::Rejected { promised, .. } if promised > own => wants = self.overtaken(promised),
+            Message::Rejected { .. } => {
+                if let Some(flight) = &mut self.flight {
+                    flight.behind.insert(from);
+                }
+            }
             _ => {}
         }
         wants
     }
 
+    /// A replica tells its version: one that had to catch up is asked again for the batch under way.
+    pub fn reported(&mut self, now: Time, from: SocketAddr, version: Version) -> Option<Want> {
+        let fence = self.serves(now)?;
+        let flight = self.flight.as_mut().filter(|flight| flight.proposal.after == version)?;
+        let accept = Message::Accept { fence, proposal: flight.proposal.clone() };
+        flight.behind.remove(&from).then_some(Want::Send(from, accept))
+    }
+
     /// The time of [`Publisher::due`] has come. `follows` says of a replica whether it follows this process already.
     pub fn wake(
         &mut self,
