--- a/lab/src/processes.rs
+++ b/lab/src/processes.rs
@@ -4,7 +4,7 @@
 
 use mintgate::fleet::lease::{self, Hold};
 use mintgate::fleet::news::{Subject, Word};
-use mintgate::fleet::{Do, Event, Machine, Process, Setting, message};
+use mintgate::fleet::{Event, Machine, Output, Process, Setting, message};
 use mintgate::{Span, Task, Time};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -246,11 +246,11 @@
         }
     }
 
-    fn carry_out(&mut self, index: usize, what: Do) {
+    fn carry_out(&mut self, index: usize, what: Output) {
         match what {
-            Do::Send(to, bytes) => self.send(index, to, bytes),
-            Do::Held(task, part, hold) => self.held(index, (task, part), hold),
-            Do::Heard(Subject::Worker(1), ..) => {
+            Output::Send(to, bytes) => self.send(index, to, bytes),
+            Output::Held(task, part, hold) => self.held(index, (task, part), hold),
+            Output::Heard(Subject::Worker(1), ..) => {
                 let now = self.now;
                 self.heard[index].get_or_insert(now);
             }
--- a/lab/src/scale/members.rs
+++ b/lab/src/scale/members.rs
@@ -10,7 +10,7 @@
 use mintgate::core::Core;
 use mintgate::fleet::news::{Subject, Word};
 use mintgate::fleet::overload::{self, Demand};
-use mintgate::fleet::{self, Do, Event, Machine, lease, message};
+use mintgate::fleet::{self, Event, Machine, Output, lease, message};
 use mintgate::{ListKind, Span, Time, config};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -90,8 +90,8 @@
         let mut out = vec![];
         for what in all {
             match what {
-                Do::Send(to, bytes) => out.push((to, bytes)),
-                Do::Heard(Subject::Worker(worker), ..) => drop(self.news.entry(worker).or_insert(now)),
+                Output::Send(to, bytes) => out.push((to, bytes)),
+                Output::Heard(Subject::Worker(worker), ..) => drop(self.news.entry(worker).or_insert(now)),
                 _ => {}
             }
         }
--- a/src/core/overload.rs
+++ b/src/core/overload.rs
@@ -2,12 +2,12 @@
 
 use super::{Core, Owner};
 use crate::chain;
-use crate::fleet::overload::{Demand, Gate, Level, Meter, ranks};
+use crate::fleet::overload::{AdmissionLevel, Demand, DemandMeter, Gate, ranks};
 use crate::interface::{Span, Time};
 use crate::settings::Site;
 
 pub(super) struct Overload {
-    meter: Meter,
+    meter: DemandMeter,
     gate: Gate,
     /// Of each class.
     ranks: Vec<usize>,
@@ -15,7 +15,7 @@
 
 impl Overload {
     pub(super) fn new(site: &Site) -> Overload {
-        Overload { meter: Meter::default(), gate: Gate::default(), ranks: ranks(&site.worths()) }
+        Overload { meter: DemandMeter::default(), gate: Gate::default(), ranks: ranks(&site.worths()) }
     }
 }
 
@@ -28,7 +28,7 @@
     }
 
     /// The fleet's word on what all let in, as was right at that time; whether it is followed.
-    pub fn follow(&mut self, level: Level, at: Time) -> bool {
+    pub fn follow(&mut self, level: AdmissionLevel, at: Time) -> bool {
         self.overload.as_mut().is_some_and(|overload| overload.gate.hear(level, at))
     }
 
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -363,13 +363,13 @@
 fn what_the_fleet_sheds_is_refused_at_once_and_what_is_let_in_is_counted() {
     let mut core = core();
     core.join_fleet(MS(0), 1, true);
-    let level = |fence, part| crate::fleet::overload::Level { fence, by: 0, admit: [part; 4] };
+    let level = |fence, part| crate::fleet::overload::AdmissionLevel { fence, by: 0, admit: [part; 4] };
     assert!(core.follow(level(3, 0), MS(0)));
     let commands = call(&mut core, 1, "safe");
     let [Command::Answer { answer, .. }] = &commands[..] else { panic!("{commands:?}") };
     assert!(matches!(answer.verdict, Verdict::Refused { .. }) && !answer.expired);
     assert_eq!((core.owed(), core.counters().shed, core.counters().refused), (0, 1, 1));
-    assert!(!core.follow(level(2, 255), MS(1)), "an earlier governor");
+    assert!(!core.follow(level(2, 255), MS(1)), "an earlier controller");
     assert!(core.follow(level(3, 255), MS(1)));
     assert!(call(&mut core, 2, "safe").iter().any(|command| matches!(command, Command::Send { .. })));
     let demand = core.demand(MS(2));
--- a/src/daemon/fleet.rs
+++ b/src/daemon/fleet.rs
@@ -5,7 +5,7 @@
 use crate::fleet::message::{self, LARGEST};
 use crate::fleet::news::{Subject, Word};
 use crate::fleet::overload;
-use crate::fleet::{Do, Event, Machine, Process, Setting, lease};
+use crate::fleet::{Event, Machine, Output, Process, Setting, lease};
 use crate::interface::{Span, Task, Time, WorkerId};
 use crate::net::Reactor;
 use std::cell::RefCell;
@@ -179,8 +179,8 @@
         let mut publishing = None;
         for what in all {
             match what {
-                Do::Send(to, bytes) => self.reactor.send_datagram(member.socket, &bytes, to),
-                Do::Held(task, part, hold) => {
+                Output::Send(to, bytes) => self.reactor.send_datagram(member.socket, &bytes, to),
+                Output::Held(task, part, hold) => {
                     let name = task.name();
                     match hold {
                         Some(hold) if member.held.insert((task, part), hold.fence) != Some(hold.fence) => {
@@ -197,23 +197,25 @@
                         _ => self.core.hold(now, task, part, hold),
                     }
                 }
-                Do::Heard(Subject::Worker(worker), Word::Answers(answers), at) => {
+                Output::Heard(Subject::Worker(worker), Word::Answers(answers), at) => {
                     self.core.told(now, WorkerId(worker), answers, at);
                 }
-                Do::Heard(..) => {}
-                Do::Level(level, at) => {
+                Output::Heard(..) => {}
+                Output::AdmissionLevel(level, at) => {
                     if self.core.follow(level, at) && member.sheds != (level.shed() > 0) {
                         member.sheds = level.shed() > 0;
                         let lets_in = format!("{:?}", level.admit);
                         info!(lets_in, fence = level.fence, sheds = member.sheds, "fleet level");
                     }
                 }
-                Do::Member(index, up) => {
+                Output::Member(index, up) => {
                     info!(index, state = if up { "up" } else { "down" }, "fleet member");
                 }
-                Do::Gone(gone) => self.core.gone(now, gone),
-                Do::Double => error!(why = "another process has this one's index", "fleet left"),
-                Do::Dropped(from, odd) => {
+                Output::Gone(gone) => self.core.gone(now, gone),
+                Output::DuplicateIdentity => {
+                    error!(why = "another process has this one's index", "fleet left")
+                }
+                Output::Dropped(from, odd) => {
                     self.core.counters().fleet_dropped += 1;
                     if self.core.may_log(now) {
                         warn!(%from, why = ?odd, "fleet dropped");
--- a/src/daemon/upgrade.rs
+++ b/src/daemon/upgrade.rs
@@ -5,7 +5,7 @@
 use crate::config::{self, Config, Operator, Sources};
 use crate::front::socket::{self, SocketFile};
 use crate::handover::message::{self, Known, Line, Message};
-use crate::handover::{self, Do, Mailbox, PeerConnection};
+use crate::handover::{self, Mailbox, Output, PeerConnection};
 use crate::interface::{ListKind, Member, Time, WorkerId};
 use crate::net::ControlFlow;
 use std::cell::RefCell;
@@ -129,10 +129,10 @@
         }
     }
 
-    fn do_upgrade(&mut self, now: Time, what: Do) -> Option<handover::Event> {
+    fn do_upgrade(&mut self, now: Time, what: Output) -> Option<handover::Event> {
         let upgrade = self.upgrade.as_mut()?;
         match what {
-            Do::Meet => {
+            Output::Meet => {
                 let stream = match self.reactor.connect_unix(&upgrade.path) {
                     Ok(stream) => stream,
                     Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {
@@ -145,13 +145,13 @@
                 let met = self.reactor.add(stream, connection, false, handover::LIMITS, &mut self.core);
                 return met.is_none().then_some(handover::Event::Unmet);
             }
-            Do::Say(peer, message) => self.say(peer, &message),
-            Do::SayState(peer) => {
+            Output::Say(peer, message) => self.say(peer, &message),
+            Output::SayState(peer) => {
                 let known = self.known();
                 self.say(peer, &Message::State(Box::new(known)));
             }
-            Do::TakeOver(known) => self.take_over(now, &known),
-            Do::Serve => {
+            Output::TakeOver(known) => self.take_over(now, &known),
+            Output::Serve => {
                 // Where the next one cannot be met, an upgrade has to do without what this one knows.
                 match socket::replace(&upgrade.path, 0o600)
                     .and_then(|(listener, file)| Ok((self.reactor.listen_unix(listener)?, file)))
@@ -164,20 +164,22 @@
                 self.take_fronts();
                 self.keep();
             }
-            Do::Door(open) => {
+            Output::Door(open) => {
                 info!(door = if open { "open" } else { "shut" }, "upgrade");
                 self.door(open);
             }
-            Do::ByHand { worker, out, at } => self.core.by_hand_elsewhere(at.min(now), WorkerId(worker), out),
-            Do::Share(share) => {
+            Output::ByHand { worker, out, at } => {
+                self.core.by_hand_elsewhere(at.min(now), WorkerId(worker), out)
+            }
+            Output::Share(share) => {
                 self.share(share);
                 self.take_router();
             }
-            Do::Drop(peer, why) => {
+            Output::Drop(peer, why) => {
                 warn!(why, "upgrade peer dropped");
                 self.reactor.end(peer, &mut self.core);
             }
-            Do::Fail(why) => upgrade.failed = Some(why),
+            Output::Fail(why) => upgrade.failed = Some(why),
         }
         None
     }
--- a/src/fleet/distribution/tests/wire.rs
+++ b/src/fleet/distribution/tests/wire.rs
@@ -1,7 +1,7 @@
 //! Datagrams and noise: what a peer may send, and what that costs.
 
 use super::*;
-use crate::fleet::message::{self, Odd};
+use crate::fleet::message::{self, DatagramError};
 use proptest::prelude::*;
 
 fn largest(changes: Vec<Change>) -> Vec<Message> {
@@ -43,11 +43,11 @@
         let bytes = datagram(FLEET, from, std::slice::from_ref(&message));
         assert!(bytes.len() <= message::LARGEST, "{}", bytes.len());
         assert_eq!(read(FLEET, &bytes), Ok((from, vec![message])));
-        assert_eq!(read(FLEET + 1, &bytes), Err(Odd::Fleet));
+        assert_eq!(read(FLEET + 1, &bytes), Err(DatagramError::Fleet));
         let mut earlier = bytes[..bytes.len() - 4].to_vec();
         earlier[3] = 2;
         earlier.extend(crc32fast::hash(&earlier).to_be_bytes());
-        assert_eq!(read(FLEET, &earlier), Err(Odd::Version));
+        assert_eq!(read(FLEET, &earlier), Err(DatagramError::Version));
     }
 }
 
@@ -56,7 +56,7 @@
     let message = Message::Prepare { fence: 1 };
     let bytes = datagram(FLEET, ProcessId { index: 0, incarnation: 0 }, &vec![message; 1_000]);
     assert!(bytes.len() > message::LARGEST);
-    assert_eq!(read(FLEET, &bytes), Err(Odd::Malformed));
+    assert_eq!(read(FLEET, &bytes), Err(DatagramError::Malformed));
 }
 
 fn any_version() -> impl Strategy<Value = Version> {
--- a/src/fleet/distribution/wire.rs
+++ b/src/fleet/distribution/wire.rs
@@ -2,7 +2,7 @@
 
 use super::record::{Change, Topic, Version};
 use crate::fleet::Process;
-use crate::fleet::message::{self, Datagram, Odd};
+use crate::fleet::message::{self, Datagram, DatagramError};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 
@@ -170,7 +170,7 @@
 }
 
 /// Reads one: who sent it, and the messages.
-pub fn read(fleet: u64, bytes: &[u8]) -> Result<(Process, Vec<Message>), Odd> {
+pub fn read(fleet: u64, bytes: &[u8]) -> Result<(Process, Vec<Message>), DatagramError> {
     let datagram = message::read(fleet, bytes)?;
     Ok((datagram.from, datagram.distribution))
 }
--- a/src/fleet/lease/elector.rs
+++ b/src/fleet/lease/acceptor.rs
@@ -1,7 +1,7 @@
 //! The part of an elector: promises, grants, and muteness after a start.
 
 #[cfg(test)]
-use super::Weak;
+use super::DisabledGuard;
 use super::{Ballot, LeaseId, Message, Setting};
 use crate::interface::Time;
 use std::collections::BTreeMap;
@@ -27,7 +27,7 @@
 
 /// One process's part as an elector, for all leases.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct Elector {
+pub struct Acceptor {
     index: u32,
     slots: BTreeMap<LeaseId, Slot>,
     /// Counters that were forgotten are no higher than this, once it votes.
@@ -40,12 +40,12 @@
     look: Option<Time>,
 }
 
-impl Elector {
+impl Acceptor {
     /// An elector that has just started and remembers nothing. `guess` is how far counters may have come, for
     /// the case that a majority has forgotten at once.
-    pub fn new(index: u32, now: Time, guess: u64, setting: &Setting) -> Elector {
+    pub fn new(index: u32, now: Time, guess: u64, setting: &Setting) -> Acceptor {
         let (slots, told, mute_until) = (BTreeMap::new(), BTreeMap::new(), now + setting.mute);
-        Elector { index, slots, floor: guess, mute_until, told, votes: false, look: Some(mute_until) }
+        Acceptor { index, slots, floor: guess, mute_until, told, votes: false, look: Some(mute_until) }
     }
 
     /// Whether it votes.
@@ -53,7 +53,7 @@
         self.votes
     }
 
-    /// When [`Elector::wake`] is to be called: when it may begin to vote for nothing but the time.
+    /// When [`Acceptor::wake`] is to be called: when it may begin to vote for nothing but the time.
     pub fn due(&self) -> Option<Time> {
         self.look
     }
@@ -126,7 +126,7 @@
                 #[cfg(test)]
                 let his = |grant: &Grant| {
                     let same = grant.ballot.process == ballot.process;
-                    his(grant) || same && setting.weak(Weak::AnyRelease)
+                    his(grant) || same && setting.weak(DisabledGuard::AnyRelease)
                 };
                 if slot.granted.is_some_and(|grant| his(&grant)) {
                     slot.granted = None;
@@ -157,7 +157,7 @@
     fn prepare(&mut self, now: Time, ballot: Ballot, floor: u64, setting: &Setting) -> Message {
         let other = self.granted.filter(|grant| grant.ballot.process != ballot.process);
         #[cfg(test)]
-        let other = other.filter(|_| !setting.weak(Weak::PromisesOthers));
+        let other = other.filter(|_| !setting.weak(DisabledGuard::PromisesOthers));
         let _ = setting;
         if let Some(grant) = other {
             return Message::Held(ballot, (grant.until - now).0);
@@ -172,7 +172,7 @@
 
 /// What a checker needs of it.
 #[cfg(test)]
-impl Elector {
+impl Acceptor {
     /// Votes as one that has run for long.
     pub fn settle(&mut self) {
         (self.votes, self.look) = (true, None);
@@ -189,7 +189,7 @@
         !self.votes && (counter > self.floor || self.told.get(&from) != Some(&votes))
     }
 
-    /// See [`super::Seat::shift`].
+    /// See [`super::LeaseNode::shift`].
     pub fn shift(&mut self, now: Time, ahead: impl Fn(Time) -> Time) {
         self.mute_until = ahead(self.mute_until);
         self.look = (!self.votes).then_some(ahead(now));
--- a/src/fleet/lease/mod.rs
+++ b/src/fleet/lease/mod.rs
@@ -4,21 +4,21 @@
 //! else: one that counts on while the process or its machine is stopped, with a stated bound on its rate.
 //! The invariants, and where each is kept:
 //!
-//! - an elector that has a grant standing promises nobody else anything ([`elector`]);
+//! - an elector that has a grant standing promises nobody else anything ([`acceptor`]);
 //! - an elector grants for a whole term from when the request has come; a holder counts less than a term, by
 //!   what clocks may differ, from before its request left ([`Setting::usable`], [`proposer`]);
 //! - a grant counts for the round of requests that it answers, and for no other ([`proposer`]);
 //! - an elector that has started knows nothing of its grants, so it is mute for the longest term, and until it
-//!   has heard how far counters have come ([`elector`]);
+//!   has heard how far counters have come ([`acceptor`]);
 //! - a fence is the counter of the ballot that won, and a ballot wins only above all that a majority has promised.
 
-pub mod elector;
+pub mod acceptor;
 #[cfg(test)]
 mod model;
+mod node;
 pub mod proposer;
-mod seat;
 
-pub use seat::{Out, Seat, To};
+pub use node::{Destination, LeaseNode, Out};
 
 use super::Process;
 use crate::interface::{Span, Time};
@@ -98,13 +98,13 @@
     pub step: Span,
     /// Weakened on purpose, so that a checker can be shown to find what a guard keeps out.
     #[cfg(test)]
-    pub weak: Option<Weak>,
+    pub weak: Option<DisabledGuard>,
 }
 
 /// Guards that tests take away, beside those that are figures of the setting.
 #[cfg(test)]
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Weak {
+pub enum DisabledGuard {
     /// The term counts from the majority's answers.
     CountsFromAnswers,
     /// Any grant of the ballot counts for the latest round.
@@ -141,7 +141,7 @@
     }
 
     #[cfg(test)]
-    fn weak(&self, weak: Weak) -> bool {
+    fn weak(&self, weak: DisabledGuard) -> bool {
         self.weak == Some(weak)
     }
 }
--- a/src/fleet/lease/model.rs
+++ b/src/fleet/lease/model.rs
@@ -42,7 +42,7 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct State {
-    seats: Vec<Seat>,
+    seats: Vec<LeaseNode>,
     clocks: Vec<Time>,
     /// Every message ever sent that may still matter: to whom, by whom.
     sent: BTreeSet<(u32, Process, Message)>,
@@ -79,9 +79,9 @@
 }
 
 impl Fleet {
-    fn start(&self, index: usize, starts: u64, now: Time) -> Seat {
+    fn start(&self, index: usize, starts: u64, now: Time) -> LeaseNode {
         let process = Process { index: index as u32, incarnation: starts };
-        let mut seat = Seat::new(process, now, 0, &self.setting);
+        let mut seat = LeaseNode::new(process, now, 0, &self.setting);
         if index < self.bounds.len() {
             seat.want(now, LEASE, Some(0), &self.setting);
         }
@@ -92,17 +92,17 @@
         let process = state.seats[from].process();
         for (to, _, message) in out {
             match to {
-                To::Elector(index) => drop(state.sent.insert((index, process, message))),
+                Destination::Acceptor(index) => drop(state.sent.insert((index, process, message))),
                 // How long somebody else holds it matters to the next attempt's time alone.
-                To::Process(to) if matches!(message, Message::Held(..)) => {
+                Destination::Process(to) if matches!(message, Message::Held(..)) => {
                     let Message::Held(ballot, _) = message else { continue };
                     state.sent.insert((to.index, process, Message::Held(ballot, 0)));
                 }
                 // A reply to a process that is no more changes nothing.
-                To::Process(to) if state.seats[to.index as usize].process() == to => {
+                Destination::Process(to) if state.seats[to.index as usize].process() == to => {
                     state.sent.insert((to.index, process, message));
                 }
-                To::Process(_) => {}
+                Destination::Process(_) => {}
             }
         }
     }
@@ -144,9 +144,9 @@
 
     fn init_states(&self) -> Vec<State> {
         let count = self.rates.len();
-        let mut seats: Vec<Seat> = (0..count).map(|n| self.start(n, 1 + n as u64, NOW)).collect();
+        let mut seats: Vec<LeaseNode> = (0..count).map(|n| self.start(n, 1 + n as u64, NOW)).collect();
         if self.settled {
-            seats.iter_mut().for_each(Seat::settle);
+            seats.iter_mut().for_each(LeaseNode::settle);
         }
         vec![State {
             seats,
@@ -326,12 +326,16 @@
     let cases = [
         ("majority", ONE, setting(&|s| s.quorum = 1, plain())),
         ("margin for clocks", ONE, setting(&|s| s.usable = s.term, plain())),
-        ("term from the send", ONE, weak(Weak::CountsFromAnswers)),
-        ("answers belong to rounds", ONE, weak(Weak::AnyRound)),
-        ("a grant keeps from promising", ONE, weak(Weak::PromisesOthers)),
+        ("term from the send", ONE, weak(DisabledGuard::CountsFromAnswers)),
+        ("answers belong to rounds", ONE, weak(DisabledGuard::AnyRound)),
+        ("a grant keeps from promising", ONE, weak(DisabledGuard::PromisesOthers)),
         ("mute start", ONE, setting(&|s| s.mute = Span(0), elector_crashes())),
         ("recall of fences", RISE, setting(&|s| s.recall = 0, elector_crashes())),
-        ("a release frees no later grant", ONE, setting(&|s| s.weak = Some(Weak::AnyRelease), released)),
+        (
+            "a release frees no later grant",
+            ONE,
+            setting(&|s| s.weak = Some(DisabledGuard::AnyRelease), released),
+        ),
     ];
     for (guard, property, fleet) in cases {
         let threads = std::thread::available_parallelism().map_or(1, usize::from);
--- a/src/fleet/lease/seat.rs
+++ b/src/fleet/lease/node.rs
@@ -1,6 +1,6 @@
 //! One process's seat: its part as an elector, if it is one, and its wishes. What it says to itself stays here.
 
-use super::elector::Elector;
+use super::acceptor::Acceptor;
 use super::proposer::Proposer;
 use super::{Hold, LeaseId, Message, Setting};
 use crate::fleet::Process;
@@ -9,32 +9,32 @@
 
 /// Whom a message is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum To {
+pub enum Destination {
     /// The elector of this index, whichever process that is now.
-    Elector(u32),
+    Acceptor(u32),
     /// This very process.
     Process(Process),
 }
 
 /// Messages to be sent.
-pub type Out = Vec<(To, LeaseId, Message)>;
+pub type Out = Vec<(Destination, LeaseId, Message)>;
 
 /// See the module's page.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct Seat {
+pub struct LeaseNode {
     process: Process,
-    elector: Option<Elector>,
+    elector: Option<Acceptor>,
     proposers: BTreeMap<LeaseId, Proposer>,
     /// When to ask the others again how far counters have come, while it is mute.
     ask: Option<Time>,
 }
 
-impl Seat {
-    /// A process that has just started. `guess` is how far fences may have come; see [`Elector::new`].
-    pub fn new(process: Process, now: Time, guess: u64, setting: &Setting) -> Seat {
+impl LeaseNode {
+    /// A process that has just started. `guess` is how far fences may have come; see [`Acceptor::new`].
+    pub fn new(process: Process, now: Time, guess: u64, setting: &Setting) -> LeaseNode {
         let votes = setting.electors.contains(&process.index);
-        let elector = votes.then(|| Elector::new(process.index, now, guess, setting));
-        Seat { process, elector, proposers: BTreeMap::new(), ask: votes.then_some(now) }
+        let elector = votes.then(|| Acceptor::new(process.index, now, guess, setting));
+        LeaseNode { process, elector, proposers: BTreeMap::new(), ask: votes.then_some(now) }
     }
 
     /// The process that sits here.
@@ -43,7 +43,7 @@
     }
 
     /// Its part as an elector.
-    pub fn elector(&self) -> Option<&Elector> {
+    pub fn elector(&self) -> Option<&Acceptor> {
         self.elector.as_ref()
     }
 
@@ -57,9 +57,9 @@
         self.proposers.iter().filter_map(move |(lease, proposer)| Some((*lease, proposer.holds(now)?)))
     }
 
-    /// When [`Seat::wake`] is to be called.
+    /// When [`LeaseNode::wake`] is to be called.
     pub fn due(&self) -> Option<Time> {
-        let own = self.elector.as_ref().and_then(Elector::due).into_iter().chain(self.ask);
+        let own = self.elector.as_ref().and_then(Acceptor::due).into_iter().chain(self.ask);
         self.proposers.values().filter_map(Proposer::due).chain(own).min()
     }
 
@@ -76,7 +76,7 @@
         self.ask_electors(now, lease, message, setting, out);
     }
 
-    /// The time of [`Seat::due`] has come.
+    /// The time of [`LeaseNode::due`] has come.
     pub fn wake(&mut self, now: Time, setting: &Setting, out: &mut Out) {
         if let Some(elector) = &mut self.elector {
             elector.wake(now, setting);
@@ -85,7 +85,7 @@
         if self.ask.is_some_and(|at| at <= now) {
             self.ask = Some(now + Span(setting.mute.0.max(8) / 8));
             let others = setting.electors.iter().filter(|index| **index != self.process.index);
-            out.extend(others.map(|index| (To::Elector(*index), LeaseId(0), Message::Ask)));
+            out.extend(others.map(|index| (Destination::Acceptor(*index), LeaseId(0), Message::Ask)));
         }
         let due = |proposer: &Proposer| proposer.due().is_some_and(|at| at <= now);
         let leases: Vec<LeaseId> =
@@ -127,7 +127,7 @@
             _ => {
                 let answer =
                     self.elector.as_mut().and_then(|e| e.handle(now, from.index, lease, message, setting));
-                out.extend(answer.map(|answer| (To::Process(from), lease, answer)));
+                out.extend(answer.map(|answer| (Destination::Process(from), lease, answer)));
             }
         }
     }
@@ -144,7 +144,7 @@
         let mut waiting = VecDeque::from_iter(message);
         while let Some(message) = waiting.pop_front() {
             for index in setting.electors.iter().filter(|index| **index != self.process.index) {
-                out.push((To::Elector(*index), lease, message));
+                out.push((Destination::Acceptor(*index), lease, message));
             }
             let own = self.elector.as_mut();
             let answer = own.and_then(|e| e.handle(now, self.process.index, lease, message, setting));
@@ -157,11 +157,11 @@
 
 /// What a checker needs of it.
 #[cfg(test)]
-impl Seat {
+impl LeaseNode {
     /// Makes the elector vote as one that has run for long.
     pub fn settle(&mut self) {
         self.ask = None;
-        self.elector.iter_mut().for_each(Elector::settle);
+        self.elector.iter_mut().for_each(Acceptor::settle);
     }
 
     /// How far this process's own ballots and rounds have come.
--- a/src/fleet/lease/proposer.rs
+++ b/src/fleet/lease/proposer.rs
@@ -1,7 +1,7 @@
 //! The part of a process that wants a lease: to win it, to renew it, and to give it back.
 
 #[cfg(test)]
-use super::Weak;
+use super::DisabledGuard;
 use super::{Ballot, Hold, Message, Setting};
 use crate::fleet::Process;
 use crate::interface::{Span, Time};
@@ -194,7 +194,7 @@
     fn granted(&mut self, now: Time, from: u32, of: Ballot, number: u32, setting: &Setting) {
         let Phase::Propose { ballot, rounds, .. } = &mut self.phase else { return };
         #[cfg(test)]
-        let number = match (setting.weak(Weak::AnyRound), rounds.last()) {
+        let number = match (setting.weak(DisabledGuard::AnyRound), rounds.last()) {
             (true, Some(last)) => last.number,
             _ => number,
         };
@@ -206,7 +206,7 @@
         let since = round.sent;
         rounds.retain(|round| round.number > number);
         #[cfg(test)]
-        let since = if setting.weak(Weak::CountsFromAnswers) { now } else { since };
+        let since = if setting.weak(DisabledGuard::CountsFromAnswers) { now } else { since };
         let until = since + setting.usable;
         let held = self.hold.filter(|hold| now < hold.until);
         if until <= now || held.is_some_and(|hold| until <= hold.until) {
@@ -231,7 +231,7 @@
         self.round
     }
 
-    /// See [`super::Seat::shift`]. A round whose term has passed is of no more use; how long a pause between two
+    /// See [`super::LeaseNode::shift`]. A round whose term has passed is of no more use; how long a pause between two
     /// attempts is matters to nobody's safety.
     pub fn shift(&mut self, now: Time, to: Time, setting: &Setting) {
         let ahead = |at: Time| to + (at - now);
@@ -253,7 +253,7 @@
             }
             (Message::Granted(of, number), Phase::Propose { ballot, rounds, .. }) => {
                 let open = |round: &Round| round.number == number && !round.granted.contains(&from);
-                of == *ballot && (rounds.iter().any(open) || setting.weak(Weak::AnyRound))
+                of == *ballot && (rounds.iter().any(open) || setting.weak(DisabledGuard::AnyRound))
             }
             (Message::Held(of, _), Phase::Prepare { ballot, .. }) => of == *ballot,
             (Message::Behind(of, counter), Phase::Prepare { ballot, .. } | Phase::Propose { ballot, .. }) => {
--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -1,10 +1,10 @@
 //! What one process of a fleet knows and does: members, leases and news, joined. No sockets, no clock.
 
-use super::lease::{self, Hold, LeaseId, Seat, To};
-use super::membership::{self, Identity, Membership, Who};
-use super::message::{self, Datagram, Odd};
+use super::lease::{self, Destination, Hold, LeaseId, LeaseNode};
+use super::membership::{self, Identity, IdentityQuery, Membership};
+use super::message::{self, Datagram, DatagramError};
 use super::news::{self, Item, News, Subject, Word};
-use super::overload::{Demand, Gate, Governor, Level};
+use super::overload::{AdmissionLevel, Demand, Gate, OverloadController};
 use super::{Process, mix};
 use crate::interface::{Shares, Span, Task, Time};
 use rand::SeedableRng;
@@ -22,7 +22,7 @@
 /// Terms for which one that comes back must have stayed, and a holder must have held, before a lease goes back
 /// to whom it is meant for; doubled with each time that one was lost lately, so often at most.
 const SETTLE: (u64, u32) = (3, 3);
-/// Members that the governor tells its word itself, four times a second; in larger fleets it is handed on as news.
+/// Members that the controller tells its word itself, four times a second; in larger fleets it is handed on as news.
 const AT_ONCE: usize = 64;
 /// Indices of which it is known whether their processes are gone.
 const LARGEST_FLEET: u32 = 4096;
@@ -79,7 +79,7 @@
 
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Do {
+pub enum Output {
     /// Send a datagram.
     Send(SocketAddr, Vec<u8>),
     /// A task's part is held from now on, under this fence, or no longer.
@@ -87,15 +87,15 @@
     /// Another process has told something; it was so at that time at the latest.
     Heard(Subject, Word, Time),
     /// So much of each class is to be let in, as was right at that time.
-    Level(Level, Time),
+    AdmissionLevel(AdmissionLevel, Time),
     /// A process has come into the fleet, or has gone.
     Member(u32, bool),
     /// These processes, and no others, are gone: for so long that others do what they did.
     Gone(BTreeSet<u32>),
     /// Another process with this one's index is in the fleet: this one does nothing for it any more.
-    Double,
+    DuplicateIdentity,
     /// A datagram was dropped.
-    Dropped(SocketAddr, Odd),
+    Dropped(SocketAddr, DatagramError),
 }
 
 /// Since when a member is up, and how often it was lost before.
@@ -109,10 +109,10 @@
 /// See the module's page.
 pub struct Machine {
     setting: Setting,
-    seat: Seat,
+    seat: LeaseNode,
     membership: Membership,
     news: News,
-    governor: Governor,
+    controller: OverloadController,
     /// What all let in, by the latest word.
     word: Gate,
     rng: SmallRng,
@@ -143,7 +143,7 @@
     /// All parts of all tasks.
     pub leases: Vec<LeaseStatus>,
     /// What all let in now, where anything is shed.
-    pub level: Option<Level>,
+    pub level: Option<AdmissionLevel>,
     /// Datagrams and bytes sent since the start.
     pub sent: (u64, u64),
     /// Subjects of which something is known from others or told to them.
@@ -228,7 +228,7 @@
 impl Machine {
     /// A process that has just started.
     pub fn new(now: Time, setting: Setting) -> Machine {
-        let seat = Seat::new(setting.process, now, setting.guess, &setting.lease);
+        let seat = LeaseNode::new(setting.process, now, setting.guess, &setting.lease);
         let reach = |(index, at): (&u32, &SocketAddr)| (*index, *setting.via.get(index).unwrap_or(at));
         let contacts = setting.electors.iter().map(reach).collect();
         let swim = membership::Setting { delay: setting.delay, size: setting.size, contacts };
@@ -240,7 +240,7 @@
             seat,
             membership,
             news: News::default(),
-            governor: Governor::default(),
+            controller: OverloadController::default(),
             word: Gate::default(),
             rng: SmallRng::seed_from_u64(mix(setting.seed, 2)),
             held: BTreeMap::new(),
@@ -271,7 +271,7 @@
     }
 
     /// Takes in what has happened.
-    pub fn handle(&mut self, now: Time, event: Event) -> Vec<Do> {
+    pub fn handle(&mut self, now: Time, event: Event) -> Vec<Output> {
         let mut out = vec![];
         if self.left {
             return out;
@@ -283,7 +283,7 @@
                     sender = Some((datagram.from, from));
                     self.heard(now, datagram, from, &mut leases, &mut swim, &mut out);
                 }
-                Err(odd) => out.push(Do::Dropped(from, odd)),
+                Err(odd) => out.push(Output::Dropped(from, odd)),
             },
             Event::Timer => {}
             Event::Seen(subject, word) => self.news.seen(now, subject, word),
@@ -319,7 +319,7 @@
         from: SocketAddr,
         leases: &mut lease::Out,
         swim: &mut membership::Out,
-        out: &mut Vec<Do>,
+        out: &mut Vec<Output>,
     ) {
         let sender = datagram.from;
         if sender == self.setting.process {
@@ -338,55 +338,55 @@
         }
         if !datagram.swim.is_empty() {
             if !self.membership.heard(now, &datagram.swim, swim) {
-                out.push(Do::Dropped(from, Odd::Malformed));
+                out.push(Output::Dropped(from, DatagramError::Malformed));
             }
             swim.who.extend(self.membership.in_place_of(sender).map(|who| (sender.index, who)));
         }
         for item in datagram.news {
             if !item.fits() {
-                out.push(Do::Dropped(from, Odd::Malformed));
+                out.push(Output::Dropped(from, DatagramError::Malformed));
                 continue;
             }
             let Some(at) = self.news.heard(now, item, self.setting.delay) else { continue };
             match (item.subject, item.word) {
                 (Subject::Process(index), Word::Demand(demand)) if index != self.setting.process.index => {
-                    self.governor.hear(now, index, demand, at);
+                    self.controller.hear(now, index, demand, at);
                 }
-                (Subject::Fleet, Word::Level(level)) if self.setting.shed.is_some() => {
-                    out.extend(self.word.hear(level, at).then_some(Do::Level(level, at)));
+                (Subject::Fleet, Word::AdmissionLevel(level)) if self.setting.shed.is_some() => {
+                    out.extend(self.word.hear(level, at).then_some(Output::AdmissionLevel(level, at)));
                 }
-                (Subject::Worker(_), _) => out.push(Do::Heard(item.subject, item.word, at)),
+                (Subject::Worker(_), _) => out.push(Output::Heard(item.subject, item.word, at)),
                 _ => {}
             }
         }
     }
 
     /// Tells what has come to this process; whoever holds [`Task::Shed`] says what all let in.
-    fn demand(&mut self, now: Time, demand: Demand, out: &mut Vec<Do>) {
+    fn demand(&mut self, now: Time, demand: Demand, out: &mut Vec<Output>) {
         let (index, Some(aim)) = (self.setting.process.index, self.setting.shed) else { return };
         self.news.seen(now, Subject::Process(index), Word::Demand(demand));
-        self.governor.hear(now, index, demand, now);
+        self.controller.hear(now, index, demand, now);
         let Some(hold) = self.seat.holds(now, lease_of(Task::Shed, 0)) else {
-            let governor = self.word.level(now).map(|level| level.by).filter(|by| *by != index);
+            let controller = self.word.level(now).map(|level| level.by).filter(|by| *by != index);
             let item = Item { subject: Subject::Process(index), word: Word::Demand(demand), age_ms: 0 };
-            return self.tell_at_once(governor.into_iter().collect(), item, out);
+            return self.tell_at_once(controller.into_iter().collect(), item, out);
         };
-        let level = self.governor.tick(now, (hold.fence, index), aim, self.word.level(now));
+        let level = self.controller.tick(now, (hold.fence, index), aim, self.word.level(now));
         self.word.hear(level, now);
-        self.news.seen(now, Subject::Fleet, Word::Level(level));
-        out.push(Do::Level(level, now));
+        self.news.seen(now, Subject::Fleet, Word::AdmissionLevel(level));
+        out.push(Output::AdmissionLevel(level, now));
         let all: Vec<u32> = self.members().collect();
         if all.len() <= AT_ONCE {
             self.tell_at_once(
                 all,
-                Item { subject: Subject::Fleet, word: Word::Level(level), age_ms: 0 },
+                Item { subject: Subject::Fleet, word: Word::AdmissionLevel(level), age_ms: 0 },
                 out,
             );
         }
     }
 
     /// What governs a fleet goes to whom it is for in one step, for a loop that takes rounds overshoots.
-    fn tell_at_once(&mut self, to: Vec<u32>, item: Item, out: &mut Vec<Do>) {
+    fn tell_at_once(&mut self, to: Vec<u32>, item: Item, out: &mut Vec<Output>) {
         for address in to.into_iter().filter_map(|index| self.address(index)).collect::<Vec<_>>() {
             self.datagram(address, Datagram { news: vec![item], ..self.empty() }, out);
         }
@@ -400,13 +400,13 @@
 
     // ---- Who is to have which lease
 
-    fn meet(&mut self, now: Time, news: &[membership::News], leases: &mut lease::Out, out: &mut Vec<Do>) {
+    fn meet(&mut self, now: Time, news: &[membership::News], leases: &mut lease::Out, out: &mut Vec<Output>) {
         for what in news {
             match what {
                 membership::News::Up(member) => {
                     self.stays.entry(member.process.index).or_default().since = now;
                     self.absent.remove(&member.process.index);
-                    out.push(Do::Member(member.process.index, true));
+                    out.push(Output::Member(member.process.index, true));
                 }
                 membership::News::Down(member) => {
                     let stay = self.stays.entry(member.process.index).or_default();
@@ -414,12 +414,12 @@
                     if member.process.index < self.setting.size.min(LARGEST_FLEET) {
                         self.absent.insert(member.process.index, now);
                     }
-                    out.push(Do::Member(member.process.index, false));
+                    out.push(Output::Member(member.process.index, false));
                 }
-                membership::News::Double => {
+                membership::News::DuplicateIdentity => {
                     self.give_back(now, &self.setting.lease.clone(), leases);
                     self.left = true;
-                    out.push(Do::Double);
+                    out.push(Output::DuplicateIdentity);
                 }
             }
         }
@@ -474,7 +474,7 @@
             let long = Span((term.0 * SETTLE.0) << losses);
             if now - stay.since >= long && now - since >= long {
                 self.seat.release(now, lease, &self.setting.lease, out);
-                out.push((To::Elector(first), lease, lease::Message::Free));
+                out.push((Destination::Acceptor(first), lease, lease::Message::Free));
             }
         }
         if held_changed(&self.held, &self.seat, now) {
@@ -495,7 +495,9 @@
             };
             let others = next.into_iter().filter(|index| *index != self.setting.process.index);
             let count = if lease == PUBLISH { usize::MAX } else { 1 };
-            out.extend(others.take(count).map(|next| (To::Elector(next), lease, lease::Message::Free)));
+            out.extend(
+                others.take(count).map(|next| (Destination::Acceptor(next), lease, lease::Message::Free)),
+            );
         }
     }
 
@@ -504,19 +506,19 @@
         since + self.setting.lease.term
     }
 
-    fn miss(&mut self, now: Time, out: &mut Vec<Do>) {
+    fn miss(&mut self, now: Time, out: &mut Vec<Output>) {
         let over = self.absent.iter().filter(|(_, since)| self.gone_at(**since) <= now);
         let gone: BTreeSet<u32> = over.map(|(index, _)| *index).collect();
         if gone != self.gone {
             self.gone.clone_from(&gone);
-            out.push(Do::Gone(gone));
+            out.push(Output::Gone(gone));
         }
     }
 
     // ---- What goes out
 
     /// Says what has changed of what is held.
-    fn say_held(&mut self, now: Time, out: &mut Vec<Do>) {
+    fn say_held(&mut self, now: Time, out: &mut Vec<Output>) {
         let held: BTreeMap<LeaseId, Hold> = self.seat.held(now).collect();
         let leases: BTreeSet<LeaseId> = held.keys().chain(self.held.keys()).copied().collect();
         for lease in leases {
@@ -530,7 +532,7 @@
                 (Some(new), _) => self.held.insert(lease, (new, now)),
                 (None, _) => self.held.remove(&lease),
             };
-            out.push(Do::Held(task, part, new));
+            out.push(Output::Held(task, part, new));
         }
     }
 
@@ -540,14 +542,16 @@
         leases: lease::Out,
         swim: membership::Out,
         sender: Option<(Process, SocketAddr)>,
-        out: &mut Vec<Do>,
+        out: &mut Vec<Output>,
     ) {
         let mut bundles: BTreeMap<SocketAddr, Vec<(LeaseId, lease::Message)>> = BTreeMap::new();
         for (to, lease, message) in leases {
             let address = match to {
-                To::Elector(index) => self.address(index),
+                Destination::Acceptor(index) => self.address(index),
                 // Answers go where the question came from.
-                To::Process(process) => sender.filter(|(from, _)| *from == process).map(|(_, at)| at),
+                Destination::Process(process) => {
+                    sender.filter(|(from, _)| *from == process).map(|(_, at)| at)
+                }
             };
             if let Some(address) = address {
                 bundles.entry(address).or_default().push((lease, message));
@@ -560,7 +564,7 @@
         }
         for (index, who) in swim.who {
             // Answers go where the question came from, and questions to electors.
-            let answer = matches!(who, Who::Known(..));
+            let answer = matches!(who, IdentityQuery::Known(..));
             let asker = sender.filter(|(from, _)| answer && from.index == index).map(|(_, at)| at);
             if let Some(address) = asker.or_else(|| self.address(index).filter(|_| !answer)) {
                 self.datagram(address, Datagram { who: Some(who), ..self.empty() }, out);
@@ -574,7 +578,7 @@
         }
     }
 
-    fn tell_news(&mut self, now: Time, out: &mut Vec<Do>) {
+    fn tell_news(&mut self, now: Time, out: &mut Vec<Output>) {
         let members: Vec<u32> = self.membership.members().keys().copied().collect();
         if members.is_empty() {
             return;
@@ -595,10 +599,10 @@
         Datagram::empty(self.setting.process)
     }
 
-    fn datagram(&mut self, to: SocketAddr, datagram: Datagram, out: &mut Vec<Do>) {
+    fn datagram(&mut self, to: SocketAddr, datagram: Datagram, out: &mut Vec<Output>) {
         let bytes = message::write(self.setting.fleet, &datagram);
         self.sent = (self.sent.0 + 1, self.sent.1 + bytes.len() as u64);
-        out.push(Do::Send(to, bytes));
+        out.push(Output::Send(to, bytes));
     }
 
     // ---- What is asked of it
@@ -625,9 +629,9 @@
         Status {
             process: self.setting.process,
             members: self.members().collect(),
-            votes: elector.map(lease::elector::Elector::votes),
+            votes: elector.map(lease::acceptor::Acceptor::votes),
             leases: self.leases().into_iter().filter_map(lease).collect(),
-            level: self.word.level(now).filter(|level| level.admit != Level::OPEN),
+            level: self.word.level(now).filter(|level| level.admit != AdmissionLevel::OPEN),
             sent: self.sent,
             news: self.news.len(),
             left: self.left,
@@ -635,7 +639,7 @@
     }
 }
 
-fn held_changed(held: &BTreeMap<LeaseId, (Hold, Time)>, seat: &Seat, now: Time) -> bool {
+fn held_changed(held: &BTreeMap<LeaseId, (Hold, Time)>, seat: &LeaseNode, now: Time) -> bool {
     held.keys().any(|lease| seat.holds(now, *lease).is_none())
 }
 
--- a/src/fleet/membership.rs
+++ b/src/fleet/membership.rs
@@ -61,7 +61,7 @@
 
 /// Who is known under an index: a process that starts, or was turned out, asks the electors.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Who {
+pub enum IdentityQuery {
     /// Who is known under my index?
     Ask,
     /// This process, as of this generation, and whether it is up.
@@ -76,12 +76,12 @@
     /// A process has left, or is taken for gone.
     Down(Identity),
     /// Another process with this one's index is in the fleet, and stays: this one is no member any more.
-    Double,
+    DuplicateIdentity,
 }
 
 /// Timers and packets that foca asks for.
 #[derive(Default)]
-struct Wants {
+struct PendingOutput {
     send: Vec<(Identity, Vec<u8>)>,
     after: Vec<(Duration, Timer<Identity>)>,
     up: Vec<Identity>,
@@ -94,7 +94,7 @@
     active: bool,
 }
 
-impl foca::Runtime<Identity> for Wants {
+impl foca::Runtime<Identity> for PendingOutput {
     fn notify(&mut self, news: Notification<'_, Identity>) {
         match news {
             Notification::MemberUp(member) => self.up.push(member.clone()),
@@ -186,7 +186,7 @@
     /// To whom, what.
     pub send: Vec<(Identity, Vec<u8>)>,
     /// What is asked, or answered, by index.
-    pub who: Vec<(u32, Who)>,
+    pub who: Vec<(u32, IdentityQuery)>,
     /// What has changed.
     pub news: Vec<News>,
 }
@@ -224,7 +224,7 @@
     pub fn wake(&mut self, now: Time, out: &mut Out) {
         while let Some(entry) = self.timers.first_entry().filter(|entry| entry.key().0 <= now) {
             let timer = entry.remove();
-            let mut wants = Wants::default();
+            let mut wants = PendingOutput::default();
             // What it says of timers that came late is of no use here: it goes on with the next one.
             let _ = self.foca.handle_timer(timer, &mut wants);
             self.take(now, wants, out);
@@ -252,52 +252,56 @@
     fn ask_who(&mut self, out: &mut Out) {
         let own = self.foca.identity().process.index;
         out.who.extend(
-            self.setting.contacts.keys().filter(|index| **index != own).map(|index| (*index, Who::Ask)),
+            self.setting
+                .contacts
+                .keys()
+                .filter(|index| **index != own)
+                .map(|index| (*index, IdentityQuery::Ask)),
         );
     }
 
     /// Another process asks who is known under its index, or says who is under this one's.
-    pub fn who(&mut self, now: Time, from: Process, who: Who, out: &mut Out) {
+    pub fn who(&mut self, now: Time, from: Process, who: IdentityQuery, out: &mut Out) {
         let own = self.foca.identity().clone();
         match who {
-            Who::Ask => {
+            IdentityQuery::Ask => {
                 let mut known = self.foca.iter_membership_state();
                 let known = known.find(|member| member.id().process.index == from.index);
                 out.who.extend(known.map(|member| {
                     let (id, up) = (member.id(), member.state() != foca::State::Down);
-                    (from.index, Who::Known(id.process, id.generation, up))
+                    (from.index, IdentityQuery::Known(id.process, id.generation, up))
                 }));
             }
-            Who::Known(..) if self.out => {}
-            Who::Known(process, _, false) if process == own.process && self.doubt.is_some() => {
+            IdentityQuery::Known(..) if self.out => {}
+            IdentityQuery::Known(process, _, false) if process == own.process && self.doubt.is_some() => {
                 self.rename(now, own.generation + 1, out);
             }
-            Who::Known(process, ..) if process == own.process => {}
-            Who::Known(_, _, true)
+            IdentityQuery::Known(process, ..) if process == own.process => {}
+            IdentityQuery::Known(_, _, true)
                 if self
                     .doubt
                     .is_some_and(|(since, _)| now - since > Span(self.setting.period().0 * DOUBT)) =>
             {
                 self.out = true;
-                out.news.push(News::Double);
+                out.news.push(News::DuplicateIdentity);
             }
             // One of before this start, or in its place: the later one is the member.
-            Who::Known(_, generation, up)
+            IdentityQuery::Known(_, generation, up)
                 if generation >= own.generation && (!up || self.joins.is_some()) =>
             {
                 self.rename(now, generation + 1, out);
             }
             // A later one has come while this one was a member. foca answers both, so this is asked for here.
-            Who::Known(_, generation, true) if generation > own.generation => {
+            IdentityQuery::Known(_, generation, true) if generation > own.generation => {
                 self.doubt = self.doubt.or(Some((now, now)));
             }
-            Who::Known(..) => {}
+            IdentityQuery::Known(..) => {}
         }
     }
 
     /// Comes back as a later process than all that the others know.
     fn rename(&mut self, now: Time, generation: u64, out: &mut Out) {
-        let mut wants = Wants::default();
+        let mut wants = PendingOutput::default();
         let next = Identity { generation, turn: 0, ..self.foca.identity().clone() };
         let _ = self.foca.change_identity(next, &mut wants);
         self.doubt = None;
@@ -322,16 +326,16 @@
             let at = self.setting.contacts[&index];
             // Who sits there is not known; an announcement is taken by whoever has the index.
             let process = Process { index, incarnation: 0 };
-            let mut wants = Wants::default();
+            let mut wants = PendingOutput::default();
             let _ = self.foca.announce(Identity { process, generation: 0, turn: 0, at }, &mut wants);
             self.take(now, wants, out);
         }
     }
 
     /// Who is the member under this process's index, if it is another one.
-    pub fn in_place_of(&self, process: Process) -> Option<Who> {
+    pub fn in_place_of(&self, process: Process) -> Option<IdentityQuery> {
         let member = self.members.get(&process.index).filter(|member| member.process != process)?;
-        Some(Who::Known(member.process, member.generation, true))
+        Some(IdentityQuery::Known(member.process, member.generation, true))
     }
 
     /// A packet of another member has come; false where it cannot be read.
@@ -339,7 +343,7 @@
         if self.out {
             return true;
         }
-        let mut wants = Wants::default();
+        let mut wants = PendingOutput::default();
         let read = self.foca.handle_data(packet, &mut wants);
         self.take(now, wants, out);
         !matches!(read, Err(foca::Error::Decode(_) | foca::Error::MalformedPacket | foca::Error::DataTooBig))
@@ -347,13 +351,13 @@
 
     /// Tells others that this process leaves.
     pub fn leave(&mut self, now: Time, out: &mut Out) {
-        let mut wants = Wants::default();
+        let mut wants = PendingOutput::default();
         let _ = self.foca.leave_cluster(&mut wants);
         self.take(now, wants, out);
         self.out = true;
     }
 
-    fn take(&mut self, now: Time, wants: Wants, out: &mut Out) {
+    fn take(&mut self, now: Time, wants: PendingOutput, out: &mut Out) {
         for (after, timer) in wants.after {
             self.next_timer += 1;
             self.timers.insert((now + Span(after.as_nanos() as u64), self.next_timer), timer);
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -6,7 +6,7 @@
 use super::Process;
 use super::distribution;
 use super::lease::{LeaseId, Message};
-use super::membership::Who;
+use super::membership::IdentityQuery;
 use super::news::Item;
 use serde::{Deserialize, Serialize};
 
@@ -30,7 +30,7 @@
     /// A packet of the membership, or nothing.
     pub swim: Vec<u8>,
     /// Who is known under an index.
-    pub who: Option<Who>,
+    pub who: Option<IdentityQuery>,
     /// What the world is like.
     pub news: Vec<Item>,
     /// What of the distribution of configuration.
@@ -46,7 +46,7 @@
 
 /// Why a datagram is not used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Odd {
+pub enum DatagramError {
     /// Not of this protocol, cut off, or changed on the way.
     Malformed,
     /// Of a version that is not spoken here.
@@ -76,22 +76,22 @@
 }
 
 /// Reads one, whole. Nothing longer than [`LARGEST`] is read, which bounds what a peer can have us allocate.
-pub fn read(fleet: u64, bytes: &[u8]) -> Result<Datagram, Odd> {
+pub fn read(fleet: u64, bytes: &[u8]) -> Result<Datagram, DatagramError> {
     if bytes.len() > LARGEST || bytes.len() < HEAD + SUM || !bytes.starts_with(MAGIC) {
-        return Err(Odd::Malformed);
+        return Err(DatagramError::Malformed);
     }
     let (rest, sum) = bytes.split_at(bytes.len() - SUM);
     if crc32fast::hash(rest).to_be_bytes() != sum {
-        return Err(Odd::Malformed);
+        return Err(DatagramError::Malformed);
     }
     if rest[MAGIC.len()] != VERSION {
-        return Err(Odd::Version);
+        return Err(DatagramError::Version);
     }
     if rest[MAGIC.len() + 1..HEAD] != fleet.to_be_bytes() {
-        return Err(Odd::Fleet);
+        return Err(DatagramError::Fleet);
     }
     match postcard::take_from_bytes(&rest[HEAD..]) {
         Ok((datagram, [])) => Ok(datagram),
-        _ => Err(Odd::Malformed),
+        _ => Err(DatagramError::Malformed),
     }
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -12,7 +12,7 @@
 pub mod news;
 pub mod overload;
 
-pub use machine::{Do, Event, LeaseStatus, Machine, Setting, Status};
+pub use machine::{Event, LeaseStatus, Machine, Output, Setting, Status};
 
 #[cfg(test)]
 mod tests;
--- a/src/fleet/news.rs
+++ b/src/fleet/news.rs
@@ -6,7 +6,7 @@
 //! taken to be younger than it is, however many have passed it on. Only the youngest of a subject is kept, and
 //! nothing that is older than [`LONGEST`].
 
-use super::overload::{Demand, Level};
+use super::overload::{AdmissionLevel, Demand};
 use crate::interface::{Span, Time};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -39,7 +39,7 @@
     /// So much has come, was served and waits.
     Demand(Demand),
     /// So much is let in.
-    Level(Level),
+    AdmissionLevel(AdmissionLevel),
 }
 
 /// An item on its way.
@@ -63,7 +63,7 @@
             (self.subject, self.word),
             (Subject::Worker(_), Word::Answers(_))
                 | (Subject::Process(_), Word::Demand(_))
-                | (Subject::Fleet, Word::Level(_))
+                | (Subject::Fleet, Word::AdmissionLevel(_))
         )
     }
 }
--- a/src/fleet/overload/governor.rs
+++ b/src/fleet/overload/controller.rs
@@ -4,7 +4,7 @@
 //! is aimed at, more is let in, by a part of the load with each word; above it, as much as is served, less what brings
 //! the excess down within [`DRAIN`].
 
-use super::{Demand, LASTS, Level, RANKS};
+use super::{AdmissionLevel, Demand, LASTS, RANKS};
 use crate::interface::{Span, Time};
 use std::collections::BTreeMap;
 
@@ -29,7 +29,7 @@
 
 /// See the module's page.
 #[derive(Clone, Debug, Default)]
-pub struct Governor {
+pub struct OverloadController {
     pub(super) told: BTreeMap<u32, (Demand, Time)>,
     /// Calls a second that all let in together; none where all are.
     limit: Option<f64>,
@@ -38,7 +38,7 @@
     able: f64,
 }
 
-impl Governor {
+impl OverloadController {
     /// What a process, this one too, has told, and when it was so.
     pub fn hear(&mut self, now: Time, index: u32, demand: Demand, at: Time) {
         self.told.retain(|_, (_, at)| now - *at < LASTS);
@@ -74,17 +74,23 @@
         (offered, served, open)
     }
 
-    /// The word for now, under this fence and by this process, where answers are wanted within `aim`. A governor that
+    /// The word for now, under this fence and by this process, where answers are wanted within `aim`. A controller that
     /// has just begun goes on from the word before it.
-    pub fn tick(&mut self, now: Time, (fence, by): (u64, u32), aim: Span, before: Option<Level>) -> Level {
+    pub fn tick(
+        &mut self,
+        now: Time,
+        (fence, by): (u64, u32),
+        aim: Span,
+        before: Option<AdmissionLevel>,
+    ) -> AdmissionLevel {
         let (offered, served, open) = self.sum(now);
         let load: f64 = offered.iter().sum();
         if self.held != Some(fence) {
             self.held = Some(fence);
-            let parts = |level: Level| {
+            let parts = |level: AdmissionLevel| {
                 offered.iter().zip(level.admit).map(|(n, part)| n * f64::from(part) / 255.0).sum()
             };
-            self.limit = before.filter(|level| level.admit != Level::OPEN).map(parts);
+            self.limit = before.filter(|level| level.admit != AdmissionLevel::OPEN).map(parts);
         }
         // In a jam little is served of what is worked on: what could be before counts for a while.
         self.able = served.max(self.able * STAYS);
@@ -95,13 +101,13 @@
             self.limit = self.limit.map(|limit| limit + load * MORE);
         }
         self.limit = self.limit.map(|limit| limit.max(load * LEAST)).filter(|limit| *limit < load * ALL);
-        Level { fence, by, admit: self.admit(&offered) }
+        AdmissionLevel { fence, by, admit: self.admit(&offered) }
     }
 
     /// The limit in parts of each rank, what is worth most first.
     fn admit(&self, offered: &[f64; RANKS]) -> [u8; RANKS] {
-        let Some(mut left) = self.limit else { return Level::OPEN };
-        let mut admit = Level::OPEN;
+        let Some(mut left) = self.limit else { return AdmissionLevel::OPEN };
+        let mut admit = AdmissionLevel::OPEN;
         for (part, load) in admit.iter_mut().zip(offered) {
             let admitted = left.min(*load);
             left -= admitted;
--- a/src/fleet/overload/meter.rs
+++ b/src/fleet/overload/demand_meter.rs
@@ -16,12 +16,12 @@
 
 /// See the module's page.
 #[derive(Clone, Debug, Default)]
-pub struct Meter {
+pub struct DemandMeter {
     /// The one that runs is the first; each begins at a multiple of [`TICK`].
     quarters: VecDeque<Quarter>,
 }
 
-impl Meter {
+impl DemandMeter {
     fn quarter(&mut self, now: Time) -> &mut Quarter {
         let number = now.0 / TICK.0;
         self.forget(now);
--- a/src/fleet/overload/gate.rs
+++ b/src/fleet/overload/gate.rs
@@ -1,21 +1,21 @@
 //! What this process lets in by the fleet's word, and what it turns away.
 
-use super::{LASTS, Level};
+use super::{AdmissionLevel, LASTS};
 use crate::interface::{Span, Time};
 
 /// See the module's page.
 #[derive(Clone, Debug, Default)]
 pub struct Gate {
-    level: Option<(Level, Time)>,
+    level: Option<(AdmissionLevel, Time)>,
     /// Calls asked for by rank, as what they add up to in 255ths: each part of 255 lets one in.
     owed: [u32; super::RANKS],
     turned_away: u32,
 }
 
 impl Gate {
-    /// The fleet's word, and when it was so. Whether it counts: an earlier governor's does not after a later one's,
+    /// The fleet's word, and when it was so. Whether it counts: an earlier controller's does not after a later one's,
     /// nor an older of the same.
-    pub fn hear(&mut self, level: Level, at: Time) -> bool {
+    pub fn hear(&mut self, level: AdmissionLevel, at: Time) -> bool {
         let later = self.level.is_none_or(|(known, since)| (level.fence, at) > (known.fence, since));
         if later {
             self.level = Some((level, at));
@@ -24,7 +24,7 @@
     }
 
     /// The word that is followed now.
-    pub fn level(&self, now: Time) -> Option<Level> {
+    pub fn level(&self, now: Time) -> Option<AdmissionLevel> {
         self.level.filter(|(_, at)| now - *at < LASTS).map(|(level, _)| level)
     }
 
--- a/src/fleet/overload/mod.rs
+++ b/src/fleet/overload/mod.rs
@@ -1,22 +1,22 @@
 //! What processes of a fleet agree on when more calls come than the workers bear: how much of each class all let in.
 //!
-//! Every process counts what comes to it and how that ends ([`Meter`]) and tells it. Under a lease one of them, the
-//! governor, works out what all let in ([`Governor`]) and tells that with its fence; each applies the latest word to
+//! Every process counts what comes to it and how that ends ([`DemandMeter`]) and tells it. Under a lease one of them, the
+//! controller, works out what all let in ([`OverloadController`]) and tells that with its fence; each applies the latest word to
 //! its own calls ([`Gate`]). No I/O and no clock of their own. The invariants, and where each is kept:
 //!
-//! - what is let in goes by worth: a class is shed only where all of less worth are shed whole ([`Governor`]);
-//! - some of the load is always let in, so that it shows when the workers bear more again ([`Governor`]);
-//! - no peer weighs more than three times the middle one, whatever it says ([`Governor`]);
+//! - what is let in goes by worth: a class is shed only where all of less worth are shed whole ([`OverloadController`]);
+//! - some of the load is always let in, so that it shows when the workers bear more again ([`OverloadController`]);
+//! - no peer weighs more than three times the middle one, whatever it says ([`OverloadController`]);
 //! - a word under an earlier fence never follows one under a later ([`Gate`]);
 //! - a word that has grown old sheds nothing: silence leaves each to itself ([`Gate`]).
 
+mod controller;
+mod demand_meter;
 mod gate;
-mod governor;
-mod meter;
 
+pub use controller::OverloadController;
+pub use demand_meter::DemandMeter;
 pub use gate::Gate;
-pub use governor::Governor;
-pub use meter::Meter;
 
 use crate::interface::Span;
 use serde::{Deserialize, Serialize};
@@ -42,8 +42,8 @@
 
 /// How much of each rank all let in, in 255ths.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Level {
-    /// The governor's fence.
+pub struct AdmissionLevel {
+    /// The controller's fence.
     pub fence: u64,
     /// Its index: what has come to a process is told there at once.
     pub by: u32,
@@ -51,7 +51,7 @@
     pub admit: [u8; RANKS],
 }
 
-impl Level {
+impl AdmissionLevel {
     /// All is let in.
     pub const OPEN: [u8; RANKS] = [u8::MAX; RANKS];
 
--- a/src/fleet/overload/tests.rs
+++ b/src/fleet/overload/tests.rs
@@ -1,4 +1,4 @@
-//! The governor and the gates against workers in virtual time, and each rule by itself.
+//! The controller and the gates against workers in virtual time, and each rule by itself.
 
 use super::*;
 use crate::interface::Time;
@@ -28,7 +28,7 @@
 
 #[test]
 fn a_meter_counts_the_last_second() {
-    let mut meter = Meter::default();
+    let mut meter = DemandMeter::default();
     for n in 0..30 {
         meter.came(MS(n * 100), usize::from(n % 3 == 0));
         if n % 4 == 0 {
@@ -51,18 +51,18 @@
     let mut gate = Gate::default();
     let count = |gate: &mut Gate, now| (0..510).filter(|_| gate.admits(now, 1)).count();
     assert_eq!(count(&mut gate, MS(1_000)), 510, "nobody has said anything");
-    assert!(gate.hear(Level { fence: 7, by: 0, admit: [255, 51, 0, 0] }, MS(1_000)));
+    assert!(gate.hear(AdmissionLevel { fence: 7, by: 0, admit: [255, 51, 0, 0] }, MS(1_000)));
     assert_eq!(count(&mut gate, MS(1_500)), 102);
     assert_eq!((0..99).filter(|_| gate.admits(MS(1_500), 0)).count(), 99);
     assert_eq!((0..99).filter(|_| gate.admits(MS(1_500), 2)).count(), 0);
     assert_eq!(count(&mut gate, MS(4_000)), 510, "three seconds later it is of no use");
 }
 
-/// A governor that was paused, or cut off, goes on saying what was right under its earlier fence.
+/// A controller that was paused, or cut off, goes on saying what was right under its earlier fence.
 #[test]
 fn an_earlier_governors_word_is_not_followed_after_a_later_ones() {
     let mut gate = Gate::default();
-    let word = |fence, part| Level { fence, by: 0, admit: [255, part, 0, 0] };
+    let word = |fence, part| AdmissionLevel { fence, by: 0, admit: [255, part, 0, 0] };
     assert!(gate.hear(word(8, 100), MS(500)));
     assert!(!gate.hear(word(7, 9), MS(900)), "an earlier fence");
     assert!(!gate.hear(word(8, 9), MS(400)), "an older word of the same");
@@ -85,17 +85,17 @@
 
 #[test]
 fn the_least_worth_goes_first_and_none_of_more_worth_while_any_of_less_is_let_in() {
-    let mut governor = Governor::default();
-    governor.hear(MS(0), 1, demand([30, 70, 0, 0], 60, 50), MS(0));
+    let mut controller = OverloadController::default();
+    controller.hear(MS(0), 1, demand([30, 70, 0, 0], 60, 50), MS(0));
     assert_eq!(
-        governor.tick(MS(0), (1, 0), AIM, None).admit,
+        controller.tick(MS(0), (1, 0), AIM, None).admit,
         [255, 37, 0, 0],
         "60 less 20, 30 of them of the first"
     );
-    let mut governor = Governor::default();
-    governor.hear(MS(0), 1, demand([60, 40, 0, 0], 20, 300), MS(0));
+    let mut controller = OverloadController::default();
+    controller.hear(MS(0), 1, demand([60, 40, 0, 0], 20, 300), MS(0));
     assert_eq!(
-        governor.tick(MS(0), (1, 0), AIM, None).admit,
+        controller.tick(MS(0), (1, 0), AIM, None).admit,
         [43, 0, 0, 0],
         "a tenth is let in, whatever waits"
     );
@@ -103,23 +103,31 @@
 
 #[test]
 fn what_is_old_or_little_concludes_nothing() {
-    let mut governor = Governor::default();
-    governor.hear(MS(0), 1, demand([30, 70, 0, 0], 10, 90), MS(0));
-    assert_eq!(governor.tick(MS(3_000), (1, 0), AIM, None).admit, Level::OPEN, "three seconds old");
-    governor.hear(MS(3_000), 1, demand([1, 5, 0, 0], 0, 6), MS(3_000));
-    assert_eq!(governor.tick(MS(3_000), (1, 0), AIM, None).admit, Level::OPEN, "six calls");
+    let mut controller = OverloadController::default();
+    controller.hear(MS(0), 1, demand([30, 70, 0, 0], 10, 90), MS(0));
+    assert_eq!(
+        controller.tick(MS(3_000), (1, 0), AIM, None).admit,
+        AdmissionLevel::OPEN,
+        "three seconds old"
+    );
+    controller.hear(MS(3_000), 1, demand([1, 5, 0, 0], 0, 6), MS(3_000));
+    assert_eq!(controller.tick(MS(3_000), (1, 0), AIM, None).admit, AdmissionLevel::OPEN, "six calls");
 }
 
 /// A peer that says ten times what it has, and that all of it went badly, moves the fleet by its weight at most.
 #[test]
 fn a_peer_that_lies_weighs_three_times_the_middle_one() {
-    let mut governor = Governor::default();
-    (0..100).for_each(|index| governor.hear(MS(0), index, demand([3, 7, 0, 0], 10, 3), MS(0)));
-    governor.hear(MS(0), 100, demand([30_000, 0, 0, 0], 0, 60_000), MS(0));
-    assert_eq!(governor.tick(MS(0), (1, 0), AIM, None).admit, Level::OPEN, "330 wait of 1,000 served");
-    governor.hear(MS(900), 101, demand([6, 0, 0, 0], 6, 6), MS(900));
-    governor.hear(MS(900), 101, Demand::default(), MS(800));
-    assert_eq!(governor.told[&101].0.offered[0], 6, "what is older does not count");
+    let mut controller = OverloadController::default();
+    (0..100).for_each(|index| controller.hear(MS(0), index, demand([3, 7, 0, 0], 10, 3), MS(0)));
+    controller.hear(MS(0), 100, demand([30_000, 0, 0, 0], 0, 60_000), MS(0));
+    assert_eq!(
+        controller.tick(MS(0), (1, 0), AIM, None).admit,
+        AdmissionLevel::OPEN,
+        "330 wait of 1,000 served"
+    );
+    controller.hear(MS(900), 101, demand([6, 0, 0, 0], 6, 6), MS(900));
+    controller.hear(MS(900), 101, Demand::default(), MS(800));
+    assert_eq!(controller.told[&101].0.offered[0], 6, "what is older does not count");
 }
 
 /// Workers that serve so many calls a second, one after another; clients that give up after three seconds.
@@ -133,12 +141,12 @@
     seconds: Vec<[(u32, u32); 2]>,
 }
 
-/// So many processes and a governor among them; calls a second by rank, as a function of the time.
+/// So many processes and a controller among them; calls a second by rank, as a function of the time.
 struct Fleet {
-    meters: Vec<Meter>,
+    meters: Vec<DemandMeter>,
     open: Vec<usize>,
     gates: Vec<Gate>,
-    governor: Governor,
+    controller: OverloadController,
     fence: u64,
     now: u64,
     workers: Workers,
@@ -149,19 +157,19 @@
     /// Ticks that demands, and words, take on the way.
     late: usize,
     demands: VecDeque<Vec<(Demand, Time)>>,
-    words: VecDeque<(Level, Time)>,
+    words: VecDeque<(AdmissionLevel, Time)>,
 }
 
 impl Fleet {
     fn new(count: usize, able: f64) -> Fleet {
         let workers = Workers { able, credit: 0.0, queue: VecDeque::new(), gone: 0, seconds: vec![] };
-        let (meters, gates) = (vec![Meter::default(); count], vec![Gate::default(); count]);
-        let governor = Governor::default();
+        let (meters, gates) = (vec![DemandMeter::default(); count], vec![Gate::default(); count]);
+        let controller = OverloadController::default();
         Fleet {
             meters,
             open: vec![0; count],
             gates,
-            governor,
+            controller,
             fence: 1,
             now: 10_000,
             workers,
@@ -225,11 +233,11 @@
             );
             if self.demands.len() > self.late {
                 for (index, (demand, at)) in self.demands.pop_front().into_iter().flatten().enumerate() {
-                    self.governor.hear(now, index as u32, demand, at);
+                    self.controller.hear(now, index as u32, demand, at);
                 }
             }
             self.words
-                .push_back((self.governor.tick(now, (self.fence, 0), AIM, self.gates[0].level(now)), now));
+                .push_back((self.controller.tick(now, (self.fence, 0), AIM, self.gates[0].level(now)), now));
             if self.words.len() > self.late {
                 let (level, at) = self.words.pop_front().expect("there are some");
                 self.gates.iter_mut().for_each(|gate| assert!(gate.hear(level, at)));
@@ -283,7 +291,7 @@
 fn a_new_governor_goes_on_from_the_word_before() {
     let mut fleet = Fleet::new(5, 100.0);
     fleet.run(10, [60.0, 140.0]);
-    (fleet.governor, fleet.fence) = (Governor::default(), 2);
+    (fleet.controller, fleet.fence) = (OverloadController::default(), 2);
     fleet.run(8, [60.0, 140.0]);
     assert!(fleet.served(0, 10, 17) >= 0.98, "{:?}", fleet.workers.seconds);
 }
@@ -294,12 +302,12 @@
     fn words_go_by_worth(
         told in prop::collection::vec((any::<[u16; RANKS]>(), any::<u16>(), any::<u16>(), 0u64..4_000), 1..40),
     ) {
-        let mut governor = Governor::default();
+        let mut controller = OverloadController::default();
         for (n, (offered, ended, spoilt, at)) in told.into_iter().enumerate() {
             let now = MS(n as u64 * 200);
-            governor.hear(now, n as u32 % 5, demand(offered, ended, spoilt), MS(at));
-            let (offered, ..) = governor.sum(now);
-            let admit = governor.tick(now, (1, 0), AIM, None).admit;
+            controller.hear(now, n as u32 % 5, demand(offered, ended, spoilt), MS(at));
+            let (offered, ..) = controller.sum(now);
+            let admit = controller.tick(now, (1, 0), AIM, None).admit;
             let shed = (0..RANKS).find(|rank| admit[*rank] < 254 && offered[*rank] > 0.0);
             if let Some(shed) = shed {
                 prop_assert!(admit[shed + 1..].iter().all(|part| *part == 0), "{admit:?} of {offered:?}");
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -1,7 +1,7 @@
 //! A few machines on a perfect link, and what they make of datagrams that are odd.
 
-use super::membership::Who;
-use super::message::{Datagram, Odd};
+use super::membership::IdentityQuery;
+use super::message::{Datagram, DatagramError};
 use super::news::{Item, LONGEST, News, Subject, Word};
 use super::*;
 use crate::interface::{Span, Task, Time};
@@ -40,7 +40,7 @@
 struct Net {
     now: u64,
     machines: Vec<(SocketAddr, Machine)>,
-    seen: Vec<(SocketAddr, Do)>,
+    seen: Vec<(SocketAddr, Output)>,
     /// All that was sent, if it is to be kept: from, to, and what.
     kept: Vec<(SocketAddr, SocketAddr, Vec<u8>)>,
     keeps: bool,
@@ -67,12 +67,12 @@
     }
 
     /// Carries out what machines want, and what comes of that.
-    fn carry(&mut self, mut all: Vec<(SocketAddr, Do)>) {
+    fn carry(&mut self, mut all: Vec<(SocketAddr, Output)>) {
         let mut waiting: VecDeque<(SocketAddr, SocketAddr, Vec<u8>)> = VecDeque::new();
         loop {
             for (at, what) in all.drain(..) {
                 match what {
-                    Do::Send(to, bytes) => waiting.push_back((at, to, bytes)),
+                    Output::Send(to, bytes) => waiting.push_back((at, to, bytes)),
                     other => self.seen.push((at, other)),
                 }
             }
@@ -121,7 +121,7 @@
         .seen
         .iter()
         .filter_map(|(_, what)| match what {
-            Do::Held(_, _, Some(hold)) => Some(hold.fence),
+            Output::Held(_, _, Some(hold)) => Some(hold.fence),
             _ => None,
         })
         .collect();
@@ -137,7 +137,7 @@
     settings.push(twin);
     let mut net = Net::new(settings);
     net.pass(6_000);
-    let out = |what: &(SocketAddr, Do)| what.1 == Do::Double;
+    let out = |what: &(SocketAddr, Output)| what.1 == Output::DuplicateIdentity;
     let doubles: Vec<SocketAddr> = net.seen.iter().filter(|what| out(what)).map(|(at, _)| *at).collect();
     assert_eq!(doubles, [place(3)], "and not the later one");
     assert_eq!(net.holders().len(), 1);
@@ -152,7 +152,7 @@
     net.machines[2].1 = again;
     net.pass(5_000);
     assert!(net.machines.iter().all(|(_, machine)| machine.members().count() == 2));
-    assert!(!net.seen.iter().any(|(_, what)| *what == Do::Double));
+    assert!(!net.seen.iter().any(|(_, what)| *what == Output::DuplicateIdentity));
 }
 
 #[test]
@@ -166,23 +166,23 @@
         from: ballot.process,
         leases: vec![(lease::LeaseId(0), lease::Message::Granted(ballot, 1))],
         swim: vec![],
-        who: Some(Who::Known(ballot.process, 3, true)),
+        who: Some(IdentityQuery::Known(ballot.process, 3, true)),
         news: vec![Item { subject: Subject::Worker(1), word: Word::Answers(false), age_ms: u32::MAX }],
         distribution: vec![],
     };
     let whole = message::write(7, &all);
     assert_eq!(message::read(7, &whole), Ok(all.clone()));
     for cut in 0..whole.len() {
-        assert_eq!(message::read(7, &whole[..cut]), Err(Odd::Malformed), "cut at {cut}");
+        assert_eq!(message::read(7, &whole[..cut]), Err(DatagramError::Malformed), "cut at {cut}");
         let mut changed = whole.clone();
         changed[cut] ^= 0x20;
         assert!(message::read(7, &changed).is_err(), "changed at {cut}");
     }
-    assert_eq!(message::read(8, &whole), Err(Odd::Fleet));
+    assert_eq!(message::read(8, &whole), Err(DatagramError::Fleet));
     let mut later = whole[..whole.len() - 4].to_vec();
     later[3] += 1;
     later.extend(crc32fast::hash(&later).to_be_bytes());
-    assert_eq!(message::read(7, &later), Err(Odd::Version));
+    assert_eq!(message::read(7, &later), Err(DatagramError::Version));
     // Whole, and from a stranger: no elector's word counts that does not come from where the elector is; nor does
     // news that is too old, a lease that no task has, or somebody else's release.
     let release = lease::Message::Release(lease::Ballot { counter: u64::MAX, process: ballot.process });
@@ -199,7 +199,10 @@
         for at in net.machines.iter().map(|(at, _)| *at).collect::<Vec<_>>() {
             for (_, machine) in net.machines.iter_mut().filter(|(other, _)| *other == at) {
                 let out = machine.handle(MS(net.now), Event::Datagram(&bytes, stranger));
-                assert!(!out.iter().any(|what| matches!(what, Do::Held(..) | Do::Heard(..))), "{out:?}");
+                assert!(
+                    !out.iter().any(|what| matches!(what, Output::Held(..) | Output::Heard(..))),
+                    "{out:?}"
+                );
             }
         }
     }
@@ -269,11 +272,11 @@
                 _ => lease::Message::Propose(lease::Ballot { counter, process }, 1),
             };
             let news = vec![Item { subject: Subject::Worker(counter), word: Word::Answers(true), age_ms: index }];
-            let datagram = Datagram { from: process, leases: vec![(lease::LeaseId(0), message)], swim: noise.clone(), who: Some(Who::Ask), news, distribution: vec![] };
+            let datagram = Datagram { from: process, leases: vec![(lease::LeaseId(0), message)], swim: noise.clone(), who: Some(IdentityQuery::Ask), news, distribution: vec![] };
             let bytes = message::write(7, &datagram);
             // From a stranger, so that no elector has spoken.
             let out = machine.handle(MS(now), Event::Datagram(&bytes, place(50)));
-            prop_assert!(!out.iter().any(|what| matches!(what, Do::Held(..))), "{:?}", out);
+            prop_assert!(!out.iter().any(|what| matches!(what, Output::Held(..))), "{:?}", out);
             machine.handle(MS(now), Event::Datagram(&noise, place(0)));
             machine.handle(MS(now), Event::Timer);
             prop_assert!(machine.holds(MS(now), Task::Probe, 0).is_none());
@@ -287,8 +290,8 @@
     let mut net = Net::new((0..3).map(|n| setting(n, 10 + u64::from(n), n as u16)).collect());
     net.pass(5_000);
     let gone = |net: &Net| {
-        let of = |(at, what): &(SocketAddr, Do)| match what {
-            Do::Gone(gone) if *at == place(0) => Some(gone.iter().copied().collect::<Vec<u32>>()),
+        let of = |(at, what): &(SocketAddr, Output)| match what {
+            Output::Gone(gone) if *at == place(0) => Some(gone.iter().copied().collect::<Vec<u32>>()),
             _ => None,
         };
         net.seen.iter().filter_map(of).collect::<Vec<_>>()
@@ -311,7 +314,7 @@
     net.pass(6_000);
     let fence = |net: &Net| {
         let held = net.seen.iter().rev().find_map(|(_, what)| match what {
-            Do::Held(Task::Probe, 0, Some(hold)) => Some(hold.fence),
+            Output::Held(Task::Probe, 0, Some(hold)) => Some(hold.fence),
             _ => None,
         });
         held.unwrap()
@@ -352,7 +355,7 @@
         net.pass(second);
         net.machines.push((place(9), Machine::new(MS(net.now), setting(3, later, 9))));
         net.pass(6_000);
-        let out = |what: &(SocketAddr, Do)| what.1 == Do::Double;
+        let out = |what: &(SocketAddr, Output)| what.1 == Output::DuplicateIdentity;
         let doubles: Vec<SocketAddr> = net.seen.iter().filter(|what| out(what)).map(|(at, _)| *at).collect();
         assert_eq!(doubles, [place(8)], "{first} {second} {later}");
     }
@@ -389,15 +392,15 @@
         .seen
         .iter()
         .filter_map(|(_, what)| match what {
-            Do::Held(Task::Probe, 0, Some(hold)) => Some(hold.fence),
+            Output::Held(Task::Probe, 0, Some(hold)) => Some(hold.fence),
             _ => None,
         })
         .collect();
     assert!(fences.is_sorted() && fences.first() < fences.last(), "{fences:?}");
-    assert!(!net.seen.iter().any(|(_, what)| *what == Do::Double));
+    assert!(!net.seen.iter().any(|(_, what)| *what == Output::DuplicateIdentity));
 }
 
-/// What one is told to let in, all are, under the governor's fence; when it ends another goes on, under a later one; and
+/// What one is told to let in, all are, under the controller's fence; when it ends another goes on, under a later one; and
 /// where all but one are gone, that one has no word to follow any more.
 #[test]
 fn all_let_in_what_the_governor_says_and_each_for_itself_where_there_is_none() {
@@ -419,9 +422,9 @@
         }
     };
     let words = |net: &Net, since: usize| {
-        let mut words: std::collections::BTreeMap<SocketAddr, overload::Level> = Default::default();
+        let mut words: std::collections::BTreeMap<SocketAddr, overload::AdmissionLevel> = Default::default();
         for (at, what) in &net.seen[since..] {
-            if let Do::Level(level, _) = what {
+            if let Output::AdmissionLevel(level, _) = what {
                 let before = words.insert(*at, *level);
                 assert!(before.is_none_or(|before| before.fence <= level.fence), "{before:?} {level:?}");
             }
@@ -451,7 +454,7 @@
     );
 }
 
-/// The governor hears of all within one tick, and all hear it: handed on by two members a quarter of a second, words took
+/// The controller hears of all within one tick, and all hear it: handed on by two members a quarter of a second, words took
 /// a second through a fleet of nine, and a loop of a second and a half overshoots (`overload/tests.rs`).
 #[test]
 fn demand_goes_to_the_governor_and_its_word_to_all_in_one_step() {
@@ -470,7 +473,7 @@
         net.machines.iter().map(level).collect::<Vec<_>>()
     };
     assert!(levels(&net).iter().all(Option::is_none), "nothing waits: {:?}", levels(&net));
-    // All tell of a jam at once; the governor, whose turn may come first, says so with its next word.
+    // All tell of a jam at once; the controller, whose turn may come first, says so with its next word.
     (0..2).for_each(|_| tell(&mut net, 200));
     let all = levels(&net);
     assert!(
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -51,7 +51,7 @@
 
 /// What is to be done, in this order.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Do {
+pub enum Output {
     /// Try to meet the old process.
     Meet,
     /// Say this.
@@ -137,16 +137,16 @@
     }
 
     /// Takes in what happened and tells what is to be done.
-    pub fn handle(&mut self, now: Time, event: Event) -> Vec<Do> {
+    pub fn handle(&mut self, now: Time, event: Event) -> Vec<Output> {
         match event {
             Event::Started => {
                 self.phase = Phase::Asking { until: now + MEET, again: None };
-                vec![Do::Meet]
+                vec![Output::Meet]
             }
             Event::Nobody if self.asking() => self.serve(vec![]),
             Event::Met(peer) if self.asking() => {
                 self.elder = Some(peer);
-                vec![Do::Say(peer, Message::Hello { version: VERSION, name: self.name.clone() })]
+                vec![Output::Say(peer, Message::Hello { version: VERSION, name: self.name.clone() })]
             }
             Event::Unmet => {
                 if let Phase::Asking { again, .. } = &mut self.phase {
@@ -160,7 +160,7 @@
             Event::Malformed(peer) if self.asking() && self.elder == Some(peer) => {
                 self.fail("the old process speaks another version")
             }
-            Event::Malformed(peer) => vec![Do::Drop(peer, "unreadable")],
+            Event::Malformed(peer) => vec![Output::Drop(peer, "unreadable")],
             Event::Ended(peer) => self.ended(now, peer),
             Event::ByHand { worker, out } => self.relay(None, Message::ByHand { worker, out, at: now.0 }),
             Event::Leaving => {
@@ -173,7 +173,7 @@
                 }
                 Phase::Asking { until, again: Some(at) } if at <= now => {
                     self.phase = Phase::Asking { until, again: None };
-                    vec![Do::Meet]
+                    vec![Output::Meet]
                 }
                 _ => vec![],
             },
@@ -184,49 +184,49 @@
         matches!(self.phase, Phase::Asking { .. })
     }
 
-    fn fail(&mut self, why: &'static str) -> Vec<Do> {
+    fn fail(&mut self, why: &'static str) -> Vec<Output> {
         self.phase = Phase::Failed;
-        vec![Do::Fail(why)]
+        vec![Output::Fail(why)]
     }
 
-    fn share(&self) -> Do {
-        Do::Share(1 + usize::from(self.elder.is_some()) + usize::from(self.younger.is_some()))
+    fn share(&self) -> Output {
+        Output::Share(1 + usize::from(self.elder.is_some()) + usize::from(self.younger.is_some()))
     }
 
-    fn serve(&mut self, mut first: Vec<Do>) -> Vec<Do> {
+    fn serve(&mut self, mut first: Vec<Output>) -> Vec<Output> {
         self.phase = Phase::Serving;
-        first.extend([self.share(), Do::Serve]);
-        first.extend(self.elder.map(|elder| Do::Say(elder, Message::Serving)));
+        first.extend([self.share(), Output::Serve]);
+        first.extend(self.elder.map(|elder| Output::Say(elder, Message::Serving)));
         first
     }
 
     /// Where a younger one can take the clients, it does, and the door stays open throughout.
-    fn shut(&mut self) -> Vec<Do> {
+    fn shut(&mut self) -> Vec<Output> {
         if self.younger.is_none() || std::mem::replace(&mut self.yielded, true) {
             return vec![];
         }
-        vec![Do::Door(false)]
+        vec![Output::Door(false)]
     }
 
     /// Says what was called by hand to all others.
-    fn relay(&self, from: Option<u64>, message: Message) -> Vec<Do> {
+    fn relay(&self, from: Option<u64>, message: Message) -> Vec<Output> {
         let others = self.elder.into_iter().chain(self.younger).filter(|peer| Some(*peer) != from);
-        others.map(|peer| Do::Say(peer, message.clone())).collect()
+        others.map(|peer| Output::Say(peer, message.clone())).collect()
     }
 
-    fn heard(&mut self, peer: u64, message: Message) -> Vec<Do> {
+    fn heard(&mut self, peer: u64, message: Message) -> Vec<Output> {
         let (elder, younger) = (self.elder == Some(peer), self.younger == Some(peer));
         match message {
             Message::Hello { version, name } if self.serves() && !elder && !younger => {
                 if version != VERSION || name != self.name {
-                    return vec![Do::Drop(peer, "of another version or name")];
+                    return vec![Output::Drop(peer, "of another version or name")];
                 }
                 // One at a time: it tries again, and meets whoever serves by then.
                 if self.younger.is_some() {
-                    return vec![Do::Drop(peer, "another is taking over")];
+                    return vec![Output::Drop(peer, "another is taking over")];
                 }
                 self.younger = Some(peer);
-                let mut all = vec![self.share(), Do::SayState(peer)];
+                let mut all = vec![self.share(), Output::SayState(peer)];
                 if self.leaving {
                     all.extend(self.shut());
                 }
@@ -236,19 +236,19 @@
                 if known.version != VERSION || known.name != self.name {
                     return self.fail("the old process is of another version or name");
                 }
-                self.serve(vec![Do::TakeOver(known)])
+                self.serve(vec![Output::TakeOver(known)])
             }
             Message::Serving if younger => self.shut(),
             Message::ByHand { worker, out, at } if (elder || younger) && self.serves() => {
-                let mut all = vec![Do::ByHand { worker, out, at: Time(at) }];
+                let mut all = vec![Output::ByHand { worker, out, at: Time(at) }];
                 all.extend(self.relay(Some(peer), Message::ByHand { worker, out, at }));
                 all
             }
-            _ => vec![Do::Drop(peer, "out of turn")],
+            _ => vec![Output::Drop(peer, "out of turn")],
         }
     }
 
-    fn ended(&mut self, now: Time, peer: u64) -> Vec<Do> {
+    fn ended(&mut self, now: Time, peer: u64) -> Vec<Output> {
         if self.elder == Some(peer) {
             self.elder = None;
             // It was killed in the middle, or will be met again: whoever is gone listens no longer.
@@ -260,7 +260,7 @@
         }
         if self.younger == Some(peer) {
             self.younger = None;
-            let open = std::mem::take(&mut self.yielded).then_some(Do::Door(true));
+            let open = std::mem::take(&mut self.yielded).then_some(Output::Door(true));
             return open.into_iter().chain([self.share()]).collect();
         }
         vec![]
--- a/src/handover/tests.rs
+++ b/src/handover/tests.rs
@@ -13,15 +13,15 @@
 
 fn serving() -> Machine {
     let mut machine = Machine::new("n0");
-    assert_eq!(machine.handle(NOW, Event::Started), [Do::Meet]);
-    assert_eq!(machine.handle(NOW, Event::Nobody), [Do::Share(1), Do::Serve]);
+    assert_eq!(machine.handle(NOW, Event::Started), [Output::Meet]);
+    assert_eq!(machine.handle(NOW, Event::Nobody), [Output::Share(1), Output::Serve]);
     machine
 }
 
 fn asking() -> Machine {
     let mut machine = Machine::new("n0");
     machine.handle(NOW, Event::Started);
-    assert_eq!(machine.handle(NOW, Event::Met(1)), [Do::Say(1, hello(VERSION, "n0"))]);
+    assert_eq!(machine.handle(NOW, Event::Met(1)), [Output::Say(1, hello(VERSION, "n0"))]);
     assert!(!machine.serves());
     machine
 }
@@ -31,8 +31,11 @@
     let mut machine = asking();
     let Message::State(known) = state(VERSION) else { return };
     let all = machine.handle(NOW, Event::Heard(1, Message::State(known.clone())));
-    assert_eq!(all, [Do::TakeOver(known), Do::Share(2), Do::Serve, Do::Say(1, Message::Serving)]);
-    assert_eq!(machine.handle(NOW, Event::Ended(1)), [Do::Share(1)]);
+    assert_eq!(
+        all,
+        [Output::TakeOver(known), Output::Share(2), Output::Serve, Output::Say(1, Message::Serving)]
+    );
+    assert_eq!(machine.handle(NOW, Event::Ended(1)), [Output::Share(1)]);
     assert!(machine.serves());
 }
 
@@ -47,31 +50,34 @@
     ];
     for (events, fails) in cases {
         let mut machine = asking();
-        let all: Vec<Do> = events.iter().flat_map(|e| machine.handle(NOW, e.clone())).collect();
-        assert_eq!(all.iter().any(|d| matches!(d, Do::Fail(_))), fails, "{events:?}");
-        assert_eq!(all.contains(&Do::Serve), events.contains(&Event::Nobody), "{events:?}");
+        let all: Vec<Output> = events.iter().flat_map(|e| machine.handle(NOW, e.clone())).collect();
+        assert_eq!(all.iter().any(|d| matches!(d, Output::Fail(_))), fails, "{events:?}");
+        assert_eq!(all.contains(&Output::Serve), events.contains(&Event::Nobody), "{events:?}");
     }
     let mut silent = asking();
     assert_eq!(silent.due(), Some(NOW + MEET));
-    assert!(matches!(silent.handle(NOW + MEET, Event::Timer)[..], [Do::Fail(_)]));
+    assert!(matches!(silent.handle(NOW + MEET, Event::Timer)[..], [Output::Fail(_)]));
     // Broken off: it is asked again, until it is silent for good.
     let mut broken = asking();
     assert_eq!(broken.handle(NOW, Event::Ended(1)), []);
-    assert_eq!(broken.handle(NOW + AGAIN, Event::Timer), [Do::Meet]);
+    assert_eq!(broken.handle(NOW + AGAIN, Event::Timer), [Output::Meet]);
     broken.handle(NOW + AGAIN, Event::Met(2));
-    assert!(matches!(broken.handle(NOW + MEET, Event::Timer)[..], [Do::Fail(_)]));
+    assert!(matches!(broken.handle(NOW + MEET, Event::Timer)[..], [Output::Fail(_)]));
 }
 
 #[test]
 fn the_old_one_shuts_its_door_only_while_another_is_open() {
     let mut machine = serving();
     let other = machine.handle(NOW, Event::Heard(5, hello(VERSION + 1, "n0")));
-    assert!(matches!(other[..], [Do::Drop(5, _)]));
-    assert_eq!(machine.handle(NOW, Event::Heard(6, hello(VERSION, "n0"))), [Do::Share(2), Do::SayState(6)]);
-    assert_eq!(machine.handle(NOW, Event::Heard(6, Message::Serving)), [Do::Door(false)]);
+    assert!(matches!(other[..], [Output::Drop(5, _)]));
+    assert_eq!(
+        machine.handle(NOW, Event::Heard(6, hello(VERSION, "n0"))),
+        [Output::Share(2), Output::SayState(6)]
+    );
+    assert_eq!(machine.handle(NOW, Event::Heard(6, Message::Serving)), [Output::Door(false)]);
     assert!(machine.yielded());
     assert_eq!(machine.handle(NOW, Event::Leaving), []);
-    assert_eq!(machine.handle(NOW, Event::Ended(6)), [Do::Door(true), Do::Share(1)]);
+    assert_eq!(machine.handle(NOW, Event::Ended(6)), [Output::Door(true), Output::Share(1)]);
     // SIGTERM may come before the word that the new one serves.
     machine.handle(NOW, Event::Heard(7, hello(VERSION, "n0")));
     assert_eq!(machine.handle(NOW, Event::Leaving), []);
@@ -79,8 +85,8 @@
     // Two that start at a time do not take the old one from each other.
     let mut two = serving();
     two.handle(NOW, Event::Heard(6, hello(VERSION, "n0")));
-    assert!(matches!(two.handle(NOW, Event::Heard(7, hello(VERSION, "n0")))[..], [Do::Drop(7, _)]));
-    assert_eq!(two.handle(NOW, Event::Heard(6, Message::Serving)), [Do::Door(false)]);
+    assert!(matches!(two.handle(NOW, Event::Heard(7, hello(VERSION, "n0")))[..], [Output::Drop(7, _)]));
+    assert_eq!(two.handle(NOW, Event::Heard(6, Message::Serving)), [Output::Door(false)]);
     let mut alone = serving();
     assert_eq!(alone.handle(NOW, Event::Leaving), [], "a planned restart: clients still come here");
 }
@@ -93,13 +99,16 @@
     let message = Message::ByHand { worker: 7, out: true, at: NOW.0 };
     assert_eq!(
         middle.handle(NOW, Event::ByHand { worker: 7, out: true }),
-        [Do::Say(1, message.clone()), Do::Say(2, message.clone())]
+        [Output::Say(1, message.clone()), Output::Say(2, message.clone())]
     );
     assert_eq!(
         middle.handle(NOW, Event::Heard(1, message.clone())),
-        [Do::ByHand { worker: 7, out: true, at: NOW }, Do::Say(2, message.clone())]
+        [Output::ByHand { worker: 7, out: true, at: NOW }, Output::Say(2, message.clone())]
+    );
+    assert!(
+        matches!(serving().handle(NOW, Event::Heard(9, message))[..], [Output::Drop(9, _)]),
+        "a stranger"
     );
-    assert!(matches!(serving().handle(NOW, Event::Heard(9, message))[..], [Do::Drop(9, _)]), "a stranger");
 }
 
 proptest! {
@@ -128,17 +137,17 @@
             };
             for action in machine.handle(now, event) {
                 match action {
-                    Do::Serve => {
+                    Output::Serve => {
                         prop_assert!(!failed);
                         served += 1;
                         door = true;
                     }
-                    Do::Door(open) => {
+                    Output::Door(open) => {
                         prop_assert!(door != open);
                         door = open;
                     }
-                    Do::Fail(_) => failed = true,
-                    Do::Share(count) => younger = count - 1,
+                    Output::Fail(_) => failed = true,
+                    Output::Share(count) => younger = count - 1,
                     _ => {}
                 }
             }
