Measure what functions leave behind once free memory is used up; play regions with all subscribers

Cause: memory that reading the list had left free hid what functions keep: 98 bytes at 4,000 workers. Change: the growth is taken after 4 MB of growth, over 32 MB more or 15,000 functions.

--- a/lab/src/scale/module.rs
+++ b/lab/src/scale/module.rs
@@ -11,10 +11,17 @@
 
 /// All first calls come within this time: functions without a call are forgotten after ten seconds.
 const WITHIN: Span = Span::millis(6_000);
-/// Memory that is looked at is that of this many functions at least, or what little each keeps would not show.
-const LEAST_FUNCTIONS: usize = 2_000;
-/// Or of as many as keep so much by the design that has a whole order for each.
-const ENOUGH: usize = 200 << 20;
+/// Functions that are called at least, so that a mean means something.
+const LEAST_FUNCTIONS: usize = 200;
+/// For what functions leave behind, so many are called at a time, and as many at most before it is measured and while it
+/// is, so often that none is forgotten meanwhile.
+const AT_A_TIME: usize = 50;
+const MOST_FUNCTIONS: usize = 15_000;
+const PACE: Span = Span(200_000);
+/// The process has used up what was free in its memory once it has grown by so much, and what it grows by after that
+/// shows when it is so much.
+const USED_UP: usize = 4 << 20;
+const SHOWS: usize = 32 << 20;
 
 /// Time between two looks of the module at all workers.
 const WALK: Span = Span::millis(200);
@@ -26,16 +33,16 @@
 
 /// Plays it.
 pub fn play(plan: &Plan) -> Vec<Row> {
-    let functions = functions(plan);
+    let functions = plan.functions.max(LEAST_FUNCTIONS);
     let mut rows = Rows::new(plan, "hollow", Setup::Alone);
     rows.like().functions = functions;
     let mut core = listed(plan);
-    let mut player = Player { core: &mut core, now: Time(10_000_000_000), calls: 0 };
+    let kept = Player::new(&mut core).kept();
+    let mut core = listed(plan);
+    let mut player = Player::new(&mut core);
     player.pass(Span::millis(3_000));
-    let before = system::resident(std::process::id()).unwrap_or(0);
     let step = Span(WITHIN.0 / functions as u64);
     let mut first: Vec<f64> = (0..functions).map(|n| player.call(n as u64, step, LARGE_MB)).collect();
-    let kept = system::growth_each(before, functions);
     let mut further: Vec<f64> =
         (0..functions).map(|n| player.call(n as u64, Span(step.0 / 4), LARGE_MB)).collect();
     let mut walks: Vec<f64> = (0..20).map(|_| player.pass(WALK)).collect();
@@ -54,12 +61,6 @@
     rows.rows
 }
 
-/// As many as the plan says, and so many more that what they keep shows.
-fn functions(plan: &Plan) -> usize {
-    let enough = (ENOUGH / (plan.workers * 16)).clamp(1, LEAST_FUNCTIONS);
-    plan.functions.max(enough)
-}
-
 /// A core that knows the list.
 fn listed(plan: &Plan) -> Core {
     let text = Configuration::new(plan.workers, SocketAddr::from((Ipv4Addr::LOCALHOST, 9))).text();
@@ -80,6 +81,27 @@
 }
 
 impl Player<'_> {
+    fn new(core: &mut Core) -> Player<'_> {
+        Player { core, now: Time(10_000_000_000), calls: 0 }
+    }
+
+    /// Bytes that a function leaves behind, by the growth of this process's memory.
+    fn kept(&mut self) -> f64 {
+        let mut called = 0;
+        let mut grow = |least: usize| {
+            let (before, first) = (system::resident(std::process::id()).unwrap_or(0), called);
+            while system::growth_each(before, 1) < least as f64 && called - first < MOST_FUNCTIONS {
+                for function in called..called + AT_A_TIME {
+                    self.call(function as u64, PACE, LARGE_MB);
+                }
+                called += AT_A_TIME;
+            }
+            system::growth_each(before, called - first)
+        };
+        grow(USED_UP);
+        grow(SHOWS)
+    }
+
     /// Lets time pass; how many seconds the module took for it.
     fn pass(&mut self, span: Span) -> f64 {
         let end = self.now + span;
--- a/lab/src/scale/series.rs
+++ b/lab/src/scale/series.rs
@@ -102,7 +102,11 @@
 }
 
 fn regions(base: &Plan) -> Vec<(f64, Plan)> {
-    let hollow = if base.hollow > 0 { REGION_MEMBERS } else { 0 };
-    let base = Plan { functions: 0, real: 0, hollow, ..base.clone() };
-    REGIONS.map(|regions| (regions as f64, Plan { regions, ..base.clone() })).to_vec()
+    let of = |setup, hollow: usize| {
+        let hollow = if base.hollow > 0 { hollow } else { 0 };
+        Plan { functions: 0, real: 0, hollow, wanted: of_setup(base, setup), ..base.clone() }
+    };
+    let all = [of(Setup::Members, REGION_MEMBERS), of(Setup::Distribution, base.hollow)];
+    let at = |plan: Plan| REGIONS.map(|regions| (regions as f64, Plan { regions, ..plan.clone() }));
+    all.into_iter().flat_map(at).filter(|(_, plan)| !plan.wanted.is_empty()).collect()
 }
