--- a/lab/src/capacity/fit.rs
+++ b/lab/src/capacity/fit.rs
@@ -1,5 +1,7 @@
 //! Least squares over the points of a quantity along an axis, and what may be concluded from them.
 
+use std::fmt;
+
 /// How much of the variance a line or a curve must explain to be taken for one.
 const STRAIGHT: f64 = 0.97;
 /// Growth over the measured range, as a part of the mean, below which a quantity is flat, and the most by which its values
@@ -22,6 +24,17 @@
     Scattered,
 }
 
+impl fmt::Display for Shape {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Shape::Flat => f.write_str("flat"),
+            Shape::Line => f.write_str("line"),
+            Shape::Curve(power) => write!(f, "curve, power {power:.2}"),
+            Shape::Scattered => f.write_str("neither line nor curve"),
+        }
+    }
+}
+
 /// Points, the line through them and how straight it is.
 #[derive(Clone, Debug)]
 pub struct Fit {
--- a/lab/src/capacity/played.rs
+++ b/lab/src/capacity/played.rs
@@ -20,6 +20,12 @@
     ("scheduler_start", "a single scheduler that starts: until it has its list", "s"),
 ];
 
+/// Whether a measure is shown here, with all its sizes.
+pub fn shows(name: &str) -> bool {
+    let change = |prefix: &str| name.strip_prefix(prefix).is_some_and(|rest| rest.starts_with('_'));
+    CHANGES.iter().any(|(prefix, _)| change(prefix)) || OTHERS.iter().any(|(other, ..)| *other == name)
+}
+
 /// What a measure was at all sizes, and what it reads at all schedulers where it is along them; none where it was not played.
 fn sizes(model: &Model, name: &str, unit: &str) -> Option<String> {
     let (measure, fit) = model.points(name)?;
@@ -33,7 +39,8 @@
     if measure.along.as_deref() == Some("hollow") && read.stands() {
         all.push(format!("{}: {} ({})", count(target), read.show(unit), read.basis.name()));
     }
-    Some(all.join("; "))
+    let straight = format!(" ({}, r squared {:.2})", fit.shape, fit.r_squared);
+    Some(all.join("; ") + if fit.points.len() > 1 { &straight } else { "" })
 }
 
 /// Against a target: what is read at all schedulers where there is such a reading, and the most that was played.
