--- a/tests/distribution/failures.rs
+++ b/tests/distribution/failures.rs
@@ -119,6 +119,53 @@
     }
 }
 
+#[test]
+fn of_two_publishers_that_reach_the_same_replica_only_the_later_one_commits() {
+    for seed in SEEDS {
+        let mut domain = filled(Plan { seed, ..Plan::default() });
+        domain.look_after_lease(false);
+        let old = domain.holder().unwrap();
+        let new = (old + 1) % 3;
+        let fence = domain.fence();
+        // Both believe that they hold the lease, and do not hear of each other: only the third can tell.
+        domain.believe(old, Some(Hold { fence, until: domain.now() + seconds(3_600) }));
+        let (one, other) = (domain.address(Role::Replica, old), domain.address(Role::Replica, new));
+        let cut = Link { cut: true, ..Link::default() };
+        domain.set_link(one, other, cut);
+        domain.set_link(other, one, cut);
+        domain.grant(new, seconds(3_600));
+        domain.run(Span::millis(5));
+        let (mut refused, mut stood) = (vec![], vec![]);
+        for round in 0..40 {
+            let (wrong, right) = (domain.touch_worker(2 * round), domain.touch_worker(2 * round));
+            if round % 2 == 0 {
+                refused.push((domain.publish_at(old, vec![wrong.clone()]), wrong));
+                domain.run(Span(100_000 * (round % 7)));
+                stood.push(domain.publish_at(new, vec![right]));
+            } else {
+                stood.push(domain.publish_at(new, vec![right]));
+                domain.run(Span(100_000 * (round % 7)));
+                refused.push((domain.publish_at(old, vec![wrong.clone()]), wrong));
+            }
+            domain.run(Span::millis(20 + 30 * (round % 3)));
+        }
+        domain.run(seconds(2));
+        for (ticket, change) in &refused {
+            assert!(!matches!(domain.outcome(*ticket), Some(Ok(_))), "seed {seed}: the old one published");
+            assert!(!anybody_holds(&domain, change), "seed {seed}: {change:?} is in force");
+        }
+        for ticket in stood {
+            assert!(
+                matches!(domain.outcome(ticket), Some(Ok(_))),
+                "seed {seed}: {:?}",
+                domain.outcome(ticket)
+            );
+        }
+        domain.heal();
+        ends_well(&mut domain, seconds(10));
+    }
+}
+
 #[test]
 fn a_batch_that_a_majority_has_accepted_stands_though_its_publisher_was_stopped() {
     for seed in SEEDS {
