--- /dev/null
+++ b/lab/shim/src/lib.rs
@@ -0,0 +1,356 @@
+//! A library for `LD_PRELOAD` that makes system calls of the process under test fail as Linux documents it, and
+//! steps its wall clock. A control file, mapped into the process, says which calls fail, with what and how often;
+//! without `FAULT_SHIM_CONTROL` in the environment nothing is changed.
+//!
+//! Every function here stands in front of the C library's one of the same name. The calls themselves are made with
+//! `syscall`, so nothing has to be looked up at run time.
+
+#[path = "../../src/faults/layout.rs"]
+#[allow(dead_code)]
+mod layout;
+
+use layout::{Call, SHORT, WALL_OFFSET};
+use libc::{c_int, c_void, size_t, sockaddr, socklen_t, ssize_t, timespec};
+use std::ffi::{CStr, CString};
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+const NANOSECONDS: i64 = 1_000_000_000;
+
+/// The control file, mapped.
+static CONTROL: OnceLock<Option<&'static [AtomicU64]>> = OnceLock::new();
+
+fn words() -> Option<&'static [AtomicU64]> {
+    *CONTROL.get_or_init(map)
+}
+
+/// Maps the control file; none where the environment names none, or it cannot be had.
+fn map() -> Option<&'static [AtomicU64]> {
+    let name = CString::new(layout::CONTROL).ok()?;
+    // SAFETY: the environment is only read; the process under test sets none of its own variables.
+    let path = unsafe { libc::getenv(name.as_ptr()) };
+    if path.is_null() {
+        return None;
+    }
+    let size = layout::LENGTH * size_of::<u64>();
+    // SAFETY: `path` is a C string of the environment; the mapping is shared, of the file's own size, and kept for as
+    // long as the process lives, so that a slice of atomics over it is valid.
+    unsafe {
+        let file = libc::open(path, libc::O_RDWR | libc::O_CLOEXEC);
+        if file < 0 {
+            return None;
+        }
+        let at = libc::mmap(
+            std::ptr::null_mut(),
+            size,
+            libc::PROT_READ | libc::PROT_WRITE,
+            libc::MAP_SHARED,
+            file,
+            0,
+        );
+        libc::close(file);
+        if at == libc::MAP_FAILED {
+            return None;
+        }
+        Some(std::slice::from_raw_parts(at.cast::<AtomicU64>(), layout::LENGTH))
+    }
+}
+
+/// The errno with which this call is to fail now; counts it.
+fn fault(call: Call) -> Option<u64> {
+    let words = words()?;
+    let errno = words[call.errno()].load(Ordering::Acquire);
+    if errno == 0 {
+        return None;
+    }
+    let pass = |left: u64| left.checked_sub(1);
+    if words[call.passing()].fetch_update(Ordering::AcqRel, Ordering::Acquire, pass).is_ok() {
+        let short = words[call.passing_short()].load(Ordering::Acquire) != 0;
+        return short.then_some(SHORT);
+    }
+    let take = |left: u64| match left {
+        0 => None,
+        layout::ALWAYS => Some(layout::ALWAYS),
+        left => Some(left - 1),
+    };
+    words[call.remaining()].fetch_update(Ordering::AcqRel, Ordering::Acquire, take).ok()?;
+    words[call.injected()].fetch_add(1, Ordering::AcqRel);
+    Some(errno)
+}
+
+/// Whether a fault is armed, without counting it.
+fn armed(call: Call) -> bool {
+    words().is_some_and(|words| words[call.errno()].load(Ordering::Acquire) != 0)
+}
+
+fn fail(errno: u64) -> c_int {
+    // SAFETY: errno's location is always valid for the calling thread.
+    unsafe { *libc::__errno_location() = errno as c_int };
+    -1
+}
+
+/// The kind of file behind a descriptor, as `S_IFMT` names it.
+fn kind(descriptor: c_int) -> libc::mode_t {
+    // SAFETY: `stat` is plain old data that the call fills in.
+    unsafe {
+        let mut stat: libc::stat = std::mem::zeroed();
+        match libc::syscall(libc::SYS_fstat, descriptor, &raw mut stat) {
+            0 => stat.st_mode & libc::S_IFMT,
+            _ => 0,
+        }
+    }
+}
+
+/// Whether a socket is of the Internet family: pairs and signal pipes of the process itself are left alone.
+fn is_internet(descriptor: c_int) -> bool {
+    let (mut family, mut size): (c_int, socklen_t) = (0, size_of::<c_int>() as socklen_t);
+    // SAFETY: both out parameters live on this stack frame and have the sizes that are told.
+    let done = unsafe {
+        libc::getsockopt(
+            descriptor,
+            libc::SOL_SOCKET,
+            libc::SO_DOMAIN,
+            (&raw mut family).cast::<c_void>(),
+            &raw mut size,
+        )
+    };
+    done == 0 && family == libc::AF_INET
+}
+
+/// How many bytes a read or write may move, or the errno with which it fails.
+fn allowance(call: Call, descriptor: c_int, count: size_t) -> Result<size_t, u64> {
+    if !armed(call) || count == 0 {
+        return Ok(count);
+    }
+    let meant = match call {
+        Call::WriteFile => kind(descriptor) == libc::S_IFREG,
+        _ => kind(descriptor) == libc::S_IFSOCK && is_internet(descriptor),
+    };
+    if !meant {
+        return Ok(count);
+    }
+    match fault(call) {
+        None => Ok(count),
+        Some(SHORT) => Ok(1),
+        Some(errno) => Err(errno),
+    }
+}
+
+/// The wall clock is stepped by the control file's offset; all other clocks run on.
+///
+/// # Safety
+/// As `clock_gettime(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn clock_gettime(clock: libc::clockid_t, time: *mut timespec) -> c_int {
+    // SAFETY: the caller's pointer is passed on, and read only after success.
+    unsafe {
+        let done = libc::syscall(libc::SYS_clock_gettime, clock, time) as c_int;
+        let offset = words().map_or(0, |words| words[WALL_OFFSET].load(Ordering::Acquire) as i64);
+        if done == 0 && clock == libc::CLOCK_REALTIME && offset != 0 {
+            let total = (*time).tv_nsec + offset % NANOSECONDS;
+            (*time).tv_sec += offset / NANOSECONDS + total.div_euclid(NANOSECONDS);
+            (*time).tv_nsec = total.rem_euclid(NANOSECONDS);
+        }
+        done
+    }
+}
+
+/// # Safety
+/// As `accept4(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn accept4(
+    socket: c_int,
+    address: *mut sockaddr,
+    size: *mut socklen_t,
+    flags: c_int,
+) -> c_int {
+    match fault(Call::Accept) {
+        Some(errno) => fail(errno),
+        // SAFETY: the caller's arguments are passed on.
+        None => unsafe { libc::syscall(libc::SYS_accept4, socket, address, size, flags) as c_int },
+    }
+}
+
+/// # Safety
+/// As `socket(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn socket(domain: c_int, kind: c_int, protocol: c_int) -> c_int {
+    let fault = fault(Call::Socket);
+    if let Some(errno) = fault
+        && errno != SHORT
+    {
+        return fail(errno);
+    }
+    // SAFETY: the caller's arguments are passed on.
+    let made = unsafe { libc::syscall(libc::SYS_socket, domain, kind, protocol) as c_int };
+    if fault == Some(SHORT) && made >= 0 {
+        limit_send_buffer(made);
+    }
+    made
+}
+
+/// Leaves a socket the least room for what it sends.
+fn limit_send_buffer(socket: c_int) {
+    let least: c_int = 1;
+    // SAFETY: the option's value lives on this stack frame and has the size that is told.
+    unsafe {
+        let value = (&raw const least).cast::<c_void>();
+        libc::setsockopt(socket, libc::SOL_SOCKET, libc::SO_SNDBUF, value, size_of::<c_int>() as socklen_t);
+    }
+}
+
+/// # Safety
+/// As `connect(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn connect(socket: c_int, address: *const sockaddr, size: socklen_t) -> c_int {
+    if armed(Call::Connect)
+        && is_internet(socket)
+        && let Some(errno) = fault(Call::Connect)
+    {
+        return fail(errno);
+    }
+    // SAFETY: the caller's arguments are passed on.
+    unsafe { libc::syscall(libc::SYS_connect, socket, address, size) as c_int }
+}
+
+/// # Safety
+/// As `recv(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn recv(socket: c_int, bytes: *mut c_void, count: size_t, flags: c_int) -> ssize_t {
+    match allowance(Call::Read, socket, count) {
+        Err(errno) => fail(errno) as ssize_t,
+        // SAFETY: no more than the caller's count is read into its buffer.
+        Ok(count) => unsafe {
+            let (none, size) = (std::ptr::null_mut::<sockaddr>(), std::ptr::null_mut::<socklen_t>());
+            libc::syscall(libc::SYS_recvfrom, socket, bytes, count, flags, none, size) as ssize_t
+        },
+    }
+}
+
+/// # Safety
+/// As `read(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn read(descriptor: c_int, bytes: *mut c_void, count: size_t) -> ssize_t {
+    match allowance(Call::Read, descriptor, count) {
+        Err(errno) => fail(errno) as ssize_t,
+        // SAFETY: no more than the caller's count is read into its buffer.
+        Ok(count) => unsafe { libc::syscall(libc::SYS_read, descriptor, bytes, count) as ssize_t },
+    }
+}
+
+/// # Safety
+/// As `send(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn send(socket: c_int, bytes: *const c_void, count: size_t, flags: c_int) -> ssize_t {
+    match allowance(Call::Write, socket, count) {
+        Err(errno) => fail(errno) as ssize_t,
+        // SAFETY: no more than the caller's count is written from its buffer.
+        Ok(count) => unsafe {
+            let none = std::ptr::null::<sockaddr>();
+            libc::syscall(libc::SYS_sendto, socket, bytes, count, flags, none, 0) as ssize_t
+        },
+    }
+}
+
+/// # Safety
+/// As `write(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn write(descriptor: c_int, bytes: *const c_void, count: size_t) -> ssize_t {
+    let allowed = allowance(Call::Write, descriptor, count)
+        .and_then(|count| allowance(Call::WriteFile, descriptor, count));
+    match allowed {
+        Err(errno) => fail(errno) as ssize_t,
+        // SAFETY: no more than the caller's count is written from its buffer.
+        Ok(count) => unsafe { libc::syscall(libc::SYS_write, descriptor, bytes, count) as ssize_t },
+    }
+}
+
+/// # Safety
+/// As `recvfrom(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn recvfrom(
+    socket: c_int,
+    bytes: *mut c_void,
+    count: size_t,
+    flags: c_int,
+    from: *mut sockaddr,
+    size: *mut socklen_t,
+) -> ssize_t {
+    if let Some(errno) = fault(Call::ReceiveDatagram) {
+        return fail(errno) as ssize_t;
+    }
+    // SAFETY: the caller's arguments are passed on.
+    unsafe { libc::syscall(libc::SYS_recvfrom, socket, bytes, count, flags, from, size) as ssize_t }
+}
+
+/// # Safety
+/// As `sendto(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn sendto(
+    socket: c_int,
+    bytes: *const c_void,
+    count: size_t,
+    flags: c_int,
+    to: *const sockaddr,
+    size: socklen_t,
+) -> ssize_t {
+    if let Some(errno) = fault(Call::SendDatagram) {
+        return fail(errno) as ssize_t;
+    }
+    // SAFETY: the caller's arguments are passed on.
+    unsafe { libc::syscall(libc::SYS_sendto, socket, bytes, count, flags, to, size) as ssize_t }
+}
+
+/// # Safety
+/// As `epoll_wait(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn epoll_wait(
+    poll: c_int,
+    events: *mut libc::epoll_event,
+    most: c_int,
+    timeout: c_int,
+) -> c_int {
+    if let Some(errno) = fault(Call::Wait) {
+        return fail(errno);
+    }
+    let (no_mask, no_size): (*const libc::sigset_t, size_t) = (std::ptr::null(), 0);
+    // SAFETY: the caller's arguments are passed on, without a signal mask.
+    unsafe { libc::syscall(libc::SYS_epoll_pwait, poll, events, most, timeout, no_mask, no_size) as c_int }
+}
+
+/// # Safety
+/// As `rename(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn rename(from: *const libc::c_char, to: *const libc::c_char) -> c_int {
+    if let Some(errno) = fault(Call::Rename) {
+        return fail(errno);
+    }
+    // SAFETY: the caller's C strings are passed on.
+    unsafe {
+        let (from, to) = (CStr::from_ptr(from), CStr::from_ptr(to));
+        let folder = libc::AT_FDCWD;
+        libc::syscall(libc::SYS_renameat2, folder, from.as_ptr(), folder, to.as_ptr(), 0) as c_int
+    }
+}
+
+/// # Safety
+/// As `fsync(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn fsync(descriptor: c_int) -> c_int {
+    match fault(Call::Sync) {
+        Some(errno) => fail(errno),
+        // SAFETY: the descriptor is passed on.
+        None => unsafe { libc::syscall(libc::SYS_fsync, descriptor) as c_int },
+    }
+}
+
+/// # Safety
+/// As `fdatasync(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn fdatasync(descriptor: c_int) -> c_int {
+    match fault(Call::Sync) {
+        Some(errno) => fail(errno),
+        // SAFETY: the descriptor is passed on.
+        None => unsafe { libc::syscall(libc::SYS_fdatasync, descriptor) as c_int },
+    }
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod capacity;
 pub mod chains;
 pub mod domain;
+pub mod faults;
 mod fleet;
 pub mod hollow;
 pub mod network;
--- /dev/null
+++ b/tests/faults/main.rs
@@ -0,0 +1,35 @@
+//! System calls that fail as Linux documents it, while others go on: each rule holds, and once the failure has passed
+//! nobody waits on. The real program, with `fault-shim` in front of the C library.
+
+mod accept;
+mod connections;
+#[path = "../rig/mod.rs"]
+mod rig;
+
+use rig::*;
+use serde_json::Value;
+
+pub(crate) const EINTR: u64 = 4;
+pub(crate) const ENFILE: u64 = 23;
+pub(crate) const EPROTO: u64 = 71;
+pub(crate) const EADDRNOTAVAIL: u64 = 99;
+pub(crate) const ENETDOWN: u64 = 100;
+pub(crate) const ENETUNREACH: u64 = 101;
+pub(crate) const ECONNABORTED: u64 = 103;
+pub(crate) const ENOBUFS: u64 = 105;
+
+/// What accept, socket and connect may fail with for a moment.
+pub(crate) const MOMENTARY: [u64; 8] =
+    [ECONNABORTED, ENFILE, ENOBUFS, EADDRNOTAVAIL, ENETUNREACH, EPROTO, ENETDOWN, EINTR];
+
+pub(crate) fn faulty(workers: &[&Worker], settings: Value) -> Daemon {
+    Daemon::faulty(workers, settings, None, |_| String::new(), 0)
+}
+
+pub(crate) fn plain(stream: u32) -> Vec<u8> {
+    frame(0, stream, &call("practice-check", &format!("{stream:016x}"), 3_000, b"x"))
+}
+
+pub(crate) fn is_served(client: &mut Frames, stream: u32) {
+    assert_eq!(client.next(), Some((1, stream, vec![79, 0, b'x'])));
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -1,6 +1,7 @@
 //! The real program, against the stand-ins of `lab`.
 #![allow(dead_code)]
 
+use lab::faults::Faults;
 pub use lab::stand_ins::*;
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader};
@@ -18,6 +19,8 @@
     pub folder: Arc<Folder>,
     pub log: Arc<Mutex<String>>,
     pub config: Value,
+    /// Makes its system calls fail, where it was started to meet that.
+    pub faults: Option<Arc<Faults>>,
 }
 
 impl Daemon {
@@ -39,6 +42,29 @@
         Daemon::begin(workers, settings, json!({"sockets": 256}), bus, operator)
     }
 
+    /// The same, where system calls can be made to fail and the wall clock stepped, which is off by so much from the
+    /// start on.
+    pub fn faulty(
+        workers: &[&Worker],
+        settings: Value,
+        bus: Option<SocketAddr>,
+        operator: impl Fn(&Folder) -> String,
+        wall_clock_ms: i64,
+    ) -> Daemon {
+        let limits = json!({"sockets": 256});
+        let (folder, config) = Daemon::files(workers, settings, limits, bus, operator);
+        let faults = Faults::new(&folder.at("faults")).unwrap();
+        faults.step_wall_clock(wall_clock_ms).unwrap();
+        let mut daemon = Daemon::spawn_faulty(Arc::new(folder), config, None, Some(Arc::new(faults)));
+        daemon.serves();
+        daemon
+    }
+
+    /// What steers this daemon's system calls.
+    pub fn faults(&self) -> &Faults {
+        self.faults.as_ref().expect("it was started to meet faults")
+    }
+
     fn begin(
         workers: &[&Worker],
         settings: Value,
@@ -46,6 +72,20 @@
         bus: Option<SocketAddr>,
         operator: impl Fn(&Folder) -> String,
     ) -> Daemon {
+        let (folder, config) = Daemon::files(workers, settings, limits, bus, operator);
+        let mut daemon = Daemon::spawn(Arc::new(folder), config, None);
+        daemon.serves();
+        daemon
+    }
+
+    /// Writes the files of a daemon into a folder of its own.
+    fn files(
+        workers: &[&Worker],
+        settings: Value,
+        limits: Value,
+        bus: Option<SocketAddr>,
+        operator: impl Fn(&Folder) -> String,
+    ) -> (Folder, Value) {
         let folder = Folder::new();
         let targets: Vec<Value> =
             workers.iter().enumerate().map(|(n, w)| target(n as u32 + 1, w.address(), "SERVING")).collect();
@@ -60,14 +100,12 @@
         if !operator.is_empty() {
             std::fs::write(folder.at("operator.toml"), operator).unwrap();
         }
-        let mut daemon = Daemon::spawn(Arc::new(folder), config, None);
-        daemon.serves();
-        daemon
+        (folder, config)
     }
 
     /// Starts the daemon beside this one, on the same door, as the platform does at an upgrade.
     pub fn beside(&self, door: &TcpListener) -> Daemon {
-        Daemon::spawn(self.folder.clone(), self.config.clone(), Some(door))
+        Daemon::spawn_faulty(self.folder.clone(), self.config.clone(), Some(door), self.faults.clone())
     }
 
     /// Starts another daemon on the configuration of this one, where the system hands out so few descriptors.
@@ -80,16 +118,35 @@
             &format!("ulimit -n {descriptors}; exec \"$0\""),
             env!("CARGO_BIN_EXE_mintgate"),
         ]);
-        Daemon::run(command, folder, self.config.clone(), None)
+        Daemon::run(command, folder, self.config.clone(), None, None)
     }
 
     /// Starts the program on what stands in the folder. The door is passed as standard input, for that needs no
     /// unsafe code; the platform passes it under another number.
     pub fn spawn(folder: Arc<Folder>, config: Value, door: Option<&TcpListener>) -> Daemon {
-        Daemon::run(Command::new(env!("CARGO_BIN_EXE_mintgate")), folder, config, door)
+        Daemon::spawn_faulty(folder, config, door, None)
     }
 
-    fn run(mut command: Command, folder: Arc<Folder>, config: Value, door: Option<&TcpListener>) -> Daemon {
+    /// The same, whose system calls can be made to fail.
+    pub fn spawn_faulty(
+        folder: Arc<Folder>,
+        config: Value,
+        door: Option<&TcpListener>,
+        faults: Option<Arc<Faults>>,
+    ) -> Daemon {
+        Daemon::run(Command::new(env!("CARGO_BIN_EXE_mintgate")), folder, config, door, faults)
+    }
+
+    fn run(
+        mut command: Command,
+        folder: Arc<Folder>,
+        config: Value,
+        door: Option<&TcpListener>,
+        faults: Option<Arc<Faults>>,
+    ) -> Daemon {
+        if let Some(faults) = &faults {
+            faults.preload(&mut command).unwrap();
+        }
         command.env("GW_CONFIG", folder.at("config.json")).stdin(Stdio::null()).stderr(Stdio::piped());
         command.env("TMPDIR", &folder.0).env("GW_NAME", "n0");
         if let Some(door) = door {
@@ -110,7 +167,7 @@
             }
         });
         let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
-        Daemon { child, listen: any, mgmt: any, folder, log, config }
+        Daemon { child, listen: any, mgmt: any, folder, log, config, faults }
     }
 
     /// Waits until it serves, and learns where.
