Put starts told in Unix time into the scheduler's own time when they are first heard of

Cause: a worker's start came in Unix time and was compared with the process's own time, which is Unix time at its start plus the monotonic clock since (core gates, slow start in brain.rs). A step of any clock between made a cold worker warm, which breaks the bound of slow start, or kept one cold for the length of the step. The same in an upgrade: what the old process handed over (orders and calls of the ration, workers put back by hand) meant other moments at a new one whose clock had been stepped. Change: src/start_times.rs turns a start into an age once, by the shorter of two clocks, less what the promptest start has shown them to be off by. A process hands over its own time with its state, and the age of each start; both are optional, so that versions before and after understand each other. A call by hand counts from when each process hears of it.

--- a/src/bus.rs
+++ b/src/bus.rs
@@ -31,7 +31,7 @@
 /// A worker as the bus tells of it.
 #[derive(Clone, Debug)]
 pub struct Entry {
-    /// What the module is told.
+    /// What the module is told; its start is in Unix time, as the list has it.
     pub member: Member,
     /// Where it listens.
     pub address: SocketAddr,
--- a/src/core/known.rs
+++ b/src/core/known.rs
@@ -1,14 +1,18 @@
 //! What another process of the same scheduler has to know to go on from here.
 
-use crate::interface::{CellId, KindId, Member, State, Time, WorkerId, ZoneId};
+use crate::interface::{CellId, KindId, Member, Span, State, Time, WorkerId, ZoneId};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-/// What the old one knows. Times are Unix nanoseconds.
+/// What the old one knows. Points in time are nanoseconds of its own time, but for starts of workers, which are Unix time
+/// as the list tells them.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Known {
     /// The version that it speaks.
     pub version: u32,
+    /// Its own time when this was said; absent from one that does not tell it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub now: Option<u64>,
     /// The scheduler's name.
     pub name: String,
     /// Number of the last event of the bus.
@@ -42,11 +46,27 @@
     draining: bool,
     weight: f64,
     started: Option<u64>,
+    /// How long ago it started, in nanoseconds, as the old one has it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    age: Option<u64>,
+}
+
+impl Known {
+    /// The same in the time of a process at which it is `now`: clocks may have been stepped between their starts.
+    pub fn in_time_of(&self, now: Time) -> Known {
+        let Some(said) = self.now.map(Time) else { return self.clone() };
+        let moved = |at: u64| (now - (said - Time(at))).0;
+        let mut known = self.clone();
+        known.orders.iter_mut().chain(&mut known.taken).for_each(|at| *at = moved(*at));
+        known.back.iter_mut().for_each(|(_, at)| *at = moved(*at));
+        known.now = Some(now.0);
+        known
+    }
 }
 
 impl Line {
-    /// A worker and its address as a line.
-    pub fn of(member: &Member, address: SocketAddr) -> Line {
+    /// A worker and its address as a line; its start is in Unix time, and it is so old.
+    pub fn of(member: &Member, address: SocketAddr, age: Option<Span>) -> Line {
         Line {
             id: member.worker.0,
             address,
@@ -56,6 +76,7 @@
             draining: member.state != State::Ready,
             weight: member.weight,
             started: member.started.map(|at| at.0),
+            age: age.map(|age| age.0),
         }
     }
 
@@ -72,6 +93,11 @@
         }
     }
 
+    /// Its start in Unix time, and its age, where both are told.
+    pub fn start(&self) -> Option<(Time, Span)> {
+        Some((Time(self.started?), Span(self.age?)))
+    }
+
     /// Its address.
     pub fn address(&self) -> SocketAddr {
         self.address
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -18,6 +18,7 @@
 use crate::interface::{ListKind, Member, Span, Time};
 use crate::net::{Reactor, Signal, Stream, SystemClock, inherit};
 use crate::ops::{self, MgmtConnection};
+use crate::start_times::StartTimes;
 use crate::vrrp::packet::{Advertisement, LARGEST};
 use crate::vrrp::{self, Event};
 use distribution::Distribution;
@@ -83,6 +84,9 @@
     /// Workers of the operator's file: the bus tells nothing of them.
     fixed: Vec<Member>,
     inbox: Rc<RefCell<Inbox>>,
+    /// When workers started, and whether the list of the configuration has been learned.
+    starts: StartTimes,
+    list_begun: bool,
     /// For what schedulers of one fleet must not do at one time.
     rng: Pcg64Mcg,
     bus_again: Option<Time>,
@@ -220,6 +224,8 @@
             pool,
             config,
             inbox,
+            starts: StartTimes::default(),
+            list_begun: false,
             rng: Pcg64Mcg::seed_from_u64(seed),
             bus_again,
             bus_id: None,
@@ -255,6 +261,7 @@
             inbox.news.push_back(news);
         }
         self.settle();
+        self.list_begun = true;
         match self.upgrade {
             None => self.open(),
             Some(_) => self.upgrade(handover::Event::Started),
--- a/src/daemon/bus.rs
+++ b/src/daemon/bus.rs
@@ -4,8 +4,10 @@
 use crate::backend::Endpoint;
 use crate::bus::{self, BusConnection, Inbox, News};
 use crate::interface::{ListKind, Member, State, Time};
+use crate::start_times::Clocks;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// Events of the bus whose sums are kept.
@@ -42,7 +44,7 @@
         self.bus_id = up;
     }
 
-    pub(super) fn learn(&mut self, now: Time, news: News) {
+    pub(super) fn learn(&mut self, now: Time, mut news: News) {
         if self.list_is_distributed() {
             return;
         }
@@ -50,14 +52,10 @@
             let listed: BTreeSet<_> = news.entries.iter().map(|entry| entry.member.worker).collect();
             let fixed: BTreeSet<_> = self.fixed.iter().map(|member| member.worker).collect();
             self.pool.retain(|worker| listed.contains(&worker) || fixed.contains(&worker));
+            self.starts.retain(|worker| listed.contains(&worker));
         }
-        for entry in &news.entries {
-            match entry.member.state {
-                State::Gone => self.pool.remove(entry.member.worker),
-                _ => {
-                    self.pool.place(entry.member.worker, Endpoint::Agent(entry.address), entry.member.started)
-                }
-            }
+        for entry in &mut news.entries {
+            self.place_agent(now, &mut entry.member, entry.address);
         }
         let mut members: Vec<Member> = news.entries.into_iter().map(|entry| entry.member).collect();
         if news.kind == ListKind::Full {
@@ -69,6 +67,20 @@
         self.source_changed(told);
     }
 
+    /// A node agent is there, or gone, as the list tells. Its start, told in Unix time, is put into the scheduler's own.
+    pub(super) fn place_agent(&mut self, now: Time, member: &mut Member, address: SocketAddr) {
+        if member.state == State::Gone {
+            self.starts.remove(member.worker);
+            return self.pool.remove(member.worker);
+        }
+        let clocks = Clocks { own: now, wall: self.reactor.wall() };
+        member.started = match self.list_begun {
+            true => self.starts.told_now(clocks, member.worker, member.started),
+            false => self.starts.begin_with(clocks, member.worker, member.started),
+        };
+        self.pool.place(member.worker, Endpoint::Agent(address), member.started);
+    }
+
     /// The bus has another address: the old one tells nothing more. The new one is asked at once, from the
     /// last event on, and the old connection's end is none of the new one's.
     pub(super) fn move_bus(&mut self, now: Time) {
--- a/src/daemon/distribution.rs
+++ b/src/daemon/distribution.rs
@@ -4,7 +4,6 @@
 mod publisher;
 
 use super::Daemon;
-use crate::backend::Endpoint;
 use crate::config::{self, Config};
 use crate::fleet::distribution::{
     self, Change, Check, Event, Interest, Key, Node, Output, Role, Setting, Topic, Value, Version,
@@ -289,17 +288,19 @@
         if first {
             let fixed: BTreeSet<_> = self.fixed.iter().map(|member| member.worker).collect();
             self.pool.retain(|worker| workers.contains_key(&worker.0) || fixed.contains(&worker));
+            self.starts.retain(|worker| workers.contains_key(&worker.0));
         }
         let mut members: Vec<Member> = Vec::with_capacity(workers.len());
         for (id, record) in workers {
             let worker = WorkerId(id);
             match record {
                 Some(record) => {
-                    let member = record.member(id);
-                    self.pool.place(worker, Endpoint::Agent(record.address), member.started);
+                    let mut member = record.member(id);
+                    self.place_agent(now, &mut member, record.address);
                     members.push(member);
                 }
                 None => {
+                    self.starts.remove(worker);
                     self.pool.remove(worker);
                     members.push(Member { worker, state: State::Gone, ..Member::default() });
                 }
@@ -437,7 +438,8 @@
 
     /// The record of a line of the own list; none for a checker of this host.
     fn worker_record(&self, member: &Member) -> Option<(Key, Value)> {
-        let record = WorkerRecord::of(member, self.pool.address(member.worker)?)?;
+        let told = Member { started: self.starts.told(member.worker), ..*member };
+        let record = WorkerRecord::of(&told, self.pool.address(member.worker)?)?;
         Some((Key::Worker(member.worker.0), Value::Worker(record)))
     }
 }
--- a/src/daemon/upgrade.rs
+++ b/src/daemon/upgrade.rs
@@ -1,6 +1,7 @@
 //! Upgrades: what the daemon does as an old and as a new process of its scheduler.
 
 use super::{Daemon, RESERVED, Router, descriptors, limit_memory, worker_limits};
+use crate::backend::Endpoint;
 use crate::bus::{self, News};
 use crate::config::{self, Config, Operator, Sources};
 use crate::front::socket::{self, SocketFile};
@@ -168,9 +169,7 @@
                 info!(door = if open { "open" } else { "shut" }, "upgrade");
                 self.door(open);
             }
-            Output::ByHand { worker, out, at } => {
-                self.core.by_hand_elsewhere(at.min(now), WorkerId(worker), out)
-            }
+            Output::ByHand { worker, out } => self.core.by_hand_elsewhere(now, WorkerId(worker), out),
             Output::Share(share) => {
                 self.share(share);
                 self.take_router();
@@ -247,9 +246,15 @@
     }
 
     fn known(&self) -> Known {
-        let line = |member: &Member| Some(Line::of(member, self.pool.address(member.worker)?));
+        let now = self.reactor.now();
+        let line = |member: &Member| {
+            let worker = member.worker;
+            let told = Member { started: self.starts.told(worker), ..*member };
+            Some(Line::of(&told, self.pool.address(worker)?, self.starts.age(now, worker)))
+        };
         Known {
             version: message::VERSION,
+            now: Some(now.0),
             name: self.config.name.clone(),
             offset: self.inbox.borrow().offset,
             list: self.core.list().filter_map(line).collect(),
@@ -261,7 +266,9 @@
 
     /// The old one's list is used where the bus's numbers mean the same to both, and it has heard as much.
     fn take_over(&mut self, now: Time, known: &Known) {
+        let known = &known.in_time_of(now);
         self.core.take_over(now, known);
+        self.take_starts_over(now, known);
         if let Some(upgrade) = &mut self.upgrade {
             upgrade.held = known.descriptors;
         }
@@ -279,6 +286,28 @@
         }
         info!(offset = known.offset, out = known.out.len(), "upgrade took over");
     }
+
+    /// Workers are as old as the old process has them: it may have heard of their starts by a clock that was right.
+    fn take_starts_over(&mut self, now: Time, known: &Known) {
+        let mut changed = vec![];
+        for line in &known.list {
+            let worker = line.member().worker;
+            let Some((told, age)) = line.start() else { continue };
+            let Some(member) = self.core.listed(worker).filter(|_| self.starts.told(worker) == Some(told))
+            else {
+                continue;
+            };
+            self.starts.take_over(now, worker, told, age);
+            let member = Member { started: Some(now - age), ..*member };
+            if let Some(address) = self.pool.address(worker) {
+                self.pool.place(worker, Endpoint::Agent(address), member.started);
+            }
+            changed.push(member);
+        }
+        if !changed.is_empty() {
+            self.core.members(now, ListKind::Delta, changed);
+        }
+    }
 }
 
 /// What to start with where the process that serves now has a configuration that the file must not replace: a
--- a/src/handover/message.rs
+++ b/src/handover/message.rs
@@ -29,7 +29,7 @@
         worker: u64,
         /// Out, or back.
         out: bool,
-        /// When.
+        /// When, in the time of whoever was called; others go by when they hear of it, for their clocks may differ.
         at: u64,
     },
 }
--- a/src/handover/message/tests.rs
+++ b/src/handover/message/tests.rs
@@ -6,7 +6,7 @@
     let member = Member { worker: WorkerId(7), started: Some(Time(5)), weight: 0.1, ..Member::default() };
     let known = Known {
         version: VERSION,
-        list: vec![Line::of(&member, "127.0.0.1:9".parse().unwrap())],
+        list: vec![Line::of(&member, "127.0.0.1:9".parse().unwrap(), None)],
         out: vec![7],
         back: vec![(8, 9)],
         ..Known::default()
@@ -24,7 +24,7 @@
         }
         assert_eq!(read(&bytes), Ok(Some((message, bytes.len()))));
     }
-    assert_eq!(Line::of(&member, "127.0.0.1:9".parse().unwrap()).member(), member);
+    assert_eq!(Line::of(&member, "127.0.0.1:9".parse().unwrap(), None).member(), member);
 }
 
 #[test]
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -70,8 +70,6 @@
         worker: u64,
         /// Out, or back.
         out: bool,
-        /// When.
-        at: Time,
     },
     /// Go by this many processes that share the limits.
     Share(usize),
@@ -240,7 +238,7 @@
             }
             Message::Serving if younger => self.shut(),
             Message::ByHand { worker, out, at } if (elder || younger) && self.serves() => {
-                let mut all = vec![Output::ByHand { worker, out, at: Time(at) }];
+                let mut all = vec![Output::ByHand { worker, out }];
                 all.extend(self.relay(Some(peer), Message::ByHand { worker, out, at }));
                 all
             }
--- a/src/handover/tests.rs
+++ b/src/handover/tests.rs
@@ -103,7 +103,7 @@
     );
     assert_eq!(
         middle.handle(NOW, Event::Heard(1, message.clone())),
-        [Output::ByHand { worker: 7, out: true, at: NOW }, Output::Say(2, message.clone())]
+        [Output::ByHand { worker: 7, out: true }, Output::Say(2, message.clone())]
     );
     assert!(
         matches!(serving().handle(NOW, Event::Heard(9, message))[..], [Output::Drop(9, _)]),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -90,6 +90,7 @@
 mod recent;
 mod rendezvous;
 pub mod settings;
+mod start_times;
 pub mod vrrp;
 
 pub use brain::Balancer;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -52,6 +52,12 @@
         Span(at.tv_sec as u64 * 1_000_000_000 + at.tv_nsec as u64)
     }
 
+    /// Unix time as the wall clock shows it now. It may be stepped at any time: only points in time from outside are
+    /// compared with it.
+    pub fn wall(&self) -> Time {
+        SystemClock::unix()
+    }
+
     /// The present time.
     pub fn now(&self) -> Time {
         let since = match self.start {
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -173,6 +173,11 @@
         self.clock.now()
     }
 
+    /// Unix time by the wall clock; see [`SystemClock::wall`].
+    pub fn wall(&self) -> Time {
+        self.clock.wall()
+    }
+
     /// Connections that stand or are coming up.
     pub fn count(&self) -> usize {
         self.entries.len()
