Take connections in one place, which comes back to a listener whatever accept fails with

Cause: accept_callers and accept_peers ended their loops at the first error, and epoll tells of those that wait only once, so the next in line waited until another came. Daemon::accept closed an idle client's connection at any error but ECONNABORTED, also where nothing was short, and had no bound: a flood of connections kept the loop. Change: src/daemon/accept.rs is the one loop for all four listeners. Errors that belong to the connection that was next (accept(2)) go on to the one behind it; others come back after 20 ms, and only a lack of descriptors or memory costs an idle client its place; 256 connections a turn at most, the rest in the next.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,5 +1,6 @@
 //! The daemon: the core with its fronts, back ends, bus, clock and signals round it.
 
+mod accept;
 mod bus;
 mod distribution;
 mod fleet;
@@ -11,13 +12,10 @@
 use crate::config::{self, Config, Operator, Sources, Until};
 use crate::core::{Command, Core};
 use crate::fleet::news::{Subject, Word};
-use crate::front::frames::{self, FrameConnection};
-use crate::front::jsonrpc::RpcConnection;
 use crate::front::socket::{self, SocketFile};
 use crate::handover;
 use crate::interface::{ListKind, Member, Span, Time};
-use crate::net::{Reactor, Signal, Stream, SystemClock, inherit};
-use crate::ops::{self, MgmtConnection};
+use crate::net::{Reactor, Signal, SystemClock, inherit};
 use crate::start_times::StartTimes;
 use crate::vrrp::packet::{Advertisement, LARGEST};
 use crate::vrrp::{self, Event};
@@ -44,8 +42,6 @@
 const LAST_WRITE: Span = Span::millis(2_200);
 /// So long after SIGTERM a request half read is still waited for, where a younger process takes the clients.
 const LAST_READ: Span = Span::millis(3_000);
-/// How soon clients are taken again where the system had no room for one.
-const ACCEPT_AGAIN: Span = Span::millis(20);
 /// Descriptors kept for the poll, the listeners, the pipes, the bus and the standard streams.
 const RESERVED: usize = 32;
 
@@ -98,7 +94,7 @@
     upgrade: Option<Upgrade>,
     /// Sums over the last events of the bus.
     sums: VecDeque<(u64, u64)>,
-    /// When to take clients again at listeners where the system had no room for one.
+    /// When to take clients again at listeners that may have more; see `accept`.
     accept_again: BTreeMap<usize, Time>,
     /// The listener of the second address, and those who call there, in the order they came.
     mgmt: Option<usize>,
@@ -277,9 +273,6 @@
             let until = until.chain(self.next_step()).chain(router).chain(met).chain(fleet).chain(last).min();
             for signal in self.reactor.turn(until, &mut self.core)? {
                 match signal {
-                    Signal::Client(listener) if self.mgmt == Some(listener) => self.accept_callers(listener),
-                    Signal::Client(listener) if self.meets_at(listener) => self.accept_peers(listener),
-                    Signal::Client(listener) if listener == self.door.0 && !self.door.1 => {}
                     Signal::Client(listener) => self.accept(listener),
                     Signal::Pipe(pipe) if pipe == self.pipes.end => self.begin_end(),
                     Signal::Pipe(pipe) if pipe == self.pipes.print => self.print(),
@@ -362,95 +355,11 @@
         }
     }
 
-    /// Listeners at which clients may still wait that could not be taken.
-    fn accept_late(&mut self) {
-        let now = self.reactor.now();
-        let due: Vec<usize> =
-            self.accept_again.iter().filter(|(_, at)| **at <= now).map(|(listener, _)| *listener).collect();
-        for listener in due {
-            self.accept_again.remove(&listener);
-            if listener != self.door.0 || self.door.1 {
-                self.accept(listener);
-            }
-        }
-    }
-
-    fn accept(&mut self, listener: usize) {
-        loop {
-            // Clients hold a third of the descriptors at most; what workers need is kept free.
-            let budget = self.descriptors();
-            let room = self.reactor.count() < budget - budget / 8;
-            match self.reactor.accept(listener) {
-                Ok(Some(stream)) if room || self.reactor.shed_idle(&mut self.core) => {
-                    let now = self.reactor.now();
-                    if self.rpc.as_ref().is_some_and(|(number, _)| *number == listener) {
-                        self.accept_rpc(now, stream);
-                        continue;
-                    }
-                    let connection = Box::new(FrameConnection::new(now));
-                    self.reactor.add(stream, connection, true, frames::LIMITS, &mut self.core);
-                }
-                Ok(Some(_)) if !self.core.may_log(self.reactor.now()) => {}
-                Ok(Some(_)) => warn!(why = "no descriptors left", "accept dropped"),
-                Ok(None) => return,
-                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
-                Err(e) => {
-                    // The system tells of those that wait only once.
-                    self.accept_again.insert(listener, self.reactor.now() + ACCEPT_AGAIN);
-                    if self.core.may_log(self.reactor.now()) {
-                        warn!(why = %e, "accept failed");
-                    }
-                    let _ = self.reactor.shed_idle(&mut self.core);
-                    return;
-                }
-            }
-        }
-    }
-
-    /// Callers at the second address come in whatever clients do, for their descriptors are reserved. Where all
-    /// places are taken, whoever came first and has completed nothing yet makes room.
-    fn accept_callers(&mut self, listener: usize) {
-        while let Ok(Some(stream)) = self.reactor.accept(listener) {
-            let reactor = &self.reactor;
-            self.callers.retain(|id| reactor.look(*id, |_| ()).is_some());
-            if self.callers.len() >= ops::CALLERS
-                && let Some(first) = self.callers.pop_front()
-            {
-                self.reactor.end(first, &mut self.core);
-            }
-            let connection = Box::new(MgmtConnection::new(self.reactor.now()));
-            self.callers.extend(self.reactor.add(stream, connection, true, ops::LIMITS, &mut self.core));
-        }
-    }
-
     fn print(&mut self) {
         info!("figures {}", self.core.figures().to_string().trim_end().replace('\n', " "));
         info!("{}", self.core.counters());
     }
 
-    fn accept_rpc(&mut self, now: Time, stream: Stream) {
-        let Some(front) = &self.operator.jsonrpc else { return };
-        let reactor = &mut self.reactor;
-        self.rpc_clients.retain(|id| reactor.look(*id, |_| ()).is_some());
-        if self.rpc_clients.len() >= front.max_clients {
-            // The one that has held its place longest without anything open makes room, if there is one.
-            let idle = |id: &u64| Some((reactor.look(*id, |connection| connection.idle())??, *id));
-            if let Some((_, id)) = self.rpc_clients.iter().filter_map(idle).min() {
-                reactor.end(id, &mut self.core);
-                self.rpc_clients.remove(&id);
-            }
-        }
-        if self.rpc_clients.len() >= front.max_clients && !self.core.may_log(now) {
-            return;
-        }
-        if self.rpc_clients.len() >= front.max_clients {
-            return warn!(why = "max_clients", "accept dropped");
-        }
-        let connection = Box::new(RpcConnection::new(now, front.max_line));
-        let limits = RpcConnection::limits(front.max_line);
-        self.rpc_clients.extend(reactor.add(stream, connection, true, limits, &mut self.core));
-    }
-
     // ---- VRRP
 
     fn vrrp(&mut self, event: Event) {
--- /dev/null
+++ b/src/daemon/accept.rs
@@ -0,0 +1,164 @@
+//! Connections that come in, at any listener: the clients', the second front's, the second address and the meeting place
+//! of an upgrade.
+//!
+//! The system tells once that somebody waits at a listener, so whoever stops taking them before it says that there are no
+//! more has to come back by itself. [`Daemon::accept`] is the one place that does either.
+
+use super::Daemon;
+use crate::front::frames::{self, FrameConnection};
+use crate::front::jsonrpc::RpcConnection;
+use crate::interface::{Span, Time};
+use crate::net::Stream;
+use crate::ops::{self, MgmtConnection};
+use rustix::io::Errno;
+use std::io;
+use tracing::warn;
+
+/// Connections taken at one listener in one turn of the loop: a flood of them must not keep calls waiting.
+const TURN: usize = 256;
+/// How soon a listener is asked again where the system did not hand out a connection.
+const AGAIN: Span = Span::millis(20);
+
+/// What a failed `accept` is about.
+#[derive(Debug, PartialEq, Eq)]
+enum AcceptFailure {
+    /// The connection that was next, or a signal: the one behind it can be had.
+    Connection,
+    /// Descriptors or memory are short.
+    NoRoom,
+    /// Something else, which may pass.
+    Other,
+}
+
+impl AcceptFailure {
+    /// As accept(2) tells them apart.
+    fn of(error: &io::Error) -> AcceptFailure {
+        match Errno::from_io_error(error) {
+            Some(
+                Errno::CONNABORTED
+                | Errno::INTR
+                | Errno::PERM
+                | Errno::NETDOWN
+                | Errno::PROTO
+                | Errno::NOPROTOOPT
+                | Errno::HOSTDOWN
+                | Errno::NONET
+                | Errno::HOSTUNREACH
+                | Errno::OPNOTSUPP
+                | Errno::NETUNREACH
+                | Errno::TIMEDOUT,
+            ) => AcceptFailure::Connection,
+            Some(Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM) => AcceptFailure::NoRoom,
+            _ => AcceptFailure::Other,
+        }
+    }
+}
+
+impl Daemon {
+    /// Takes those that wait at a listener, until the system has no more of them, or arranges to come back.
+    pub(super) fn accept(&mut self, listener: usize) {
+        if listener == self.door.0 && !self.door.1 {
+            return;
+        }
+        for _ in 0..TURN {
+            match self.reactor.accept(listener) {
+                Ok(Some(stream)) => self.admit(listener, stream),
+                Ok(None) => return,
+                Err(e) => match AcceptFailure::of(&e) {
+                    AcceptFailure::Connection => {}
+                    failure => return self.accept_later(listener, &failure, &e),
+                },
+            }
+        }
+        self.accept_again.insert(listener, self.reactor.now());
+    }
+
+    fn accept_later(&mut self, listener: usize, failure: &AcceptFailure, error: &io::Error) {
+        let now = self.reactor.now();
+        self.accept_again.insert(listener, now + AGAIN);
+        if self.core.may_log(now) {
+            warn!(why = %error, "accept failed");
+        }
+        if *failure == AcceptFailure::NoRoom {
+            self.reactor.shed_idle(&mut self.core);
+        }
+    }
+
+    /// Asks those listeners again whose time has come.
+    pub(super) fn accept_late(&mut self) {
+        let now = self.reactor.now();
+        let due: Vec<usize> =
+            self.accept_again.iter().filter(|(_, at)| **at <= now).map(|(listener, _)| *listener).collect();
+        for listener in due {
+            self.accept_again.remove(&listener);
+            self.accept(listener);
+        }
+    }
+
+    fn admit(&mut self, listener: usize, stream: Stream) {
+        if self.mgmt == Some(listener) {
+            return self.admit_caller(stream);
+        }
+        if self.meets_at(listener) {
+            return self.admit_peer(stream);
+        }
+        // Clients hold a third of the descriptors at most; what workers need is kept free.
+        let budget = self.descriptors();
+        let room = self.reactor.count() < budget - budget / 8;
+        if room || self.reactor.shed_idle(&mut self.core) {
+            return self.admit_client(listener, stream);
+        }
+        if self.core.may_log(self.reactor.now()) {
+            warn!(why = "no descriptors left", "accept dropped");
+        }
+    }
+
+    fn admit_client(&mut self, listener: usize, stream: Stream) {
+        let now = self.reactor.now();
+        if self.rpc.as_ref().is_some_and(|(number, _)| *number == listener) {
+            return self.admit_rpc(now, stream);
+        }
+        let connection = Box::new(FrameConnection::new(now));
+        self.reactor.add(stream, connection, true, frames::LIMITS, &mut self.core);
+    }
+
+    /// Callers at the second address come in whatever clients do, for their descriptors are reserved. Where all
+    /// places are taken, whoever came first and has completed nothing yet makes room.
+    fn admit_caller(&mut self, stream: Stream) {
+        let reactor = &self.reactor;
+        self.callers.retain(|id| reactor.look(*id, |_| ()).is_some());
+        if self.callers.len() >= ops::CALLERS
+            && let Some(first) = self.callers.pop_front()
+        {
+            self.reactor.end(first, &mut self.core);
+        }
+        let connection = Box::new(MgmtConnection::new(self.reactor.now()));
+        self.callers.extend(self.reactor.add(stream, connection, true, ops::LIMITS, &mut self.core));
+    }
+
+    fn admit_rpc(&mut self, now: Time, stream: Stream) {
+        let Some(front) = &self.operator.jsonrpc else { return };
+        let reactor = &mut self.reactor;
+        self.rpc_clients.retain(|id| reactor.look(*id, |_| ()).is_some());
+        if self.rpc_clients.len() >= front.max_clients {
+            // The one that has held its place longest without anything open makes room, if there is one.
+            let idle = |id: &u64| Some((reactor.look(*id, |connection| connection.idle())??, *id));
+            if let Some((_, id)) = self.rpc_clients.iter().filter_map(idle).min() {
+                reactor.end(id, &mut self.core);
+                self.rpc_clients.remove(&id);
+            }
+        }
+        if self.rpc_clients.len() >= front.max_clients && !self.core.may_log(now) {
+            return;
+        }
+        if self.rpc_clients.len() >= front.max_clients {
+            return warn!(why = "max_clients", "accept dropped");
+        }
+        let connection = Box::new(RpcConnection::new(now, front.max_line));
+        let limits = RpcConnection::limits(front.max_line);
+        self.rpc_clients.extend(reactor.add(stream, connection, true, limits, &mut self.core));
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/daemon/upgrade.rs
+++ b/src/daemon/upgrade.rs
@@ -8,7 +8,7 @@
 use crate::handover::message::{self, Known, Line, Message};
 use crate::handover::{self, Mailbox, Output, PeerConnection};
 use crate::interface::{ListKind, Member, Time, WorkerId};
-use crate::net::ControlFlow;
+use crate::net::{ControlFlow, Stream};
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::io;
@@ -99,21 +99,16 @@
         own.is_some_and(|(number, _)| *number == listener)
     }
 
-    pub(super) fn accept_peers(&mut self, listener: usize) {
-        while let (Some(upgrade), Ok(Some(stream))) = (&mut self.upgrade, self.reactor.accept(listener)) {
-            upgrade.peers.retain(|id| self.reactor.look(*id, |_| ()).is_some());
-            if upgrade.peers.len() >= PEERS {
-                continue;
-            }
-            let connection = Box::new(PeerConnection::new(upgrade.mailbox.clone(), false));
-            upgrade.peers.extend(self.reactor.add(
-                stream,
-                connection,
-                true,
-                handover::LIMITS,
-                &mut self.core,
-            ));
+    /// A process that comes to meet this one; one too many finds its connection closed.
+    pub(super) fn admit_peer(&mut self, stream: Stream) {
+        let Some(upgrade) = &mut self.upgrade else { return };
+        upgrade.peers.retain(|id| self.reactor.look(*id, |_| ()).is_some());
+        if upgrade.peers.len() >= PEERS {
+            return;
         }
+        let connection = Box::new(PeerConnection::new(upgrade.mailbox.clone(), false));
+        let peer = self.reactor.add(stream, connection, true, handover::LIMITS, &mut self.core);
+        upgrade.peers.extend(peer);
     }
 
     /// Tells the machine what has happened, and what waits for it, and does what it says.
