--- a/tests/faults/connections.rs
+++ b/tests/faults/connections.rs
@@ -1,8 +1,18 @@
 //! Connections that cannot be made, calls on them that are interrupted or move little, and breaks of every name.
 
 use crate::rig::*;
-use crate::{EADDRNOTAVAIL, EINTR, ENETUNREACH, ENFILE, ENOBUFS, faulty, is_served, plain};
+use crate::{
+    EADDRNOTAVAIL, ECONNRESET, EHOSTUNREACH, EINTR, EIO, ENETUNREACH, ENFILE, ENOBUFS, ETIMEDOUT, faulty,
+    is_served, plain,
+};
 use lab::faults::{ALWAYS, Call, SHORT};
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, channel};
+use std::thread;
 use std::time::{Duration, Instant};
 
 /// Connections cannot be made for a while: what was called meanwhile has its answer within its time, and what is called
@@ -62,3 +72,103 @@
         is_served(&mut client, stream);
     }
 }
+
+/// An answer has come whole, and the connection is found broken in the same turn, by whatever name: the answer counts.
+#[test]
+fn an_answer_that_came_before_its_connection_broke_is_passed_on() {
+    for errno in [ECONNRESET, ETIMEDOUT, EHOSTUNREACH, ENETUNREACH, EIO] {
+        let worker = Worker::agent();
+        let daemon = faulty(&[&worker], settings());
+        let mut client = Frames::connect(daemon.listen);
+        client.send(&plain(1));
+        let mut heard = worker.next();
+        daemon.signal("STOP");
+        let line = json!({"verb": "200", "rid": heard.name(), "content": "eA==", "attrs": {}}).to_string();
+        heard.raw(format!("{line}\n").as_bytes());
+        thread::sleep(Duration::from_millis(20));
+        daemon.faults().fail_after(Call::Read, 1, errno, 1).unwrap();
+        daemon.signal("CONT");
+        is_served(&mut client, 1);
+        assert_eq!(daemon.faults().injected(Call::Read).unwrap(), 1, "errno {errno}");
+        assert!(worker.quiet(), "errno {errno}: it was sent again though its answer had come");
+    }
+}
+
+/// A node agent that reads nothing until it is told to, with little room in its system's buffers.
+struct SlowReader {
+    at: SocketAddr,
+    reads: Arc<AtomicBool>,
+    /// Whole lines, and when each was read.
+    lines: Receiver<(Value, Instant)>,
+}
+
+impl SlowReader {
+    fn start() -> SlowReader {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        rustix::net::sockopt::set_socket_recv_buffer_size(&listener, 4_096).unwrap();
+        let (at, reads) = (listener.local_addr().unwrap(), Arc::new(AtomicBool::new(false)));
+        let (send, lines) = channel();
+        let told = reads.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (stream, told, send) = (stream.unwrap(), told.clone(), send.clone());
+                thread::spawn(move || {
+                    while !told.load(Ordering::Acquire) {
+                        thread::sleep(Duration::from_millis(1));
+                    }
+                    let mut answers = stream.try_clone().unwrap();
+                    for line in BufReader::new(stream).split(b'\n').map_while(Result::ok) {
+                        // A line that was cut off has no end, and is no command.
+                        let Ok(line) = serde_json::from_slice::<Value>(&line) else { return };
+                        let answer =
+                            json!({"verb": "200", "rid": line["rid"], "content": "eA==", "attrs": {}});
+                        let _ = answers.write_all(format!("{answer}\n").as_bytes());
+                        if send.send((line, Instant::now())).is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        SlowReader { at, reads, lines }
+    }
+}
+
+/// A command that could not be handed to the system whole tells the worker what its client had left when it was made. It
+/// does not arrive later than the slack allows: it is taken back, and the call goes out anew.
+#[test]
+fn a_command_that_waits_for_room_does_not_arrive_with_a_stale_time() {
+    let (bus, slow) = (Bus::new(), SlowReader::start());
+    let mut settings = settings();
+    settings["fleetSize"] = json!(100);
+    let daemon = Daemon::faulty(&[], settings, Some(bus.0.local_addr().unwrap()), |_| String::new(), 0);
+    daemon.faults().fail(Call::Socket, SHORT, ALWAYS).unwrap();
+    let (mut bus, _) = bus.accept();
+    bus.write_all(&change(2, 9, slow.at, 0, 0)).unwrap();
+    daemon.wait_counter("list_events", 2);
+    let mut client = Frames::connect(daemon.listen);
+    let sent = Instant::now();
+    for stream in 1..=20 {
+        let reference = format!("{stream:016x}");
+        client.send(&frame(0, stream, &call("practice-check", &reference, 3_000, &[7; 16 << 10])));
+    }
+    thread::sleep(Duration::from_millis(300));
+    // These the system has: nothing can take them back.
+    let gone = daemon.counter("sent");
+    assert!(gone < 20, "the system took all: the worker's buffers are too large for this test");
+    thread::sleep(Duration::from_millis(500));
+    slow.reads.store(true, Ordering::Release);
+    let mut late = 0;
+    let mut read = 0;
+    while let Ok((line, at)) = slow.lines.recv_timeout(Duration::from_millis(500)) {
+        read += u64::from(line["verb"] == "go");
+        if line["verb"] != "go" || read <= gone {
+            continue;
+        }
+        let left = 3_000u64.saturating_sub((at - sent).as_millis() as u64);
+        let told = line["attrs"]["ttl"].as_u64().unwrap();
+        late += u64::from(told > left + 150);
+    }
+    assert!(read > 0);
+    assert_eq!(late, 0, "of {read} commands, {gone} of which the system had");
+}
--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -3,6 +3,7 @@
 
 mod accept;
 mod connections;
+mod datagrams;
 #[path = "../rig/mod.rs"]
 mod rig;
 
@@ -10,13 +11,17 @@
 use serde_json::Value;
 
 pub(crate) const EINTR: u64 = 4;
+pub(crate) const EIO: u64 = 5;
 pub(crate) const ENFILE: u64 = 23;
 pub(crate) const EPROTO: u64 = 71;
 pub(crate) const EADDRNOTAVAIL: u64 = 99;
 pub(crate) const ENETDOWN: u64 = 100;
 pub(crate) const ENETUNREACH: u64 = 101;
 pub(crate) const ECONNABORTED: u64 = 103;
+pub(crate) const ECONNRESET: u64 = 104;
 pub(crate) const ENOBUFS: u64 = 105;
+pub(crate) const ETIMEDOUT: u64 = 110;
+pub(crate) const EHOSTUNREACH: u64 = 113;
 
 /// What accept, socket and connect may fail with for a moment.
 pub(crate) const MOMENTARY: [u64; 8] =
