Test a folder that takes no writes for a while; the test fails

Seen: with ENOSPC or EIO while a reload is put in force, the good configuration is not kept for the next process, and nothing tries again: a new version that comes while a broken file is in place starts with the configuration before that.

--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -4,6 +4,7 @@
 mod accept;
 mod connections;
 mod datagrams;
+mod files;
 #[path = "../rig/mod.rs"]
 mod rig;
 
@@ -13,6 +14,7 @@
 pub(crate) const EINTR: u64 = 4;
 pub(crate) const EIO: u64 = 5;
 pub(crate) const ENFILE: u64 = 23;
+pub(crate) const ENOSPC: u64 = 28;
 pub(crate) const EPROTO: u64 = 71;
 pub(crate) const EADDRNOTAVAIL: u64 = 99;
 pub(crate) const ENETDOWN: u64 = 100;
