Write the configuration for the next process again until the folder takes it

Cause: Daemon::keep gave its text away before it was written, so a write that failed (ENOSPC, EIO) left nothing to write. Change: the text is kept until it stands in the folder, and written again every half second; logged once.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -265,7 +265,7 @@
         loop {
             let met = self.upgrade.as_ref().and_then(|upgrade| upgrade.machine.due());
             let router = self.router.as_ref().and_then(|router| router.machine.due());
-            let until = self.core.next_due().into_iter().chain(self.bus_again);
+            let until = self.core.next_due().into_iter().chain(self.bus_again).chain(self.keep_due());
             let fleet = self.fleet_due().into_iter().chain(self.distribution_due());
             // Before the end, what has come in the meantime is looked for once more.
             let last = self.ended().then(|| self.reactor.now());
@@ -284,6 +284,7 @@
                 }
             }
             self.accept_late();
+            self.keep_late();
             self.vrrp(Event::Timer);
             self.take_fleet();
             self.tell_demand();
--- a/src/daemon/upgrade.rs
+++ b/src/daemon/upgrade.rs
@@ -7,7 +7,7 @@
 use crate::front::socket::{self, SocketFile};
 use crate::handover::message::{self, Known, Line, Message};
 use crate::handover::{self, Mailbox, Output, PeerConnection};
-use crate::interface::{ListKind, Member, Time, WorkerId};
+use crate::interface::{ListKind, Member, Span, Time, WorkerId};
 use crate::net::{ControlFlow, Stream};
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -19,6 +19,8 @@
 
 /// Descriptors that a process goes on needing beside those it holds when another comes.
 const SPARE: usize = 8;
+/// How soon the configuration is written again where the folder did not take it.
+const KEEP_AGAIN: Span = Span::millis(500);
 /// Connections that may stand at the meeting place.
 const PEERS: usize = 4;
 
@@ -31,6 +33,8 @@
     listener: Option<(usize, SocketFile)>,
     /// Where the last good configuration is kept for the next one.
     kept: PathBuf,
+    /// When to try again to keep it.
+    keep_again: Option<Time>,
     peers: Vec<u64>,
     /// How many share the limits; meanwhile, the descriptors that connections of this one may take.
     share: usize,
@@ -49,6 +53,7 @@
             mailbox: Rc::default(),
             path: meeting_place(name),
             kept: kept_place(name),
+            keep_again: None,
             listener: None,
             peers: vec![],
             share: 1,
@@ -200,18 +205,38 @@
 
     /// Keeps the configuration in use, in case another process starts while a broken file is in place.
     pub(super) fn keep(&mut self) {
-        let Some(upgrade) = self.upgrade.as_ref().filter(|upgrade| upgrade.machine.serves()) else { return };
-        let new = upgrade.kept.with_extension("new");
-        let text = std::mem::take(&mut self.config.text);
+        let now = self.reactor.now();
+        let Some(upgrade) = self.upgrade.as_mut().filter(|upgrade| upgrade.machine.serves()) else { return };
+        let first = upgrade.keep_again.take().is_none();
+        let text = &mut self.config.text;
         if text.is_empty() {
             return;
         }
-        let kept = std::fs::write(&new, &text).and_then(|()| std::fs::rename(&new, &upgrade.kept));
-        if let Err(e) = kept {
-            warn!(why = %e, "upgrade configuration not kept");
+        let new = upgrade.kept.with_extension("new");
+        match std::fs::write(&new, &text).and_then(|()| std::fs::rename(&new, &upgrade.kept)) {
+            Ok(()) => *text = vec![],
+            Err(e) => {
+                upgrade.keep_again = Some(now + KEEP_AGAIN);
+                if first {
+                    warn!(why = %e, "upgrade configuration not kept");
+                }
+            }
         }
     }
 
+    /// Tries again to keep the configuration, where the folder did not take it.
+    pub(super) fn keep_late(&mut self) {
+        let now = self.reactor.now();
+        if self.keep_due().is_some_and(|at| at <= now) {
+            self.keep();
+        }
+    }
+
+    /// When [`Daemon::keep_late`] has something to do.
+    pub(super) fn keep_due(&self) -> Option<Time> {
+        self.upgrade.as_ref()?.keep_again
+    }
+
     /// The address of the virtual router is free once the old process has gone. Whoever is active has to be found at
     /// the second front's socket file, so that comes first.
     fn take_router(&mut self) {
