Check what always holds while running, and tell of each call, attempt and close on request

src/core/invariants.rs checks, after every event, that calls, attempts and orders begun are those ended and open, and, as an attempt or order goes out, that its gate was asked, that its client is there, its time is not over, and that what may have run goes out again only as its class allows. A violation is counted, logged with the request's name, and shown as scheduler.violations (absent while 0).

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -111,6 +111,9 @@
     /// One scheduler of a rehearsal.
     #[command(hide = true)]
     Scheduler {
+        /// Writes what becomes of each call too.
+        #[arg(long)]
+        trace: bool,
         /// The operator's file.
         #[arg(long)]
         operator: PathBuf,
@@ -139,7 +142,7 @@
         }
         What::Scale(options) => scale::run(&options).map(|()| true),
         What::ScalePart { part } => scale::run_part(part).map(|()| true),
-        What::Scheduler { operator } => serve(operator).map(|()| true),
+        What::Scheduler { trace, operator } => serve(operator, trace).map(|()| true),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
@@ -189,7 +192,7 @@
     Ok(well)
 }
 
-fn serve(operator: PathBuf) -> Result<(), String> {
-    mintgate::log::start(mintgate::log::Form::Lines);
+fn serve(operator: PathBuf, trace: bool) -> Result<(), String> {
+    mintgate::log::start(mintgate::log::Form::Lines, trace);
     Sources::of_environment(Some(operator)).and_then(mintgate::daemon::start)
 }
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -12,7 +12,7 @@
 
 pub use crate::call::Job;
 use crate::call::{
-    AttemptId, AttemptProgress, Broken, Fenced, LoadReport, LoadResult, OrderId, ProbeId, Reply,
+    AttemptId, AttemptProgress, Broken, CloseCause, Fenced, LoadReport, LoadResult, OrderId, ProbeId, Reply,
     RequestPayload,
 };
 use crate::interface::{FunctionId, Span, Time};
@@ -377,6 +377,10 @@
 }
 
 impl Connection for WorkerConnection {
+    fn kind(&self) -> &'static str {
+        "worker"
+    }
+
     fn opened(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
         self.connect_by = None;
         self.idle_since = context.now;
@@ -392,10 +396,14 @@
             from = searched + end + 1;
             searched = from;
             if self.line(&line, context) == ControlFlow::Close {
+                link.close_for(CloseCause::Unreadable);
                 return ControlFlow::Close;
             }
         }
         link.used(from);
+        if link.inbox.len() > LINE {
+            link.close_for(CloseCause::Unreadable);
+        }
         if link.inbox.len() > LINE || link.ended {
             return ControlFlow::Close;
         }
@@ -448,6 +456,11 @@
         }
         let late = self.connect_by.into_iter().chain(self.line_by()).any(|by| by <= context.now);
         let idle = self.idle().is_some_and(|since| since + self.limits.idle <= context.now);
+        if late || idle {
+            let up = self.connect_by.is_none();
+            let in_time = if late { CloseCause::Unreadable } else { CloseCause::Idle };
+            link.close_for(if up { in_time } else { CloseCause::NotConnected });
+        }
         if late || idle { ControlFlow::Close } else { ControlFlow::Continue }
     }
 
--- a/src/bus.rs
+++ b/src/bus.rs
@@ -1,5 +1,6 @@
 //! The event bus: a pure codec, and the connection that follows the list of workers.
 
+use crate::call::CloseCause;
 use crate::interface::*;
 use crate::net::{Connection, Context, ControlFlow, Link};
 use rand_core::RngCore;
@@ -149,6 +150,10 @@
 }
 
 impl Connection for BusConnection {
+    fn kind(&self) -> &'static str {
+        "bus"
+    }
+
     fn opened(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
         self.silent_at = context.now + SILENCE;
         link.put(&self.inbox.borrow().offset.to_be_bytes());
@@ -172,6 +177,7 @@
                     if skips && inbox.skipped.replace(news.offset) != Some(news.offset) {
                         context.core.counters().unreadable += 1;
                         tracing::warn!(why = "an event is left out", "bus unreadable");
+                        link.close_for(CloseCause::Unreadable);
                         return ControlFlow::Close;
                     }
                     inbox.offset = news.offset;
@@ -180,6 +186,7 @@
                 Err(why) => {
                     context.core.counters().unreadable += 1;
                     tracing::warn!(why, "bus unreadable");
+                    link.close_for(CloseCause::Unreadable);
                     return ControlFlow::Close;
                 }
             }
@@ -188,9 +195,10 @@
         if link.ended { ControlFlow::Close } else { ControlFlow::Continue }
     }
 
-    fn due(&mut self, _link: &mut Link, context: &mut Context) -> ControlFlow {
+    fn due(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
         if self.silent_at <= context.now {
             tracing::warn!("bus silent");
+            link.close_for(if link.is_up() { CloseCause::Silent } else { CloseCause::NotConnected });
             return ControlFlow::Close;
         }
         ControlFlow::Continue
--- a/src/call.rs
+++ b/src/call.rs
@@ -102,6 +102,17 @@
     Answered,
 }
 
+impl AttemptProgress {
+    /// What a break there means to the module.
+    pub fn status(self) -> Status {
+        match self {
+            AttemptProgress::NotSent | AttemptProgress::PartlyWritten => Status::ConnectFailed,
+            AttemptProgress::Out => Status::Reset,
+            AttemptProgress::Answered => Status::Error,
+        }
+    }
+}
+
 /// An attempt or order that ended without a usable answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Broken {
@@ -162,6 +173,17 @@
     Failed,
 }
 
+impl Verdict {
+    /// Its name in log lines.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Verdict::Served(_) => "served",
+            Verdict::Refused { .. } => "refused",
+            Verdict::Failed => "failed",
+        }
+    }
+}
+
 /// The one final answer of a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Answer {
@@ -171,6 +193,33 @@
     pub expired: bool,
 }
 
+/// Why a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseCause {
+    /// The other side closed it, or the half on which it writes.
+    Ended,
+    /// Reading or writing failed: it was reset, or the way there is gone.
+    Broken,
+    /// It never came up.
+    NotConnected,
+    /// Nothing was open on it for its time.
+    Idle,
+    /// It was idle, and its place was needed.
+    MadeRoom,
+    /// Output waited that nobody read, beyond what may wait in memory.
+    Clogged,
+    /// What came could not be read, or did not come whole in its time.
+    Unreadable,
+    /// Nothing came, though something should have.
+    Silent,
+    /// It had said what it was there for.
+    Finished,
+    /// It was ended from outside: what it leads to is another thing now, or its place goes to somebody else.
+    Replaced,
+    /// A fault in this program, caught.
+    Fault,
+}
+
 /// A command for a worker, waiting for its turn on a connection.
 #[derive(Clone, Debug)]
 pub enum Job {
--- a/src/core/command.rs
+++ b/src/core/command.rs
@@ -105,6 +105,8 @@
     pub(super) decided: Time,
     pub(super) deadline: Time,
     pub(super) written: Option<Time>,
+    /// A gate has let it pass.
+    pub(super) asked: bool,
 }
 
 pub(super) struct Order {
@@ -112,6 +114,8 @@
     pub(super) function: FunctionId,
     pub(super) copies: u8,
     pub(super) decided: Time,
+    /// A gate has let it pass.
+    pub(super) asked: bool,
 }
 
 pub(super) struct Probe {
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -1,7 +1,7 @@
 //! What the scheduler counts: taken in, sent, answered.
 
 use super::figures::Ends;
-use crate::call::Verdict;
+use crate::call::{CloseCause, Verdict};
 use crate::interface::Status;
 use std::collections::BTreeMap;
 use std::fmt;
@@ -53,6 +53,20 @@
     chains_stopped,
     /// Chains of which a step was refused or failed.
     chains_failed,
+    /// Calls refused because too many are open, or their bodies take too much memory.
+    refused_full,
+    /// Calls refused because this process ends.
+    refused_ending,
+    /// Calls refused because their time was over when they came.
+    refused_late,
+    /// Calls refused because a new configuration has dropped their class.
+    refused_class,
+    /// Calls refused by the decisions: no worker could be asked, or asked again, in time.
+    refused_unplaced,
+    /// Attempts begun; each ends in one of the ways below, or is out.
+    attempts,
+    /// Those of them that were not the first of their call.
+    retries,
     /// Attempts written whole to a worker.
     sent,
     /// Attempts that ended well.
@@ -73,6 +87,10 @@
     moot,
     /// Attempts that found the function missing.
     miss,
+    /// Orders to load begun, and ended.
+    orders_begun,
+    /// See above.
+    orders_ended,
     /// Orders to load that were written.
     orders,
     /// Orders to load held back by the ration when they were about to be written.
@@ -89,6 +107,28 @@
     accepted,
     /// Connections opened to workers.
     opened,
+    /// Connections that the other side ended.
+    closed_ended,
+    /// Connections of which a read or write failed.
+    closed_broken,
+    /// Connections that never came up.
+    closed_not_connected,
+    /// Connections closed for being idle.
+    closed_idle,
+    /// Idle connections closed because their place was needed.
+    closed_made_room,
+    /// Connections closed because output that nobody read took too much memory.
+    closed_clogged,
+    /// Connections closed for what came, or did not come whole.
+    closed_unreadable,
+    /// Connections closed for silence.
+    closed_silent,
+    /// Connections that had said what they were there for.
+    closed_finished,
+    /// Connections ended from outside, for something else has taken their place.
+    closed_replaced,
+    /// Connections ended by a caught panic.
+    closed_fault,
     /// Client connections ended for malformed input.
     malformed,
     /// Log lines about clients left out because too many came in one second.
@@ -126,6 +166,24 @@
         }
     }
 
+    /// Counts the end of a connection.
+    pub fn close(&mut self, cause: CloseCause) {
+        let counter = match cause {
+            CloseCause::Ended => &mut self.closed_ended,
+            CloseCause::Broken => &mut self.closed_broken,
+            CloseCause::NotConnected => &mut self.closed_not_connected,
+            CloseCause::Idle => &mut self.closed_idle,
+            CloseCause::MadeRoom => &mut self.closed_made_room,
+            CloseCause::Clogged => &mut self.closed_clogged,
+            CloseCause::Unreadable => &mut self.closed_unreadable,
+            CloseCause::Silent => &mut self.closed_silent,
+            CloseCause::Finished => &mut self.closed_finished,
+            CloseCause::Replaced => &mut self.closed_replaced,
+            CloseCause::Fault => &mut self.closed_fault,
+        };
+        *counter += 1;
+    }
+
     /// Counts the end of an attempt.
     pub fn end(&mut self, status: Status) {
         let counter = match status {
--- a/src/core/ends.rs
+++ b/src/core/ends.rs
@@ -11,11 +11,15 @@
 impl Core {
     /// An attempt has been handed to the system whole.
     pub fn written(&mut self, now: Time, attempt: AttemptId) {
+        self.check_written(now, attempt);
         let Some(entry) = self.attempts.get_mut(&attempt) else { return };
         entry.written = Some(now);
+        let worker = entry.worker.0;
         self.counters.sent += 1;
         if let Some(taken) = self.requests.get_mut(&attempt.request) {
             taken.first_out.get_or_insert((attempt.number, now));
+            let reference = &taken.work.reference;
+            tracing::debug!(%reference, attempt = attempt.number, worker, "attempt written");
         }
     }
 
@@ -24,7 +28,7 @@
         if !self.attempts.contains_key(&id) {
             return;
         }
-        let mut body = None;
+        let (mut body, mut cause) = (None, "answer");
         let status = match end {
             Ok(reply) => {
                 let status = reply.status();
@@ -33,13 +37,13 @@
                 }
                 status
             }
-            Err(broken) => match broken.reached {
-                AttemptProgress::NotSent | AttemptProgress::PartlyWritten => Status::ConnectFailed,
-                AttemptProgress::Out => Status::Reset,
-                AttemptProgress::Answered => Status::Error,
-            },
+            Err(broken) => {
+                cause = broken.cause;
+                broken.reached.status()
+            }
         };
         self.counters.end(status);
+        self.trace_end(id, status, cause);
         if let Some(taken) = self.requests.get_mut(&id.request)
             && status.never_ran()
             && taken.first_out.is_some_and(|(number, _)| number == id.number)
@@ -67,6 +71,7 @@
     pub fn attempt_held(&mut self, now: Time, id: AttemptId) {
         if self.attempts.contains_key(&id) {
             self.counters.end(Status::Moot);
+            self.trace_end(id, Status::Moot, "held back");
             self.end_attempt(now, id, Status::Moot);
             self.settle(now);
         }
@@ -74,14 +79,9 @@
 
     /// An order to load has ended at its worker, or broke on the way.
     pub fn order_ended(&mut self, now: Time, id: OrderId, end: Result<LoadResult, Broken>) {
-        let standing = end.unwrap_or_else(|broken| {
-            let status = match broken.reached {
-                AttemptProgress::NotSent | AttemptProgress::PartlyWritten => Status::ConnectFailed,
-                AttemptProgress::Out => Status::Reset,
-                AttemptProgress::Answered => Status::Error,
-            };
-            LoadResult { status, copies: 0 }
-        });
+        let reached = end.as_ref().map_or_else(|broken| broken.reached, |_| AttemptProgress::Answered);
+        self.check_order(now, id, reached);
+        let standing = end.unwrap_or_else(|broken| LoadResult { status: broken.reached.status(), copies: 0 });
         self.end_order(now, id, standing);
         self.settle(now);
     }
@@ -108,6 +108,13 @@
         self.settle(now);
     }
 
+    /// How an attempt ended, for those who look for one call in the log.
+    pub(super) fn trace_end(&self, id: AttemptId, status: Status, cause: &'static str) {
+        let Some(taken) = self.requests.get(&id.request) else { return };
+        let reference = &taken.work.reference;
+        tracing::debug!(%reference, attempt = id.number, ?status, cause, "attempt ended");
+    }
+
     pub(super) fn end_attempt(&mut self, now: Time, id: AttemptId, status: Status) {
         let Some(attempt) = self.attempts.remove(&id) else { return };
         self.due.remove(&(attempt.deadline, Due::Attempt(id)));
@@ -141,6 +148,7 @@
 
     pub(super) fn end_order(&mut self, now: Time, id: OrderId, standing: LoadResult) {
         let Some(order) = self.orders.remove(&id) else { return };
+        self.counters.orders_ended += 1;
         self.due.remove(&(order.decided + self.site.load_wait, Due::Order(id)));
         let (worker, function) = (order.worker, order.function);
         let (copies, status, latency) = (standing.copies, standing.status, now - order.decided);
--- a/src/core/figures.rs
+++ b/src/core/figures.rs
@@ -27,6 +27,8 @@
     pub cluster_size: usize,
     /// Those of them that are avoided now, by hand or by choice.
     pub cluster_unhealthy: usize,
+    /// Rules that were seen broken; see `docs/invariants.md`.
+    pub violations: u64,
     /// Files taken at SIGHUP.
     pub conf_loaded: u64,
     /// Files turned down at SIGHUP.
@@ -44,6 +46,10 @@
         writeln!(f, "scheduler.current={}", self.current)?;
         writeln!(f, "scheduler.cluster_size={}", self.cluster_size)?;
         writeln!(f, "scheduler.cluster_unhealthy={}", self.cluster_unhealthy)?;
+        // Nobody has to learn a figure that is always 0.
+        if self.violations > 0 {
+            writeln!(f, "scheduler.violations={}", self.violations)?;
+        }
         writeln!(f, "scheduler.conf_loaded={}", self.conf_loaded)?;
         writeln!(f, "scheduler.conf_invalid={}", self.conf_invalid)
     }
--- a/src/core/gates.rs
+++ b/src/core/gates.rs
@@ -13,7 +13,15 @@
 
     /// Whether an attempt may still go out: it may have waited for its connection while its request ended,
     /// its worker began to drain or its key's window passed.
-    pub fn may_write(&self, now: Time, id: AttemptId) -> bool {
+    pub fn may_write(&mut self, now: Time, id: AttemptId) -> bool {
+        let may = self.may_go(now, id);
+        if let Some(attempt) = self.attempts.get_mut(&id) {
+            attempt.asked = may;
+        }
+        may
+    }
+
+    fn may_go(&self, now: Time, id: AttemptId) -> bool {
         let Some(attempt) = self.attempts.get(&id).filter(|a| now < a.deadline) else { return false };
         let Some(taken) = self.requests.get(&id.request) else { return false };
         let in_window = match (taken.effect, taken.first_out) {
@@ -28,6 +36,14 @@
     /// too: orders that queued behind a slow connection must not bunch up in one window. One in the place of
     /// another process goes out only under its lease.
     pub fn may_write_order(&mut self, now: Time, id: OrderId) -> bool {
+        let may = self.may_order(now, id);
+        if let Some(order) = self.orders.get_mut(&id) {
+            order.asked = may;
+        }
+        may
+    }
+
+    fn may_order(&mut self, now: Time, id: OrderId) -> bool {
         let Some(order) = self.orders.get(&id) else { return false };
         if order.copies == 0 {
             return true;
--- /dev/null
+++ b/src/core/invariants.rs
@@ -0,0 +1,183 @@
+//! What always holds, checked while the scheduler runs: a rule that is broken in spite of its guard is counted, logged
+//! with the request's name, and shown in the figures. The checks decide nothing and take constant time.
+//!
+//! `docs/invariants.md` names for each rule its guard, its check here and its tests.
+
+use super::{AttemptId, Core, KEY_MARGIN, OrderId};
+use crate::call::AttemptProgress;
+use crate::interface::*;
+use std::fmt;
+
+/// A rule of the pages that was seen broken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Violation {
+    /// Calls taken are not those answered, withdrawn and open together.
+    Calls,
+    /// Attempts begun are not those ended and open together.
+    Attempts,
+    /// Orders begun are not those ended and open together.
+    Orders,
+    /// The tables of open calls differ in size.
+    Tables,
+    /// An attempt went out whose call is over, or whose client has gone.
+    SentAfterEnd,
+    /// An attempt went out after its deadline.
+    SentLate,
+    /// An attempt went out that no gate had let pass.
+    SentUnasked,
+    /// A call went out again though an attempt before it may have run, and its class does not allow that, or not so late.
+    Repeated,
+    /// Two attempts of one call were out at once.
+    SecondCopy,
+    /// An order went out that no gate had let pass.
+    OrderedUnasked,
+}
+
+impl Violation {
+    /// All of them.
+    pub const ALL: [Violation; 10] = [
+        Violation::Calls,
+        Violation::Attempts,
+        Violation::Orders,
+        Violation::Tables,
+        Violation::SentAfterEnd,
+        Violation::SentLate,
+        Violation::SentUnasked,
+        Violation::Repeated,
+        Violation::SecondCopy,
+        Violation::OrderedUnasked,
+    ];
+
+    /// Its name in figures and log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            Violation::Calls => "calls",
+            Violation::Attempts => "attempts",
+            Violation::Orders => "orders",
+            Violation::Tables => "tables",
+            Violation::SentAfterEnd => "sent_after_end",
+            Violation::SentLate => "sent_late",
+            Violation::SentUnasked => "sent_unasked",
+            Violation::Repeated => "repeated",
+            Violation::SecondCopy => "second_copy",
+            Violation::OrderedUnasked => "ordered_unasked",
+        }
+    }
+}
+
+/// How often each rule was seen broken.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Violations([u64; Violation::ALL.len()]);
+
+impl Violations {
+    /// How often one was.
+    pub fn of(&self, violation: Violation) -> u64 {
+        self.0[violation as usize]
+    }
+
+    /// How often any was.
+    pub fn total(&self) -> u64 {
+        self.0.iter().sum()
+    }
+}
+
+impl fmt::Display for Violations {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for violation in Violation::ALL {
+            write!(f, " {}={}", violation.name(), self.of(violation))?;
+        }
+        Ok(())
+    }
+}
+
+impl Core {
+    /// Counts a broken rule, and says so: the first ones of a second, as much as of what clients cause.
+    fn violated(&mut self, now: Time, violation: Violation, reference: &str, detail: &str) {
+        self.violations.0[violation as usize] += 1;
+        if self.may_log(now) {
+            tracing::error!(rule = violation.name(), reference, detail, "violation");
+        }
+    }
+
+    /// Rules that were seen broken.
+    pub fn violations(&self) -> &Violations {
+        &self.violations
+    }
+
+    /// Once everything that waited has been worked off, what was begun is ended or open.
+    pub(super) fn check_sums(&mut self, now: Time) {
+        let counters = &self.counters;
+        let answered = counters.served + counters.refused + counters.failed;
+        let calls = (counters.taken, answered + counters.withdrawn + self.requests.len() as u64);
+        let ends = [
+            counters.ok,
+            counters.error,
+            counters.full,
+            counters.timeout,
+            counters.connect_failed,
+            counters.reset,
+            counters.cancelled,
+            counters.moot,
+            counters.miss,
+        ];
+        let attempts = (counters.attempts, ends.iter().sum::<u64>() + self.attempts.len() as u64);
+        let orders = (counters.orders_begun, counters.orders_ended + self.orders.len() as u64);
+        let open = self.requests.len();
+        let sums = [
+            (Violation::Calls, calls),
+            (Violation::Attempts, attempts),
+            (Violation::Orders, orders),
+            (Violation::Tables, (open as u64, self.owners.len() as u64)),
+            (Violation::Tables, (open as u64, self.names.len() as u64)),
+        ];
+        for (place, (violation, (begun, ended))) in sums.into_iter().enumerate() {
+            // Told once each time it becomes another difference, not at each event after it.
+            let difference = begun.wrapping_sub(ended);
+            if std::mem::replace(&mut self.differences[place], difference) != difference && difference != 0 {
+                self.violated(now, violation, "", &format!("{begun} begun, {ended} ended or open"));
+            }
+        }
+    }
+
+    /// An attempt has been handed to the system whole: it must have been allowed to, now or a moment ago.
+    pub(super) fn check_written(&mut self, now: Time, id: AttemptId) {
+        let Some(attempt) = self.attempts.get(&id) else { return };
+        let (asked, late) = (attempt.asked, now > attempt.deadline);
+        let Some(taken) = self.requests.get(&id.request) else {
+            return self.violated(now, Violation::SentAfterEnd, "", &format!("{id:?}"));
+        };
+        let reference = taken.work.reference.clone();
+        let repeated = taken.first_out.is_some_and(|(_, first)| match taken.effect {
+            Effect::Safe => false,
+            Effect::Unsafe => true,
+            // The gate has a margin, and the bytes may take a moment to go.
+            Effect::Keyed { window, .. } => now >= first + window + KEY_MARGIN,
+        });
+        let request = AttemptId { request: id.request, number: 0 }..=AttemptId {
+            request: id.request,
+            number: u16::MAX,
+        };
+        let out = self.attempts.range(request).filter(|(_, attempt)| attempt.written.is_some()).count();
+        let found = [
+            (!asked, Violation::SentUnasked),
+            (late, Violation::SentLate),
+            (repeated, Violation::Repeated),
+            (out > 0, Violation::SecondCopy),
+        ];
+        for (_, violation) in found.into_iter().filter(|(broken, _)| *broken) {
+            self.violated(now, violation, &reference, &format!("attempt {}", id.number));
+        }
+    }
+
+    /// An order has ended at its worker, or broke on the way: what came so far must have been let out.
+    pub(super) fn check_order(&mut self, now: Time, id: OrderId, reached: AttemptProgress) {
+        let Some(order) = self.orders.get(&id) else { return };
+        let out = matches!(reached, AttemptProgress::Out | AttemptProgress::Answered);
+        if out && !order.asked {
+            self.violated(now, Violation::OrderedUnasked, "", &format!("{id:?}"));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -10,6 +10,7 @@
 mod ends;
 pub mod figures;
 mod gates;
+mod invariants;
 pub mod known;
 mod overload;
 mod steps;
@@ -18,6 +19,7 @@
 pub use crate::call::*;
 pub use command::Command;
 pub use counters::Counters;
+pub use invariants::{Violation, Violations};
 
 use crate::brain::Balancer;
 use crate::chain::{self, Classes};
@@ -119,6 +121,26 @@
     /// The second that is running, and the lines logged in it.
     logged: (Time, u32),
     counters: Counters,
+    violations: Violations,
+    /// By how much the sums that are checked differed when they were looked at last.
+    differences: [u64; 5],
+}
+
+/// Why a call is refused before the decisions see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Refusal {
+    /// Too many calls are open, or their bodies take too much memory.
+    Full,
+    /// This process ends.
+    Ending,
+    /// Its time was over when it came.
+    Late,
+    /// A new configuration has dropped its class.
+    Class,
+    /// The fleet has agreed to shed it.
+    Shed,
+    /// The decisions have no worker for it, or none for a repeat.
+    Unplaced,
 }
 
 impl Core {
@@ -157,6 +179,8 @@
             turn_away: false,
             logged: (Time(0), 0),
             counters: Counters::default(),
+            violations: Violations::default(),
+            differences: [0; 5],
         }
     }
 
@@ -229,6 +253,7 @@
             current: self.owed(),
             cluster_size: self.told.len(),
             cluster_unhealthy: out + self.balancer.avoided(),
+            violations: self.violations.total(),
             conf_loaded: self.counters.conf_loaded,
             conf_invalid: self.counters.conf_invalid,
         }
@@ -242,8 +267,7 @@
         let Some(class) = class else {
             // One that a new configuration has dropped: nothing has run, and nothing will.
             if self.counters.classes.contains_key(&call.class) {
-                let refused = Verdict::Refused { cooldown: self.advice() };
-                return self.answer(call.owner, Some(&call.class), refused, false);
+                return self.refuse(&call, Refusal::Class, self.advice());
             }
             return self.answer(call.owner, None, Verdict::Failed, false);
         };
@@ -251,22 +275,20 @@
         if self.names.contains(&call.reference) {
             return self.answer(call.owner, Some(&call.class), Verdict::Failed, false);
         }
-        let full =
-            self.requests.len() >= self.site.max_open || self.bodies + call.body.len() > self.memory / BODIES;
-        let ends = self.turn_away && call.owner.connection != chain::STEP;
-        if full || ends || call.deadline <= now || self.owners.contains_key(&call.owner) {
-            let cooldown = self.advice();
-            let refused = Verdict::Refused { cooldown };
-            return self.answer(call.owner, Some(&call.class), refused, call.deadline <= now);
+        if let Some(why) = self.refusal(now, &call) {
+            return self.refuse(&call, why, self.advice());
         }
         if let Some(cooldown) = self.sheds(now, class, call.owner) {
-            return self.answer(call.owner, Some(&call.class), Verdict::Refused { cooldown }, false);
+            return self.refuse(&call, Refusal::Shed, cooldown);
         }
         let id = RequestId(self.next_request);
         self.next_request = self.next_request.wrapping_add(1);
         self.note_called(now, call.function);
         self.bodies += call.body.len();
         self.names.insert(call.reference.clone());
+        let (reference, connection, stream) = (&call.reference, call.owner.connection, call.owner.stream);
+        let left_ms = (call.deadline - now).0 / 1_000_000;
+        tracing::debug!(%reference, connection, stream, class = %call.class, left_ms, "taken");
         let work = Rc::new(RequestPayload {
             reference: call.reference,
             class: call.class,
@@ -295,6 +317,39 @@
         );
     }
 
+    /// Why a call cannot be taken now, if it cannot.
+    fn refusal(&self, now: Time, call: &Incoming) -> Option<Refusal> {
+        let bodies = self.bodies + call.body.len();
+        match () {
+            () if call.deadline <= now => Some(Refusal::Late),
+            () if self.turn_away && call.owner.connection != chain::STEP => Some(Refusal::Ending),
+            () if self.requests.len() >= self.site.max_open => Some(Refusal::Full),
+            () if bodies > self.memory / BODIES => Some(Refusal::Full),
+            () if self.owners.contains_key(&call.owner) => Some(Refusal::Full),
+            () => None,
+        }
+    }
+
+    /// Refuses a call that was not taken.
+    fn refuse(&mut self, call: &Incoming, why: Refusal, cooldown: Span) {
+        self.count_refusal(&call.reference, why);
+        let late = why == Refusal::Late;
+        self.answer(call.owner, Some(&call.class), Verdict::Refused { cooldown }, late);
+    }
+
+    fn count_refusal(&mut self, reference: &str, why: Refusal) {
+        match why {
+            Refusal::Full => self.counters.refused_full += 1,
+            Refusal::Ending => self.counters.refused_ending += 1,
+            Refusal::Late => self.counters.refused_late += 1,
+            Refusal::Class => self.counters.refused_class += 1,
+            Refusal::Unplaced => self.counters.refused_unplaced += 1,
+            // Counted where it is decided.
+            Refusal::Shed => {}
+        }
+        tracing::debug!(reference, ?why, "refused");
+    }
+
     /// A client has named this function.
     fn note_called(&mut self, now: Time, function: FunctionId) {
         if now - self.called_since > CALLED.0 || self.called[0].len() >= CALLED.1 {
@@ -312,6 +367,9 @@
         };
         self.counters.withdrawn += 1;
         let taken = self.forget(id);
+        if let Some(taken) = &taken {
+            tracing::debug!(reference = %taken.work.reference, "withdrawn");
+        }
         self.step_out(now, taken.as_ref());
         self.step(now, Event::ClientGone(id));
     }
@@ -334,6 +392,7 @@
                     let Some(attempt) = self.attempts.get(&id) else { continue };
                     self.commands.push_back(Command::Halt { attempt: id, worker: attempt.worker });
                     self.counters.end(Status::Timeout);
+                    self.trace_end(id, Status::Timeout, "deadline");
                     self.end_attempt(now, id, Status::Timeout);
                 }
                 Due::Probe(id) => self.end_probe(id, Status::Timeout, vec![]),
@@ -379,6 +438,7 @@
         if !self.step_answers.is_empty() {
             self.run_chains(now, vec![]);
         }
+        self.check_sums(now);
         let Some(ration) = self.site.settings.rules.ration else { return self.taken.clear() };
         while self.taken.front().is_some_and(|at| *at + ration.span < now) {
             self.taken.pop_front();
@@ -393,8 +453,12 @@
                 taken.attempts += 1;
                 let deadline = (now + timeout).min(taken.deadline);
                 let (work, class) = (taken.work.clone(), taken.class);
-                self.attempts
-                    .insert(attempt, Attempt { worker, class, decided: now, deadline, written: None });
+                self.counters.attempts += 1;
+                self.counters.retries += u64::from(attempt.number > 0);
+                let (reference, number) = (&work.reference, attempt.number);
+                tracing::debug!(%reference, attempt = number, worker = worker.0, "attempt");
+                let entry = Attempt { worker, class, decided: now, deadline, written: None, asked: false };
+                self.attempts.insert(attempt, entry);
                 self.due.insert((deadline, Due::Attempt(attempt)));
                 self.commands.push_back(Command::Send { attempt, worker, work, deadline });
             }
@@ -403,6 +467,7 @@
                 let Some(attempt) = self.attempts.get(&id) else { return };
                 self.commands.push_back(Command::Halt { attempt: id, worker: attempt.worker });
                 self.counters.end(Status::Cancelled);
+                self.trace_end(id, Status::Cancelled, "called off");
                 self.end_attempt(now, id, Status::Cancelled);
             }
             Action::Refuse { id, wait } => self.conclude(now, id, Verdict::Refused { cooldown: wait }),
@@ -410,7 +475,8 @@
             Action::Load { worker, function, copies, part } => {
                 let order = OrderId(self.next_order, self.fenced(Task::Renew, part));
                 self.next_order += 1;
-                self.orders.insert(order, Order { worker, function, copies, decided: now });
+                self.counters.orders_begun += 1;
+                self.orders.insert(order, Order { worker, function, copies, decided: now, asked: false });
                 self.due.insert((now + self.site.load_wait, Due::Order(order)));
                 self.commands.push_back(Command::Stage { order, worker, function, copies });
             }
@@ -436,6 +502,9 @@
         let Some(taken) = self.requests.get(&id) else { return };
         let expired = now + self.site.settings.tick >= taken.deadline;
         if let Some(taken) = self.forget(id) {
+            if let Verdict::Refused { .. } = verdict {
+                self.count_refusal(&taken.work.reference, Refusal::Unplaced);
+            }
             self.step_out(now, Some(&taken));
             self.answer(taken.owner, Some(&taken.work.class), verdict, expired);
         }
@@ -445,6 +514,12 @@
         if let Some(class) = class {
             self.counters.final_answer(class, &verdict);
         }
+        tracing::debug!(
+            connection = owner.connection,
+            stream = owner.stream,
+            verdict = verdict.name(),
+            "answered"
+        );
         match &verdict {
             Verdict::Served(_) => self.counters.served += 1,
             Verdict::Refused { .. } => self.counters.refused += 1,
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -127,7 +127,7 @@
     /// nothing is sent where the list or an operator forbids it, and nothing is left behind.
     #[test]
     fn any_order_of_events_leaves_one_answer_each(
-        ops in prop::collection::vec((0u8..8, 0u64..6, 0u64..64, 0u8..12), 1..120)
+        ops in prop::collection::vec((0u8..9, 0u64..6, 0u64..64, 0u8..12), 1..120)
     ) {
         let (mut core, mut now, mut stream) = (core(), MS(0), 10);
         let retuned = SITE.replace("retryable", "fragile").replace("\"mostTries\": 9", "\"mostTries\": 2");
@@ -190,6 +190,14 @@
                     core.wake(now);
                 }
                 6 => core.replace_site(now, site(if c % 2 == 0 { SITE } else { &retuned })),
+                7 if stream > 10 => {
+                    // Whoever withdraws is owed nothing, whether the answer was on its way or not.
+                    let owner = Owner { connection: 1, stream: 11 + b % (stream - 10) };
+                    if core.owners.contains_key(&owner) {
+                        answered.insert(owner);
+                    }
+                    core.withdraw(now, owner);
+                }
                 _ => {
                     for order in orders.drain(..) {
                         if core.may_write_order(now, order) {
@@ -209,6 +217,7 @@
                     _ => {}
                 }
             }
+            prop_assert_eq!(core.violations().total(), 0, "{}", core.violations());
         }
         for _ in 0..400 {
             now = now + Span::millis(50);
@@ -220,6 +229,7 @@
             }
         }
         prop_assert_eq!(asked, answered);
+        prop_assert_eq!(core.violations().total(), 0, "{}", core.violations());
         prop_assert_eq!((core.owed(), core.attempts.len(), core.bodies, core.names.len()), (0, 0, 0, 0));
     }
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -359,6 +359,7 @@
     fn print(&mut self) {
         info!("figures {}", self.core.figures().to_string().trim_end().replace('\n', " "));
         info!("{}", self.core.counters());
+        info!("violations{}", self.core.violations());
     }
 
     // ---- VRRP
--- a/src/front/frames.rs
+++ b/src/front/frames.rs
@@ -1,6 +1,7 @@
 //! The platform's front: binary frames over TCP. A pure codec, and the connection object over it.
 
 use super::{BODY, LINGER, OPEN, OUTBOX, TRANSIT, WHOLE, read_function};
+use crate::call::CloseCause;
 use crate::core::{Answer, Incoming, Owner, Verdict};
 use crate::interface::{FunctionId, Span, Time};
 use crate::net::{Connection, Context, ControlFlow, Link};
@@ -341,12 +342,17 @@
         put_answer(0, &Verdict::Failed, &mut bytes);
         link.put(&bytes);
         self.withdraw_all(link, context);
+        link.close_for(CloseCause::Unreadable);
         self.finish_by = Some(context.now + LINGER);
         ControlFlow::Finish
     }
 }
 
 impl Connection for FrameConnection {
+    fn kind(&self) -> &'static str {
+        "client"
+    }
+
     fn opened(&mut self, _link: &mut Link, context: &mut Context) -> ControlFlow {
         context.core.counters().accepted += 1;
         ControlFlow::Continue
@@ -403,6 +409,9 @@
         }
         let idle = self.unused_by().is_some_and(|by| by <= context.now);
         let over = self.finish_by.is_some_and(|by| by <= context.now);
+        if idle {
+            link.close_for(CloseCause::Idle);
+        }
         if idle || over { ControlFlow::Close } else { ControlFlow::Continue }
     }
 
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -17,6 +17,7 @@
 };
 
 use super::{IDLE, LINGER, OPEN, OUTBOX, TRANSIT, WHOLE};
+use crate::call::CloseCause;
 use crate::chain::{Chain, Classes, End, Step};
 use crate::core::{Answer, Incoming, Owner, Verdict};
 use crate::interface::{Span, Time};
@@ -267,6 +268,7 @@
         context.core.counters().malformed += 1;
         put(link, &error(&Value::Null, codes::PARSE, "the line has no end", None));
         self.withdraw_all(link, context);
+        link.close_for(CloseCause::Unreadable);
         self.finish_by = Some(context.now + LINGER);
         ControlFlow::Finish
     }
@@ -293,6 +295,10 @@
 }
 
 impl Connection for RpcConnection {
+    fn kind(&self) -> &'static str {
+        "caller"
+    }
+
     fn opened(&mut self, _link: &mut Link, context: &mut Context) -> ControlFlow {
         context.core.counters().accepted += 1;
         ControlFlow::Continue
@@ -330,6 +336,9 @@
         }
         let idle = self.unused_by().is_some_and(|by| by <= context.now);
         let over = self.finish_by.is_some_and(|by| by <= context.now);
+        if idle {
+            link.close_for(CloseCause::Idle);
+        }
         if idle || over { ControlFlow::Close } else { ControlFlow::Continue }
     }
 
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -287,6 +287,10 @@
 }
 
 impl Connection for PeerConnection {
+    fn kind(&self) -> &'static str {
+        "process"
+    }
+
     fn opened(&mut self, link: &mut Link, _hub: &mut Context) -> ControlFlow {
         if std::mem::take(&mut self.asked) {
             self.mailbox.borrow_mut().events.push_back(Event::Met(link.id()));
--- a/src/log.rs
+++ b/src/log.rs
@@ -17,9 +17,10 @@
     Json,
 }
 
-/// From now on events of this process are written.
-pub fn start(form: Form) {
-    let all = tracing_subscriber::fmt().with_max_level(Level::INFO).with_writer(std::io::stderr);
+/// From now on events of this process are written; those of single calls and connections only on request.
+pub fn start(form: Form, traced: bool) {
+    let level = if traced { Level::DEBUG } else { Level::INFO };
+    let all = tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr);
     // A second start in one process changes nothing: the first one writes.
     let _ = match form {
         Form::Lines => all.event_format(Lines).try_init(),
--- a/src/main.rs
+++ b/src/main.rs
@@ -22,6 +22,9 @@
     /// How log lines are written.
     #[arg(long, value_enum, default_value_t = Form::Lines)]
     log: Form,
+    /// Writes what becomes of each call, attempt and connection too: many lines for each call.
+    #[arg(long)]
+    trace: bool,
     #[command(subcommand)]
     command: Option<What>,
 }
@@ -57,10 +60,11 @@
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    log::start(match arguments.log {
+    let form = match arguments.log {
         Form::Lines => log::Form::Lines,
         Form::Json => log::Form::Json,
-    });
+    };
+    log::start(form, arguments.trace);
     let done = match arguments.command {
         None => Sources::of_environment(arguments.operator).and_then(daemon::start),
         Some(What::Check) => check(arguments.operator),
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -54,6 +54,8 @@
 
 /// A connection as an object: the reactor calls it back with what happens to it.
 pub trait Connection {
+    /// What is at the other end, for the log.
+    fn kind(&self) -> &'static str;
     /// The connection stands.
     fn opened(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow;
     /// There is new input in the link, or the other side has ended its half.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,6 +9,7 @@
 pub use reactor::{Reactor, Signal};
 pub use sockets::DATAGRAMS;
 
+use crate::call::CloseCause;
 use crate::interface::{Span, Time};
 use mio::event::Source;
 use mio::net::{TcpStream, UnixStream};
@@ -151,6 +152,8 @@
     held: bool,
     /// A write has failed: nothing more goes out, but what has come may be unread.
     write_failed: bool,
+    /// Why the connection is to end, as the first to know has said.
+    cause: Option<CloseCause>,
 }
 
 impl Link {
@@ -172,6 +175,7 @@
             outbox_limit,
             held,
             write_failed,
+            cause: None,
         }
     }
 
@@ -185,6 +189,22 @@
         self.up
     }
 
+    /// Says why the connection is to end; the first word counts.
+    pub fn close_for(&mut self, cause: CloseCause) {
+        self.cause.get_or_insert(cause);
+    }
+
+    /// Why it ends, as far as that is known.
+    fn close_cause(&self) -> CloseCause {
+        match self.cause {
+            Some(cause) => cause,
+            None if self.write_failed => CloseCause::Broken,
+            None if !self.up => CloseCause::NotConnected,
+            None if self.ended => CloseCause::Ended,
+            None => CloseCause::Finished,
+        }
+    }
+
     /// Bytes that wait to be written.
     pub fn waiting(&self) -> usize {
         self.outbox.len() - self.sent
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -2,7 +2,7 @@
 
 use super::connection::{Connection, Context, ControlFlow};
 use super::{Link, Stream, SystemClock};
-use crate::call::AttemptId;
+use crate::call::{AttemptId, CloseCause};
 use crate::core::Core;
 use crate::fleet::Machine;
 use crate::fleet::distribution::Node;
@@ -82,12 +82,16 @@
                 self.wasted += self.link.inbox.len();
                 self.link.inbox.clear();
                 if self.wasted > WASTE {
+                    self.link.close_for(CloseCause::Unreadable);
                     return ControlFlow::Close;
                 }
             } else if more > 0 || self.link.ended {
                 flow = flow.and(self.connection.received(&mut self.link, context));
             }
-            let Ok(all) = filled else { return ControlFlow::Close };
+            let Ok(all) = filled else {
+                self.link.close_for(CloseCause::Broken);
+                return ControlFlow::Close;
+            };
             if all || flow != ControlFlow::Continue || self.link.held_back() {
                 return flow;
             }
@@ -251,6 +255,7 @@
         let flow = flow.unwrap_or_else(|_| {
             context.core.counters().panics += 1;
             tracing::error!("panic connection={} closed", token.0);
+            entry.link.close_for(CloseCause::Fault);
             ControlFlow::Close
         });
         let after = entry.link.waiting();
@@ -258,6 +263,9 @@
         // Memory is bounded, and so is what those who do not read may hold of it.
         let clogged = self.waiting > self.waiting_limit && after > before && after > CLOGGED;
         let flow = if clogged { ControlFlow::Close } else { flow };
+        if clogged {
+            entry.link.close_for(CloseCause::Clogged);
+        }
         entry.finishing |= flow == ControlFlow::Finish;
         // Closed with input unread, the system would throw away what the other side has not read yet: this
         // half is shut, and the rest waits for the other side's end or the connection's own deadline.
@@ -289,6 +297,9 @@
         if let Some(at) = entry.due {
             self.timers.remove(&(at, token));
         }
+        let (cause, kind, connection) = (entry.link.close_cause(), entry.connection.kind(), token.0);
+        core.counters().close(cause);
+        tracing::debug!(connection, kind, ?cause, "closed");
         let context = &mut self.context(core);
         let closed = catch_unwind(AssertUnwindSafe(|| entry.connection.closed(&entry.link, context)));
         if closed.is_err() {
@@ -299,7 +310,14 @@
 
     /// Ends a connection from outside.
     pub fn end(&mut self, id: u64, core: &mut Core) {
-        self.close(Token(id as usize), core);
+        self.close_for(Token(id as usize), CloseCause::Replaced, core);
+    }
+
+    fn close_for(&mut self, token: Token, cause: CloseCause, core: &mut Core) {
+        if let Some(entry) = self.entries.get_mut(&token) {
+            entry.link.close_for(cause);
+        }
+        self.close(token, core);
     }
 
     /// Gives a connection something to do; false if it has gone.
@@ -365,7 +383,7 @@
                 // Whose input is held back would not be heard to close: who reads nothing and writes nothing
                 // more has gone.
                 _ if ended && self.entries.get(&token).is_some_and(|entry| entry.link.held_back()) => {
-                    self.close(token, core);
+                    self.close_for(token, CloseCause::Ended, core);
                 }
                 _ => self.happened(token, readable || ended, core),
             }
@@ -447,7 +465,7 @@
             let Some((before, token)) = idle.min() else { return false };
             self.catch_up(token.0 as u64, core);
             if self.entries.get(&token).and_then(rank) == Some(before) {
-                self.close(token, core);
+                self.close_for(token, CloseCause::MadeRoom, core);
             }
             // Gone by itself makes room as well.
             if !self.entries.contains_key(&token) {
--- a/src/net/reactor/tests.rs
+++ b/src/net/reactor/tests.rs
@@ -7,6 +7,10 @@
 struct Fragile;
 
 impl Connection for Fragile {
+    fn kind(&self) -> &'static str {
+        "test"
+    }
+
     fn opened(&mut self, _link: &mut Link, _hub: &mut Context) -> ControlFlow {
         ControlFlow::Continue
     }
@@ -80,6 +84,10 @@
 struct Idle(Option<Time>, Rc<RefCell<Vec<&'static str>>>);
 
 impl Connection for Writer {
+    fn kind(&self) -> &'static str {
+        "test"
+    }
+
     fn opened(&mut self, _link: &mut Link, _hub: &mut Context) -> ControlFlow {
         ControlFlow::Continue
     }
@@ -98,6 +106,10 @@
 }
 
 impl Connection for Idle {
+    fn kind(&self) -> &'static str {
+        "test"
+    }
+
     fn opened(&mut self, _link: &mut Link, _hub: &mut Context) -> ControlFlow {
         ControlFlow::Continue
     }
@@ -140,6 +152,10 @@
 struct Listener(std::rc::Rc<std::cell::RefCell<Vec<u8>>>);
 
 impl Connection for Listener {
+    fn kind(&self) -> &'static str {
+        "test"
+    }
+
     fn opened(&mut self, _link: &mut Link, _hub: &mut Context) -> ControlFlow {
         ControlFlow::Continue
     }
--- a/src/ops/mgmt.rs
+++ b/src/ops/mgmt.rs
@@ -72,6 +72,10 @@
 }
 
 impl Connection for MgmtConnection {
+    fn kind(&self) -> &'static str {
+        "operator"
+    }
+
     fn opened(&mut self, _link: &mut Link, _hub: &mut Context) -> ControlFlow {
         ControlFlow::Continue
     }
--- a/tests/faults/connections.rs
+++ b/tests/faults/connections.rs
@@ -174,3 +174,32 @@
     }
     assert_eq!(late, 0, "of {read} commands, {gone} of which the system had");
 }
+
+/// With `--trace` the log tells what became of one call, by its name: where it came in, each attempt, why it ended, and
+/// why connections were closed.
+#[test]
+fn the_log_tells_what_became_of_a_call() {
+    let worker = Worker::agent();
+    let daemon = faulty(&[&worker], settings());
+    let mut client = Frames::connect(daemon.listen);
+    client.send(&plain(1));
+    worker.next().answer("500", "");
+    worker.next().answer("200", "eA==");
+    is_served(&mut client, 1);
+    client.send(&plain(2));
+    worker.next();
+    client.send(&frame(2, 2, &[]));
+    drop(client);
+    let log = daemon.wait_log("closed connection=");
+    let of = |name: &str, what: &str| {
+        let reference = format!("reference={name}");
+        log.lines().filter(|line| line.contains(what) && line.contains(&reference)).count()
+    };
+    let (first, second) = ("0000000000000001", "0000000000000002");
+    assert_eq!((of(first, "mintgate: taken"), of(second, "mintgate: taken")), (1, 1), "{log}");
+    assert_eq!((of(first, "attempt written"), of(second, "attempt written")), (2, 1), "{log}");
+    assert_eq!(of(first, "attempt ended"), 2, "{log}");
+    assert!(of(first, "status=Error cause=answer") == 1 && of(second, "withdrawn") == 1, "{log}");
+    assert!(log.contains("answered connection=") && log.contains("verdict=served"), "{log}");
+    assert!(log.contains("kind=client cause=Ended"), "{log}");
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -146,6 +146,7 @@
     ) -> Daemon {
         if let Some(faults) = &faults {
             faults.preload(&mut command).unwrap();
+            command.arg("--trace");
         }
         command.env("GW_CONFIG", folder.at("config.json")).stdin(Stdio::null()).stderr(Stdio::piped());
         command.env("TMPDIR", &folder.0).env("GW_NAME", "n0");
