--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod processes;
 pub mod rig;
 pub mod scale;
+pub mod soak;
 pub mod stand_ins;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -7,6 +7,7 @@
 use lab::rig::environment::{self, Options};
 use lab::rig::scenario::{self, Scenario};
 use lab::scale;
+use lab::soak;
 use mintgate::Span;
 use mintgate::config::Sources;
 use std::path::PathBuf;
@@ -108,6 +109,9 @@
         /// Which part.
         part: scale::Part,
     },
+    /// Real schedulers while troubles of all kinds are drawn from seeds, two or three at a time; fails where a rule is
+    /// broken.
+    Soak(soak::Options),
     /// One scheduler of a rehearsal.
     #[command(hide = true)]
     Scheduler {
@@ -140,6 +144,9 @@
             let name = name.unwrap_or_else(|| "short-day".to_owned());
             rehearse(&name, seed..seed + seeds, (alone, unshed), json, plot, logs)
         }
+        What::Soak(options) => std::env::current_exe()
+            .map_err(|e| format!("cannot find this program: {e}"))
+            .and_then(|program| soak::run(&options, &program)),
         What::Scale(options) => scale::run(&options).map(|()| true),
         What::ScalePart { part } => scale::run_part(part).map(|()| true),
         What::Scheduler { trace, operator } => serve(operator, trace).map(|()| true),
--- a/lab/src/rig/environment/faults.rs
+++ b/lab/src/rig/environment/faults.rs
@@ -45,9 +45,17 @@
                 }
                 What::StoreSlow => self.store.slow = fault.much.max(1.0),
                 What::Crowd => self.clients.rate = self.scenario.calls * fault.much.max(0.0),
+                What::Reload => self.reload(n)?,
+                What::Hang => self.boxes[n].agent.hangs = true,
+                What::Hasty => self.clients_leave(n),
+                What::WallClock | What::SystemCalls | What::Folder => self.begin_inside(n, &drawn)?,
+                What::BusSilent => drop(self.troubles.bus_silent.insert(n)),
+                What::BusCloses => drop(self.troubles.bus_closes.insert(n)),
+                What::Spoilt => drop(self.troubles.spoilt.insert(n)),
                 What::Cut | What::Loss | What::Delay | What::Repeat | What::BoxCut => {}
             }
         }
+        self.troubles.came(what, &whom);
         self.active.push((drawn, whom));
         self.forecast();
         Ok(())
@@ -75,10 +83,16 @@
                     }
                     What::BoxDies | What::BoxDrains => self.box_returns(*n)?,
                     What::StoreSlow => self.store.slow = 1.0,
+                    What::Hang => self.boxes[*n].agent.hangs = false,
+                    What::WallClock | What::SystemCalls | What::Folder => self.end_inside(*n, drawn)?,
+                    What::BusSilent => drop(self.troubles.bus_silent.remove(n)),
+                    What::BusCloses => drop(self.troubles.bus_closes.remove(n)),
+                    What::Spoilt => drop(self.troubles.spoilt.remove(n)),
                     What::Crowd => self.clients.rate = self.scenario.calls,
                     _ => {}
                 }
             }
+            self.troubles.ended(drawn.fault.what);
         }
         if !over.is_empty() {
             self.forecast();
@@ -88,7 +102,7 @@
 
     /// Who is hit. What is not drawn from the seed alone depends on who holds the first task.
     fn whom(&self, drawn: &Drawn) -> Vec<usize> {
-        let boxes = matches!(drawn.fault.what, What::BoxDies | What::BoxCut | What::BoxDrains);
+        let boxes = drawn.fault.what.is_of_boxes();
         if matches!(drawn.fault.what, What::StoreSlow | What::Crowd) {
             return vec![0];
         }
--- a/lab/src/rig/environment/schedulers.rs
+++ b/lab/src/rig/environment/schedulers.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// A process is ready within this time.
+const READY: u64 = 10 * SECOND;
+
 impl Environment {
     /// A scheduler is gone, or stopped: clients notice after a while.
     pub(super) fn leave(&mut self, n: usize, notice: u64) {
@@ -31,7 +34,17 @@
             if text.starts_with("panic") || text.contains("panicked at") {
                 self.audit.report("a panic", format!("scheduler {n}: {text}"));
             }
+            if text.starts_with("violation ") {
+                self.audit.report("an invariant inside", format!("scheduler {n}: {text}"));
+            }
+            self.troubles.logged(n, text);
             if text.starts_with("serving ") {
+                if let Some(took) = self.troubles.serves(n, self.now)
+                    && took > READY
+                    && !self.absence.was_away(n, self.now - took, self.now - took)
+                {
+                    self.audit.report("a start that took too long", format!("{n}: {} ms", took / MS));
+                }
                 if let Some(process) =
                     self.schedulers[n].processes.iter_mut().find(|process| process.number == number)
                 {
--- a/lab/src/rig/process.rs
+++ b/lab/src/rig/process.rs
@@ -1,5 +1,6 @@
 //! Real schedulers: started, stopped, killed, and listened to.
 
+use crate::faults::Faults;
 use serde_json::Value;
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener};
@@ -62,6 +63,8 @@
     /// The youngest comes last.
     pub processes: Vec<Process>,
     started: u32,
+    /// Makes its system calls fail; none where it is not to meet that.
+    pub faults: Option<Faults>,
 }
 
 impl Scheduler {
@@ -72,6 +75,7 @@
         program: &Path,
         config: impl FnOnce(SocketAddr) -> Value,
         operator: &str,
+        faulty: bool,
     ) -> std::io::Result<Scheduler> {
         let folder = folder.join(index.to_string());
         std::fs::create_dir(&folder)?;
@@ -79,8 +83,9 @@
         let at = door.local_addr()?;
         std::fs::write(folder.join("config.json"), config(at).to_string())?;
         std::fs::write(folder.join("operator.toml"), operator)?;
+        let faults = if faulty { Some(Faults::new(&folder.join("faults"))?) } else { None };
         let (program, processes) = (program.to_owned(), vec![]);
-        Ok(Scheduler { index, folder, program, door, at, processes, started: 0 })
+        Ok(Scheduler { index, folder, program, door, at, processes, started: 0, faults })
     }
 
     /// Starts a process, as the platform does: the door is passed to it.
@@ -92,6 +97,10 @@
         command.env("GW_CONFIG", self.folder.join("config.json")).env("GW_NAME", format!("n{index}"));
         command.env("TMPDIR", &self.folder).env("GW_PASSED_SOCKET", "0").env_remove("GW_MGMT");
         command.stdin(std::os::fd::OwnedFd::from(self.door.try_clone()?)).stderr(Stdio::piped());
+        if let Some(faults) = &self.faults {
+            faults.preload(&mut command)?;
+            command.arg("--trace");
+        }
         let mut child = command.spawn()?;
         let error = child.stderr.take();
         self.processes.push(Process { child, number, serves: false, stopped: false, ending: false });
@@ -105,6 +114,11 @@
         Ok(())
     }
 
+    /// Where its configuration stands.
+    pub fn configuration(&self) -> PathBuf {
+        self.folder.join("config.json")
+    }
+
     /// The process that clients reach.
     pub fn serving(&self) -> Option<&Process> {
         self.processes.iter().rfind(|process| process.serves)
