--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -7,6 +7,7 @@
 mod files;
 #[path = "../rig/mod.rs"]
 mod rig;
+mod start;
 
 use rig::*;
 use serde_json::Value;
--- /dev/null
+++ b/tests/faults/start.rs
@@ -0,0 +1,65 @@
+//! Sockets that cannot be had for a moment while a process starts, or takes over from another.
+
+use crate::rig::*;
+use crate::{EADDRNOTAVAIL, ENFILE, ENOBUFS};
+use lab::faults::{Call, Faults};
+use serde_json::json;
+use std::net::TcpListener;
+use std::sync::Arc;
+
+fn armed(folder: &Folder, name: &str, passing: u64, errno: u64, times: u64) -> Option<Arc<Faults>> {
+    let faults = Faults::new(&folder.at(name)).unwrap();
+    faults.fail_after(Call::Socket, passing, errno, times).unwrap();
+    Some(Arc::new(faults))
+}
+
+/// A process that finds no socket at first starts all the same.
+#[test]
+fn a_process_starts_once_it_can_have_its_sockets() {
+    let worker = Worker::agent();
+    let first = Daemon::start(&[&worker]);
+    worker.serve(echo);
+    for errno in [ENFILE, ENOBUFS, EADDRNOTAVAIL] {
+        let faults = armed(&first.folder, "faults", 0, errno, 5);
+        let mut daemon = Daemon::spawn_faulty(first.folder.clone(), first.config.clone(), None, faults);
+        daemon.serves();
+        assert_eq!(daemon.faults().injected(Call::Socket).unwrap(), 5, "errno {errno}");
+        let mut client = Frames::connect(daemon.listen);
+        client.send(&crate::plain(1));
+        crate::is_served(&mut client, 1);
+    }
+}
+
+/// A new process that takes over while no socket can be had for a moment has all of the old one's places soon after: the
+/// meeting place, the second front, and the virtual router.
+#[test]
+fn a_new_process_takes_every_place_over_once_it_can() {
+    let worker = Worker::agent();
+    let door = TcpListener::bind("127.0.0.1:0").unwrap();
+    let operator = |folder: &Folder| {
+        format!(
+            "[jsonrpc]\nsocket = {:?}\n[vrrp]\nvrid = 7\npriority = 100\ninterval_cs = 10\nbind = \"127.0.0.1:0\"\n\
+             peers = []\naddress = \"127.0.0.100\"\n",
+            folder.at("calls.sock")
+        )
+    };
+    let first = Daemon::with(&[&worker], settings(), None, operator);
+    let (folder, config) = (first.folder.clone(), first.config.clone());
+    drop(first);
+    let mut old = Daemon::spawn(folder.clone(), config.clone(), Some(&door));
+    old.serves();
+    // The second address and the way to the old process come first.
+    let faults = armed(&folder, "faults", 2, ENOBUFS, 3);
+    let mut new = Daemon::spawn_faulty(folder.clone(), config, Some(&door), faults);
+    new.serves();
+    old.signal("TERM");
+    assert!(old.ends());
+    new.wait_log("state=Active");
+    assert_eq!(new.faults().injected(Call::Socket).unwrap(), 3);
+    let mut client = Rpc::connect(&folder.at("calls.sock"));
+    client.send(r#"{"jsonrpc":"2.0","id":1,"method":"ready"}"#);
+    assert_eq!(client.next()["result"]["ready"], json!(true));
+    let mut next = new.beside(&door);
+    next.serves();
+    new.wait_log("door=shut");
+}
--- a/tests/instants.rs
+++ b/tests/instants.rs
@@ -502,3 +502,32 @@
     heard.answer("200", "eQ==");
     assert_eq!(client.next(), Some((1, 1, vec![79, 0, b'y'])));
 }
+
+/// A request lies unread while the daemon stands still: what is told to the worker is what its client has left, and one
+/// whose time is over by then is not begun.
+#[test]
+fn a_request_that_lay_unread_has_no_more_time_than_its_client() {
+    let worker = Worker::agent();
+    let daemon = Daemon::start(&[&worker]);
+    let mut client = Frames::connect(daemon.listen);
+    client.send(&frame(0, 1, &call("practice-check", "00000000000000aa", 3_000, b"x")));
+    worker.next().answer("200", "eA==");
+    assert_eq!(client.next(), Some((1, 1, b"\x4f\0x".to_vec())));
+    stopped(&daemon);
+    let sent = std::time::Instant::now();
+    client.send(&frame(0, 2, &call("practice-check", "00000000000000bb", 3_000, b"x")));
+    client.send(&frame(0, 3, &call("practice-check", "00000000000000cc", 500, b"x")));
+    std::thread::sleep(std::time::Duration::from_millis(800));
+    daemon.signal("CONT");
+    let mut heard = worker.next();
+    let left = 3_000 - sent.elapsed().as_millis() as u64;
+    let told = heard.line["attrs"]["ttl"].as_u64().unwrap();
+    assert_eq!(heard.name(), "00000000000000bb");
+    assert!(told <= left + 150, "told {told} ms of {left}");
+    heard.answer("200", "eA==");
+    let mut answers = [client.next().unwrap(), client.next().unwrap()];
+    answers.sort();
+    assert_eq!((answers[0].1, answers[0].2[0]), (2, 79));
+    assert_eq!((answers[1].1, answers[1].2[0]), (3, 66), "nobody waits for it any more");
+    assert!(worker.quiet());
+}
