--- a/tests/instants.rs
+++ b/tests/instants.rs
@@ -531,3 +531,22 @@
     assert_eq!((answers[1].1, answers[1].2[0]), (3, 66), "nobody waits for it any more");
     assert!(worker.quiet());
 }
+
+/// The same of a client that connects while the daemon stands still.
+#[test]
+fn a_request_on_a_connection_that_waited_has_no_more_time_than_its_client() {
+    let worker = Worker::agent();
+    let daemon = Daemon::start(&[&worker]);
+    stopped(&daemon);
+    let mut client = Frames::connect(daemon.listen);
+    let sent = std::time::Instant::now();
+    client.send(&frame(0, 1, &call("practice-check", "00000000000000bb", 3_000, b"x")));
+    std::thread::sleep(std::time::Duration::from_millis(800));
+    daemon.signal("CONT");
+    let mut heard = worker.next();
+    let left = 3_000 - sent.elapsed().as_millis() as u64;
+    let told = heard.line["attrs"]["ttl"].as_u64().unwrap();
+    assert!(told <= left + 150, "told {told} ms of {left}");
+    heard.answer("200", "eA==");
+    assert_eq!(client.next(), Some((1, 1, b"\x4f\0x".to_vec())));
+}
