Count what waits with its connection, or was left in its socket, from when it may have come

Cause: a request that waits on a connection that is still to be taken is told of only in the poll after that, which looks prompt; so is input that was held back, or left for another turn. Change: each connection notes since when something may lie unread on it; a new one is read at once when it is taken, and a listener that is asked again later knows since when somebody may wait there.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -19,6 +19,7 @@
 use crate::start_times::StartTimes;
 use crate::vrrp::packet::{Advertisement, LARGEST};
 use crate::vrrp::{self, Event};
+use accept::AcceptAgain;
 use distribution::Distribution;
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -95,7 +96,7 @@
     /// Sums over the last events of the bus.
     sums: VecDeque<(u64, u64)>,
     /// When to take clients again at listeners that may have more; see `accept`.
-    accept_again: BTreeMap<usize, Time>,
+    accept_again: BTreeMap<usize, AcceptAgain>,
     /// The listener of the second address, and those who call there, in the order they came.
     mgmt: Option<usize>,
     callers: VecDeque<u64>,
@@ -278,7 +279,7 @@
             let fleet = self.fleet_due().into_iter().chain(self.distribution_due());
             // Before the end, what has come in the meantime is looked for once more.
             let last = self.ended().then(|| self.reactor.now());
-            let last = last.into_iter().chain(self.accept_again.values().copied());
+            let last = last.into_iter().chain(self.accept_again.values().map(|again| again.due));
             let until = until.chain(self.next_step()).chain(router).chain(met).chain(fleet).chain(last).min();
             for signal in self.reactor.turn(until, &mut self.core)? {
                 match signal {
--- a/src/daemon/accept.rs
+++ b/src/daemon/accept.rs
@@ -19,6 +19,15 @@
 /// How soon a listener is asked again where the system did not hand out a connection.
 const AGAIN: Span = Span::millis(20);
 
+/// A listener that is to be asked again.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AcceptAgain {
+    /// When.
+    pub(super) due: Time,
+    /// Since when somebody may wait there.
+    since: Time,
+}
+
 /// What a failed `accept` is about.
 #[derive(Debug, PartialEq, Eq)]
 enum AcceptFailure {
@@ -70,12 +79,19 @@
                 },
             }
         }
-        self.accept_again.insert(listener, self.reactor.now());
+        self.accept_again(listener, Span(0));
+    }
+
+    /// Comes back to a listener after a while. Those that wait there may have done so since it was asked first.
+    fn accept_again(&mut self, listener: usize, pause: Span) {
+        let now = self.reactor.now();
+        let (due, since) = (now + pause, self.reactor.arrived());
+        self.accept_again.insert(listener, AcceptAgain { due, since });
     }
 
     fn accept_later(&mut self, listener: usize, failure: &AcceptFailure, error: &io::Error) {
         let now = self.reactor.now();
-        self.accept_again.insert(listener, now + AGAIN);
+        self.accept_again(listener, AGAIN);
         if self.core.may_log(now) {
             warn!(why = %error, "accept failed");
         }
@@ -87,10 +103,13 @@
     /// Asks those listeners again whose time has come.
     pub(super) fn accept_late(&mut self) {
         let now = self.reactor.now();
-        let due: Vec<usize> =
-            self.accept_again.iter().filter(|(_, at)| **at <= now).map(|(listener, _)| *listener).collect();
-        for listener in due {
+        let due = |(listener, again): (&usize, &AcceptAgain)| {
+            (again.due <= now).then_some((*listener, again.since))
+        };
+        let due: Vec<(usize, Time)> = self.accept_again.iter().filter_map(due).collect();
+        for (listener, since) in due {
             self.accept_again.remove(&listener);
+            self.reactor.waits_since(since);
             self.accept(listener);
         }
     }
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -35,6 +35,9 @@
     shut: bool,
     /// Bytes that have come and were thrown away since the connection is to end.
     wasted: usize,
+    /// Since when something may lie unread that an earlier look has left: on a connection that is new, or whose input was
+    /// held back.
+    unread_since: Option<Time>,
 }
 
 impl Entry {
@@ -69,7 +72,15 @@
 
     /// Reads until the socket has no more, for it tells of input only once; in turns with the connection's own work
     /// and with other connections.
-    fn read_all(&mut self, mut flow: ControlFlow, context: &mut Context) -> ControlFlow {
+    fn read_all(&mut self, flow: ControlFlow, context: &mut Context) -> ControlFlow {
+        context.arrived = self.unread_since.unwrap_or(context.arrived);
+        let (flow, all) = self.read_until_empty(flow, context);
+        self.unread_since = (!all).then_some(context.arrived);
+        flow
+    }
+
+    /// The same; and whether the socket has no more.
+    fn read_until_empty(&mut self, mut flow: ControlFlow, context: &mut Context) -> (ControlFlow, bool) {
         let mut taken = 0;
         loop {
             let held = self.link.inbox.len();
@@ -83,21 +94,21 @@
                 self.link.inbox.clear();
                 if self.wasted > WASTE {
                     self.link.close_for(CloseCause::Unreadable);
-                    return ControlFlow::Close;
+                    return (ControlFlow::Close, false);
                 }
             } else if more > 0 || self.link.ended {
                 flow = flow.and(self.connection.received(&mut self.link, context));
             }
             let Ok(all) = filled else {
                 self.link.close_for(CloseCause::Broken);
-                return ControlFlow::Close;
+                return (ControlFlow::Close, true);
             };
             if all || flow != ControlFlow::Continue || self.link.held_back() {
-                return flow;
+                return (flow, all);
             }
             if taken > TURN {
                 self.link.hold();
-                return flow;
+                return (flow, false);
             }
         }
     }
@@ -214,12 +225,26 @@
         let token = Token(self.next);
         self.next += 1;
         let link = Link::new(stream, token, up, limits);
-        self.entries
-            .insert(token, Entry { link, connection, due: None, finishing: false, shut: false, wasted: 0 });
+        self.entries.insert(
+            token,
+            Entry {
+                link,
+                connection,
+                due: None,
+                finishing: false,
+                shut: false,
+                wasted: 0,
+                unread_since: Some(self.arrived),
+            },
+        );
         self.call(token, core, |entry, context| match entry.link.up {
             true => entry.connection.opened(&mut entry.link, context),
             false => ControlFlow::Continue,
         });
+        // What has come by now came before this moment, and what comes later is told of when it comes.
+        if up {
+            self.catch_up(token.0 as u64, core);
+        }
         self.entries.contains_key(&token).then_some(token.0 as u64)
     }
 
@@ -436,6 +461,16 @@
         self.polled = now;
     }
 
+    /// Since when what is found in this turn may have waited.
+    pub fn arrived(&self) -> Time {
+        self.arrived
+    }
+
+    /// What comes in for the rest of this turn may have waited since then.
+    pub fn waits_since(&mut self, since: Time) {
+        self.arrived = self.arrived.min(since);
+    }
+
     /// Reads what has come on a connection, without waiting for the poll to tell of it.
     pub fn catch_up(&mut self, id: u64, core: &mut Core) {
         let token = Token(id as usize);
--- a/tests/instants.rs
+++ b/tests/instants.rs
@@ -550,3 +550,15 @@
     heard.answer("200", "eA==");
     assert_eq!(client.next(), Some((1, 1, b"\x4f\0x".to_vec())));
 }
+
+/// Nor less: a client that has been connected for long has all of its time from when it calls.
+#[test]
+fn a_client_that_calls_late_on_its_first_connection_has_its_whole_time() {
+    let worker = Worker::agent();
+    let daemon = Daemon::start(&[&worker]);
+    let mut client = Frames::connect(daemon.listen);
+    std::thread::sleep(std::time::Duration::from_millis(1_000));
+    client.send(&frame(0, 1, &call("practice-check", "00000000000000bb", 3_000, b"x")));
+    let told = worker.next().line["attrs"]["ttl"].as_u64().unwrap();
+    assert!(told > 2_700, "told {told} ms of 3,000");
+}
