--- a/tests/instants.rs
+++ b/tests/instants.rs
@@ -562,3 +562,30 @@
     let told = worker.next().line["attrs"]["ttl"].as_u64().unwrap();
     assert!(told > 2_700, "told {told} ms of 3,000");
 }
+
+/// Clients wait at a door that outlives its process until another process takes it: nobody can tell for how long, so what
+/// they ask for is refused, and no worker is told a time that may be over.
+#[test]
+fn what_waited_at_the_door_of_a_dead_process_is_not_begun_with_its_whole_time() {
+    let worker = Worker::agent();
+    let door = TcpListener::bind("127.0.0.1:0").unwrap();
+    let first = Daemon::start(&[&worker]);
+    let mut old = first.beside(&door);
+    old.serves();
+    old.signal("KILL");
+    assert!(!old.ends());
+    let mut waits = Frames::connect(door.local_addr().unwrap());
+    waits.send(&frame(0, 1, &call("practice-check", "00000000000000bb", 3_000, b"x")));
+    let mut idle = Frames::connect(door.local_addr().unwrap());
+    std::thread::sleep(std::time::Duration::from_millis(500));
+    let mut new = first.beside(&door);
+    new.serves();
+    assert_eq!(waits.next().map(|(kind, stream, payload)| (kind, stream, payload[0])), Some((1, 1, 66)));
+    // Whoever had only connected calls as any other.
+    idle.send(&frame(0, 1, &call("practice-check", "00000000000000cc", 3_000, b"x")));
+    let mut heard = worker.next();
+    assert_eq!(heard.name(), "00000000000000cc", "the other one was not sent on");
+    assert!(heard.line["attrs"]["ttl"].as_u64().unwrap() > 2_500);
+    heard.answer("200", "eA==");
+    assert_eq!(idle.next(), Some((1, 1, b"\x4f\0x".to_vec())));
+}
