Refuse what waited at the door of a dead process

Cause: a process that begins on a passed listener took what waited there as having just come. Change: where no older process is there, those at the door are taken at once as having waited for an unknown time; what they have asked for is refused as late, which promises no effect, and what they ask later counts from when it comes.

--- a/src/daemon/upgrade.rs
+++ b/src/daemon/upgrade.rs
@@ -170,6 +170,7 @@
                 self.take_meeting_place();
                 self.door(true);
                 self.open();
+                self.take_those_at_the_door();
                 self.take_places(now);
                 self.keep();
             }
@@ -216,6 +217,15 @@
         }
     }
 
+    /// Nobody has taken clients until now, where no older process is there, and nobody can tell how long those at the door
+    /// have waited: what they have asked for counts as late.
+    fn take_those_at_the_door(&mut self) {
+        if self.upgrade.as_ref().is_some_and(|upgrade| !upgrade.machine.has_elder()) {
+            self.reactor.waits_since(Time(0));
+            self.accept(self.door.0);
+        }
+    }
+
     /// Tries again to take what could not be had.
     pub(super) fn take_places_late(&mut self) {
         let now = self.reactor.now();
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -116,6 +116,11 @@
         self.phase == Phase::Serving
     }
 
+    /// Whether an older process is there, which takes clients too.
+    pub fn has_elder(&self) -> bool {
+        self.elder.is_some()
+    }
+
     /// Whether a younger process knows what this one knew.
     pub fn told(&self) -> bool {
         self.younger.is_some()
