--- /dev/null
+++ b/src/fleet/distribution/tests/guards.rs
@@ -0,0 +1,51 @@
+//! What a process must not do however much it was asked to: each test is of one guard that no day of faults shows by itself.
+
+use super::staging::{pages, parent};
+use super::*;
+use crate::fleet::distribution::log::Log;
+use crate::fleet::distribution::voter::Voter;
+
+const NOW: Time = Time(1_000_000_000_000);
+
+/// A replica that was just started may have accepted something that it has forgotten: it accepts nothing more before it
+/// has heard a serving publisher out.
+#[test]
+fn a_replica_that_has_not_recovered_accepts_nothing() {
+    let (mut voter, log) = (Voter::default(), Log::default());
+    let proposal = Proposal { fence: 1, after: Version::default(), changes: vec![class("a", "1")] };
+    assert!(matches!(voter.prepare(1, &log), Message::Promise { recovered: false, .. }));
+    assert!(matches!(voter.accept(1, proposal.clone(), &log), Message::Rejected { .. }));
+    voter.recover();
+    assert!(matches!(voter.accept(1, proposal, &log), Message::Accepted { .. }));
+}
+
+/// A child brings a state into force only if its digest is its parent's.
+#[test]
+fn a_state_whose_digest_is_another_does_not_come_into_force() {
+    let at = |last: u8| SocketAddr::from(([127, 0, 0, last], 9_000));
+    let setting = || Setting {
+        role: Role::Subscriber,
+        at: at(1),
+        interest: Interest::All,
+        parents: vec![at(2)],
+        replicas: vec![],
+        catch_up_bytes_per_second: 1 << 20,
+        seed: 1,
+    };
+    for right in [true, false] {
+        let mut node = Node::new(NOW, setting(), Box::new(Refuses("never")));
+        node.handle(NOW, Event::Timer);
+        let mut messages: Vec<Message> = vec![];
+        for mut page in pages(&parent(3), &Interest::All, 0, 0) {
+            page.digest ^= u64::from(!right);
+            messages.push(Message::Page(page));
+        }
+        let out = node.handle(NOW, Event::Received { from: at(2), messages: &messages });
+        let installed = out.iter().any(|output| matches!(output, Output::Installed { .. }));
+        let status = node.status(NOW);
+        assert_eq!(
+            (installed, status.records > 0, status.counters.mismatches),
+            (right, right, u64::from(!right))
+        );
+    }
+}
--- a/src/fleet/distribution/tests/staging.rs
+++ b/src/fleet/distribution/tests/staging.rs
@@ -8,7 +8,7 @@
 const NOW: Time = Time(1_000_000_000_000);
 
 /// The pages of a catch-up: from 0 on a snapshot.
-fn pages(log: &Log, interest: &Interest, start: u64, from: u64) -> Vec<Page> {
+pub(super) fn pages(log: &Log, interest: &Interest, start: u64, from: u64) -> Vec<Page> {
     let (mut after, mut pages) = (from, vec![]);
     while after < log.version().sequence {
         let begun = if start == 0 && from == 0 { log.version().sequence } else { 0 };
@@ -35,7 +35,7 @@
     staging.reached().map(|progress| (progress.start, progress.upto))
 }
 
-fn parent(workers: u64) -> Log {
+pub(super) fn parent(workers: u64) -> Log {
     let mut log = Log::default();
     log.commit(1, (0..workers).map(|id| worker(id, (id % 3) as u8, 1)).chain([class("a", "1")]));
     log
