--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -264,7 +264,7 @@
         self.list_begun = true;
         match self.upgrade {
             None => self.open(),
-            Some(_) => self.upgrade(handover::Event::Started),
+            Some(_) => self.upgrade(handover::Input::Started),
         }
         loop {
             let met = self.upgrade.as_ref().and_then(|upgrade| upgrade.machine.due());
@@ -302,7 +302,7 @@
             self.fleet(crate::fleet::Event::Timer);
             self.take_distribution();
             self.distribute(crate::fleet::distribution::Event::Timer);
-            self.upgrade(handover::Event::Timer);
+            self.upgrade(handover::Input::Timer);
             self.settle();
             if let Some(why) = self.upgrade.as_ref().and_then(|upgrade| upgrade.failed) {
                 return Err(io::Error::other(why));
@@ -360,7 +360,7 @@
                 }
                 Command::ByHand { worker, out } => {
                     let worker = worker.0;
-                    self.upgrade(handover::Event::ByHand { worker, out });
+                    self.upgrade(handover::Input::ByHand { worker, out });
                 }
                 command => self.pool.command(command, &mut self.reactor, &mut self.core),
             }
@@ -427,7 +427,7 @@
         info!(name = %self.config.name, owed = self.core.owed(), "ending");
         self.ending = Some(self.reactor.now());
         self.reactor.ready = false;
-        self.upgrade(handover::Event::Leaving);
+        self.upgrade(handover::Input::Leaving);
         self.vrrp(Event::Shutdown);
         self.fleet(crate::fleet::Event::Leave);
         self.give_distribution(false);
--- a/src/daemon/upgrade.rs
+++ b/src/daemon/upgrade.rs
@@ -132,33 +132,33 @@
     }
 
     /// Tells the machine what has happened, and what waits for it, and does what it says.
-    pub(super) fn upgrade(&mut self, event: handover::Event) {
-        let mut events = VecDeque::from([event]);
+    pub(super) fn upgrade(&mut self, input: handover::Input) {
+        let mut inputs = VecDeque::from([input]);
         loop {
             let now = self.reactor.now();
             let Some(upgrade) = &mut self.upgrade else { return };
-            events.append(&mut upgrade.mailbox.borrow_mut().events);
-            let Some(event) = events.pop_front() else { return };
-            for what in upgrade.machine.handle(now, event) {
-                events.extend(self.do_upgrade(now, what));
+            inputs.append(&mut upgrade.mailbox.borrow_mut().inputs);
+            let Some(input) = inputs.pop_front() else { return };
+            for what in upgrade.machine.handle(now, input) {
+                inputs.extend(self.do_upgrade(now, what));
             }
         }
     }
 
-    fn do_upgrade(&mut self, now: Time, what: Output) -> Option<handover::Event> {
+    fn do_upgrade(&mut self, now: Time, what: Output) -> Option<handover::Input> {
         let upgrade = self.upgrade.as_mut()?;
         match what {
             Output::Meet => {
                 let stream = match self.reactor.connect_unix(&upgrade.path) {
                     Ok(stream) => stream,
                     // What the old one knows must not be lost for a moment without sockets.
-                    Err(e) if is_momentary(&e) => return Some(handover::Event::Unmet),
+                    Err(e) if is_momentary(&e) => return Some(handover::Input::Unmet),
                     // Nobody listens, or nobody can under such a name.
-                    Err(_) => return Some(handover::Event::Nobody),
+                    Err(_) => return Some(handover::Input::Nobody),
                 };
                 let connection = Box::new(PeerConnection::new(upgrade.mailbox.clone(), true));
                 let met = self.reactor.add(stream, connection, false, handover::LIMITS, &mut self.core);
-                return met.is_none().then_some(handover::Event::Unmet);
+                return met.is_none().then_some(handover::Input::Unmet);
             }
             Output::Say(peer, message) => self.say(peer, &message),
             Output::SayState(peer) => {
--- a/src/front/frames.rs
+++ b/src/front/frames.rs
@@ -115,7 +115,7 @@
 
 /// Why a request's payload makes no call.
 #[derive(Debug, PartialEq, Eq)]
-pub enum Odd {
+pub enum RequestError {
     /// The frame itself cannot be read: the connection ends.
     Malformed(&'static str),
     /// It can be read but not be used: this request has failed.
@@ -123,33 +123,34 @@
 }
 
 /// Reads a request, whose time counts from when it came.
-pub fn read_request(payload: &[u8], owner: Owner, arrived: Time) -> Result<Incoming, Odd> {
-    let (list, body) = read_fields(payload).map_err(Odd::Malformed)?;
+pub fn read_request(payload: &[u8], owner: Owner, arrived: Time) -> Result<Incoming, RequestError> {
+    let (list, body) = read_fields(payload).map_err(RequestError::Malformed)?;
     let twice = |n: usize| list[..n].iter().any(|(name, _)| *name == list[n].0);
     if (1..list.len()).any(twice) {
-        return Err(Odd::Unusable("a field stands twice"));
+        return Err(RequestError::Unusable("a field stands twice"));
     }
     let field = |name: &str| list.iter().find(|(n, _)| *n == name).map(|(_, value)| *value);
-    let need = |name: &str, why| field(name).ok_or(Odd::Unusable(why));
+    let need = |name: &str, why| field(name).ok_or(RequestError::Unusable(why));
     let class = need("service", "no service")?;
     let reference = need("ref", "no ref")?;
     if read_function(reference).is_none() {
-        return Err(Odd::Unusable("ref is not 16 hex digits"));
+        return Err(RequestError::Unusable("ref is not 16 hex digits"));
     }
     let function = read_function(need("lookup", "no lookup")?);
-    let function = FunctionId(function.ok_or(Odd::Unusable("lookup is not 16 hex digits"))?);
+    let function = FunctionId(function.ok_or(RequestError::Unusable("lookup is not 16 hex digits"))?);
     let allow = need("allow", "no allow")?;
     let digits = allow.bytes().all(|b| b.is_ascii_digit());
-    let allow = allow.parse::<u64>().ok().filter(|_| digits).ok_or(Odd::Unusable("allow is no number"))?;
+    let allow =
+        allow.parse::<u64>().ok().filter(|_| digits).ok_or(RequestError::Unusable("allow is no number"))?;
     if body.len() > BODY {
-        return Err(Odd::Unusable("body too large"));
+        return Err(RequestError::Unusable("body too large"));
     }
     let (mut memory_mb, mut lanes, mut load_time) = (0.0, 1.0, None);
     for part in field("spec").unwrap_or("").split(';').filter(|part| !part.is_empty()) {
-        let (name, value) = part.split_once(':').ok_or(Odd::Unusable("odd spec"))?;
-        let value: f64 = value.parse().map_err(|_| Odd::Unusable("odd spec"))?;
+        let (name, value) = part.split_once(':').ok_or(RequestError::Unusable("odd spec"))?;
+        let value: f64 = value.parse().map_err(|_| RequestError::Unusable("odd spec"))?;
         if !value.is_finite() || value < 0.0 {
-            return Err(Odd::Unusable("odd spec"));
+            return Err(RequestError::Unusable("odd spec"));
         }
         match name {
             "memory_mb" => memory_mb = value,
@@ -258,7 +259,7 @@
                 }
                 let owner = Owner { connection: link.id(), stream: u64::from(frame.stream) };
                 let call = match read_request(frame.payload, owner, context.arrived) {
-                    Err(Odd::Malformed(why)) => return Err(why),
+                    Err(RequestError::Malformed(why)) => return Err(why),
                     other => other,
                 };
                 let (class, verdict) = match call {
--- a/src/front/frames/tests.rs
+++ b/src/front/frames/tests.rs
@@ -54,20 +54,20 @@
         let list: Vec<_> =
             good.iter().copied().filter(|(n, _)| *n != name).chain(value.map(|v| (name, v))).collect();
         let got = read_request(&fields(&list), OWNER, Time(0));
-        assert!(matches!(got, Err(Odd::Unusable(_))), "{name} {value:?}: {got:?}");
+        assert!(matches!(got, Err(RequestError::Unusable(_))), "{name} {value:?}: {got:?}");
     }
     let twice: Vec<_> = good.iter().copied().chain([("allow", "9")]).collect();
     let got = read_request(&fields(&twice), OWNER, Time(0)).unwrap_err();
-    assert_eq!(got, Odd::Unusable("a field stands twice"));
+    assert_eq!(got, RequestError::Unusable("a field stands twice"));
     let large = [fields(&good), vec![0; BODY + 1]].concat();
-    assert_eq!(read_request(&large, OWNER, Time(0)).unwrap_err(), Odd::Unusable("body too large"));
+    assert_eq!(read_request(&large, OWNER, Time(0)).unwrap_err(), RequestError::Unusable("body too large"));
     let whole = fields(&good);
     for cut in 0..whole.len() {
         let got = read_request(&whole[..cut], OWNER, Time(0));
-        assert_eq!(got.unwrap_err(), Odd::Malformed("fields cut short"), "{cut}");
+        assert_eq!(got.unwrap_err(), RequestError::Malformed("fields cut short"), "{cut}");
     }
     let got = read_request(&[1, 1, 0xff, 0, 0], OWNER, Time(0));
-    assert_eq!(got.unwrap_err(), Odd::Malformed("a field is not text"));
+    assert_eq!(got.unwrap_err(), RequestError::Malformed("a field is not text"));
 }
 
 #[test]
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -21,7 +21,7 @@
 
 /// What happens to the machine. A peer is named by its connection.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Event {
+pub enum Input {
     /// The process has started, with a listener that others may share.
     Started,
     /// There is nobody to meet: no socket, or none that listens.
@@ -131,7 +131,7 @@
         self.yielded
     }
 
-    /// When [`Event::Timer`] is due.
+    /// When [`Input::Timer`] is due.
     pub fn due(&self) -> Option<Time> {
         match self.phase {
             Phase::Asking { until, again } => Some(again.map_or(until, |at| at.min(until))),
@@ -140,37 +140,37 @@
     }
 
     /// Takes in what happened and tells what is to be done.
-    pub fn handle(&mut self, now: Time, event: Event) -> Vec<Output> {
-        match event {
-            Event::Started => {
+    pub fn handle(&mut self, now: Time, input: Input) -> Vec<Output> {
+        match input {
+            Input::Started => {
                 self.phase = Phase::Asking { until: now + MEET, again: None };
                 vec![Output::Meet]
             }
-            Event::Nobody if self.asking() => self.serve(vec![]),
-            Event::Met(peer) if self.asking() => {
+            Input::Nobody if self.asking() => self.serve(vec![]),
+            Input::Met(peer) if self.asking() => {
                 self.elder = Some(peer);
                 vec![Output::Say(peer, Message::Hello { version: VERSION, name: self.name.clone() })]
             }
-            Event::Unmet => {
+            Input::Unmet => {
                 if let Phase::Asking { again, .. } = &mut self.phase {
                     *again = Some(now + AGAIN);
                 }
                 vec![]
             }
-            Event::Nobody | Event::Met(_) => vec![],
-            Event::Heard(peer, message) => self.heard(peer, message),
+            Input::Nobody | Input::Met(_) => vec![],
+            Input::Heard(peer, message) => self.heard(peer, message),
             // Its bans would be lost, and it still serves.
-            Event::Malformed(peer) if self.asking() && self.elder == Some(peer) => {
+            Input::Malformed(peer) if self.asking() && self.elder == Some(peer) => {
                 self.fail("the old process speaks another version")
             }
-            Event::Malformed(peer) => vec![Output::Drop(peer, "unreadable")],
-            Event::Ended(peer) => self.ended(now, peer),
-            Event::ByHand { worker, out } => self.relay(None, Message::ByHand { worker, out, at: now.0 }),
-            Event::Leaving => {
+            Input::Malformed(peer) => vec![Output::Drop(peer, "unreadable")],
+            Input::Ended(peer) => self.ended(now, peer),
+            Input::ByHand { worker, out } => self.relay(None, Message::ByHand { worker, out, at: now.0 }),
+            Input::Leaving => {
                 self.leaving = true;
                 self.shut()
             }
-            Event::Timer => match self.phase {
+            Input::Timer => match self.phase {
                 Phase::Asking { until, .. } if until <= now => {
                     self.fail("the old process does not say what it knows")
                 }
@@ -274,7 +274,7 @@
 #[derive(Default)]
 pub struct Mailbox {
     /// In the order in which it happened.
-    pub events: VecDeque<Event>,
+    pub inputs: VecDeque<Input>,
 }
 
 /// A connection to a peer.
@@ -298,7 +298,7 @@
 
     fn opened(&mut self, link: &mut Link, _hub: &mut Context) -> ControlFlow {
         if std::mem::take(&mut self.asked) {
-            self.mailbox.borrow_mut().events.push_back(Event::Met(link.id()));
+            self.mailbox.borrow_mut().inputs.push_back(Input::Met(link.id()));
         }
         ControlFlow::Continue
     }
@@ -311,10 +311,10 @@
                 Ok(None) => break,
                 Ok(Some((message, size))) => {
                     from += size;
-                    mailbox.events.push_back(Event::Heard(link.id(), message));
+                    mailbox.inputs.push_back(Input::Heard(link.id(), message));
                 }
                 Err(_) => {
-                    mailbox.events.push_back(Event::Malformed(link.id()));
+                    mailbox.inputs.push_back(Input::Malformed(link.id()));
                     return ControlFlow::Close;
                 }
             }
@@ -324,8 +324,8 @@
     }
 
     fn closed(&mut self, link: &Link, _hub: &mut Context) {
-        let event = if self.asked { Event::Unmet } else { Event::Ended(link.id()) };
-        self.mailbox.borrow_mut().events.push_back(event);
+        let input = if self.asked { Input::Unmet } else { Input::Ended(link.id()) };
+        self.mailbox.borrow_mut().inputs.push_back(input);
     }
 }
 
