--- a/src/daemon/accept.rs
+++ b/src/daemon/accept.rs
@@ -69,9 +69,14 @@
         if listener == self.door.0 && !self.door.1 {
             return;
         }
+        let mut pause = AGAIN;
         for _ in 0..TURN {
             match self.reactor.accept(listener) {
-                Ok(Some(stream)) => self.admit(listener, stream),
+                Ok(Some(stream)) => {
+                    // There are more, in all likelihood; where every call fails there may be none.
+                    pause = Span(0);
+                    self.admit(listener, stream);
+                }
                 Ok(None) => return,
                 Err(e) => match AcceptFailure::of(&e) {
                     AcceptFailure::Connection => {}
@@ -79,7 +84,7 @@
                 },
             }
         }
-        self.accept_again(listener, Span(0));
+        self.accept_again(listener, pause);
     }
 
     /// Comes back to a listener after a while. Those that wait there may have done so since it was asked first.
--- a/src/daemon/upgrade.rs
+++ b/src/daemon/upgrade.rs
@@ -354,7 +354,6 @@
     fn take_over(&mut self, now: Time, known: &Known) {
         let known = &known.in_time_of(now);
         self.core.take_over(now, known);
-        self.take_starts_over(now, known);
         if let Some(upgrade) = &mut self.upgrade {
             upgrade.held = known.descriptors;
         }
@@ -362,7 +361,9 @@
         let same = self.sums.back().is_some_and(|last| known.events.contains(last));
         let ahead = same && known.offset > offset;
         // A list that was distributed is newer than any file's, and the bus's numbers say nothing of it.
-        if ahead || self.distribution.is_some() && !known.list.is_empty() {
+        let taken = ahead || self.distribution.is_some() && !known.list.is_empty();
+        self.take_starts_over(now, known, taken);
+        if taken {
             let entry = |line: &Line| bus::Entry { member: line.member(), address: line.address() };
             let entries = known.list.iter().map(entry).collect();
             if ahead {
@@ -373,17 +374,18 @@
         info!(offset = known.offset, out = known.out.len(), "upgrade took over");
     }
 
-    /// Workers are as old as the old process has them: it may have heard of their starts by a clock that was right.
-    fn take_starts_over(&mut self, now: Time, known: &Known) {
+    /// Workers are as old as the old process has them: it may have heard of their starts by a clock that was right. Where
+    /// its list is taken, so are the starts of those that were not known here.
+    fn take_starts_over(&mut self, now: Time, known: &Known, list_taken: bool) {
         let mut changed = vec![];
         for line in &known.list {
             let worker = line.member().worker;
             let Some((told, age)) = line.start() else { continue };
-            let Some(member) = self.core.listed(worker).filter(|_| self.starts.told(worker) == Some(told))
-            else {
-                continue;
-            };
-            self.starts.take_over(now, worker, told, age);
+            let here = self.starts.told(worker);
+            if here == Some(told) || here.is_none() && list_taken {
+                self.starts.take_over(now, worker, told, age);
+            }
+            let Some(member) = self.core.listed(worker).filter(|_| here == Some(told)) else { continue };
             let member = Member { started: Some(now - age), ..*member };
             if let Some(address) = self.pool.address(worker) {
                 self.pool.place(worker, Endpoint::Agent(address), member.started);
