--- a/tests/instants.rs
+++ b/tests/instants.rs
@@ -518,9 +518,10 @@
     client.send(&frame(0, 2, &call("practice-check", "00000000000000bb", 3_000, b"x")));
     client.send(&frame(0, 3, &call("practice-check", "00000000000000cc", 500, b"x")));
     std::thread::sleep(std::time::Duration::from_millis(800));
+    // So much is gone for sure, however long all else takes on a busy machine.
+    let left = 3_000 - sent.elapsed().as_millis() as u64;
     daemon.signal("CONT");
     let mut heard = worker.next();
-    let left = 3_000 - sent.elapsed().as_millis() as u64;
     let told = heard.line["attrs"]["ttl"].as_u64().unwrap();
     assert_eq!(heard.name(), "00000000000000bb");
     assert!(told <= left + 150, "told {told} ms of {left}");
@@ -542,9 +543,10 @@
     let sent = std::time::Instant::now();
     client.send(&frame(0, 1, &call("practice-check", "00000000000000bb", 3_000, b"x")));
     std::thread::sleep(std::time::Duration::from_millis(800));
+    // So much is gone for sure, however long all else takes on a busy machine.
+    let left = 3_000 - sent.elapsed().as_millis() as u64;
     daemon.signal("CONT");
     let mut heard = worker.next();
-    let left = 3_000 - sent.elapsed().as_millis() as u64;
     let told = heard.line["attrs"]["ttl"].as_u64().unwrap();
     assert!(told <= left + 150, "told {told} ms of {left}");
     heard.answer("200", "eA==");
