Copy a call's name only where a rule is broken, and drop a count that nobody read

Found on reading the change again: check_written allocated for every attempt written; Troubles::bus_closed was written only. Behaviour is the same.

--- a/lab/src/rig/environment/network.rs
+++ b/lab/src/rig/environment/network.rs
@@ -23,7 +23,6 @@
                 self.troubles.bus_ill_at = self.now;
             }
             if self.troubles.bus_closes.contains(&n) {
-                self.troubles.bus_closed += bus.callers.len() as u64;
                 bus.callers.clear();
             }
             let silent = self.troubles.bus_silent.contains(&n);
--- a/lab/src/rig/environment/troubles.rs
+++ b/lab/src/rig/environment/troubles.rs
@@ -47,8 +47,6 @@
     pub(super) bus_silent: BTreeSet<usize>,
     pub(super) bus_closes: BTreeSet<usize>,
     pub(super) bus_ill_at: Moment,
-    /// Connections that the bus has closed.
-    pub(super) bus_closed: u64,
     /// Schedulers whose clients are hasty, and when some of them leave next.
     pub(super) hasty: BTreeSet<usize>,
     hasty_at: Moment,
@@ -73,7 +71,6 @@
             bus_silent: BTreeSet::new(),
             bus_closes: BTreeSet::new(),
             bus_ill_at: 0,
-            bus_closed: 0,
             hasty: BTreeSet::new(),
             hasty_at: 0,
             spoilt: BTreeSet::new(),
--- a/src/core/invariants.rs
+++ b/src/core/invariants.rs
@@ -146,7 +146,6 @@
         let Some(taken) = self.requests.get(&id.request) else {
             return self.violated(now, Violation::SentAfterEnd, "", &format!("{id:?}"));
         };
-        let reference = taken.work.reference.clone();
         let repeated = taken.first_out.is_some_and(|(_, first)| match taken.effect {
             Effect::Safe => false,
             Effect::Unsafe => true,
@@ -163,6 +162,10 @@
             (repeated, Violation::Repeated),
             (out > 0, Violation::SecondCopy),
         ];
+        if !found.iter().any(|(broken, _)| *broken) {
+            return;
+        }
+        let reference = taken.work.reference.clone();
         for (_, violation) in found.into_iter().filter(|(broken, _)| *broken) {
             self.violated(now, violation, &reference, &format!("attempt {}", id.number));
         }
