Log when discovery goes out of reach and comes back, and count rejections meanwhile

Now: log lines 'discovery lost' and 'discovery back', counters discovery_lost and full_unheard (added to the counters line; none is renamed).

--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -103,6 +103,10 @@
     probes_held,
     /// Updates of the list of workers.
     list_events,
+    /// Times that discovery went out of reach.
+    discovery_lost,
+    /// Attempts rejected by their worker unseen while discovery was out of reach.
+    full_unheard,
     /// Connections accepted from clients.
     accepted,
     /// Connections opened to workers.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -93,6 +93,8 @@
     chain_steps: ChainSteps,
     workers: WorkerList,
     leases: FleetLeases,
+    /// Whether discovery is out of reach.
+    discovery_lost: bool,
     /// Arrivals and what is shed, where the fleet agrees on that.
     overload: Option<Overload>,
     /// Whether new requests are rejected at once, for this process ends soon. A chain's next steps are not new.
@@ -119,6 +121,7 @@
             chain_steps: ChainSteps::new(seed),
             workers: WorkerList::default(),
             leases: FleetLeases::default(),
+            discovery_lost: false,
             overload: None,
             rejecting_new: false,
             log_limiter: LogLimiter::default(),
--- a/src/core/outcomes.rs
+++ b/src/core/outcomes.rs
@@ -34,6 +34,7 @@
             Err(broken) => (broken.progress.status(), broken.cause),
         };
         self.counters.end(status);
+        self.counters.full_unheard += u64::from(status == Status::Full && self.discovery_lost);
         self.trace_end(id, status, cause);
         if status.never_ran()
             && let Some(accepted) = self.requests.get_mut(id.request)
--- a/src/core/worker_updates.rs
+++ b/src/core/worker_updates.rs
@@ -13,6 +13,17 @@
         self.step(now, Event::Members(kind, members));
     }
 
+    /// Discovery has gone out of reach.
+    pub fn discovery_lost(&mut self) {
+        self.discovery_lost = true;
+        self.counters.discovery_lost += 1;
+    }
+
+    /// Discovery was heard, whatever it said.
+    pub fn discovery_heard(&mut self) {
+        self.discovery_lost = false;
+    }
+
     /// An operator cordons a worker: from now on nothing new is written to it whatever discovery lists.
     pub fn cordon(&mut self, now: Timestamp, worker: WorkerId) -> CordonResult {
         self.change_cordon_here(now, worker, true)
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -184,6 +184,35 @@
     pub received_any: bool,
     /// The event before which one was left out, and which was asked for anew.
     pub skipped: Option<u64>,
+    /// When a frame came last.
+    pub last_frame: Option<Timestamp>,
+    /// Since when every connection has ended without a frame.
+    pub lost_since: Option<Timestamp>,
+}
+
+impl ReceivedEvents {
+    /// A frame has come.
+    fn note_frame(&mut self, now: Timestamp) {
+        self.failures = 0;
+        self.received_any = true;
+        self.last_frame = Some(now);
+        if let Some(since) = self.lost_since.take() {
+            tracing::info!(out_ms = (now - since).whole_millis(), offset = self.offset, "discovery back");
+        }
+    }
+
+    /// A connection has ended; whether discovery had been in reach until then.
+    fn note_end(&mut self, now: Timestamp, cause: CloseCause) -> bool {
+        self.down = true;
+        self.failures += 1;
+        if self.lost_since.is_some() || cause == CloseCause::Replaced {
+            return false;
+        }
+        self.lost_since = Some(now);
+        let age_ms = self.last_frame.map(|at| (now - at).whole_millis());
+        tracing::warn!(why = ?cause, age_ms, offset = self.offset, "discovery lost");
+        true
+    }
 }
 
 /// A connection to discovery.
@@ -202,8 +231,7 @@
     fn take_frame(&mut self, event: Option<WatchEvent>, now: Timestamp) -> Result<(), DiscoveryError> {
         let mut received = self.received_events.borrow_mut();
         self.silent_at = now + SILENCE_TIMEOUT;
-        received.failures = 0;
-        received.received_any = true;
+        received.note_frame(now);
         let Some(event) = event.filter(|event| event.offset > received.offset) else { return Ok(()) };
         // Changes lie between: they are asked for once more, on a new connection.
         let skips = event.kind == ListKind::Delta && event.offset > received.offset + 1;
@@ -241,6 +269,7 @@
                 Ok(None) => break,
                 Ok(Some((event, size))) => {
                     read += size;
+                    context.core.discovery_heard();
                     if let Err(error) = self.take_frame(event, context.now) {
                         return close_unreadable(error, link, context);
                     }
@@ -265,10 +294,10 @@
         Some(self.silent_at)
     }
 
-    fn closed(&mut self, _link: &Link, _hub: &mut Context) {
-        let mut received = self.received_events.borrow_mut();
-        received.down = true;
-        received.failures += 1;
+    fn closed(&mut self, link: &Link, context: &mut Context) {
+        if self.received_events.borrow_mut().note_end(context.now, link.close_cause()) {
+            context.core.discovery_lost();
+        }
     }
 }
 
--- a/src/interface/ids.rs
+++ b/src/interface/ids.rs
@@ -73,6 +73,11 @@
         self.0 as f64 / 1e9
     }
 
+    /// The span in whole milliseconds.
+    pub const fn whole_millis(self) -> u64 {
+        self.0 / 1_000_000
+    }
+
     /// The span times a factor; what is not a sensible figure becomes zero.
     pub fn times(self, factor: f64) -> Duration {
         Duration((self.0 as f64 * factor) as u64)
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -203,7 +203,7 @@
     }
 
     /// Why it ends, as far as that is known.
-    fn close_cause(&self) -> CloseCause {
+    pub fn close_cause(&self) -> CloseCause {
         match self.cause {
             Some(cause) => cause,
             None if self.write_failed => CloseCause::Broken,
