Ask workers whether they take work once the list may be out of date

Cause: a worker that was once listed as ready was sent requests and load requests for as long as discovery said nothing; no decision and no check before a write read the age of the list. Class of bug: an unbounded cache of another system's state, without a lease.

Change: src/policy/readiness.rs and confirmation.rs. The list is valid by itself for 1.25 s and 0.8 of the drain grace after discovery was heard. After that a worker is sent something new only if a probe sent, or a request sent and served, within 0.8 of the grace shows that it takes work; else the request waits for one probe, a quarter of its time at most, and goes elsewhere on any other answer. The same is asked as bytes are written (core/write_checks.rs). A worker that was away counts as just started. Subscribers of a domain judge their list by its age, and a publisher tells how old its own is. Where health checks are not allowed, served requests count for the protocol's 7 s as well. contract.drainGraceNs is read (2 s where it is absent). Fix beside it: a probe that had no connection for a reason of our own counted against its worker.

--- a/src/backend/connection.rs
+++ b/src/backend/connection.rs
@@ -379,7 +379,7 @@
                 self.writing = None;
                 self.drop_attempt(attempt, context);
             }
-            Some(Open::Load(load)) if !context.core.load_still_allowed(load) => {
+            Some(Open::Load(load)) if !context.core.load_still_allowed(context.now, load) => {
                 link.take_back();
                 self.writing = None;
                 self.drop_load(load, context);
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -4,7 +4,7 @@
 use crate::core::{Command, Core};
 use crate::interface::{Duration, Timestamp, WorkerId};
 use crate::net::Reactor;
-use crate::request::{AttemptId, AttemptProgress, Broken};
+use crate::request::AttemptId;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -130,10 +130,7 @@
             Command::Probe { probe, worker, deadline } => {
                 match self.connection(worker, None, reactor, core) {
                     Some(connection) => give(connection, Job::Probe { probe, deadline }, reactor, core),
-                    None => {
-                        let broken = Broken { progress: AttemptProgress::NotSent, cause: "no connection" };
-                        core.probe_ended(reactor.now(), probe, Err(broken));
-                    }
+                    None => core.probe_not_sent(reactor.now(), probe),
                 }
             }
             Command::Unload { worker, function } => {
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -201,6 +201,11 @@
         self.distribution.as_ref().is_some_and(|distribution| distribution.role == Role::Replica)
     }
 
+    /// Whether this process has its list of workers from its domain.
+    pub fn subscribes(&self) -> bool {
+        self.distribution.as_ref().is_some_and(|distribution| distribution.role == Role::Subscriber)
+    }
+
     /// The checkers as lines of the list of workers.
     pub fn members(&self, site: &Site) -> Vec<(Member, PathBuf)> {
         let member = |checker: &Checker| {
--- a/src/core/actions.rs
+++ b/src/core/actions.rs
@@ -31,6 +31,7 @@
         if !self.chain_steps.answers.is_empty() {
             self.run_chains(now, vec![]);
         }
+        self.note_list_validity(now);
         self.check_sums(now);
         self.loads.rate.expire_arrivals(now, self.site.settings.rules.load_rate_limit);
     }
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -99,12 +99,16 @@
     probes,
     /// Those that were not answered in time.
     probes_unanswered,
+    /// Those that a worker answered by taking no work.
+    probes_rejected,
     /// Those for all of the fleet whose lease had ended when they were about to be written.
     probes_held,
     /// Updates of the list of workers.
     list_events,
     /// Times that discovery went out of reach.
     discovery_lost,
+    /// Times that the list could be out of date, so that workers were asked before they were sent anything.
+    list_unconfirmed,
     /// Attempts rejected by their worker unseen while discovery was out of reach.
     full_unheard,
     /// Connections accepted from clients.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -14,6 +14,7 @@
 pub mod figures;
 mod fleet_leases;
 mod invariants;
+mod list_watch;
 mod load_requests;
 mod log_limiter;
 mod outcomes;
@@ -40,6 +41,7 @@
 use figures::Figures;
 use fleet_leases::FleetLeases;
 use invariants::InvariantChecks;
+use list_watch::ListWatch;
 use load_requests::LoadRequests;
 use log_limiter::LogLimiter;
 use overload::Overload;
@@ -93,8 +95,8 @@
     chain_steps: ChainSteps,
     workers: WorkerList,
     leases: FleetLeases,
-    /// Whether discovery is out of reach.
-    discovery_lost: bool,
+    /// Whether the source of the list is in reach.
+    list_watch: ListWatch,
     /// Arrivals and what is shed, where the fleet agrees on that.
     overload: Option<Overload>,
     /// Whether new requests are rejected at once, for this process ends soon. A chain's next steps are not new.
@@ -121,7 +123,7 @@
             chain_steps: ChainSteps::new(seed),
             workers: WorkerList::default(),
             leases: FleetLeases::default(),
-            discovery_lost: false,
+            list_watch: ListWatch::default(),
             overload: None,
             rejecting_new: false,
             log_limiter: LogLimiter::default(),
--- a/src/core/outcomes.rs
+++ b/src/core/outcomes.rs
@@ -34,7 +34,7 @@
             Err(broken) => (broken.progress.status(), broken.cause),
         };
         self.counters.end(status);
-        self.counters.full_unheard += u64::from(status == Status::Full && self.discovery_lost);
+        self.counters.full_unheard += u64::from(status == Status::Full && self.list_watch.discovery_lost);
         self.trace_end(id, status, cause);
         if status.never_ran()
             && let Some(accepted) = self.requests.get_mut(id.request)
@@ -91,7 +91,7 @@
 
     /// A probe has been answered, with a load report by names, or broke on the way.
     pub fn probe_ended(&mut self, now: Timestamp, id: ProbeId, end: Result<LoadReport, Broken>) {
-        let status = if end.is_ok() { Status::Ok } else { Status::Reset };
+        let status = end.as_ref().map_or_else(|broken| check_status(broken.progress), |_| Status::Ok);
         let reported = end.unwrap_or_default();
         let value_of = |gauge| {
             let found = reported.iter().find(|(name, _)| name == gauge);
@@ -141,11 +141,20 @@
         match status {
             Status::Ok => {}
             Status::NotSent => self.counters.probes_held += 1,
+            Status::Full => self.note_drain_seen(probe.worker),
             _ => self.counters.probes_unanswered += 1,
         }
         self.backlog.push_back(Event::Probed(probe.worker, status, report));
     }
 
+    /// A worker that is listed as ready has said that it takes no work.
+    fn note_drain_seen(&mut self, worker: WorkerId) {
+        self.counters.probes_rejected += 1;
+        if self.list_watch.is_unconfirmed() && !self.policy.is_away(worker) {
+            tracing::warn!(worker = %format_args!("s-{:08x}", worker.0), "worker takes no work");
+        }
+    }
+
     pub(super) fn end_load(&mut self, now: Timestamp, id: LoadId, result: LoadResult) {
         let Some(load) = self.loads.open.remove(&id) else { return };
         self.counters.orders_ended += 1;
@@ -159,3 +168,13 @@
         }));
     }
 }
+
+/// What a health check that brought no report says of its worker.
+fn check_status(progress: AttemptProgress) -> Status {
+    match progress {
+        // It answers, and takes no work: it drains, or is about to end.
+        AttemptProgress::Answered => Status::Full,
+        AttemptProgress::NotSent => Status::ConnectFailed,
+        AttemptProgress::PartlyWritten | AttemptProgress::Out => Status::Reset,
+    }
+}
--- a/src/core/worker_updates.rs
+++ b/src/core/worker_updates.rs
@@ -1,8 +1,10 @@
 //! Changes of the list of workers: by discovery, and by operators, here and at other processes of this scheduler.
 
 use super::cordons::CordonResult;
+use super::list_watch::ListChange;
 use super::{Command, Core};
 use crate::interface::*;
+use std::collections::BTreeSet;
 
 impl Core {
     /// Discovery sends the list of workers, or changes of it.
@@ -15,13 +17,51 @@
 
     /// Discovery has gone out of reach.
     pub fn discovery_lost(&mut self) {
-        self.discovery_lost = true;
+        self.list_watch.discovery_lost = true;
         self.counters.discovery_lost += 1;
     }
 
-    /// Discovery was heard, whatever it said.
-    pub fn discovery_heard(&mut self) {
-        self.discovery_lost = false;
+    /// Discovery was heard, whatever it said: it had told all that it knew by then. What was read may have lain unread
+    /// since `at`.
+    pub fn discovery_heard(&mut self, now: Timestamp, at: Timestamp) {
+        self.list_watch.discovery_lost = false;
+        if !self.list_watch.is_distributed {
+            self.step(now, Event::ListSource(ListSource::Heard { at }));
+        }
+    }
+
+    /// Discovery was asked on a new connection.
+    pub fn discovery_asked(&mut self, now: Timestamp) {
+        if !self.list_watch.is_distributed {
+            self.step(now, Event::ListSource(ListSource::Asked));
+        }
+    }
+
+    /// The list comes from the domain from now on; what discovery says counts no longer.
+    pub fn list_distributed(&mut self, now: Timestamp, at: Timestamp) {
+        self.list_watch.is_distributed = true;
+        self.step(now, Event::ListSource(ListSource::Heard { at }));
+    }
+
+    /// The list follows a source that may go out of reach; these workers are not of it. Where there is no source, the list is
+    /// valid for as long as nobody changes it.
+    pub fn follow_list(&mut self, now: Timestamp, follows: bool, fixed: BTreeSet<WorkerId>) {
+        let source = if follows { ListSource::Followed { fixed } } else { ListSource::Fixed };
+        self.step(now, Event::ListSource(source));
+    }
+
+    /// Notes and logs that the list has become valid, or is no longer.
+    pub(super) fn note_list_validity(&mut self, now: Timestamp) {
+        match self.list_watch.observe(now, self.policy.list_is_valid(now)) {
+            None => {}
+            Some(ListChange::Confirmed(after)) => {
+                tracing::info!(after_ms = after.whole_millis(), "list confirmed");
+            }
+            Some(ListChange::Unconfirmed) => {
+                self.counters.list_unconfirmed += 1;
+                tracing::warn!(workers = self.workers.len(), "list unconfirmed");
+            }
+        }
     }
 
     /// An operator cordons a worker: from now on nothing new is written to it whatever discovery lists.
--- a/src/core/write_checks.rs
+++ b/src/core/write_checks.rs
@@ -31,7 +31,12 @@
             (Effect::Unsafe, Some(_)) => false,
             (Effect::Keyed { window, .. }, Some(first)) => now + KEY_MARGIN < first.at + window,
         };
-        in_window && self.workers.accepts_work(attempt.worker)
+        in_window && self.accepts_work(now, attempt.worker)
+    }
+
+    /// Whether a worker may be sent something new: it is listed as ready, and known not to drain since.
+    fn accepts_work(&self, now: Timestamp, worker: WorkerId) -> bool {
+        self.workers.accepts_work(worker) && self.policy.is_confirmed(worker, now)
     }
 
     /// Whether a load request may still go out, and counts it as written if so. The rate limit of loads is looked at
@@ -54,7 +59,7 @@
         let function = load.function;
         let lease_ended = id.lease.is_some_and(|fenced| !self.leases.holds(now, Task::Renew, fenced));
         if self.loads.yielded
-            || !self.workers.accepts_work(worker)
+            || !self.accepts_work(now, worker)
             || lease_ended
             || !self.loads.called.contains(function)
         {
@@ -72,11 +77,11 @@
     }
 
     /// Whether a load request that was let out, and has waited in an output buffer since, may still be written.
-    pub fn load_still_allowed(&self, id: LoadId) -> bool {
+    pub fn load_still_allowed(&self, now: Timestamp, id: LoadId) -> bool {
         self.loads
             .open
             .get(&id)
-            .is_some_and(|load| load.instances == 0 || self.workers.accepts_work(load.worker))
+            .is_some_and(|load| load.instances == 0 || self.accepts_work(now, load.worker))
     }
 
     /// Whether a probe may still go out: one for all of the fleet only under its lease. The time is read for this
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -283,6 +283,7 @@
     }
 
     fn serve(&mut self) -> io::Result<()> {
+        self.follow_list();
         self.apply_known_events();
         self.settle();
         self.list_begun = true;
@@ -366,6 +367,7 @@
         self.fleet(crate::fleet::FleetInput::Timer);
         self.take_distribution();
         self.distribute(crate::fleet::distribution::DistributionInput::Timer);
+        self.note_distributed_list();
         self.upgrade(handover::HandoverInput::Timeout);
     }
 
--- a/src/daemon/discovery.rs
+++ b/src/daemon/discovery.rs
@@ -15,6 +15,13 @@
 const SUMS: usize = 256;
 
 impl Daemon {
+    /// Tells the core whether the list of workers follows a source that may go out of reach.
+    pub(super) fn follow_list(&mut self) {
+        let fixed: BTreeSet<_> = self.fixed.iter().map(|member| member.worker).collect();
+        let follows = self.config.discovery.is_some() || self.operator.subscribes();
+        self.core.follow_list(self.reactor.now(), follows, fixed);
+    }
+
     pub(super) fn follow_discovery(&mut self, now: Timestamp) {
         loop {
             let Some(event) = self.received_events.borrow_mut().events.pop_front() else { break };
--- a/src/daemon/distribution.rs
+++ b/src/daemon/distribution.rs
@@ -47,6 +47,8 @@
     process: Process,
     /// Whether anything was installed since this place was taken.
     installed: bool,
+    /// When the list was last known to be up to date, as the core knows it.
+    list_heard_at: Option<Timestamp>,
     /// Of a replica.
     publisher: Option<Publisher>,
 }
@@ -98,6 +100,7 @@
             domain: message::fleet(&setting_name, &[]),
             process: Process { index: config.site.settings.index, incarnation: seed },
             installed: false,
+            list_heard_at: None,
             publisher: (role == Role::Replica).then(Publisher::default),
         });
         Ok(())
@@ -326,6 +329,23 @@
         self.core.members(now, kind, members);
     }
 
+    /// Tells the core how old the list is that came from the domain, and the domain how old this publisher's own is.
+    pub(super) fn note_distributed_list(&mut self) {
+        let now = self.reactor.now();
+        let last_frame = self.received_events.borrow().last_frame;
+        let Some(Distribution { place: Some(place), lists, .. }) = &mut self.distribution else { return };
+        if let Some(at) = last_frame {
+            place.node.borrow_mut().source_heard(at);
+        }
+        let up_to_date_at = place.node.borrow().up_to_date_at();
+        if *lists && up_to_date_at > place.list_heard_at {
+            place.list_heard_at = up_to_date_at;
+            if let Some(at) = up_to_date_at {
+                self.core.list_distributed(now, at);
+            }
+        }
+    }
+
     /// Whether the list of workers is the domain's, so that nothing else counts for it.
     pub(super) fn list_is_distributed(&self) -> bool {
         self.distribution.as_ref().is_some_and(|distribution| distribution.lists)
--- a/src/daemon/reload.rs
+++ b/src/daemon/reload.rs
@@ -124,6 +124,7 @@
         self.core.replace_site(now, self.config.site.clone());
         self.apply_limits();
         self.replace_checkers(now);
+        self.follow_list();
         // Discovery's numbers go on. What the file knows is of use where it follows on what is known here.
         self.follow_discovery(now);
         for event in known {
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -259,6 +259,7 @@
     fn opened(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
         self.silent_at = context.now + SILENCE_TIMEOUT;
         link.put(&self.received_events.borrow().offset.to_be_bytes());
+        context.core.discovery_asked(context.now);
         ControlFlow::Continue
     }
 
@@ -269,10 +270,10 @@
                 Ok(None) => break,
                 Ok(Some((event, size))) => {
                     read += size;
-                    context.core.discovery_heard();
                     if let Err(error) = self.take_frame(event, context.now) {
                         return close_unreadable(error, link, context);
                     }
+                    context.core.discovery_heard(context.now, context.arrived);
                 }
                 Err(error) => return close_unreadable(error, link, context),
             }
--- a/src/fleet/distribution/node.rs
+++ b/src/fleet/distribution/node.rs
@@ -17,6 +17,9 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
+/// Discovery is heard at such intervals, with some delay: a publisher's list is no older than usual for so long.
+const SOURCE_INTERVAL: Duration = Duration::millis(1_250);
+
 /// See the module's page.
 pub struct DistributionNode {
     config: DistributionConfig,
@@ -27,6 +30,8 @@
     voter: Voter,
     publisher: Publisher,
     counters: DistributionCounters,
+    /// When the publisher's own list was last known to be complete; none where nothing tells.
+    source_heard_at: Option<Timestamp>,
 }
 
 impl DistributionNode {
@@ -42,6 +47,7 @@
             publisher: Publisher::new(at, replicas),
             log: Log::default(),
             counters: DistributionCounters::default(),
+            source_heard_at: None,
             check,
             config,
         }
@@ -82,7 +88,7 @@
             self.carry_out(now, actions, out);
         }
         if self.publisher.serves(now).is_some() {
-            self.follower.refresh(now);
+            self.follower.refresh(now - self.source_age(now));
         }
         if passed(self.follower.next_timeout()) {
             self.follower.on_timeout(now, &self.log, &mut self.counters, out);
@@ -102,9 +108,26 @@
         (&mut self.children, Source { log: &self.log, age_ms, publishes }, &mut self.counters)
     }
 
+    /// The publisher's own list was complete at that time, as its discovery said.
+    pub fn source_heard(&mut self, at: Timestamp) {
+        self.source_heard_at = Some(at);
+    }
+
+    /// When the installed version was last known to be the domain's newest.
+    pub fn up_to_date_at(&self) -> Option<Timestamp> {
+        self.follower.up_to_date_at()
+    }
+
+    /// How much older than usual the publisher's own list is: a publisher whose discovery is out of reach publishes nothing
+    /// new, and those who follow it are to know.
+    fn source_age(&self, now: Timestamp) -> Duration {
+        let age = self.source_heard_at.map_or(Duration(0), |at| now - at);
+        Duration(age.0.saturating_sub(SOURCE_INTERVAL.0))
+    }
+
     fn age(&self, now: Timestamp) -> Option<Duration> {
         match self.publisher.serves(now) {
-            Some(_) => Some(Duration(0)),
+            Some(_) => Some(self.source_age(now)),
             None => self.follower.up_to_date_at().map(|at| now - at),
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -51,6 +51,26 @@
     Failed,
 }
 
+/// What becomes of the source of the list of workers, which may be out of reach.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ListSource {
+    /// From now on the list follows a source that changes it. Before that, and where there is none, nobody knows
+    /// more than the list.
+    Followed {
+        /// Workers that are not of that list.
+        fixed: BTreeSet<WorkerId>,
+    },
+    /// Nothing changes the list any more but who gives it.
+    Fixed,
+    /// The source was heard: the list was complete at that time.
+    Heard {
+        /// When.
+        at: Timestamp,
+    },
+    /// It was asked anew and has not answered yet.
+    Asked,
+}
+
 /// Tasks of a whole fleet; one scheduler at a time does each part of one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[repr(u16)]
@@ -247,6 +267,8 @@
     PeerHealth(WorkerId, bool, Timestamp),
     /// The parts of the fleet's tasks that this scheduler has from now on.
     Shares(Shares),
+    /// What became of the source of the list of workers.
+    ListSource(ListSource),
     /// A time asked for by [`Action::SetTimer`] has come.
     Timeout,
 }
--- a/src/interface/settings.rs
+++ b/src/interface/settings.rs
@@ -69,6 +69,8 @@
     pub fall_multiple: f64,
     /// ...for this long.
     pub fall_span: Duration,
+    /// Nothing new is sent to a worker later than this after its drain was received, or counts as received.
+    pub drain_grace: Duration,
     /// Load requests are rate-limited so, where they are.
     pub load_rate_limit: Option<LoadRateLimit>,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,7 @@
 //!         cold_span: Duration::millis(18_000),
 //!         fall_multiple: 2.5,
 //!         fall_span: Duration::millis(2_000),
+//!         drain_grace: Duration::millis(2_000),
 //!         load_rate_limit: None,
 //!     },
 //!     limits: Limits { may_cancel: true, may_probe: true, may_load: true, retry_after: None },
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -20,9 +20,8 @@
 const MAX_WAIT_SHARE: f64 = 0.4;
 
 impl Policy {
-    /// Whether a request may be sent to a worker: listed and ready, within its slow-start budget, attempts
-    /// left, one
-    /// at a time, and allowed by the class's effect.
+    /// Whether a request may be sent to a worker: listed and ready, not avoided, within its slow-start
+    /// budget, attempts left, one at a time, and allowed by the class's effect.
     pub(super) fn may_send(&self, id: RequestId, worker: WorkerId) -> bool {
         let Some(request) = self.requests.pending.get(&id) else { return false };
         let Some(worker) = self.workers.get(worker) else { return false };
@@ -30,6 +29,7 @@
         let attempts_left = request.attempt_in_flight.is_none() && request.attempts < class.max_attempts;
         if !attempts_left
             || worker.member.state != State::Ready
+            || worker.readiness.is_avoided(self.now)
             || !has_budget(worker, &self.settings.rules, self.now)
         {
             return false;
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -33,7 +33,9 @@
     pub fn avoided(&self) -> usize {
         let ready = self.workers.iter().filter(|(_, worker)| worker.member.state == State::Ready);
         let healthy: BTreeSet<WorkerId> = self.healthy_workers(ready.clone()).into_iter().collect();
-        ready.filter(|(id, worker)| worker.in_flight == 0 && !healthy.contains(id)).count()
+        let is_passed_by =
+            |id: &WorkerId, worker: &Worker| !healthy.contains(id) || worker.readiness.is_avoided(self.now);
+        ready.filter(|(id, worker)| worker.in_flight == 0 && is_passed_by(id, worker)).count()
     }
 
     /// Leaves out the ejected, the unreachable and those far slower than the rest, unless more than half
@@ -78,7 +80,7 @@
             let is_silent = limits.may_cancel && is_silent(worker, attempt, now);
             let wants_report = wants_load_report(attempt, ratio, now);
             if limits.may_probe && (is_silent || wants_report) && !worker.health.check_pending {
-                worker.health.check_pending = true;
+                worker.health.begin_check(now);
                 out.push(Action::Probe { worker: attempt.worker, part: None });
             }
         }
@@ -98,7 +100,7 @@
             }
             let part = (mix(id.0) % u64::from(shares.parts.max(1))) as u16;
             if shares.own.contains(&(Task::Probe, part)) {
-                health.check_pending = true;
+                health.begin_check(now);
                 out.push(Action::Probe { worker: *id, part: Some(part) });
             }
         }
@@ -118,9 +120,16 @@
     /// their
     /// classes allow.
     pub(super) fn on_probed(&mut self, id: WorkerId, status: Status, report: &[f32], out: &mut Actions) {
-        let now = self.now;
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.health.check_pending = false;
+        self.observe_readiness(id, status);
+        self.observe_check(id, status, report, out);
+        self.release_waiting(id, out);
+    }
+
+    fn observe_check(&mut self, id: WorkerId, status: Status, report: &[f32], out: &mut Actions) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(id) else { return };
         if status == Status::Ok {
             worker.health.mark_alive(now);
             return self.scale_up(id, report, out);
--- a/src/policy/lifecycle.rs
+++ b/src/policy/lifecycle.rs
@@ -34,6 +34,7 @@
             attempt_in_flight: None,
             first_run: None,
             waits_for_load: false,
+            confirmation_wait: None,
             failed_workers: Vec::new(),
         };
         self.requests.pending.insert(call.id, request);
@@ -61,11 +62,14 @@
         self.timers.add(self.now + pause, Timer::Place(id));
     }
 
-    /// Sends a request to a worker, if it may be sent there.
+    /// Sends a request to a worker, if it may be sent there, once the worker is known to take work.
     pub(super) fn send(&mut self, id: RequestId, worker_id: WorkerId, warm: bool, out: &mut Actions) {
         if !self.may_send(id, worker_id) {
             return self.place_later(id, PLACEMENT_RETRY_DELAY);
         }
+        if !self.is_confirmed(worker_id, self.now) {
+            return self.await_confirmation(id, worker_id, warm, out);
+        }
         let Some(request) = self.requests.pending.get_mut(&id) else { return };
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         let number = request.attempts;
@@ -144,6 +148,7 @@
             Status::Ok => {
                 instance.mark_warm(now + self.settings.loading.keep_alive);
                 worker.health.mark_served();
+                worker.readiness.confirm(attempt.sent.at);
                 self.recent.served.add(now);
                 if attempt.warm {
                     observe_latency(worker, &mut self.class_latencies, outcome, attempt, now);
@@ -166,6 +171,7 @@
             Status::Error | Status::NotSent => {}
         }
         self.unreachable_zones.note_break(worker, now);
+        self.observe_unlisted_end(attempt.worker, outcome.status);
     }
 }
 
--- a/src/policy/load_requests.rs
+++ b/src/policy/load_requests.rs
@@ -1,6 +1,7 @@
 //! Load requests: which are under way, and when another may be sent.
 
 use super::instance::{InstanceState, ScaleUp};
+use super::requests::PendingRequest;
 use super::slow_start::has_budget;
 use super::{Actions, Policy};
 use crate::interface::*;
@@ -82,6 +83,7 @@
         };
         let has_slot = instance.warm_until > self.now || worker.pending_loads(self.now) < max_loads;
         let is_able = worker.member.state == State::Ready
+            && !worker.readiness.is_avoided(self.now)
             && self.settings.limits.may_load
             && has_budget(worker, &self.settings.rules, self.now);
         if !is_able || instance.load_requested_at.is_some() || instance.retry_at > self.now || !has_slot {
@@ -99,7 +101,7 @@
         loads + 1.0 <= rate_limit.free + rate_limit.share * arrivals
     }
 
-    /// Requests a load, if one may be requested.
+    /// Requests a load, if one may be requested, once the worker is known to take work.
     pub(super) fn request_load(
         &mut self,
         worker_id: WorkerId,
@@ -110,6 +112,9 @@
         if !self.may_load(worker_id, function) {
             return;
         }
+        if !self.is_confirmed(worker_id, self.now) {
+            return self.await_confirmation_for_load(worker_id, function, target, out);
+        }
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         worker.slow_start.take();
         let instance = worker.instances.entry(function).or_default();
@@ -127,16 +132,22 @@
     pub(super) fn on_loaded(&mut self, loaded: Loaded, out: &mut Actions) {
         self.load_requests.remove(loaded.function, loaded.worker);
         self.observe_load(&loaded);
-        let mut waiting = Vec::new();
-        for (id, request) in &mut self.requests.pending {
-            if !request.waits_for_load || request.function != loaded.function {
-                continue;
-            }
-            if loaded.status == Status::Ok {
-                request.failed_workers.retain(|worker| *worker != loaded.worker);
+        if loaded.status == Status::Ok {
+            for request in self.requests.pending.values_mut() {
+                if request.waits_for_load && request.function == loaded.function {
+                    request.failed_workers.retain(|worker| *worker != loaded.worker);
+                }
             }
-            waiting.push(*id);
         }
+        self.place_waiting_for_load(loaded.function, out);
+    }
+
+    /// Places the requests that waited for a load of this function.
+    pub(super) fn place_waiting_for_load(&mut self, function: FunctionId, out: &mut Actions) {
+        let waits = |request: &&PendingRequest| request.waits_for_load && request.function == function;
+        let pending = self.requests.pending.iter();
+        let waiting: Vec<RequestId> =
+            pending.filter(|(_, request)| waits(request)).map(|(id, _)| *id).collect();
         for id in waiting {
             self.place(id, out);
         }
@@ -166,5 +177,6 @@
             }
         }
         self.unreachable_zones.note_break(worker, now);
+        self.observe_unlisted_end(loaded.worker, loaded.status);
     }
 }
--- a/src/policy/membership.rs
+++ b/src/policy/membership.rs
@@ -32,6 +32,11 @@
         if self.workers.update(member) {
             return;
         }
+        self.insert_process(member);
+    }
+
+    /// Lists a new process, of which nothing is known.
+    pub(super) fn insert_process(&mut self, member: Member) {
         // A new process is empty. The schedulers start from random parts of a token, so that all of them
         // together
         // send what those parts add up to.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -7,6 +7,7 @@
 mod admission;
 mod backoff;
 mod concurrency_limit;
+mod confirmation;
 mod health;
 mod instance;
 mod latency;
@@ -17,6 +18,7 @@
 mod placement;
 mod popularity;
 mod prewarm;
+mod readiness;
 mod recent;
 mod rendezvous;
 mod requests;
@@ -29,12 +31,14 @@
 mod workers;
 
 use crate::interface::*;
+use confirmation::WaitingForConfirmation;
 use latency::ClassLatencies;
 use load_requests::LoadRequests;
 use maintenance::MAINTENANCE_INTERVAL;
 use popularity::Popularity;
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
+use readiness::ListValidity;
 use recent::Recent;
 use requests::Requests;
 use slow_start::SlowStart;
@@ -71,6 +75,8 @@
     recent: Recent,
     slow_start: SlowStart,
     unreachable_zones: UnreachableZones,
+    list_validity: ListValidity,
+    waiting_for_confirmation: WaitingForConfirmation,
     /// The share of the workers that have no room, as last looked at.
     crowding: f64,
 }
@@ -92,6 +98,8 @@
             recent: Recent::default(),
             slow_start: SlowStart::default(),
             unreachable_zones: UnreachableZones::default(),
+            list_validity: ListValidity::default(),
+            waiting_for_confirmation: WaitingForConfirmation::default(),
             crowding: 0.0,
         }
     }
@@ -120,6 +128,7 @@
             Event::Probed(worker, status, report) => self.on_probed(worker, status, &report, out),
             Event::Wanted(function, memory_mb) => self.on_wanted(function, memory_mb, out),
             Event::Shares(shares) => self.shares = shares,
+            Event::ListSource(source) => self.list_validity.observe(self.now, source, &self.settings),
             Event::PeerHealth(worker, answered, at) => self.on_peer_health(worker, answered, at),
             Event::Timeout => self.timers.fired(),
         }
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -50,6 +50,13 @@
         let salt = self.rng.next_u64();
         let request = self.requests.pending.get_mut(&id);
         let Some(request) = request.filter(|request| request.attempt_in_flight.is_none()) else { return };
+        if let Some(wait) = request.confirmation_wait {
+            if self.now < wait.until {
+                return;
+            }
+            request.confirmation_wait = None;
+            request.failed_workers.push(wait.worker);
+        }
         request.waits_for_load = false;
         if request.attempts >= self.settings.classes[request.class].max_attempts {
             return self.reject(id, out);
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -17,6 +17,15 @@
     pub cell: CellId,
 }
 
+/// The worker for whose health check a request waits.
+#[derive(Clone, Copy)]
+pub struct ConfirmationWait {
+    /// Which worker.
+    pub worker: WorkerId,
+    /// When the request is placed elsewhere at the latest.
+    pub until: Timestamp,
+}
+
 /// A request that a client waits for.
 pub struct PendingRequest {
     /// The function called.
@@ -37,6 +46,8 @@
     pub first_run: Option<SentTo>,
     /// Whether it waits for a load.
     pub waits_for_load: bool,
+    /// The worker for whose health check it waits.
+    pub confirmation_wait: Option<ConfirmationWait>,
     /// Workers where it failed or found no instance.
     pub failed_workers: Vec<WorkerId>,
 }
--- a/src/policy/worker_health.rs
+++ b/src/policy/worker_health.rs
@@ -28,6 +28,8 @@
     pub last_seen: Timestamp,
     /// Whether a health check is under way.
     pub check_pending: bool,
+    /// When the last one began.
+    pub check_begun_at: Timestamp,
     /// When a connection to it broke last.
     pub broke_at: Timestamp,
     unanswered_checks: u32,
@@ -52,6 +54,12 @@
         self.unanswered_checks = 0;
     }
 
+    /// A health check begins.
+    pub fn begin_check(&mut self, now: Timestamp) {
+        self.check_pending = true;
+        self.check_begun_at = now;
+    }
+
     /// Whether it gets no requests by choice.
     pub fn is_ejected(&self, now: Timestamp) -> bool {
         self.ejected_until > now
--- a/src/policy/workers.rs
+++ b/src/policy/workers.rs
@@ -3,6 +3,7 @@
 use super::concurrency_limit::ConcurrencyLimit;
 use super::instance::InstanceState;
 use super::latency::Slowness;
+use super::readiness::Readiness;
 use super::rendezvous::Rendezvous;
 use super::token_bucket::TokenBucket;
 use super::worker_health::WorkerHealth;
@@ -26,6 +27,8 @@
     pub in_flight: u32,
     /// Whether it answers.
     pub health: WorkerHealth,
+    /// Whether it is known to take work.
+    pub readiness: Readiness,
     /// How slow it is.
     pub slowness: Slowness,
     /// How many of our requests it may have in flight.
@@ -43,6 +46,7 @@
             instances: BTreeMap::new(),
             in_flight: 0,
             health: WorkerHealth::new(now),
+            readiness: Readiness::default(),
             slowness: Slowness::new(),
             limit: ConcurrencyLimit::new(),
             slow_start,
@@ -141,6 +145,7 @@
             return false;
         };
         worker.member = member;
+        worker.readiness.mark_listed();
         true
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -86,6 +86,7 @@
         cold_span: Duration(contract.cold_ns),
         fall_multiple: contract.fall_multiple,
         fall_span: Duration(contract.fall_ns),
+        drain_grace: Duration(contract.drain_grace_ns),
         load_rate_limit: (info.load_span_ns > 0).then_some(limit),
     }
 }
--- a/src/settings/text.rs
+++ b/src/settings/text.rs
@@ -67,6 +67,8 @@
     pub(super) cold_ns: u64,
     pub(super) fall_multiple: f64,
     pub(super) fall_ns: u64,
+    #[serde(default = "two_seconds")]
+    pub(super) drain_grace_ns: u64,
 }
 
 /// What a scheduler may do, and limits of its sockets.
@@ -158,3 +160,8 @@
 pub(super) struct LoadInfoText {
     pub(super) names: Vec<String>,
 }
+
+/// Grace of a deployment that names none.
+fn two_seconds() -> u64 {
+    2_000_000_000
+}
--- a/tests/decision_digest/core_calls.rs
+++ b/tests/decision_digest/core_calls.rs
@@ -308,7 +308,7 @@
                 self.at(took, Later::OrderEnded(id));
             }
             Later::OrderEnded(id) => {
-                let stands = self.core.load_still_allowed(id);
+                let stands = self.core.load_still_allowed(now, id);
                 self.flag(stands);
                 let end = match self.draw.below(6) {
                     _ if !bad => Ok(LoadResult { status: Status::Ok, instances: 1 }),
--- a/tests/decision_digest/decisions.rs
+++ b/tests/decision_digest/decisions.rs
@@ -127,6 +127,7 @@
             cold_span: Duration::millis(draw.pick(&[1000, 6000, 18_000])),
             fall_multiple: draw.pick(&[1.2, 2.5, 4.0]),
             fall_span: Duration::millis(2000),
+            drain_grace: Duration::millis(2000),
             load_rate_limit: draw.percent(40).then_some(load_rate_limit),
         },
         limits: Limits {
--- a/tests/ramp.rs
+++ b/tests/ramp.rs
@@ -143,6 +143,7 @@
             cold_span: Duration::millis(15_000),
             fall_multiple: 3.0,
             fall_span: Duration::millis(2_000),
+            drain_grace: Duration::millis(2_000),
             load_rate_limit: Some(LoadRateLimit { free: 3.0, share: 0.3, span: Duration::millis(5_000) }),
         },
         limits: Limits { may_cancel: true, may_probe: true, may_load: true, retry_after: None },
--- a/tests/stored_forms/figures.rs
+++ b/tests/stored_forms/figures.rs
@@ -42,7 +42,7 @@
         withdrawn=0 chains=0 chains_served=0 chains_stopped=0 chains_failed=0 refused_full=0 refused_ending=0 \
         refused_late=0 refused_class=0 refused_unplaced=0 attempts=0 retries=0 sent=0 ok=0 error=0 full=0 timeout=0 \
         connect_failed=0 reset=0 cancelled=0 moot=0 miss=0 orders_begun=0 orders_ended=0 orders=0 orders_rationed=0 \
-        probes=0 probes_unanswered=0 probes_held=0 list_events=0 discovery_lost=0 full_unheard=0 accepted=0 opened=0 closed_ended=0 closed_broken=0 \
+        probes=0 probes_unanswered=0 probes_rejected=0 probes_held=0 list_events=0 discovery_lost=0 list_unconfirmed=0 full_unheard=0 accepted=0 opened=0 closed_ended=0 closed_broken=0 \
         closed_not_connected=0 closed_idle=0 closed_made_room=0 closed_clogged=0 closed_unreadable=0 closed_silent=0 \
         closed_finished=0 closed_replaced=0 closed_fault=0 malformed=0 unlogged=0 unreadable=0 panics=0 \
         distribution_dropped=0 unpublished=0 vrrp_dropped=0 fleet_dropped=0 conf_loaded=0 conf_invalid=0"
