Let the plug-in confirm its list; test the write checks and the publisher's age in an outage

Related paths of the same class: the plug-in is given its list and nothing of its source's silence (Client::list_confirmed, opt-in); subscribers of a domain whose publisher has lost discovery (age at subscribers, in virtual time); what has queued when the list ages (core tests). core:: and distribution tests pass.

--- a/src/client.rs
+++ b/src/client.rs
@@ -65,6 +65,7 @@
 use crate::interface::{Duration, FunctionId, ListKind, Member, State, Timestamp};
 use crate::net::{Reactor, SystemClock};
 use crate::settings::Site;
+use std::collections::BTreeSet;
 use std::io;
 
 /// Connections that an embedded scheduler opens at most.
@@ -152,6 +153,17 @@
         self.carry_out();
     }
 
+    /// The source of the list was heard now: the list that this client was given is complete. A source that may go out of reach
+    /// is to be reported so about once a second, whether or not anything has changed; from the first report on, workers are
+    /// asked before they are sent anything once a report is more than 1.25 s and 0.8 of the drain grace old. Without any
+    /// report the list counts for as long as nobody changes it.
+    pub fn list_confirmed(&mut self) {
+        let now = self.reactor.now();
+        self.core.follow_list(now, true, BTreeSet::new());
+        self.core.discovery_heard(now, now);
+        self.carry_out();
+    }
+
     /// Takes a request. [`Client::poll_once`] gives its one answer, unless it is cancelled before.
     pub fn submit(&mut self, call: OutgoingRequest) -> RequestHandle {
         self.next += 1;
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -87,6 +87,50 @@
     assert!(!core.may_write(MS(13), attempt), "absent from the whole list is gone");
 }
 
+/// A core whose list follows discovery, which was not heard yet.
+fn following_core() -> Core {
+    let text = SITE.replace(r#""mayCancel": true"#, r#""mayCancel": true, "probes": true"#);
+    let mut core = Core::new(site(&text), 7);
+    let member = |n| Member { worker: WorkerId(n), weight: 1.0, ..Member::default() };
+    core.follow_list(MS(0), true, BTreeSet::new());
+    core.members(MS(0), ListKind::Full, vec![member(1), member(2)]);
+    core
+}
+
+/// Nor once the list may be out of date: its worker may have begun to drain, and nobody has told.
+#[test]
+fn what_queued_is_held_back_once_the_list_may_be_out_of_date() {
+    let mut core = following_core();
+    core.discovery_heard(MS(0), MS(0));
+    let (attempt, _) = sent(&call(&mut core, 1, "safe"));
+    let load = load(&mut core, MS(0));
+    // Valid for 1.25 s and 0.8 of a grace of 2 s.
+    assert!(core.may_write(MS(2850), attempt) && core.load_still_allowed(MS(2850), load));
+    assert!(!core.may_write(MS(2851), attempt) && !core.load_still_allowed(MS(2851), load));
+    assert!(!core.may_write_load(MS(2851), load));
+    core.discovery_heard(MS(2900), MS(2900));
+    assert!(core.may_write(MS(2900), attempt) && core.may_write_load(MS(2900), load));
+}
+
+/// A drained worker says so when it is asked: the request goes elsewhere, and its one answer comes.
+#[test]
+fn a_request_for_an_unconfirmed_worker_is_sent_once_a_probe_has_confirmed_one() {
+    let mut core = following_core();
+    let probe_of = |commands: &[Command]| match commands {
+        [Command::Probe { probe, worker, .. }] => (*probe, *worker),
+        other => panic!("{other:?}"),
+    };
+    let (probe, drained) = probe_of(&call(&mut core, 1, "safe"));
+    core.probe_ended(MS(2), probe, Err(Broken { progress: AttemptProgress::Answered, cause: "not alive" }));
+    let (probe, ready) = probe_of(&std::iter::from_fn(|| core.next_command()).collect::<Vec<_>>());
+    assert_ne!(ready, drained);
+    core.probe_ended(MS(4), probe, Ok(vec![]));
+    let (attempt, worker) = sent(&std::iter::from_fn(|| core.next_command()).collect::<Vec<_>>());
+    assert_eq!(worker, ready);
+    assert!(core.may_write(MS(5), attempt));
+    assert_eq!((core.counters().probes_rejected, core.counters().probes_unanswered), (1, 0));
+}
+
 /// Whatever waits for its connection when its worker is left out by hand stays here: an attempt, the repeat of
 /// one, an order. What comes back is met as a new process.
 #[test]
--- a/src/fleet/distribution/tests/tree.rs
+++ b/src/fleet/distribution/tests/tree.rs
@@ -55,6 +55,34 @@
     domain.assert_same(publisher);
 }
 
+/// A publisher whose discovery is out of reach has nothing new to publish, and its word that a version is the newest says
+/// nothing of the workers: those who follow it have to know how old the list is.
+#[test]
+fn an_outage_of_the_publishers_discovery_shows_in_the_age_at_all_subscribers() {
+    let mut domain = small();
+    let publisher = domain.replicas[0];
+    for _ in 0..10 {
+        domain.net.act(publisher, |host, now| {
+            host.node.source_heard(Timestamp(now.0));
+            vec![]
+        });
+        domain.pass(1_000);
+    }
+    let ages = |domain: &Domain| -> Vec<Duration> {
+        let age = |at: &SocketAddr| domain.status(*at).age.expect("it is known");
+        domain.subscribers.iter().map(age).collect()
+    };
+    assert!(ages(&domain).iter().all(|age| *age < Duration::millis(2_000)), "{:?}", ages(&domain));
+    domain.pass(8_000);
+    assert!(ages(&domain).iter().all(|age| *age > Duration::millis(7_000)), "{:?}", ages(&domain));
+    domain.net.act(publisher, |host, now| {
+        host.node.source_heard(Timestamp(now.0));
+        vec![]
+    });
+    domain.pass(2_000);
+    assert!(ages(&domain).iter().all(|age| *age < Duration::millis(3_000)), "{:?}", ages(&domain));
+}
+
 #[test]
 fn a_worker_that_moves_to_another_zone_is_removed_from_the_first() {
     let mut domain = small();
