Have the soak play drains through outages, kills at the earliest and clients that stay

Now: outages of 3 to 17 s, drains of up to 13 s, workers that reject and say so when they drain and come back under their id, loads audited too, and a drain counts as told after 7 s during an outage; a fall of a cold worker is excused for no longer either. New trouble term_kill: signals in series, clients that go on using open connections, SIGKILL at the deadline plus 0.7 s, and a call that was open at the end is lost.

--- a/lab/src/rig/client.rs
+++ b/lab/src/rig/client.rs
@@ -10,8 +10,6 @@
 
 /// Open requests that one connection carries.
 const OPEN: usize = 32;
-/// How long a client waits for its answer.
-pub const ALLOW: u64 = 3 * SECOND;
 /// How much later than that an answer may come on the way.
 const SLACK: u64 = 5 * SECOND;
 /// A request that crosses a close within this time is sent again, once.
@@ -101,6 +99,10 @@
     repeats: u32,
     /// The part of the calls that must not run twice.
     pub fragile: f64,
+    /// How long a client waits for its answer.
+    pub allow_ms: u64,
+    /// Schedulers that are to end and whose clients go on using their open connections until these end.
+    pub persistent: BTreeSet<usize>,
     refused: Vec<Call>,
     weights: Vec<f64>,
     /// Calls that have ended since last asked.
@@ -109,9 +111,8 @@
     pub odd: Vec<String>,
 }
 
-fn request(call: &Call) -> Vec<u8> {
-    let (reference, allow) =
-        (format!("{:016x}", call.id << 1 | u64::from(call.again)), (ALLOW / MS).to_string());
+fn request(call: &Call, allow_ms: u64) -> Vec<u8> {
+    let (reference, allow) = (format!("{:016x}", call.id << 1 | u64::from(call.again)), allow_ms.to_string());
     let key = format!("{:032x}", call.id);
     let list = [
         ("service", CLASSES[call.class]),
@@ -147,7 +148,22 @@
     pub fn new(rate: f64, repeats: u32, functions: usize) -> Clients {
         let weights = (1..=functions).map(|n| 1.0 / n as f64).collect();
         let (connections, refused, done, odd) = Default::default();
-        Clients { connections, next: 1, due: 0, rate, repeats, fragile: 0.0, refused, weights, done, odd }
+        let persistent = BTreeSet::new();
+        let (fragile, allow_ms) = (0.0, 3_000);
+        Clients {
+            connections,
+            next: 1,
+            due: 0,
+            rate,
+            repeats,
+            fragile,
+            allow_ms,
+            persistent,
+            refused,
+            weights,
+            done,
+            odd,
+        }
     }
 
     fn draw(&mut self, now: Moment, rng: &mut SmallRng) -> Call {
@@ -205,9 +221,13 @@
     }
 
     fn send(&mut self, now: Moment, scheduler: usize, place: SocketAddr, call: Call) {
-        let usable = |c: &Connection| c.scheduler == scheduler && !c.leaves && c.open.len() < OPEN;
+        let persists = self.persistent.contains(&scheduler);
+        let usable =
+            |c: &Connection| c.scheduler == scheduler && (persists || !c.leaves) && c.open.len() < OPEN;
         let found = match self.connections.iter().position(usable) {
             Some(found) => found,
+            // Their connections are gone, or full: such a client calls elsewhere.
+            None if persists => return self.end(now, scheduler, call, End::Lost),
             None => {
                 let Ok(wire) = TcpStream::connect(place).and_then(Wire::new) else {
                     return self.end(now, scheduler, call, End::Lost);
@@ -220,7 +240,7 @@
             }
         };
         let connection = &mut self.connections[found];
-        connection.wire.outbox.extend(frame(0, connection.next, &request(&call)));
+        connection.wire.outbox.extend(frame(0, connection.next, &request(&call, self.allow_ms)));
         connection.open.insert(connection.next, call);
         connection.next += 1;
         connection.used = now;
@@ -259,6 +279,11 @@
         gone
     }
 
+    /// Whether clients have a connection to a scheduler.
+    pub fn is_connected(&self, scheduler: usize) -> bool {
+        self.connections.iter().any(|connection| connection.scheduler == scheduler)
+    }
+
     /// Calls that wait for an answer.
     pub fn open(&self) -> usize {
         self.connections.iter().map(|connection| connection.open.len()).sum()
@@ -274,14 +299,16 @@
     ) {
         let mut again = vec![];
         let mut connections = std::mem::take(&mut self.connections);
+        let allow = self.allow_ms * MS;
         connections.retain_mut(|connection| {
+            let persists = self.persistent.contains(&connection.scheduler);
             let alive = connection.wire.write() && connection.wire.read();
             self.frames(now, connection);
             let scheduler = connection.scheduler;
             let given_up: Vec<u32> = connection
                 .open
                 .iter()
-                .filter(|(_, c)| c.sent + ALLOW + SLACK <= now)
+                .filter(|(_, c)| c.sent + allow + SLACK <= now)
                 .map(|(n, _)| *n)
                 .collect();
             for stream in given_up {
@@ -293,12 +320,15 @@
                 connection.wire.outbox.extend(frame(2, stream, &[]));
             }
             if alive {
-                let idle = connection.open.is_empty() && (connection.leaves || connection.used + IDLE <= now);
+                let leaves = connection.leaves && !persists;
+                let idle = connection.open.is_empty() && (leaves || connection.used + IDLE <= now);
                 return !idle;
             }
             for (_, call) in std::mem::take(&mut connection.open) {
                 let crossed = call.sent + CROSSED > now && !call.again;
                 match away(scheduler, call.sent, now) {
+                    // It is made again at another scheduler.
+                    false if crossed && persists => self.end(now, scheduler, call, End::Lost),
                     false if crossed => again.push((scheduler, Call { again: true, ..call })),
                     true => self.end(now, scheduler, call, End::Lost),
                     false => self.end(now, scheduler, call, End::Owed),
--- a/lab/src/rig/environment.rs
+++ b/lab/src/rig/environment.rs
@@ -36,8 +36,14 @@
 const STALL: u64 = SECOND / 4;
 /// Clients notice a scheduler that is gone, and one that is to end, after these times.
 const NOTICE: (u64, u64) = (SECOND, SECOND / 2);
-/// After a drain was told, calls may still be written for this time.
-const GRACE: u64 = 2 * SECOND + SECOND / 2;
+/// By so much later than the deployment's grace something new may be seen to come to a worker that drains.
+const GRACE_SLACK: u64 = SECOND / 2;
+/// What is put into the bus counts as told after this time at the latest, whether it arrived or not.
+const TOLD_AT_THE_LATEST: u64 = 7 * SECOND;
+/// SIGKILL comes so long after SIGTERM and the longest deadline at the earliest.
+const KILL_AFTER_DEADLINE: u64 = 700 * MS;
+/// New connections come for so long after SIGTERM.
+const NEW_CONNECTIONS: u64 = 300 * MS;
 /// Schedulers may order so many loads, and this part of their calls, in such a time.
 const RATION: Ration = Ration { free: 3.0, share: 0.3, span: 5 * SECOND };
 
@@ -171,12 +177,13 @@
     (settings["fleetSize"], settings["index"]) = (json!(scenario.schedulers), json!(index));
     for (class, worth) in report::WORTH.into_iter().enumerate() {
         settings["classes"][class]["name"] = json!(client::CLASSES[class]);
-        settings["classes"][class]["deadlineNs"] = json!(client::ALLOW);
+        settings["classes"][class]["objectiveNs"] = json!(scenario.allow_ms * MS / 3);
+        settings["classes"][class]["deadlineNs"] = json!(scenario.allow_ms * MS);
         settings["classes"][class]["worth"] = json!(worth);
     }
     (settings["bounds"]["probes"], settings["bounds"]["peers"]) = (json!(true), json!(scenario.fleet));
     settings["contract"] = json!({"coldFrom": kind.cold_from, "coldNs": kind.cold_ms * MS,
-        "fallMultiple": kind.fall_multiple, "fallNs": kind.fall_ms * MS, "drainGraceNs": 2_000_000_000});
+        "fallMultiple": kind.fall_multiple, "fallNs": kind.fall_ms * MS, "drainGraceNs": scenario.grace_ms * MS});
     let family = &mut settings["familyInfo"];
     (family["keepNs"], family["loadSpanNs"]) = (json!(super::worker::KEEP), json!(RATION.span));
     (family["loadsAnyway"], family["loadPart"]) = (json!(RATION.free), json!(RATION.share));
@@ -293,7 +300,7 @@
             clients: Clients::new(scenario.calls, scenario.repeats, scenario.functions),
             calling: false,
             calls: 0,
-            audit: Audit::new(RATION, client::ALLOW / MS),
+            audit: Audit::new(RATION, scenario.allow_ms),
             to_worker: vec![vec![Default::default(); worker_count]; count],
             peers: vec![vec![LinkCondition::default(); count]; count],
             active: vec![],
@@ -333,6 +340,7 @@
             self.scenario.draw(&mut rng).into()
         };
         self.clients.fragile = self.scenario.fragile;
+        self.clients.allow_ms = self.scenario.allow_ms;
         self.calling = true;
         let end = zero + (self.scenario.seconds * 1e3) as u64 * MS;
         while self.now < end {
@@ -399,6 +407,7 @@
             self.absence.stalled = begins;
         }
         self.hear_logs();
+        self.kill_overdue();
         self.see_ends();
         self.bus()?;
         self.pass_datagrams();
@@ -425,7 +434,10 @@
     fn turn_clients(&mut self) {
         let now = self.now;
         if self.calling {
-            let usable = |n: &usize| self.shunned[*n].is_none_or(|since| since > now);
+            let usable = |n: &usize| {
+                self.shunned[*n].is_none_or(|since| since > now)
+                    || self.clients.persistent.contains(n) && self.clients.is_connected(*n)
+            };
             let places: Vec<(usize, SocketAddr)> =
                 (0..self.schedulers.len()).filter(usable).map(|n| (n, self.schedulers[n].at)).collect();
             for (scheduler, call) in self.clients.call(now, &places, &mut self.rng) {
@@ -434,7 +446,15 @@
                 self.audit.call(now, scheduler, call.id, &call.function, fragile);
             }
         }
-        let away = |n, from, to| self.absence.was_away(n, from, to);
+        // Its end is no excuse for a scheduler that was asked to end.
+        let persistent = self.clients.persistent.clone();
+        let away = |n, from: Moment, to| {
+            if persistent.contains(&n) {
+                self.absence.stalled >= from.max(1)
+            } else {
+                self.absence.was_away(n, from, to)
+            }
+        };
         let place = |n: usize| self.schedulers[n].at;
         self.clients.turn(now, away, place);
         for odd in self.clients.odd.drain(..) {
@@ -492,6 +512,7 @@
             cpu_ms: self.ticks.1 as f64 * 10.0 / each,
             top_copies: self.top_copies.clone(),
             faults: self.faults.clone(),
+            killed_overdue: self.troubles.killed_overdue,
             effects: self.troubles.effects.clone(),
         }
     }
--- a/lab/src/rig/environment/faults.rs
+++ b/lab/src/rig/environment/faults.rs
@@ -32,6 +32,7 @@
                         process.signal("TERM");
                     }
                 }
+                What::TermKill => self.end_in_series(n),
                 What::Upgrade => {
                     self.end_holds(n);
                     self.upgrading.insert(n);
@@ -69,7 +70,7 @@
             self.say(format!("{:?} over", drawn.fault.what).to_lowercase());
             for n in whom {
                 match drawn.fault.what {
-                    What::Kill | What::Term
+                    What::Kill | What::Term | What::TermKill
                         if self.schedulers[*n].processes.iter().all(|process| process.ending) =>
                     {
                         self.start(*n)?;
@@ -81,7 +82,8 @@
                         }
                         self.back(*n);
                     }
-                    What::WorkerDies | What::WorkerDrains => self.worker_returns(*n)?,
+                    What::WorkerDies => self.worker_returns(*n, false)?,
+                    What::WorkerDrains => self.worker_returns(*n, true)?,
                     What::StoreSlow => self.store.slow = 1.0,
                     What::Hang => self.workers[*n].process.hangs = false,
                     What::WallClock | What::SystemCalls | What::Folder => self.end_inside(*n, drawn)?,
--- a/lab/src/rig/environment/schedulers.rs
+++ b/lab/src/rig/environment/schedulers.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// What comes in a series before and after the signal to end.
+const SIGNALS: [&str; 5] = ["HUP", "USR1", "TERM", "HUP", "TERM"];
+
 /// A process is ready within this time.
 const READY: u64 = 10 * SECOND;
 
@@ -54,6 +57,7 @@
                     process.serves = true;
                 }
                 self.back(n);
+                self.clients.persistent.remove(&n);
                 if self.upgrading.remove(&n) {
                     for process in
                         self.schedulers[n].processes.iter_mut().filter(|process| process.number < number)
@@ -91,6 +95,35 @@
         }
     }
 
+    /// SIGTERM among other signals. Its clients go on using their connections, and SIGKILL follows.
+    pub(super) fn end_in_series(&mut self, n: usize) {
+        self.end_holds(n);
+        self.clients.persistent.insert(n);
+        self.shunned[n].get_or_insert(self.now + NEW_CONNECTIONS);
+        let deadline = (self.scenario.allow_ms * MS).min(3 * SECOND);
+        for process in &mut self.schedulers[n].processes {
+            process.ending = true;
+            process.kill_at = Some(self.now + deadline + KILL_AFTER_DEADLINE);
+            for name in SIGNALS {
+                process.signal(name);
+            }
+        }
+    }
+
+    /// SIGKILL to whoever has not ended by then.
+    pub(super) fn kill_overdue(&mut self) {
+        let now = self.now;
+        for n in 0..self.schedulers.len() {
+            let processes = &mut self.schedulers[n].processes;
+            let before = processes.len();
+            processes.retain(|process| process.kill_at.is_none_or(|at| at > now));
+            if processes.len() < before {
+                self.troubles.killed_overdue += 1;
+                self.say(format!("scheduler {n} is killed"));
+            }
+        }
+    }
+
     pub(super) fn see_ends(&mut self) {
         for n in 0..self.schedulers.len() {
             let mut odd = None;
--- a/lab/src/rig/environment/troubles.rs
+++ b/lab/src/rig/environment/troubles.rs
@@ -55,6 +55,8 @@
     /// By how much the clocks of the site are off, in milliseconds.
     site_off_ms: i64,
     starts: Vec<Option<Moment>>,
+    /// Processes that were still up when SIGKILL came after SIGTERM.
+    pub(super) killed_overdue: u64,
     /// How often each kind came, and was seen to take effect.
     pub(super) effects: BTreeMap<String, [u64; 2]>,
     /// What was counted of each kind when it came last.
@@ -76,6 +78,7 @@
             spoilt: BTreeSet::new(),
             site_off_ms: 0,
             starts: vec![None; schedulers],
+            killed_overdue: 0,
             effects: BTreeMap::new(),
             before: BTreeMap::new(),
             counted: BTreeMap::new(),
--- a/lab/src/rig/environment/workers.rs
+++ b/lab/src/rig/environment/workers.rs
@@ -9,11 +9,12 @@
         self.pipes.retain(|pipe| pipe.worker != n);
     }
 
-    pub(super) fn worker_returns(&mut self, n: usize) -> std::io::Result<()> {
+    /// A worker is gone, and comes back cold: under its old id, or as another at the same place.
+    pub(super) fn worker_returns(&mut self, n: usize, same_id: bool) -> std::io::Result<()> {
         self.tell(n, 2);
         self.worker_dies(n);
         let worker = &mut self.workers[n];
-        worker.uid += 0x100;
+        worker.uid += if same_id { 0 } else { 0x100 };
         worker.process.start(self.now);
         worker.started_ms = self.troubles.site_clock(self.unix_ms + self.now / MS);
         for (slot, at) in worker.listeners.iter_mut().zip(&worker.at) {
@@ -82,8 +83,9 @@
         });
         self.pipes = pipes;
         for n in fallen {
-            // Who was not told of its start may well send it too much.
-            if !self.troubles.bus_was_ill(self.now) {
+            // Who was not told of its start may well send it too much, for as long as that does not count as told.
+            let started = self.workers[n].process.started.unwrap_or(0);
+            if !self.troubles.bus_was_ill(self.now) || started + TOLD_AT_THE_LATEST < self.last {
                 self.audit.report("a cold worker fell over", format!("{n} at {} ms", self.now / MS));
             }
             self.worker_dies(n);
@@ -124,17 +126,24 @@
         if let Some(act) = Act::read(rid) {
             self.audit.act(scheduler, act, self.last, now);
         }
-        let was_away = self.absence.was_away(scheduler, now.saturating_sub(GRACE), now);
+        let grace = self.scenario.grace_ms * MS + GRACE_SLACK;
+        let was_away = self.absence.was_away(scheduler, now.saturating_sub(grace), now);
+        let told_after = if self.troubles.bus_was_ill(now) { TOLD_AT_THE_LATEST } else { 0 };
+        let drains = self.workers[worker].process.draining;
+        let drained = drains.is_some_and(|at| at + told_after + grace < self.last) && !was_away;
         match verb {
             "stage" if line["attrs"]["replicas"].as_u64() != Some(0) => {
                 let function = line["attrs"]["name"].as_str().unwrap_or_default().to_owned();
                 self.audit.order(self.last, now, scheduler, &function);
+                if drained {
+                    let what = format!("{rid} by {scheduler} to {worker} at {} ms", now / MS);
+                    self.audit.report("a load at a worker that drains", what);
+                }
             }
             "go" => {
-                let told = self.workers[worker].process.draining.is_some_and(|at| at + GRACE < self.last);
                 let ttl_ms = line["attrs"]["ttl"].as_u64().unwrap_or_default();
                 self.audit.attempt(self.last, scheduler, worker, rid, ttl_ms);
-                if told && !was_away && !self.troubles.bus_was_ill(now) {
+                if drained {
                     let what = format!("{rid} by {scheduler} to {worker} at {} ms", now / MS);
                     self.audit.report("a call to a worker that drains", what);
                 }
--- a/lab/src/rig/process.rs
+++ b/lab/src/rig/process.rs
@@ -23,6 +23,8 @@
     pub stopped: bool,
     /// SIGTERM was sent.
     pub ending: bool,
+    /// When SIGKILL follows, if it is up still.
+    pub kill_at: Option<u64>,
 }
 
 impl Process {
@@ -103,7 +105,14 @@
         }
         let mut child = command.spawn()?;
         let error = child.stderr.take();
-        self.processes.push(Process { child, number, serves: false, stopped: false, ending: false });
+        self.processes.push(Process {
+            child,
+            number,
+            serves: false,
+            stopped: false,
+            ending: false,
+            kill_at: None,
+        });
         let log = log.clone();
         thread::spawn(move || {
             for line in BufReader::new(error?).lines().map_while(Result::ok) {
--- a/lab/src/rig/report.rs
+++ b/lab/src/rig/report.rs
@@ -87,6 +87,8 @@
     pub top_copies: Vec<usize>,
     /// Faults, as they came.
     pub faults: Vec<String>,
+    /// Processes that were still up when SIGKILL came after SIGTERM.
+    pub killed_overdue: u64,
     /// Faults by kind: how many came, and how many were seen to take effect.
     pub effects: BTreeMap<String, [u64; 2]>,
 }
--- a/lab/src/rig/scenario.rs
+++ b/lab/src/rig/scenario.rs
@@ -39,6 +39,12 @@
     /// They agree on what is shed under overload.
     #[serde(default)]
     pub shed: bool,
+    /// How long clients wait, and the deadline of all classes.
+    #[serde(default = "allow")]
+    pub allow_ms: u64,
+    /// For how long a worker may be sent something new after its drain is known.
+    #[serde(default = "grace")]
+    pub grace_ms: u64,
     /// How often clients call again at once when they are refused.
     #[serde(default)]
     pub repeats: u32,
@@ -83,6 +89,12 @@
 fn yes() -> bool {
     true
 }
+fn allow() -> u64 {
+    3_000
+}
+fn grace() -> u64 {
+    2_000
+}
 fn term() -> u64 {
     1_000
 }
@@ -142,6 +154,8 @@
     Stop,
     /// SIGTERM; started again when it is over.
     Term,
+    /// SIGTERM among other signals, while clients go on using their open connections; SIGKILL as soon as it may come.
+    TermKill,
     /// A new process beside the old one, which is sent SIGTERM when the new one serves.
     Upgrade,
     /// Nothing passes.
@@ -189,10 +203,11 @@
 
 impl What {
     /// All of them.
-    pub const ALL: [What; 23] = [
+    pub const ALL: [What; 24] = [
         What::Kill,
         What::Stop,
         What::Term,
+        What::TermKill,
         What::Upgrade,
         What::Cut,
         What::Loss,
--- a/lab/src/rig/worker.rs
+++ b/lab/src/rig/worker.rs
@@ -113,7 +113,7 @@
     pub slow: f64,
     /// It takes what comes, and does nothing.
     pub hangs: bool,
-    /// Since when the bus says that it drains.
+    /// Since when it drains: it finishes what it has, and takes nothing new.
     pub draining: Option<Moment>,
     copies: BTreeMap<String, Copy>,
     waiting: VecDeque<Call>,
@@ -196,6 +196,10 @@
         let attrs = &line["attrs"];
         let function = attrs["name"].as_str().unwrap_or_default().to_owned();
         match line["verb"].as_str().unwrap_or_default() {
+            "go" if self.draining.is_some() => {
+                self.full += 1;
+                out.push((connection, json!({"verb": "503", "rid": rid}).to_string()));
+            }
             "go" => {
                 self.calls += 1;
                 self.arrivals.push_back(now);
@@ -216,6 +220,12 @@
                 self.waiting.retain(|call| call.connection != connection || call.rid != rid);
                 self.running.retain(|(_, call)| call.connection != connection || call.rid != rid);
             }
+            // A question for copies, which is answered by whoever drains too.
+            "stage" if attrs["replicas"].as_u64() == Some(0) => {
+                let copies = u64::from(self.stands(now, &function));
+                let answer = json!({"verb": "200", "rid": rid, "attrs": {"replicas": copies}});
+                out.push((connection, answer.to_string()));
+            }
             "stage" => {
                 let ready = match self.draining {
                     Some(_) => None,
@@ -232,7 +242,8 @@
             "purge" => drop(self.copies.remove(&rid)),
             "ping" | "stat" => {
                 self.probes += 1;
-                out.push((connection, json!({"verb": "alive", "rid": rid}).to_string()));
+                let verb = if self.draining.is_some() { "dead" } else { "alive" };
+                out.push((connection, json!({"verb": verb, "rid": rid}).to_string()));
             }
             _ => {}
         }
--- a/lab/src/rig/worker/tests.rs
+++ b/lab/src/rig/worker/tests.rs
@@ -35,3 +35,27 @@
     }
     assert_eq!(fell, (false, true));
 }
+
+#[test]
+fn one_that_drains_finishes_what_it_has_and_says_that_it_takes_no_more() {
+    let (mut rng, mut store) = (SmallRng::seed_from_u64(1), Store::new());
+    let mut worker = SimulatedWorker::new(Kind::default());
+    let mut out = vec![];
+    worker.hear(0, 1, &go(0), &mut store, &mut out);
+    worker.turn(0, &mut store, &mut rng, &mut out);
+    worker.draining = Some(0);
+    let order = json!({"verb": "stage", "rid": "load-1", "attrs": {"name": "f", "replicas": 1}});
+    let question = json!({"verb": "stage", "rid": "load-2", "attrs": {"name": "f", "replicas": 0}});
+    let probe = json!({"verb": "stat", "rid": "probe-1"});
+    for line in [&go(1), &order, &question, &probe] {
+        worker.hear(MS, 1, line, &mut store, &mut out);
+    }
+    let verbs: Vec<String> = out
+        .iter()
+        .map(|(_, line)| serde_json::from_str::<Value>(line).unwrap()["verb"].as_str().unwrap().to_owned())
+        .collect();
+    assert_eq!(verbs, ["503", "503", "200", "dead"]);
+    out.clear();
+    (0..600).for_each(|ms| worker.turn(ms * MS, &mut store, &mut rng, &mut out));
+    assert!(out.len() == 1 && out[0].1.contains("\"200\""), "{out:?}");
+}
--- a/lab/src/soak.rs
+++ b/lab/src/soak.rs
@@ -106,6 +106,12 @@
     (scenario.schedulers, scenario.workers) = (options.schedulers, options.workers);
     (scenario.seconds, scenario.calls) = (options.seconds, options.calls);
     (scenario.faulty, scenario.fragile, scenario.fleet) = (true, 0.1, seed.is_multiple_of(2));
+    // Short deadlines bring SIGKILL soon after SIGTERM.
+    scenario.allow_ms = [3_000, 450, 1_000][seed as usize % 3];
+    scenario.grace_ms = [2_000, 500][seed as usize / 2 % 2];
+    if scenario.allow_ms < 1_000 {
+        (scenario.worker.work_ms, scenario.worker.load_ms) = (15.0, 60);
+    }
     let mut at = CALM.0;
     // Each kind comes before any comes again.
     let mut left = vec![];
@@ -145,9 +151,14 @@
         fault.links =
             [crate::rig::scenario::Links::Workers, crate::rig::scenario::Links::Both][rng.random_range(0..2)];
     }
-    // The bus is held to be dead after 2.5 s.
-    if what == What::BusSilent {
-        fault.lasts += 3.0;
+    match what {
+        // The bus is held to be dead after 2.5 s, and what it has to tell counts as told after 7 s.
+        What::BusSilent | What::BusCloses => fault.lasts += rng.random_range(3.0..14.0),
+        // Some outlast an outage of the bus.
+        What::WorkerDrains => fault.lasts += rng.random_range(0.0..10.0),
+        // SIGKILL comes 3.7 s after SIGTERM at the latest.
+        What::TermKill => fault.lasts += 3.7,
+        _ => {}
     }
     fault
 }
@@ -192,7 +203,7 @@
     let took: u64 = report.effects.values().map(|[_, took]| took).sum();
     let sum = |of: fn(&crate::rig::report::Counts) -> u64| report.classes.values().map(of).sum::<u64>();
     format!(
-        "seed {}: {came} troubles ({took} seen to take effect); calls {} = served {} + refused {} + failed {} + gone {} + lost {}; broken {}",
+        "seed {}: {came} troubles ({took} seen to take effect); calls {} = served {} + refused {} + failed {} + gone {} + lost {}; killed after SIGTERM {}; broken {}",
         report.seed,
         sum(|counts| counts.calls),
         sum(|counts| counts.served),
@@ -200,6 +211,7 @@
         sum(|counts| counts.failed),
         sum(|counts| counts.gone),
         sum(|counts| counts.lost),
+        report.killed_overdue,
         report.broken.len()
     )
 }
