Let a draining worker finish what it has; test a start within an outage

Two health checks answered with 'no work' counted as two without an answer, so that what ran at the worker was called off. It answers: what it has, it finishes. A check that is under way when a worker is listed anew is not taken for a later one. Discovery counts as heard once for all frames of one read, and not where one of them cannot be used.

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -273,12 +273,14 @@
                     if let Err(error) = self.take_frame(event, context.now) {
                         return close_unreadable(error, link, context);
                     }
-                    context.core.discovery_heard(context.now, context.arrived);
                 }
                 Err(error) => return close_unreadable(error, link, context),
             }
         }
         link.used(read);
+        if read > 0 {
+            context.core.discovery_heard(context.now, context.arrived);
+        }
         if link.ended { ControlFlow::Close } else { ControlFlow::Continue }
     }
 
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -134,6 +134,10 @@
             worker.health.mark_alive(now);
             return self.scale_up(id, report, out);
         }
+        // It answers: what it has, it finishes.
+        if status == Status::Full && self.list_validity.governs(id) {
+            return worker.health.mark_alive(now);
+        }
         if status != Status::NotSent {
             worker.health.mark_unanswered_check();
         }
--- a/src/policy/membership.rs
+++ b/src/policy/membership.rs
@@ -41,7 +41,12 @@
         // together
         // send what those parts add up to.
         let tokens = f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
-        let worker = Worker::new(member, self.now, TokenBucket::new(tokens, self.now));
+        let mut worker = Worker::new(member, self.now, TokenBucket::new(tokens, self.now));
+        // An answer to a health check that is under way must not pass for that to a later one.
+        let before = self.workers.get(member.worker).filter(|before| before.health.check_pending);
+        if let Some(before) = before.filter(|_| self.list_validity.governs(member.worker)) {
+            worker.health.begin_check(before.health.check_begun_at);
+        }
         self.workers.insert(worker);
         if member.started.is_some() {
             self.slow_start.add(member.worker);
--- a/tests/discovery_outage.rs
+++ b/tests/discovery_outage.rs
@@ -244,3 +244,20 @@
 fn nothing_new_goes_to_a_draining_worker_while_discovery_tells_nothing_new() {
     drains_are_kept_through(Outage::Mute);
 }
+
+/// The list of a start may be as old as the outage.
+#[test]
+fn a_scheduler_that_starts_in_an_outage_asks_before_it_sends() {
+    let workers: Vec<Worker> = (0..2).map(|_| Worker::over_tcp()).collect();
+    // Nobody listens there any more.
+    let nowhere = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let listed: Vec<&Worker> = workers.iter().collect();
+    let daemon = Daemon::with(&listed, site(0), Some(nowhere), |_| String::new());
+    let workers: Vec<DrainingWorker> = workers.into_iter().map(DrainingWorker::serve).collect();
+    workers[0].drain();
+    let until = Instant::now() + Duration::from_secs(2);
+    let client = Client::run(daemon.listen, 0, until);
+    let verdicts = client.verdicts.join().unwrap();
+    assert_eq!(verdicts, vec![79; client.sent], "all are served by the other worker");
+    assert_eq!(*workers[0].rejected.lock().unwrap(), vec![], "nothing new came to the one that drains");
+}
--- a/tests/readiness.rs
+++ b/tests/readiness.rs
@@ -122,6 +122,18 @@
     assert_eq!(probes(&rig.give(Event::Request(call(50, 7, 0)))), vec![asked]);
 }
 
+/// It finishes what it has, however often it says that it takes no more.
+#[test]
+fn what_runs_at_a_worker_that_drains_is_not_called_off() {
+    let mut rig = cut_off(settings(OnMiss::Load), 2);
+    let asked = probes(&rig.give(Event::Request(call(1, 7, 0))))[0];
+    assert_eq!(sends(&rig.give(probed(asked, Status::Ok))), vec![asked]);
+    for _ in 0..3 {
+        let actions = rig.give(probed(asked, Status::Full));
+        assert!(!actions.iter().any(|action| matches!(action, Action::Cancel { .. })), "{actions:?}");
+    }
+}
+
 #[test]
 fn a_request_waits_for_one_workers_word_a_quarter_of_its_time_at_most() {
     let mut rig = cut_off(settings(OnMiss::Load), 2);
