End before the earliest SIGKILL where deadlines are short; shutdown is a file of its own

Change: the end is due 0.25 s before the earliest kill, 0.65 s after SIGTERM at the soonest and 1.2 s at the latest, as before for deadlines of 0.75 s and more. src/daemon/shutdown.rs holds it, with its times apart from the sockets; asking whether the daemon has ended no longer acts. Tests: shutdown (2); instants, daily, sockets, chain, jsonrpc, vrrp pass.

--- a/lab/src/rig/environment/faults.rs
+++ b/lab/src/rig/environment/faults.rs
@@ -19,6 +19,7 @@
                 }
                 What::Stop => {
                     self.leave(n, NOTICE.0);
+                    self.absence.stopped[n].push((self.now, None));
                     for process in &mut self.schedulers[n].processes {
                         process.stopped = true;
                         process.signal("STOP");
@@ -76,6 +77,9 @@
                         self.start(*n)?;
                     }
                     What::Stop => {
+                        for (_, until) in &mut self.absence.stopped[*n] {
+                            until.get_or_insert(now + SECOND);
+                        }
                         for process in &mut self.schedulers[*n].processes {
                             process.stopped = false;
                             process.signal("CONT");
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -5,6 +5,7 @@
 mod distribution;
 mod fleet;
 mod reload;
+mod shutdown;
 mod upgrade;
 
 use crate::backend::{self, Pool};
@@ -24,6 +25,7 @@
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use reload::Reloads;
+use shutdown::ShutdownTimes;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -34,15 +36,6 @@
 use tracing::{error, info, warn};
 use upgrade::Upgrade;
 
-/// After SIGTERM clients still come for a while; nothing ends before this.
-const PART: Duration = Duration::millis(1_200);
-/// When connections that came after SIGTERM are told that they are to leave, and what still comes is refused at once:
-/// SIGKILL may come a longest deadline after this, and what it finds unanswered is lost.
-const LATE_LEAVE: Duration = Duration::millis(700);
-/// How long answers may still wait to be read then: SIGKILL comes 3.7 s after SIGTERM, or later.
-const LAST_WRITE: Duration = Duration::millis(2_200);
-/// So long after SIGTERM a request half read is still waited for, where a younger process takes the clients.
-const LAST_READ: Duration = Duration::millis(3_000);
 /// Descriptors kept for the poll, the listeners, the pipes, discovery and the standard streams.
 const RESERVED: usize = 32;
 
@@ -111,8 +104,8 @@
     pipes: Pipes,
     /// The reading of the files at SIGHUP.
     reloads: Reloads,
-    /// Since when the daemon is on its way out.
-    ending: Option<Timestamp>,
+    /// The times of its end, once that has begun.
+    ending: Option<ShutdownTimes>,
     notified_late_clients: bool,
 }
 
@@ -298,6 +291,7 @@
             }
             self.run_timers();
             self.settle();
+            self.advance_shutdown();
             if let Some(why) = self.upgrade.as_ref().and_then(|upgrade| upgrade.failed) {
                 return Err(io::Error::other(why));
             }
@@ -335,7 +329,7 @@
             self.distribution_timeout(),
             // Before the end, what has come in the meantime is looked for once more.
             self.ended().then(|| self.reactor.now()),
-            self.next_step(),
+            self.next_shutdown_step(),
         ];
         let accepts = self.accept_again.values().map(|again| again.due);
         timeouts.into_iter().flatten().chain(accepts).min()
@@ -474,61 +468,6 @@
         }
         self.reactor.resume_receiving(socket);
     }
-
-    // ---- The end
-
-    /// SIGTERM: no longer ready, clients are asked to leave, but what still comes is taken and answered.
-    fn begin_end(&mut self) {
-        if self.ending.is_some() {
-            return;
-        }
-        info!(name = %self.config.name, outstanding = self.core.outstanding(), "ending");
-        self.ending = Some(self.reactor.now());
-        self.reactor.ready = false;
-        self.upgrade(handover::HandoverInput::ShutdownRequested);
-        self.vrrp(Event::Shutdown);
-        self.fleet(crate::fleet::FleetInput::Leave);
-        self.give_distribution(false);
-        self.leave_all();
-    }
-
-    fn leave_all(&mut self) {
-        for id in self.reactor.ids() {
-            self.reactor
-                .with(id, &mut self.core, |connection, link, context| connection.leave(link, context));
-        }
-    }
-
-    fn next_step(&self) -> Option<Timestamp> {
-        let since = self.ending?;
-        let now = self.reactor.now();
-        let steps = [since + LATE_LEAVE, since + PART, since + PART + LAST_WRITE];
-        steps.into_iter().find(|at| *at > now)
-    }
-
-    /// Whether what is left to be read and written is waited for no longer.
-    fn overdue(&self) -> bool {
-        self.ending.is_some_and(|since| self.reactor.now() >= since + PART + LAST_WRITE)
-    }
-
-    /// Whether a younger process takes the clients.
-    fn yielded(&self) -> bool {
-        self.upgrade.as_ref().is_some_and(|upgrade| upgrade.machine.yielded())
-    }
-
-    fn ended(&mut self) -> bool {
-        let Some(since) = self.ending else { return false };
-        let now = self.reactor.now();
-        if now >= since + LATE_LEAVE && !self.notified_late_clients {
-            self.notified_late_clients = true;
-            self.leave_all();
-        }
-        self.core.rejecting_new = self.notified_late_clients && !self.yielded();
-        let written = !self.reactor.unwritten() || self.overdue();
-        let begun = self.yielded() && self.reactor.begun() && now < since + LAST_READ;
-        let taken = self.accept_again.is_empty() || self.overdue();
-        now >= since + PART && self.core.outstanding() == 0 && written && taken && !begun
-    }
 }
 
 /// Bodies of open requests take a sixth of the memory, and output that nobody reads another.
--- /dev/null
+++ b/src/daemon/shutdown.rs
@@ -0,0 +1,122 @@
+//! The end of the daemon: what is still accepted and answered after SIGTERM, and when the process ends.
+
+use super::Daemon;
+use crate::fleet::FleetInput;
+use crate::handover::HandoverInput;
+use crate::interface::{Duration, Timestamp};
+use crate::vrrp::Event;
+use tracing::info;
+
+/// After SIGTERM clients still come for a while; nothing ends before this, unless SIGKILL may come sooner.
+const DRAIN_TIME: Duration = Duration::millis(1_200);
+/// Requests on open connections come until 0.6 s after SIGTERM, as the protocol has it; nothing ends before that.
+const MIN_DRAIN_TIME: Duration = Duration::millis(650);
+/// When connections that came after SIGTERM are told that they are to leave, and what still comes is refused at once:
+/// SIGKILL may come a longest deadline after this, and what it finds unanswered is lost.
+const REJECT_AFTER: Duration = Duration::millis(700);
+/// How long answers may still wait to be read after [`DRAIN_TIME`]: SIGKILL comes 3.7 s after SIGTERM, or later.
+const LAST_WRITE: Duration = Duration::millis(2_200);
+/// So long after SIGTERM a request half read is still waited for, where a younger process takes the clients.
+const LAST_READ: Duration = Duration::millis(3_000);
+/// SIGKILL comes so long after the longest deadline at the earliest.
+const KILL_AFTER_DEADLINE: Duration = Duration::millis(700);
+/// The longest deadline that counts for that.
+const MAX_KILL_DEADLINE: Duration = Duration::millis(3_000);
+/// The process is to have ended so long before SIGKILL.
+const KILL_LEAD: Duration = Duration::millis(250);
+
+/// The times of one shutdown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct ShutdownTimes {
+    since: Timestamp,
+    /// From when on new requests are refused at once.
+    reject_at: Timestamp,
+    /// From when on the process ends as soon as nothing is outstanding.
+    end_at: Timestamp,
+    /// Until when clients may read their answers.
+    give_up_at: Timestamp,
+}
+
+impl ShutdownTimes {
+    /// Those of a shutdown that begins now, where requests have at most this deadline.
+    pub(super) fn new(now: Timestamp, longest_deadline: Duration) -> ShutdownTimes {
+        let before_kill = longest_deadline.min(MAX_KILL_DEADLINE).0 + KILL_AFTER_DEADLINE.0 - KILL_LEAD.0;
+        let drain_time = DRAIN_TIME.min(Duration(before_kill)).max(MIN_DRAIN_TIME);
+        ShutdownTimes {
+            since: now,
+            reject_at: now + REJECT_AFTER,
+            end_at: now + drain_time,
+            give_up_at: now + DRAIN_TIME + LAST_WRITE,
+        }
+    }
+
+    /// The next of them.
+    fn next(&self, now: Timestamp) -> Option<Timestamp> {
+        let mut times = [self.reject_at, self.end_at, self.give_up_at];
+        times.sort_unstable();
+        times.into_iter().find(|at| *at > now)
+    }
+}
+
+impl Daemon {
+    /// SIGTERM: no longer ready, clients are asked to leave, but what still comes is taken and answered.
+    pub(super) fn begin_end(&mut self) {
+        if self.ending.is_some() {
+            return;
+        }
+        info!(name = %self.config.name, outstanding = self.core.outstanding(), "ending");
+        let deadlines = self.config.site.settings.classes.iter().map(|class| class.deadline);
+        let longest_deadline = deadlines.max().unwrap_or(MAX_KILL_DEADLINE);
+        self.ending = Some(ShutdownTimes::new(self.reactor.now(), longest_deadline));
+        self.reactor.ready = false;
+        self.upgrade(HandoverInput::ShutdownRequested);
+        self.vrrp(Event::Shutdown);
+        self.fleet(FleetInput::Leave);
+        self.give_distribution(false);
+        self.leave_all();
+    }
+
+    fn leave_all(&mut self) {
+        for id in self.reactor.ids() {
+            self.reactor
+                .with(id, &mut self.core, |connection, link, context| connection.leave(link, context));
+        }
+    }
+
+    pub(super) fn next_shutdown_step(&self) -> Option<Timestamp> {
+        self.ending?.next(self.reactor.now())
+    }
+
+    /// Whether what is left to be read and written is waited for no longer.
+    pub(super) fn overdue(&self) -> bool {
+        self.ending.is_some_and(|times| self.reactor.now() >= times.give_up_at)
+    }
+
+    /// Whether a younger process takes the clients.
+    fn yielded(&self) -> bool {
+        self.upgrade.as_ref().is_some_and(|upgrade| upgrade.machine.yielded())
+    }
+
+    /// Refuses new requests once it is time for that.
+    pub(super) fn advance_shutdown(&mut self) {
+        let Some(times) = self.ending else { return };
+        if self.reactor.now() >= times.reject_at && !self.notified_late_clients {
+            self.notified_late_clients = true;
+            self.leave_all();
+        }
+        self.core.rejecting_new = self.notified_late_clients && !self.yielded();
+    }
+
+    /// Whether nothing is outstanding any more, so that the process may end.
+    pub(super) fn ended(&self) -> bool {
+        let Some(times) = self.ending else { return false };
+        let now = self.reactor.now();
+        let written = !self.reactor.unwritten() || self.overdue();
+        let reading = self.yielded() && self.reactor.begun() && now < times.since + LAST_READ;
+        let accepted = self.accept_again.is_empty() || self.overdue();
+        now >= times.end_at && self.core.outstanding() == 0 && written && accepted && !reading
+    }
+}
+
+#[cfg(test)]
+mod tests;
