Split the daemon's virtual router and the rig's absences into files; shorten a stand-in's function

No behaviour changes; vrrp, layers, limits, discovery_outage and the library tests of the test bed pass.

--- a/lab/src/rig/environment.rs
+++ b/lab/src/rig/environment.rs
@@ -1,6 +1,7 @@
 //! All sockets of a play, turned in rounds by one thread: workers, the bus, clients, and what passes between
 //! schedulers. Faults come and go as the scenario says.
 
+mod absence;
 mod faults;
 mod network;
 mod schedulers;
@@ -17,6 +18,7 @@
 use super::worker::{Said, SimulatedWorker, Store};
 use super::{MS, Moment, SECOND};
 use crate::stand_ins::{self, Folder};
+use absence::Absence;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use serde_json::{Value, json};
@@ -93,33 +95,6 @@
     clients: Vec<(TcpStream, Option<u64>)>,
 }
 
-/// When something may rightly have been left undone.
-struct Absence {
-    /// From when to when each scheduler was gone, stopped or on its way.
-    away: Vec<Vec<(Moment, Option<Moment>)>>,
-    /// From when to when each was stopped: a part of the former.
-    stopped: Vec<Vec<(Moment, Option<Moment>)>>,
-    /// When a round last came late.
-    stalled: Moment,
-}
-
-impl Absence {
-    /// Whether a scheduler was gone or stopped at some time, or may have been kept waiting for a processor.
-    fn was_away(&self, n: usize, from: Moment, to: Moment) -> bool {
-        self.was_stopped(n, from, to) || overlap(&self.away[n], from, to)
-    }
-
-    /// Whether it was stopped then, or may have been kept waiting for a processor.
-    fn was_stopped(&self, n: usize, from: Moment, to: Moment) -> bool {
-        self.stalled >= from.max(1) || overlap(&self.stopped[n], from, to)
-    }
-}
-
-/// Whether any of these spans has a moment between two others.
-fn overlap(spans: &[(Moment, Option<Moment>)], from: Moment, to: Moment) -> bool {
-    spans.iter().any(|(since, until)| *since <= to && until.is_none_or(|until| until >= from))
-}
-
 struct Environment {
     scenario: Scenario,
     options: Options,
--- a/lab/src/rig/worker.rs
+++ b/lab/src/rig/worker.rs
@@ -200,22 +200,7 @@
                 self.full += 1;
                 out.push((connection, json!({"verb": "503", "rid": rid}).to_string()));
             }
-            "go" => {
-                self.calls += 1;
-                self.arrivals.push_back(now);
-                if self.falls(now) {
-                    self.fell += 1;
-                    return true;
-                }
-                if self.waiting.len() >= self.kind.queue {
-                    self.full += 1;
-                    out.push((connection, json!({"verb": "503", "rid": rid}).to_string()));
-                    return false;
-                }
-                let until = now + attrs["ttl"].as_u64().unwrap_or_default() * MS;
-                let body = line["content"].as_str().unwrap_or_default().to_owned();
-                self.waiting.push_back(Call { connection, rid, function, until, body });
-            }
+            "go" => return self.take_call(now, connection, line, out),
             "halt" => {
                 self.waiting.retain(|call| call.connection != connection || call.rid != rid);
                 self.running.retain(|(_, call)| call.connection != connection || call.rid != rid);
@@ -250,6 +235,27 @@
         false
     }
 
+    /// Takes a call that has come; whether it fell over by it.
+    fn take_call(&mut self, now: Moment, connection: u64, line: &Value, out: &mut Vec<Said>) -> bool {
+        let word = |value: &Value| value.as_str().unwrap_or_default().to_owned();
+        let (rid, attrs) = (word(&line["rid"]), &line["attrs"]);
+        self.calls += 1;
+        self.arrivals.push_back(now);
+        if self.falls(now) {
+            self.fell += 1;
+            return true;
+        }
+        if self.waiting.len() >= self.kind.queue {
+            self.full += 1;
+            out.push((connection, json!({"verb": "503", "rid": rid}).to_string()));
+            return false;
+        }
+        let until = now + attrs["ttl"].as_u64().unwrap_or_default() * MS;
+        let (function, body) = (word(&attrs["name"]), word(&line["content"]));
+        self.waiting.push_back(Call { connection, rid, function, until, body });
+        false
+    }
+
     /// When a copy stands; none if there is no room for one.
     fn copy(&mut self, now: Moment, function: &str, store: &mut Store) -> Option<Moment> {
         self.copies.retain(|_, copy| copy.until > now);
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -5,26 +5,27 @@
 mod distribution;
 mod fleet;
 mod reload;
+mod router;
 mod shutdown;
 mod upgrade;
 
 use crate::backend::{self, Pool};
-use crate::config::{self, Config, Operator, Sources, Until};
+use crate::config::{Config, Operator, Sources, Until};
 use crate::core::{Command, Core};
 use crate::discovery::ReceivedEvents;
 use crate::fleet::gossip::{GossipTopic, GossipUpdate};
 use crate::front::socket::{self, SocketFile};
 use crate::handover;
 use crate::interface::{Duration, ListKind, Member, Timestamp};
-use crate::net::{DATAGRAMS, Reactor, Signal, SystemClock, inherit, retry_while_momentary};
+use crate::net::{Reactor, Signal, SystemClock, inherit, retry_while_momentary};
 use crate::start_times::StartTimes;
-use crate::vrrp::packet::{Advertisement, LARGEST};
-use crate::vrrp::{self, Event};
+use crate::vrrp::Event;
 use accept::AcceptAgain;
 use distribution::Distribution;
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use reload::Reloads;
+use router::Router;
 use shutdown::ShutdownTimes;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use std::cell::RefCell;
@@ -33,37 +34,12 @@
 use std::os::unix::net::UnixStream;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
-use tracing::{error, info, warn};
+use tracing::{error, info};
 use upgrade::Upgrade;
 
 /// Descriptors kept for the poll, the listeners, the pipes, discovery and the standard streams.
 const RESERVED: usize = 32;
 
-/// The virtual router that decides whether this daemon takes new requests on the second front.
-struct Router {
-    machine: vrrp::Machine,
-    setting: config::Vrrp,
-    socket: usize,
-}
-
-impl Router {
-    fn new(setting: &config::Vrrp, reactor: &mut Reactor) -> io::Result<Router> {
-        let (socket, own) = reactor.bind_datagram_socket(setting.bind)?;
-        let machine = vrrp::Machine::new(vrrp::Setting {
-            priority: setting.priority,
-            interval: Duration::millis(u64::from(setting.interval_cs) * 10),
-            preempt: setting.preempt,
-            own,
-        });
-        Ok(Router { machine, setting: setting.clone(), socket })
-    }
-
-    fn advertisement(&self, priority: u8) -> Vec<u8> {
-        let (vrid, interval) = (self.setting.vrid, self.setting.interval_cs);
-        Advertisement { vrid, priority, interval, addresses: vec![self.setting.address] }.write()
-    }
-}
-
 struct Daemon {
     sources: Sources,
     core: Core,
@@ -320,7 +296,7 @@
     fn next_wakeup(&mut self) -> Option<Timestamp> {
         let timeouts = [
             self.upgrade.as_ref().and_then(|upgrade| upgrade.machine.next_timeout()),
-            self.router.as_ref().and_then(|router| router.machine.next_timeout()),
+            self.router.as_ref().and_then(Router::next_timeout),
             self.core.next_timeout(),
             self.next_discovery_attempt,
             self.save_timeout(),
@@ -423,51 +399,6 @@
         info!("{}", self.core.counters());
         info!("violations{}", self.core.violations());
     }
-
-    // ---- VRRP
-
-    fn vrrp(&mut self, event: Event) {
-        let Some(router) = &mut self.router else { return };
-        let (now, before) = (self.reactor.now(), router.machine.state());
-        if let Some(advertise) = router.machine.handle(now, event) {
-            let message = router.advertisement(advertise.priority);
-            for peer in &router.setting.peers {
-                self.reactor.send_datagram(router.socket, &message, *peer);
-            }
-        }
-        let state = router.machine.state();
-        self.reactor.active = state == vrrp::State::Active;
-        if state != before {
-            info!(vrid = router.setting.vrid, ?state, was = ?before, "vrrp");
-        }
-    }
-
-    fn receive_datagrams(&mut self, socket: usize) {
-        let mut bytes = [0; LARGEST + 1];
-        for _ in 0..DATAGRAMS {
-            let Some((size, from)) = self.reactor.datagram(socket, &mut bytes) else { return };
-            let Some(router) = &self.router else { return };
-            let read = if router.setting.peers.contains(&from) {
-                Advertisement::read(&bytes[..size])
-            } else {
-                Err("not from a peer")
-            };
-            match read {
-                Ok(message) if message.vrid == router.setting.vrid => {
-                    let (priority, interval) = (message.priority, message.span());
-                    self.vrrp(Event::Advertisement { priority, interval, from });
-                }
-                Ok(_) => self.core.counters().vrrp_dropped += 1,
-                Err(why) => {
-                    self.core.counters().vrrp_dropped += 1;
-                    if self.core.may_log(self.reactor.now()) {
-                        warn!(%from, why, "vrrp dropped");
-                    }
-                }
-            }
-        }
-        self.reactor.resume_receiving(socket);
-    }
 }
 
 /// Bodies of open requests take a sixth of the memory, and output that nobody reads another.
