Ask after three rejections in a row only; count a stop that ends a poll early

Cause: SIGCONT ends the poll with EINTR, which was not counted, and the next poll passed for one that had waited once it took 0.1 ms. Now an interrupted poll that took far too long counts, and so does a loop that comes late to look (Reactor::note_poll, tested with given times). Tests net, readiness, discovery_outage, instants, limits, layers pass.

--- a/lab/src/rig/environment/faults.rs
+++ b/lab/src/rig/environment/faults.rs
@@ -14,6 +14,8 @@
             let n = *n;
             match what {
                 What::Kill => {
+                    // Sooner than SIGKILL may come after SIGTERM, where that was sent.
+                    self.clients.persistent.remove(&n);
                     self.leave(n, NOTICE.0);
                     self.schedulers[n].processes.clear();
                 }
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -153,6 +153,8 @@
     polled: Timestamp,
     /// Since when what is read in this turn may have lain unread.
     arrived: Timestamp,
+    /// A poll was interrupted after far more than its time: what the next one tells of may have been there before.
+    overslept: bool,
     /// Bytes that wait to be written, on all connections together.
     waiting: usize,
     /// Beyond so many of them a connection that adds to them is closed, if its other side reads nothing.
@@ -190,6 +192,7 @@
             quiet: true,
             polled: now,
             arrived: now,
+            overslept: false,
             waiting: 0,
             waiting_limit: usize::MAX,
             ready: false,
@@ -413,10 +416,13 @@
             self.poll.poll(&mut self.events, rest.map(|rest| std::time::Duration::from_nanos(rest.0)));
         match polled {
             // It has told of nothing: what has come meanwhile is found by the next one. A stop of the process shows so too.
-            Err(e) if e.kind() == io::ErrorKind::Interrupted => return Ok(vec![]),
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {
+                self.overslept |= overslept(self.clock.now() - begun, rest);
+                return Ok(vec![]);
+            }
             other => other?,
         }
-        self.note_poll(begun, rest);
+        self.note_poll(begun, self.clock.now(), rest);
         let mut signals = Vec::new();
         let ready: Vec<_> = self
             .events
@@ -459,14 +465,16 @@
         Ok(signals)
     }
 
-    /// A poll that began then has returned. Whatever it tells of came while it waited, if it did wait: then it has just
+    /// A poll that began then has returned now. Whatever it tells of came while it waited, if it did wait: then it has just
     /// come. But this loop may have been busy before, and the whole process may have stood still: then it may have lain
     /// there since the poll before.
-    fn note_poll(&mut self, begun: Timestamp, rest: Option<Duration>) {
-        let now = self.clock.now();
+    fn note_poll(&mut self, begun: Timestamp, now: Timestamp, rest: Option<Duration>) {
         let waited = now - begun;
-        let overslept = rest.is_some_and(|rest| waited > rest + OVERSLEPT);
-        self.arrived = if overslept || waited < WAITED { self.polled } else { now };
+        let was_stopped = std::mem::take(&mut self.overslept) || overslept(waited, rest);
+        // A loop that comes late to look finds what lay there, however long the look itself took.
+        let was_late = begun - self.polled > OVERSLEPT && waited < OVERSLEPT;
+        let found_at_once = waited < WAITED || was_late;
+        self.arrived = if was_stopped || found_at_once { self.polled } else { now };
         self.polled = now;
     }
 
@@ -553,5 +561,10 @@
     }
 }
 
+/// Whether a wait took far longer than it was to: the process stood still.
+fn overslept(waited: Duration, rest: Option<Duration>) -> bool {
+    rest.is_some_and(|rest| waited > rest + OVERSLEPT)
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/net/reactor/tests.rs
+++ b/src/net/reactor/tests.rs
@@ -191,3 +191,25 @@
     assert_eq!(heard.borrow().as_slice(), b"last word.");
     assert_eq!(reactor.count(), 0);
 }
+
+/// A signal that continues a stopped process ends its poll early: what the next poll tells of had come before, however long that
+/// one takes beside other processes.
+#[test]
+fn what_came_while_the_process_stood_still_counts_from_the_last_look() {
+    let (_core, mut reactor) = parts();
+    let (before, rest) = (reactor.polled, Some(Duration::millis(80)));
+    let ms = |ms| before + Duration::millis(ms);
+    // Interrupted after a stop, and then slow to return what has lain there.
+    reactor.overslept |= overslept(Duration::millis(2_000), rest);
+    reactor.note_poll(ms(2_000), ms(2_005), rest);
+    assert_eq!(reactor.arrived, before);
+    reactor.note_poll(ms(2_006), ms(2_011), rest);
+    assert_eq!(reactor.arrived, ms(2_011), "it has waited, and nothing was late");
+    // An interruption in time is none.
+    reactor.overslept |= overslept(Duration::millis(60), rest);
+    reactor.note_poll(ms(2_012), ms(2_017), rest);
+    assert_eq!(reactor.arrived, ms(2_017));
+    // A stop, or a long turn, between two polls: the second finds it at once, or a little later beside load.
+    reactor.note_poll(ms(2_060), ms(2_065), rest);
+    assert_eq!(reactor.arrived, ms(2_017));
+}
--- a/src/policy/confirmation.rs
+++ b/src/policy/confirmation.rs
@@ -148,7 +148,8 @@
         }
     }
 
-    /// A worker has rejected a request or load: it is full, or it drains and discovery has not told yet.
+    /// A worker has rejected a request or load: it is full, or it drains and discovery has not told yet. One
+    /// that goes on rejecting is asked.
     pub(super) fn ask_why_rejected(&mut self, id: WorkerId, out: &mut Actions) {
         let now = self.now;
         if !self.list_validity.governs(id) || !self.settings.limits.may_probe {
@@ -156,7 +157,7 @@
         }
         let Some(worker) = self.workers.get_mut(id) else { return };
         let asked_lately = now - worker.health.check_begun_at < MIN_REJECTION_CHECK_INTERVAL;
-        if !worker.health.check_pending && !asked_lately {
+        if worker.readiness.note_rejection() && !worker.health.check_pending && !asked_lately {
             worker.health.begin_check(now);
             out.push(Action::Probe { worker: id, part: None });
         }
--- a/src/policy/readiness.rs
+++ b/src/policy/readiness.rs
@@ -18,6 +18,9 @@
 /// A change of the list counts as received this long after it was made at the latest, as the protocol has it.
 /// Where no health checks are allowed, answers count for as long.
 const RECEIVED_AT_THE_LATEST: Duration = Duration::millis(7000);
+/// Rejections in a row after which a worker is asked why also while the list is valid: a full one takes some
+/// requests between those that it rejects.
+const REJECTIONS_UNTIL_ASKED: u32 = 3;
 /// A worker that takes no work, or does not answer, is asked again after this time at the soonest.
 const RECHECK_INTERVAL: Duration = Duration::millis(1000);
 
@@ -30,6 +33,8 @@
     away: bool,
     /// It is sent nothing before.
     avoided_until: Timestamp,
+    /// Requests and loads that it has rejected since it last took one, or was asked why.
+    rejections: u32,
 }
 
 impl Readiness {
@@ -52,9 +57,20 @@
     pub fn confirm(&mut self, sent_at: Timestamp) {
         if !self.away {
             self.confirmed_at = self.confirmed_at.max(Some(sent_at));
+            self.rejections = 0;
         }
     }
 
+    /// It rejected a request or load; whether it is to be asked why.
+    pub fn note_rejection(&mut self) -> bool {
+        self.rejections += 1;
+        if self.rejections < REJECTIONS_UNTIL_ASKED {
+            return false;
+        }
+        self.rejections = 0;
+        true
+    }
+
     /// What it showed counts no longer: it is asked before it is sent anything.
     pub fn mark_doubtful(&mut self) {
         self.confirmed_at = None;
