Ask workers from one place, and give discovery's heartbeat one figure

Read again: asking a worker that rejects repeated what begin_confirmation does, the heartbeat's 1.25 s stood in the decisions and in the distribution, and the text of probes_held did not say that probes without a connection count there. No behaviour changes: decision digests are the same.

--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -101,7 +101,7 @@
     probes_unanswered,
     /// Those that a worker answered by taking no work.
     probes_rejected,
-    /// Those for all of the fleet whose lease had ended when they were about to be written.
+    /// Those that were not written: for all of the fleet, whose lease had ended, or for want of a connection.
     probes_held,
     /// Updates of the list of workers.
     list_events,
--- a/src/fleet/distribution/node.rs
+++ b/src/fleet/distribution/node.rs
@@ -13,13 +13,10 @@
 use super::status::{DistributionCounters, DistributionStatus};
 use super::voter::{Voter, is_batch};
 use super::wire::{DistributionMessage, Interest, Page, Proposal};
-use crate::interface::{Duration, Timestamp};
+use crate::interface::{DISCOVERY_HEARTBEAT_ALLOWANCE, Duration, Timestamp};
 use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
-/// Discovery is heard at such intervals, with some delay: a publisher's list is no older than usual for so long.
-const SOURCE_INTERVAL: Duration = Duration::millis(1_250);
-
 /// See the module's page.
 pub struct DistributionNode {
     config: DistributionConfig,
@@ -122,7 +119,7 @@
     /// new, and those who follow it are to know.
     fn source_age(&self, now: Timestamp) -> Duration {
         let age = self.source_heard_at.map_or(Duration(0), |at| now - at);
-        Duration(age.0.saturating_sub(SOURCE_INTERVAL.0))
+        Duration(age.0.saturating_sub(DISCOVERY_HEARTBEAT_ALLOWANCE.0))
     }
 
     fn age(&self, now: Timestamp) -> Option<Duration> {
--- a/src/interface/settings.rs
+++ b/src/interface/settings.rs
@@ -6,6 +6,10 @@
 /// long to be written. The decisions, the check before the write and chains use this one figure.
 pub const KEY_MARGIN: Duration = Duration::millis(100);
 
+/// Discovery sends a frame each second: one that is heard counts for this long, with some delay of the next. The decisions and
+/// the publisher of a domain use this one figure.
+pub const DISCOVERY_HEARTBEAT_ALLOWANCE: Duration = Duration::millis(1250);
+
 /// Whether, and by which workers, a request that may have run may be run again (idempotency).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
--- a/src/policy/confirmation.rs
+++ b/src/policy/confirmation.rs
@@ -157,9 +157,8 @@
         }
         let Some(worker) = self.workers.get_mut(id) else { return };
         let asked_lately = now - worker.health.check_begun_at < MIN_REJECTION_CHECK_INTERVAL;
-        if worker.readiness.note_rejection() && !worker.health.check_pending && !asked_lately {
-            worker.health.begin_check(now);
-            out.push(Action::Probe { worker: id, part: None });
+        if worker.readiness.note_rejection() && !asked_lately {
+            self.begin_confirmation(id, out);
         }
     }
 
--- a/src/policy/readiness.rs
+++ b/src/policy/readiness.rs
@@ -8,8 +8,6 @@
 use crate::interface::*;
 use std::collections::BTreeSet;
 
-/// Discovery sends a frame each second; one may be so late.
-const HEARTBEAT_ALLOWANCE: Duration = Duration::millis(1250);
 /// Share of the drain grace for which an answer counts, from the moment at which the worker was asked. The
 /// rest is for the way there and for late turns.
 const CONFIRMED_SHARE: f64 = 0.8;
@@ -123,7 +121,7 @@
             }
             ListSource::Fixed => *self = ListValidity::default(),
             ListSource::Heard { at } => {
-                let until = at + HEARTBEAT_ALLOWANCE + lifetime;
+                let until = at + DISCOVERY_HEARTBEAT_ALLOWANCE + lifetime;
                 self.valid_until = self.valid_until.map(|before| before.max(until));
             }
             // What it would have told counts as received as soon as it is asked.
