Count a request from when the kernel received it, not from how long polls took

Cause: Reactor::note_poll took the length of a poll for evidence of when bytes came. A process that waits for a processor, or is continued before the poll's own time is up, has long polls without anything coming at their end.

Change: net/arrivals.rs keeps two bounds that hold whatever the process did: after the last moment at which a poll or read found the socket empty, and before now. Between them SO_TIMESTAMPNS decides for TCP, unless the wall clock moved against the process's own; else the later bound within 80 ms, and the earlier one beyond. Polls wait 30 ms at most (80 before). The unit test of note_poll goes with it: its cases are now bounds in net/arrivals/tests.rs and real sockets in net/reactor/tests.rs.

--- a/lab/shim/src/lib.rs
+++ b/lab/shim/src/lib.rs
@@ -145,16 +145,21 @@
     // SAFETY: the caller's pointer is passed on, and read only after success.
     unsafe {
         let done = libc::syscall(libc::SYS_clock_gettime, clock, time) as c_int;
-        let offset = words().map_or(0, |words| words[WALL_OFFSET].load(Ordering::Acquire) as i64);
-        if done == 0 && clock == libc::CLOCK_REALTIME && offset != 0 {
-            let total = (*time).tv_nsec + offset % NANOSECONDS;
-            (*time).tv_sec += offset / NANOSECONDS + total.div_euclid(NANOSECONDS);
-            (*time).tv_nsec = total.rem_euclid(NANOSECONDS);
+        if done == 0 && clock == libc::CLOCK_REALTIME {
+            step(&mut *time);
         }
         done
     }
 }
 
+/// Steps a point in Unix time by the control file's offset.
+fn step(time: &mut timespec) {
+    let offset = words().map_or(0, |words| words[WALL_OFFSET].load(Ordering::Acquire) as i64);
+    let total = time.tv_nsec + offset % NANOSECONDS;
+    time.tv_sec += offset / NANOSECONDS + total.div_euclid(NANOSECONDS);
+    time.tv_nsec = total.rem_euclid(NANOSECONDS);
+}
+
 /// # Safety
 /// As `accept4(2)`.
 #[unsafe(no_mangle)]
@@ -227,6 +232,51 @@
     }
 }
 
+/// The kernel's receive times are stepped like the wall clock.
+///
+/// # Safety
+/// As `recvmsg(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn recvmsg(socket: c_int, message: *mut libc::msghdr, flags: c_int) -> ssize_t {
+    // SAFETY: the caller's message is valid for the call; its first buffer is shortened for as long as the call lasts.
+    unsafe {
+        let mut none = libc::iovec { iov_base: std::ptr::null_mut(), iov_len: 0 };
+        let part = if (*message).msg_iovlen == 0 { &raw mut none } else { (*message).msg_iov };
+        let whole = (*part).iov_len;
+        match allowance(Call::Read, socket, whole) {
+            Err(errno) => fail(errno) as ssize_t,
+            Ok(count) => {
+                (*part).iov_len = count;
+                let received = libc::syscall(libc::SYS_recvmsg, socket, message, flags) as ssize_t;
+                (*part).iov_len = whole;
+                if received >= 0 {
+                    step_receive_times(&*message);
+                }
+                received
+            }
+        }
+    }
+}
+
+/// # Safety
+/// The message is one that `recvmsg(2)` has filled in.
+unsafe fn step_receive_times(message: &libc::msghdr) {
+    // SAFETY: the control parts are walked as cmsg(3) says; the kernel has written a whole `timespec` into one of this type,
+    // which need not be aligned.
+    unsafe {
+        let mut part = libc::CMSG_FIRSTHDR(message);
+        while !part.is_null() {
+            if (*part).cmsg_level == libc::SOL_SOCKET && (*part).cmsg_type == libc::SCM_TIMESTAMPNS {
+                let at = libc::CMSG_DATA(part).cast::<timespec>();
+                let mut time = at.read_unaligned();
+                step(&mut time);
+                at.write_unaligned(time);
+            }
+            part = libc::CMSG_NXTHDR(message, part);
+        }
+    }
+}
+
 /// # Safety
 /// As `read(2)`.
 #[unsafe(no_mangle)]
--- a/src/daemon/accept.rs
+++ b/src/daemon/accept.rs
@@ -8,7 +8,7 @@
 use crate::front::frames::{self, FrameConnection};
 use crate::front::jsonrpc::RpcConnection;
 use crate::interface::{Duration, Timestamp};
-use crate::net::Stream;
+use crate::net::{ClockReading, Stream};
 use crate::ops::{self, MgmtConnection};
 use rustix::io::Errno;
 use std::io;
@@ -25,7 +25,7 @@
     /// When.
     pub(super) due: Timestamp,
     /// Since when somebody may wait there.
-    since: Timestamp,
+    since: ClockReading,
 }
 
 /// What a failed `accept` is about.
@@ -90,7 +90,7 @@
     /// Comes back to a listener after a while. Those that wait there may have done so since it was asked first.
     fn accept_again(&mut self, listener: usize, pause: Duration) {
         let now = self.reactor.now();
-        let (due, since) = (now + pause, self.reactor.arrived());
+        let (due, since) = (now + pause, self.reactor.told_since());
         self.accept_again.insert(listener, AcceptAgain { due, since });
     }
 
@@ -111,7 +111,7 @@
         let due = |(listener, again): (&usize, &AcceptAgain)| {
             (again.due <= now).then_some((*listener, again.since))
         };
-        let due: Vec<(usize, Timestamp)> = self.accept_again.iter().filter_map(due).collect();
+        let due: Vec<(usize, ClockReading)> = self.accept_again.iter().filter_map(due).collect();
         for (listener, since) in due {
             self.accept_again.remove(&listener);
             self.reactor.waits_since(since);
--- a/src/daemon/upgrade.rs
+++ b/src/daemon/upgrade.rs
@@ -10,7 +10,7 @@
     self, HandoverError, HandoverInput, HandoverOutput, HandoverState, InputQueue, PeerConnection,
 };
 use crate::interface::{Duration, ListKind, Member, Timestamp, WorkerId};
-use crate::net::{ControlFlow, Stream, is_momentary, retry_while_momentary};
+use crate::net::{ClockReading, ControlFlow, Stream, is_momentary, retry_while_momentary};
 use std::cell::RefCell;
 use std::collections::{BTreeSet, VecDeque};
 use std::io;
@@ -225,7 +225,7 @@
     /// have waited: what they have asked for counts as late.
     fn accept_waiting_clients(&mut self) {
         if self.upgrade.as_ref().is_some_and(|upgrade| !upgrade.machine.has_older_process()) {
-            self.reactor.waits_since(Timestamp(0));
+            self.reactor.waits_since(ClockReading::UNKNOWN);
             self.accept(self.listener.0);
         }
     }
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -279,7 +279,7 @@
         }
         link.used(read);
         if read > 0 {
-            context.core.discovery_heard(context.now, context.arrived);
+            context.core.discovery_heard(context.now, link.arrived(link.inbox.len()));
         }
         if link.ended { ControlFlow::Close } else { ControlFlow::Continue }
     }
--- a/src/front/frames.rs
+++ b/src/front/frames.rs
@@ -264,14 +264,21 @@
         }
     }
 
-    fn frame(&mut self, frame: &Frame, link: &mut Link, context: &mut Context) -> Result<(), &'static str> {
+    /// Acts on a frame, whose last byte came at that time.
+    fn frame(
+        &mut self,
+        frame: &Frame,
+        arrived: Timestamp,
+        link: &mut Link,
+        context: &mut Context,
+    ) -> Result<(), &'static str> {
         match frame.kind {
             kinds::REQUEST => {
                 if frame.stream == 0 || !self.seen.new_stream(frame.stream) {
                     return Err("stream is not new");
                 }
                 let owner = Owner { connection: link.id(), stream: u64::from(frame.stream) };
-                let call = match read_request(frame.payload, owner, context.arrived) {
+                let call = match read_request(frame.payload, owner, arrived) {
                     Err(RequestError::Malformed(why)) => return Err(why),
                     other => other,
                 };
@@ -395,7 +402,8 @@
                     from += size;
                     begun = true;
                     (self.used, self.last) = (true, context.now);
-                    if let Err(why) = self.frame(&frame, link, context) {
+                    let arrived = link.arrived(bytes.len() - from);
+                    if let Err(why) = self.frame(&frame, arrived, link, context) {
                         break Some(why);
                     }
                 }
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -46,8 +46,6 @@
     /// The rest of a line that was too long is passed over.
     skipping: bool,
     last: Timestamp,
-    /// Since when whole lines wait for the client to read its answers.
-    held_since: Option<Timestamp>,
     /// Until when the line that has begun must have ended.
     whole_by: Option<Timestamp>,
     finish_by: Option<Timestamp>,
@@ -63,7 +61,6 @@
             line_limit,
             skipping: false,
             last: now,
-            held_since: None,
             whole_by: None,
             finish_by: None,
         }
@@ -160,10 +157,9 @@
         }
         self.open.insert(owner.stream, Open { id, batch });
         let ChainParams { steps, allow_ms, key } = params;
-        context.core.chain(
-            context.now,
-            Chain { owner, key, deadline: deadline(self.arrived_at(context), allow_ms), steps },
-        );
+        context
+            .core
+            .chain(context.now, Chain { owner, key, deadline: deadline(arrived(link), allow_ms), steps });
     }
 
     /// A place for a request or a chain, or its answer where there is none.
@@ -213,7 +209,7 @@
                 memory_mb,
                 concurrency,
                 load_time,
-                deadline: deadline(self.arrived_at(context), params.allow_ms),
+                deadline: deadline(arrived(link), params.allow_ms),
                 body: body.unwrap_or_default(),
             },
         );
@@ -234,17 +230,6 @@
         ControlFlow::Continue
     }
 
-    /// Since when the line that is read now may have been here.
-    fn arrived_at(&self, context: &Context) -> Timestamp {
-        self.held_since.unwrap_or(context.arrived)
-    }
-
-    fn lines(&mut self, link: &mut Link, context: &mut Context) {
-        self.read_lines(link, context);
-        let waits = link.inbox.contains(&b'\n');
-        self.held_since = waits.then_some(self.arrived_at(context));
-    }
-
     fn read_lines(&mut self, link: &mut Link, context: &mut Context) {
         // A client that does not read its answers is not read from either: see `flushed`.
         while link.waiting() <= OUTBOX {
@@ -295,6 +280,11 @@
     }
 }
 
+/// When the line came that has just been taken from the input.
+fn arrived(link: &Link) -> Timestamp {
+    link.arrived(link.inbox.len())
+}
+
 /// When a client that waits so long, counted from when its line came, is to have its answer.
 fn deadline(arrived: Timestamp, allow_ms: u64) -> Timestamp {
     arrived + Duration((allow_ms.min(3_600_000) * 1_000_000).saturating_sub(TRANSIT.0))
@@ -323,7 +313,7 @@
     fn received(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
         self.last = context.now;
         let held = link.inbox.len();
-        self.lines(link, context);
+        self.read_lines(link, context);
         if !link.ended {
             // A line cut short is owed a word; one that is held back until its client reads is not cut short.
             let part = self.skipping || !link.inbox.is_empty() && !link.inbox.contains(&b'\n');
@@ -343,7 +333,7 @@
     }
 
     fn flushed(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
-        self.lines(link, context);
+        self.read_lines(link, context);
         ControlFlow::Continue
     }
 
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -38,8 +38,6 @@
     pub core: &'a mut Core,
     /// The time at which the callback began.
     pub now: Timestamp,
-    /// Since when what is read now may have lain unread: what others count from its coming counts from here.
-    pub arrived: Timestamp,
     /// For what must know the time at the moment.
     pub clock: SystemClock,
     /// Whether new requests are taken.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,9 +1,11 @@
 //! Sockets: the clock, buffered links over TCP or Unix streams, and the reactor that calls connections back.
 
+mod arrivals;
 mod connection;
 pub mod inherit;
 mod momentary;
 mod reactor;
+mod receive;
 mod sockets;
 
 pub use connection::{Connection, Context, ControlFlow};
@@ -13,6 +15,7 @@
 
 use crate::interface::{Duration, Timestamp};
 use crate::request::CloseCause;
+use arrivals::Arrivals;
 use mio::event::Source;
 use mio::net::{TcpStream, UnixStream};
 use mio::{Interest, Registry, Token};
@@ -27,6 +30,20 @@
     start: Start,
 }
 
+/// The process's clock at one moment, and how far the wall clock was ahead of it.
+#[derive(Clone, Copy, Debug)]
+pub struct ClockReading {
+    /// The time by the process's clock.
+    pub own: Timestamp,
+    /// By how many nanoseconds the wall clock was ahead; none where that is not known.
+    pub wall_ahead: Option<i64>,
+}
+
+impl ClockReading {
+    /// Before anything that is known of.
+    pub const UNKNOWN: ClockReading = ClockReading { own: Timestamp(0), wall_ahead: None };
+}
+
 /// What the time since the start is read from.
 #[derive(Clone, Copy, Debug)]
 enum Start {
@@ -62,6 +79,13 @@
         SystemClock::unix()
     }
 
+    /// The present time by both clocks. The process's clock is looked at first: whoever turns a point in Unix time into one
+    /// of the process's clock by it gets one that is too early, if any, where the process is stopped in between.
+    pub fn reading(&self) -> ClockReading {
+        let own = self.now();
+        ClockReading { own, wall_ahead: Some(self.wall().0.wrapping_sub(own.0).cast_signed()) }
+    }
+
     /// The present time.
     pub fn now(&self) -> Timestamp {
         let since = match self.start {
@@ -95,10 +119,11 @@
         }
     }
 
-    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+    /// Reads what there is, up to the buffer's size; and when the last byte came, in Unix time, if the kernel tells.
+    fn receive(&mut self, buffer: &mut [u8]) -> io::Result<(usize, Option<Timestamp>)> {
         match self {
-            Stream::Tcp(stream) => stream.read(buffer),
-            Stream::Unix(stream) => stream.read(buffer),
+            Stream::Tcp(stream) => receive::receive(stream, buffer),
+            Stream::Unix(stream) => Ok((stream.read(buffer)?, None)),
         }
     }
 
@@ -164,10 +189,15 @@
     write_failed: bool,
     /// Why the connection is to end, as the first to know has said.
     cause: Option<CloseCause>,
+    arrivals: Arrivals,
 }
 
 impl Link {
-    fn new(stream: Stream, token: Token, up: bool, limits: BufferLimits) -> Link {
+    /// A link over a stream on which nothing had come by `empty_at`.
+    fn new(stream: Stream, token: Token, up: bool, limits: BufferLimits, empty_at: ClockReading) -> Link {
+        if let Stream::Tcp(stream) = &stream {
+            receive::enable_timestamps(stream);
+        }
         let (inbox, outbox) = (Vec::new(), Vec::new());
         let (interest, sent, ended) = (None, 0, false);
         let (held, write_failed) = (false, false);
@@ -184,6 +214,7 @@
             held,
             write_failed,
             cause: None,
+            arrivals: Arrivals::new(empty_at),
         }
     }
 
@@ -236,6 +267,11 @@
         whole
     }
 
+    /// When that byte of the input came which `unused` others follow: what others count from its coming counts from here.
+    pub fn arrived(&self, unused: usize) -> Timestamp {
+        self.arrivals.arrived(unused)
+    }
+
     /// Drops the first bytes of the input, which have been used.
     pub fn used(&mut self, count: usize) {
         self.inbox.drain(..count);
@@ -291,7 +327,14 @@
     }
 
     /// Reads what there is, up to the limit; true if the socket has no more for now.
-    fn fill(&mut self) -> io::Result<bool> {
+    fn fill(&mut self, clock: SystemClock) -> io::Result<bool> {
+        let begun = clock.reading();
+        let filled = self.read_chunks(clock);
+        self.arrivals.note_read_end(begun, matches!(filled, Ok(true)));
+        filled
+    }
+
+    fn read_chunks(&mut self, clock: SystemClock) -> io::Result<bool> {
         let mut chunk = [0u8; CHUNK];
         loop {
             if self.ended {
@@ -301,9 +344,12 @@
                 self.held = true;
                 return Ok(false);
             }
-            match self.stream.read(&mut chunk) {
-                Ok(0) => self.ended = true,
-                Ok(n) => self.inbox.extend_from_slice(&chunk[..n]),
+            match self.stream.receive(&mut chunk) {
+                Ok((0, _)) => self.ended = true,
+                Ok((count, stamp)) => {
+                    self.arrivals.note_bytes(count, stamp, clock.reading(), self.inbox.len());
+                    self.inbox.extend_from_slice(&chunk[..count]);
+                }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(true),
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) => return Err(e),
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -1,7 +1,7 @@
 //! The reactor: one poll, all connections, their timers. Connections are objects that it calls back.
 
 use super::connection::{Connection, Context, ControlFlow};
-use super::{BufferLimits, Link, Stream, SystemClock};
+use super::{BufferLimits, ClockReading, Link, Stream, SystemClock};
 use crate::core::Core;
 use crate::fleet::FleetNode;
 use crate::fleet::distribution::DistributionNode;
@@ -34,9 +34,6 @@
     shut: bool,
     /// Bytes that have come and were thrown away since the connection is to end.
     wasted: usize,
-    /// Since when something may lie unread that an earlier look has left: on a connection that is new, or whose input was
-    /// held back.
-    unread_since: Option<Timestamp>,
 }
 
 impl Entry {
@@ -71,19 +68,11 @@
 
     /// Reads until the socket has no more, for it tells of input only once; in turns with the connection's own work
     /// and with other connections.
-    fn read_all(&mut self, flow: ControlFlow, context: &mut Context) -> ControlFlow {
-        context.arrived = self.unread_since.unwrap_or(context.arrived);
-        let (flow, all) = self.read_until_empty(flow, context);
-        self.unread_since = (!all).then_some(context.arrived);
-        flow
-    }
-
-    /// The same; and whether the socket has no more.
-    fn read_until_empty(&mut self, mut flow: ControlFlow, context: &mut Context) -> (ControlFlow, bool) {
+    fn read_all(&mut self, mut flow: ControlFlow, context: &mut Context) -> ControlFlow {
         let mut taken = 0;
         loop {
             let held = self.link.inbox.len();
-            let filled = self.link.fill();
+            let filled = self.link.fill(context.clock);
             // What had come whole before it broke counts, whatever the break is called.
             self.link.ended |= filled.is_err();
             let more = self.link.inbox.len() - held;
@@ -93,21 +82,21 @@
                 self.link.inbox.clear();
                 if self.wasted > WASTE {
                     self.link.close_for(CloseCause::Unreadable);
-                    return (ControlFlow::Close, false);
+                    return ControlFlow::Close;
                 }
             } else if more > 0 || self.link.ended {
                 flow = flow.and(self.connection.received(&mut self.link, context));
             }
             let Ok(all) = filled else {
                 self.link.close_for(CloseCause::Broken);
-                return (ControlFlow::Close, true);
+                return ControlFlow::Close;
             };
             if all || flow != ControlFlow::Continue || self.link.held_back() {
-                return (flow, all);
+                return flow;
             }
             if taken > TURN {
                 self.link.hold();
-                return (flow, false);
+                return flow;
             }
         }
     }
@@ -122,11 +111,11 @@
 /// sender at full speed must not keep the others waiting, nor the processor busy with what nobody wants.
 const TURN: usize = 256 << 10;
 const WASTE: usize = 1 << 20;
-/// The longest wait of a poll while there are connections, and by how much more it is later than any scheduling makes it.
-const TICK: Duration = Duration::millis(80);
-const OVERSLEPT: Duration = Duration::millis(20);
-/// A poll that returns sooner has not waited: what it tells of may have been there.
-const WAITED: Duration = Duration(100_000);
+/// The longest wait of a poll while there are connections: what a poll tells of came after the one before it had begun, and
+/// where the kernel does not tell when, that is all that is known.
+const MAX_WAIT: Duration = Duration::millis(30);
+/// Events that one poll tells of.
+const EVENTS: usize = 1024;
 /// Output that a connection may always have waiting.
 const CLOGGED: usize = 64 << 10;
 
@@ -149,12 +138,10 @@
     proceeding: BTreeSet<Token>,
     /// Whether the last poll found nothing.
     quiet: bool,
-    /// When the last poll returned: what has come later was not seen by it.
-    polled: Timestamp,
-    /// Since when what is read in this turn may have lain unread.
-    arrived: Timestamp,
-    /// A poll was interrupted after far more than its time: what the next one tells of may have been there before.
-    overslept: bool,
+    /// When the last poll began that told of all there was: what it did not tell of had not come by then.
+    polled_at: ClockReading,
+    /// When the one before it began: what the last poll told of had not come by then.
+    told_since: ClockReading,
     /// Bytes that wait to be written, on all connections together.
     waiting: usize,
     /// Beyond so many of them a connection that adds to them is closed, if its other side reads nothing.
@@ -177,10 +164,10 @@
     /// # Errors
     /// The system gives no poll.
     pub fn new(clock: SystemClock) -> io::Result<Reactor> {
-        let now = clock.now();
+        let now = clock.reading();
         Ok(Reactor {
             poll: Poll::new()?,
-            events: Events::with_capacity(1024),
+            events: Events::with_capacity(EVENTS),
             clock,
             listeners: vec![],
             pipes: vec![],
@@ -190,9 +177,8 @@
             timers: BTreeSet::new(),
             proceeding: BTreeSet::new(),
             quiet: true,
-            polled: now,
-            arrived: now,
-            overslept: false,
+            polled_at: now,
+            told_since: now,
             waiting: 0,
             waiting_limit: usize::MAX,
             ready: false,
@@ -229,19 +215,10 @@
     ) -> Option<u64> {
         let token = Token(self.next);
         self.next += 1;
-        let link = Link::new(stream, token, up, limits);
-        self.entries.insert(
-            token,
-            Entry {
-                link,
-                connection,
-                due: None,
-                finishing: false,
-                shut: false,
-                wasted: 0,
-                unread_since: Some(self.arrived),
-            },
-        );
+        // A client may have waited to be accepted for as long as its listener was not told of.
+        let link = Link::new(stream, token, up, limits, self.told_since);
+        self.entries
+            .insert(token, Entry { link, connection, due: None, finishing: false, shut: false, wasted: 0 });
         self.call(token, core, |entry, context| {
             if entry.link.up {
                 entry.connection.opened(&mut entry.link, context)
@@ -261,7 +238,6 @@
         Context {
             core,
             now: self.clock.now(),
-            arrived: self.arrived,
             clock: self.clock,
             ready: self.ready,
             active: self.active,
@@ -405,24 +381,26 @@
     /// The wait failed for another reason than a signal.
     pub fn poll_once(&mut self, until: Option<Timestamp>, core: &mut Core) -> io::Result<Vec<Signal>> {
         let due = self.timers.first().map(|(at, _)| *at).into_iter().chain(until).min();
-        let begun = self.clock.now();
+        let begun = self.clock.reading();
         // Rounded up, so that a timer is not asked for a little early again and again.
-        let rest = due.map(|at| Duration((at - begun).0 + 50_000));
-        // Where somebody may send something, no wait is so long that a stop of this process would hide in it.
-        let rest =
-            if self.entries.is_empty() { rest } else { Some(rest.map_or(TICK, |rest| rest.min(TICK))) };
+        let rest = due.map(|at| Duration((at - begun.own).0 + 50_000));
+        let rest = if self.entries.is_empty() {
+            rest
+        } else {
+            Some(rest.map_or(MAX_WAIT, |rest| rest.min(MAX_WAIT)))
+        };
         self.quiet = false;
         let polled =
             self.poll.poll(&mut self.events, rest.map(|rest| std::time::Duration::from_nanos(rest.0)));
         match polled {
-            // It has told of nothing: what has come meanwhile is found by the next one. A stop of the process shows so too.
-            Err(e) if e.kind() == io::ErrorKind::Interrupted => {
-                self.overslept |= overslept(self.clock.now() - begun, rest);
-                return Ok(vec![]);
-            }
+            // It has told of nothing: what has come meanwhile is found by the next one.
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => return Ok(vec![]),
             other => other?,
         }
-        self.note_poll(begun, self.clock.now(), rest);
+        self.told_since = self.polled_at;
+        if self.events.iter().count() < EVENTS {
+            self.polled_at = begun;
+        }
         let mut signals = Vec::new();
         let ready: Vec<_> = self
             .events
@@ -445,7 +423,7 @@
                 _ if ended && self.entries.get(&token).is_some_and(|entry| entry.link.held_back()) => {
                     self.close_for(token, CloseCause::Ended, core);
                 }
-                _ => self.happened(token, readable || ended, core),
+                _ => self.happened(token, readable || ended, self.told_since, core),
             }
         }
         let now = self.clock.now();
@@ -465,34 +443,23 @@
         Ok(signals)
     }
 
-    /// A poll that began then has returned now. Whatever it tells of came while it waited, if it did wait: then it has just
-    /// come. But this loop may have been busy before, and the whole process may have stood still: then it may have lain
-    /// there since the poll before.
-    fn note_poll(&mut self, begun: Timestamp, now: Timestamp, rest: Option<Duration>) {
-        let waited = now - begun;
-        let was_stopped = std::mem::take(&mut self.overslept) || overslept(waited, rest);
-        // A loop that comes late to look finds what lay there, however long the look itself took.
-        let was_late = begun - self.polled > OVERSLEPT && waited < OVERSLEPT;
-        let found_at_once = waited < WAITED || was_late;
-        self.arrived = if was_stopped || found_at_once { self.polled } else { now };
-        self.polled = now;
-    }
-
-    /// Since when what is found in this turn may have waited.
-    pub fn arrived(&self) -> Timestamp {
-        self.arrived
+    /// What this turn's poll told of had not come by then.
+    pub fn told_since(&self) -> ClockReading {
+        self.told_since
     }
 
     /// What comes in for the rest of this turn may have waited since then.
-    pub fn waits_since(&mut self, since: Timestamp) {
-        self.arrived = self.arrived.min(since);
+    pub fn waits_since(&mut self, since: ClockReading) {
+        if since.own < self.told_since.own {
+            self.told_since = since;
+        }
     }
 
     /// Reads what has come on a connection, without waiting for the poll to tell of it.
     pub fn catch_up(&mut self, id: u64, core: &mut Core) {
         let token = Token(id as usize);
         if self.entries.get(&token).is_some_and(|entry| entry.link.up) {
-            self.happened(token, true, core);
+            self.happened(token, true, self.polled_at, core);
         }
     }
 
@@ -524,8 +491,10 @@
         }
     }
 
-    fn happened(&mut self, token: Token, readable: bool, core: &mut Core) {
+    /// Something may be done on a connection, on which nothing had come by `empty_at` that was not read.
+    fn happened(&mut self, token: Token, readable: bool, empty_at: ClockReading, core: &mut Core) {
         self.call(token, core, |entry, context| {
+            entry.link.arrivals.note_nothing_told(empty_at);
             let opened = entry.open_if_connected(context);
             if opened != ControlFlow::Continue || !entry.link.up {
                 return opened;
@@ -561,10 +530,5 @@
     }
 }
 
-/// Whether a wait took far longer than it was to: the process stood still.
-fn overslept(waited: Duration, rest: Option<Duration>) -> bool {
-    rest.is_some_and(|rest| waited > rest + OVERSLEPT)
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/net/reactor/tests.rs
+++ b/src/net/reactor/tests.rs
@@ -192,24 +192,120 @@
     assert_eq!(reactor.count(), 0);
 }
 
-/// A signal that continues a stopped process ends its poll early: what the next poll tells of had come before, however long that
-/// one takes beside other processes.
+/// Notes when each of its bytes came.
+struct Clocked(Rc<RefCell<Vec<Timestamp>>>);
+
+impl Connection for Clocked {
+    fn kind(&self) -> &'static str {
+        "test"
+    }
+
+    fn opened(&mut self, _link: &mut Link, _hub: &mut Context) -> ControlFlow {
+        ControlFlow::Continue
+    }
+    fn received(&mut self, link: &mut Link, _hub: &mut Context) -> ControlFlow {
+        for unused in (0..link.inbox.len()).rev() {
+            self.0.borrow_mut().push(link.arrived(unused));
+        }
+        link.inbox.clear();
+        ControlFlow::Continue
+    }
+    fn closed(&mut self, _link: &Link, _hub: &mut Context) {}
+}
+
+/// How far the time that counts may lie from that at which a byte was written.
+struct Tolerance {
+    early: Duration,
+    late: Duration,
+}
+
+/// The process stands still before and after a byte comes.
+fn arrives_in_time(stream: Stream, mut far: impl Write, tolerance: &Tolerance) {
+    let (mut core, mut reactor) = parts();
+    let arrived = Rc::default();
+    let connection = Box::new(Clocked(Rc::clone(&arrived)));
+    reactor.add(stream, connection, true, BufferLimits { inbox: 100, outbox: 100 }, &mut core).unwrap();
+    for _ in 0..3 {
+        reactor.poll_once(Some(reactor.now()), &mut core).unwrap();
+        std::thread::sleep(STOP);
+        let before = reactor.now();
+        far.write_all(b"x").unwrap();
+        let written = reactor.now();
+        std::thread::sleep(STOP);
+        while arrived.borrow().is_empty() {
+            reactor.poll_once(None, &mut core).unwrap();
+        }
+        let [at] = arrived.borrow_mut().drain(..).collect::<Vec<_>>()[..] else { panic!("one byte") };
+        assert!(at <= written + tolerance.late, "{} ns late", (at - written).0);
+        assert!(at + tolerance.early >= before, "{} ns early", (before - at).0);
+    }
+}
+
+fn tcp_pair() -> (Stream, std::net::TcpStream) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let far = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    far.set_nodelay(true).unwrap();
+    let (near, _) = listener.accept().unwrap();
+    near.set_nonblocking(true).unwrap();
+    (Stream::Tcp(mio::net::TcpStream::from_std(near)), far)
+}
+
+/// Longer than any two looks of a process that runs are apart.
+const STOP: std::time::Duration = std::time::Duration::from_millis(150);
+/// The kernel's time of TCP bytes is right to far less. Early it may be by a pause of the process between its looks at two
+/// clocks.
+const STAMPED: Tolerance = Tolerance { early: Duration::millis(100), late: Duration::millis(2) };
+
+/// A stop between two polls, however long the one after it takes beside other processes.
 #[test]
-fn what_came_while_the_process_stood_still_counts_from_the_last_look() {
-    let (_core, mut reactor) = parts();
-    let (before, rest) = (reactor.polled, Some(Duration::millis(80)));
-    let ms = |ms| before + Duration::millis(ms);
-    // Interrupted after a stop, and then slow to return what has lain there.
-    reactor.overslept |= overslept(Duration::millis(2_000), rest);
-    reactor.note_poll(ms(2_000), ms(2_005), rest);
-    assert_eq!(reactor.arrived, before);
-    reactor.note_poll(ms(2_006), ms(2_011), rest);
-    assert_eq!(reactor.arrived, ms(2_011), "it has waited, and nothing was late");
-    // An interruption in time is none.
-    reactor.overslept |= overslept(Duration::millis(60), rest);
-    reactor.note_poll(ms(2_012), ms(2_017), rest);
-    assert_eq!(reactor.arrived, ms(2_017));
-    // A stop, or a long turn, between two polls: the second finds it at once, or a little later beside load.
-    reactor.note_poll(ms(2_060), ms(2_065), rest);
-    assert_eq!(reactor.arrived, ms(2_017));
+fn what_came_while_the_process_stood_still_counts_from_when_it_came() {
+    let (near, far) = tcp_pair();
+    arrives_in_time(near, far, &STAMPED);
+}
+
+/// Unix streams tell no times: what may have come long ago counts from the last look.
+#[test]
+fn what_came_over_unix_while_the_process_stood_still_counts_from_the_last_look() {
+    let (near, far) = StdUnixStream::pair().unwrap();
+    near.set_nonblocking(true).unwrap();
+    let near = Stream::Unix(UnixStream::from_std(near));
+    arrives_in_time(near, far, &Tolerance { early: Duration::millis(1_000), late: Duration(0) });
+}
+
+/// Input is held back while its client reads no answers: what comes meanwhile counts from when it came, not from when reading
+/// stopped.
+#[test]
+fn input_that_was_held_back_counts_from_when_it_came() {
+    let (mut core, mut reactor) = parts();
+    let (near, mut far) = tcp_pair();
+    let arrived = Rc::default();
+    let connection = Box::new(Clocked(Rc::clone(&arrived)));
+    let limits = BufferLimits { inbox: 100, outbox: 1000 };
+    let id = reactor.add(near, connection, true, limits, &mut core).unwrap();
+    reactor.with(id, &mut core, |_, link, _| {
+        link.put(&vec![0; 16 << 20]);
+        ControlFlow::Continue
+    });
+    let mut written = vec![];
+    for byte in [b"x", b"y"] {
+        far.write_all(byte).unwrap();
+        written.push(reactor.now());
+        let until = reactor.after(Duration::millis(300));
+        while reactor.now() < until {
+            reactor.poll_once(Some(until), &mut core).unwrap();
+        }
+    }
+    assert!(arrived.borrow().is_empty(), "it is held back");
+    let reader = std::thread::spawn(move || {
+        far.read_exact(&mut vec![0; 16 << 20]).unwrap();
+        far
+    });
+    while arrived.borrow().len() < written.len() {
+        reactor.poll_once(None, &mut core).unwrap();
+    }
+    let (first, second) = (arrived.borrow()[0], arrived.borrow()[1]);
+    assert!(first <= written[0] + STAMPED.late, "{} ns late", (first - written[0]).0);
+    assert!(second <= written[1] + STAMPED.late, "{} ns late", (second - written[1]).0);
+    assert!(second + STAMPED.early >= written[1], "{} ns early", (written[1] - second).0);
+    drop(reader.join().unwrap());
 }
--- a/src/net/sockets.rs
+++ b/src/net/sockets.rs
@@ -2,6 +2,7 @@
 
 use super::Stream;
 use super::reactor::{Listener, PIPES, Reactor, SOCKETS};
+use super::receive::enable_timestamps;
 use mio::net::{TcpListener, TcpStream, UnixListener, UnixStream};
 use mio::{Interest, Token};
 use std::io;
@@ -32,6 +33,7 @@
     /// The listener cannot be made non-blocking, or has no address.
     pub fn listen_shared(&mut self, listener: std::net::TcpListener) -> io::Result<(usize, SocketAddr)> {
         listener.set_nonblocking(true)?;
+        enable_timestamps(&listener);
         let listener = TcpListener::from_std(listener);
         let (number, at) = (self.listeners.len(), listener.local_addr()?);
         self.listeners.push(Some(Listener::Tcp(listener)));
@@ -65,7 +67,11 @@
         let number = self.listeners.len();
         let registry = self.poll.registry();
         match &mut listener {
-            Listener::Tcp(l) => registry.register(l, Token(number), Interest::READABLE)?,
+            Listener::Tcp(l) => {
+                // Whoever is accepted may have sent something before.
+                enable_timestamps(l);
+                registry.register(l, Token(number), Interest::READABLE)?;
+            }
             Listener::Unix(l) => registry.register(l, Token(number), Interest::READABLE)?,
         }
         self.listeners.push(Some(listener));
