--- a/tests/discovery_outage.rs
+++ b/tests/discovery_outage.rs
@@ -132,10 +132,17 @@
     }
 }
 
-fn site(index: usize) -> Value {
+/// Whether schedulers may ask workers whether they take work.
+#[derive(Clone, Copy, PartialEq)]
+enum HealthChecks {
+    Allowed,
+    Forbidden,
+}
+
+fn site(index: usize, checks: HealthChecks) -> Value {
     let mut settings = settings();
     (settings["fleetSize"], settings["index"]) = (json!(SCHEDULERS), json!(index));
-    settings["bounds"]["probes"] = json!(true);
+    settings["bounds"]["probes"] = json!(checks == HealthChecks::Allowed);
     settings["contract"]["drainGraceNs"] = json!(GRACE.as_nanos() as u64);
     settings
 }
@@ -180,14 +187,16 @@
     }
 }
 
-fn drains_are_kept_through(outage: Outage) {
+fn drains_are_kept_through(outage: Outage, checks: HealthChecks) {
     let workers: Vec<Worker> = (0..WORKERS).map(|_| Worker::over_tcp()).collect();
     let listed: Vec<&Worker> = workers.iter().collect();
     let discoveries: Vec<Discovery> = (0..SCHEDULERS).map(|_| Discovery::start(outage)).collect();
     let daemons: Vec<Daemon> = discoveries
         .iter()
         .enumerate()
-        .map(|(n, discovery)| Daemon::with(&listed, site(n), Some(discovery.address), |_| String::new()))
+        .map(|(n, discovery)| {
+            Daemon::with(&listed, site(n, checks), Some(discovery.address), |_| String::new())
+        })
         .collect();
     let workers: Vec<DrainingWorker> = workers.into_iter().map(DrainingWorker::serve).collect();
     let start = Instant::now();
@@ -231,18 +240,24 @@
 
 #[test]
 fn nothing_new_goes_to_a_draining_worker_while_discovery_is_silent() {
-    drains_are_kept_through(Outage::Silent);
+    drains_are_kept_through(Outage::Silent, HealthChecks::Allowed);
 }
 
 #[test]
 fn nothing_new_goes_to_a_draining_worker_while_discovery_refuses() {
-    drains_are_kept_through(Outage::Closed);
+    drains_are_kept_through(Outage::Closed, HealthChecks::Allowed);
+}
+
+/// The drains come before the next word of discovery would have, and idle workers have nothing but the list.
+#[test]
+fn nothing_new_goes_to_a_draining_worker_where_no_health_checks_are_allowed() {
+    drains_are_kept_through(Outage::Closed, HealthChecks::Forbidden);
 }
 
 /// The list never ages here: only the workers' own words tell.
 #[test]
 fn nothing_new_goes_to_a_draining_worker_while_discovery_tells_nothing_new() {
-    drains_are_kept_through(Outage::Mute);
+    drains_are_kept_through(Outage::Mute, HealthChecks::Allowed);
 }
 
 /// The list of a start may be as old as the outage.
@@ -252,7 +267,7 @@
     // Nobody listens there any more.
     let nowhere = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     let listed: Vec<&Worker> = workers.iter().collect();
-    let daemon = Daemon::with(&listed, site(0), Some(nowhere), |_| String::new());
+    let daemon = Daemon::with(&listed, site(0, HealthChecks::Allowed), Some(nowhere), |_| String::new());
     let workers: Vec<DrainingWorker> = workers.into_iter().map(DrainingWorker::serve).collect();
     workers[0].drain();
     let until = Instant::now() + Duration::from_secs(2);
--- a/tests/readiness.rs
+++ b/tests/readiness.rs
@@ -293,11 +293,24 @@
     assert!(!rig.policy.is_confirmed(WorkerId(1), until + Duration::millis(1)));
 }
 
+/// A drain right after discovery's last word counts as received 7 s later, so nothing but the last 7 s and the grace count.
+#[test]
+fn where_no_health_checks_are_allowed_the_list_counts_no_longer_than_a_drain_after_the_last_word_may() {
+    let mut settings = settings(OnMiss::Load);
+    settings.limits.may_probe = false;
+    let grace = settings.rules.drain_grace;
+    let rig = following(settings, 1);
+    let due = rig.now + RECEIVED_AT_THE_LATEST + grace;
+    assert!(rig.policy.is_confirmed(WorkerId(1), rig.now + RECEIVED_AT_THE_LATEST));
+    assert!(!rig.policy.is_confirmed(WorkerId(1), due + Duration::millis(1)));
+}
+
 /// A fleet of workers that drain when they are drawn to, and what a scheduler sends them while discovery is out.
 struct Outage {
     rig: Rig,
     rng: SmallRng,
     grace: Duration,
+    may_probe: bool,
     /// Since when each worker drains.
     draining: BTreeMap<WorkerId, Timestamp>,
     /// What comes back to the scheduler, and when.
@@ -311,21 +324,27 @@
 }
 
 const FLEET: u64 = 8;
+/// Drains within the first second of an outage are those that a list could outlast by its heartbeat.
+const LATEST_UNCHECKED_DRAIN_MS: u64 = 1_000;
 /// A drain counts as received no sooner than this after discovery was heard last, by the page on breaks.
 const BREAK: Duration = Duration::millis(2_000);
+/// What discovery would have told counts as received after this time at the latest.
+const RECEIVED_AT_THE_LATEST: Duration = Duration::millis(7_000);
 
 impl Outage {
-    fn new(seed: u64) -> Outage {
+    fn new(seed: u64, may_probe: bool) -> Outage {
         let mut rng = SmallRng::seed_from_u64(seed);
         let mut settings = settings(if seed.is_multiple_of(2) { OnMiss::Load } else { OnMiss::Miss });
         let grace = Duration::millis([100, 500, 2_000, 5_000][rng.random_range(0..4)]);
         settings.rules.drain_grace = grace;
+        settings.limits.may_probe = may_probe;
         let rig = following(settings, FLEET);
         let (heard_at, slowest_probe_ms) = (rig.now, [3, 60, 400][rng.random_range(0..3)]);
         Outage {
             rig,
             rng,
             grace,
+            may_probe,
             draining: BTreeMap::new(),
             coming: BTreeMap::new(),
             heard_at,
@@ -348,7 +367,11 @@
     /// Nothing new goes to a worker later than the grace after its drain counts as received.
     fn check(&self, worker: WorkerId) {
         let Some(since) = self.draining.get(&worker) else { return };
-        let received = (*since).max(self.heard_at + BREAK);
+        let received = if self.may_probe {
+            (*since).max(self.heard_at + BREAK)
+        } else {
+            (*since).max(self.heard_at) + RECEIVED_AT_THE_LATEST
+        };
         assert!(self.rig.now <= received + self.grace, "{worker:?} drains since {since:?}");
     }
 
@@ -387,7 +410,8 @@
     fn run(&mut self) {
         let start = self.rig.now;
         for drained in 0..3 {
-            let at = start + Duration::millis(self.rng.random_range(0..15_000));
+            let latest_ms = if self.may_probe { 15_000 } else { LATEST_UNCHECKED_DRAIN_MS };
+            let at = start + Duration::millis(self.rng.random_range(0..latest_ms));
             self.draining.insert(WorkerId(drained + 1), at);
         }
         let mut number = 0;
@@ -410,7 +434,7 @@
         }
         // Where a probe takes longer than its answer may count, nobody can be sure of any worker.
         let counts_ms = self.grace.times(0.8).whole_millis();
-        if self.slowest_probe_ms * 4 <= counts_ms {
+        if self.may_probe && self.slowest_probe_ms * 4 <= counts_ms {
             assert!(
                 self.served * 10 >= number as usize * 7,
                 "service goes on: {} of {number}, grace {:?}, probes {} ms",
@@ -425,6 +449,13 @@
 #[test]
 fn no_drawn_outage_has_anything_new_sent_after_the_grace() {
     for seed in 0..150 {
-        Outage::new(seed).run();
+        Outage::new(seed, true).run();
+    }
+}
+
+#[test]
+fn no_drawn_outage_has_anything_new_sent_after_the_grace_where_no_health_checks_are_allowed() {
+    for seed in 0..150 {
+        Outage::new(seed, false).run();
     }
 }
