Count the list for 7 s and the grace, and no heartbeat more, where nobody can be asked

What callers saw: where health checks are not allowed and discovery is out of reach, sends and load requests went to a draining worker up to 1.25 s (less a fifth of the grace) after its drain was due; each was rejected unseen.

Cause: ListValidity::observe added the allowance for the next heartbeat to the 7 s after which a drain counts as received. The drain may come right after the last word, so both waits run at once.

Same elsewhere: a domain's age leaves its publisher's heartbeat out, so subscribers had it twice as well. They count from 1.25 s earlier where nobody can be asked (ListSource::Confirmed, tested in tests/readiness.rs).

--- a/src/client.rs
+++ b/src/client.rs
@@ -155,7 +155,8 @@
 
     /// The source of the list was heard now: the list that this client was given is complete. A source that may go out of reach
     /// is to be reported so about once a second, whether or not anything has changed; from the first report on, workers are
-    /// asked before they are sent anything once a report is more than 1.25 s and 0.8 of the drain grace old. Without any
+    /// asked before they are sent anything once a report is more than 1.25 s and 0.8 of the drain grace old; where health checks
+    /// are not allowed, nothing is sent to workers of which nothing was heard for 7 s and 0.8 of the grace. Without any
     /// report the list counts for as long as nobody changes it.
     pub fn list_confirmed(&mut self) {
         let now = self.reactor.now();
--- a/src/core/worker_updates.rs
+++ b/src/core/worker_updates.rs
@@ -40,7 +40,7 @@
     /// The list comes from the domain from now on; what discovery says counts no longer.
     pub fn list_distributed(&mut self, now: Timestamp, at: Timestamp) {
         self.list_watch.is_distributed = true;
-        self.step(now, Event::ListSource(ListSource::Heard { at }));
+        self.step(now, Event::ListSource(ListSource::Confirmed { at }));
     }
 
     /// The list follows a source that may go out of reach; these workers are not of it. Where there is no source, the list is
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -67,6 +67,12 @@
         /// When.
         at: Timestamp,
     },
+    /// A domain confirmed the list: its publisher's discovery was heard at that time, or earlier by no more than
+    /// [`DISCOVERY_HEARTBEAT_ALLOWANCE`].
+    Confirmed {
+        /// When.
+        at: Timestamp,
+    },
     /// It was asked anew and has not answered yet.
     Asked,
 }
--- a/src/policy/readiness.rs
+++ b/src/policy/readiness.rs
@@ -99,6 +99,13 @@
     if settings.limits.may_probe { share } else { Duration(share.0 + RECEIVED_AT_THE_LATEST.0) }
 }
 
+/// How long the list is valid by itself, from when its source was heard. Workers are asked only once a heartbeat is overdue;
+/// where they cannot be, what the source would have told next counts as received with no more delay than this.
+fn list_lifetime(settings: &Settings) -> Duration {
+    let lifetime = confirmation_lifetime(settings);
+    if settings.limits.may_probe { Duration(lifetime.0 + DISCOVERY_HEARTBEAT_ALLOWANCE.0) } else { lifetime }
+}
+
 /// Until when the list of workers is valid by itself.
 #[derive(Default)]
 pub struct ListValidity {
@@ -120,9 +127,15 @@
                 self.fixed = fixed;
             }
             ListSource::Fixed => *self = ListValidity::default(),
-            ListSource::Heard { at } => {
-                let until = at + DISCOVERY_HEARTBEAT_ALLOWANCE + lifetime;
-                self.valid_until = self.valid_until.map(|before| before.max(until));
+            ListSource::Heard { at } => self.extend(at + list_lifetime(settings)),
+            ListSource::Confirmed { at } if settings.limits.may_probe => {
+                self.extend(at + list_lifetime(settings));
+            }
+            // Discovery itself may have been silent for longer, by as much as its heartbeat is allowed.
+            ListSource::Confirmed { at } => {
+                self.extend(
+                    Timestamp(at.0.saturating_sub(DISCOVERY_HEARTBEAT_ALLOWANCE.0)) + list_lifetime(settings),
+                );
             }
             // What it would have told counts as received as soon as it is asked.
             ListSource::Asked => {
@@ -131,6 +144,10 @@
         }
     }
 
+    fn extend(&mut self, until: Timestamp) {
+        self.valid_until = self.valid_until.map(|before| before.max(until));
+    }
+
     /// Whether the list has a source at all, for this worker.
     pub fn governs(&self, worker: WorkerId) -> bool {
         self.valid_until.is_some() && !self.fixed.contains(&worker)
--- a/tests/readiness.rs
+++ b/tests/readiness.rs
@@ -305,6 +305,21 @@
     assert!(!rig.policy.is_confirmed(WorkerId(1), due + Duration::millis(1)));
 }
 
+/// The age that a domain tells leaves out the heartbeat of its publisher's discovery.
+#[test]
+fn a_domains_word_counts_from_the_earliest_time_that_it_may_stand_for_where_no_health_checks_are_allowed() {
+    for (may_probe, valid) in [(true, VALID), (false, Duration::millis(7_000 - 1_250 + 1_600))] {
+        let mut settings = settings(OnMiss::Load);
+        settings.limits.may_probe = may_probe;
+        let mut rig = Rig::new(settings, 1);
+        rig.give(Event::ListSource(ListSource::Followed { fixed: BTreeSet::new() }));
+        rig.pass(Duration::millis(20_000));
+        rig.give(Event::ListSource(ListSource::Confirmed { at: rig.now }));
+        assert!(rig.policy.list_is_valid(rig.now + valid));
+        assert!(!rig.policy.list_is_valid(rig.now + valid + Duration::millis(1)));
+    }
+}
+
 /// A fleet of workers that drain when they are drawn to, and what a scheduler sends them while discovery is out.
 struct Outage {
     rig: Rig,
