Take the age of discovery's last frame from when it came, not from when it was read

Seen by reading, as the same class as the stop: after a stop, or in a late turn, a publisher told its domain that its list was as fresh as its last read, and `discovery lost` logged an age too short by the length of the stop.

Cause: take_frame noted the time of the callback.

Evidence: the new test in src/discovery/tests.rs (a frame lies unread for 150 ms) fails before the change and passes with it.

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -191,11 +191,11 @@
 }
 
 impl ReceivedEvents {
-    /// A frame has come.
-    fn note_frame(&mut self, now: Timestamp) {
+    /// A frame that came at that time is read now.
+    fn note_frame(&mut self, arrived: Timestamp, now: Timestamp) {
         self.failures = 0;
         self.received_any = true;
-        self.last_frame = Some(now);
+        self.last_frame = Some(arrived);
         if let Some(since) = self.lost_since.take() {
             tracing::info!(out_ms = (now - since).whole_millis(), offset = self.offset, "discovery back");
         }
@@ -228,10 +228,15 @@
     }
 
     /// Takes in a frame. Its event counts only if it is later than all before it: after a new connection some come twice.
-    fn take_frame(&mut self, event: Option<WatchEvent>, now: Timestamp) -> Result<(), DiscoveryError> {
+    fn take_frame(
+        &mut self,
+        event: Option<WatchEvent>,
+        arrived: Timestamp,
+        now: Timestamp,
+    ) -> Result<(), DiscoveryError> {
         let mut received = self.received_events.borrow_mut();
         self.silent_at = now + SILENCE_TIMEOUT;
-        received.note_frame(now);
+        received.note_frame(arrived, now);
         let Some(event) = event.filter(|event| event.offset > received.offset) else { return Ok(()) };
         // Changes lie between: they are asked for once more, on a new connection.
         let skips = event.kind == ListKind::Delta && event.offset > received.offset + 1;
@@ -270,7 +275,8 @@
                 Ok(None) => break,
                 Ok(Some((event, size))) => {
                     read += size;
-                    if let Err(error) = self.take_frame(event, context.now) {
+                    let arrived = link.arrived(link.inbox.len() - read);
+                    if let Err(error) = self.take_frame(event, arrived, context.now) {
                         return close_unreadable(error, link, context);
                     }
                 }
--- a/src/discovery/tests.rs
+++ b/src/discovery/tests.rs
@@ -81,3 +81,32 @@
     let connection = DiscoveryConnection::new(Rc::default(), now);
     assert_eq!(connection.deadline(), Some(now + CONNECT_TIMEOUT));
 }
+
+/// A frame that lay unread while the process stood still says nothing of the time after it came.
+#[test]
+fn a_frame_counts_from_when_it_came_however_late_it_is_read() {
+    use std::io::Write;
+    let site = br#"{"fleetSize": 1, "index": 0, "classes": [], "bounds": {"mostTries": 1},
+        "contract": {"coldFrom": 1, "coldNs": 1, "fallMultiple": 1, "fallNs": 1},
+        "familyInfo": {"keepNs": 1, "notLoaded": "load", "loadSpanNs": 0}}"#;
+    let mut core = crate::core::Core::new(crate::settings::read_site(site).unwrap(), 1);
+    let mut reactor = crate::net::Reactor::new(crate::net::SystemClock::new()).unwrap();
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let near = reactor.connect(listener.local_addr().unwrap()).unwrap();
+    let (mut far, _) = listener.accept().unwrap();
+    let received = Rc::new(RefCell::new(ReceivedEvents::default()));
+    let limits = crate::net::BufferLimits { inbox: MAX_FRAME_LENGTH + 4, outbox: 4096 };
+    let connection = Box::new(DiscoveryConnection::new(received.clone(), reactor.now()));
+    reactor.add(near, connection, false, limits, &mut core).unwrap();
+    for _ in 0..3 {
+        reactor.poll_once(Some(reactor.after(Duration::millis(20))), &mut core).unwrap();
+    }
+    let empty = [&9u32.to_be_bytes()[..], &[0; 9]].concat();
+    far.write_all(&empty).unwrap();
+    let written = reactor.now();
+    std::thread::sleep(std::time::Duration::from_millis(150));
+    while received.borrow().last_frame.is_none() {
+        reactor.poll_once(None, &mut core).unwrap();
+    }
+    assert!(received.borrow().last_frame <= Some(written + Duration::millis(2)));
+}
