Let a stop excuse a scheduler in the soak only for as long as it lasts

Cause: the soak's oracle took a request for rightly unanswered where its scheduler had been stopped at any time while it was open, and a stop also counted as an absence, so a process that never answered after SIGCONT passed.

Change: a stop excuses until 1 s after SIGCONT; what is still unanswered at its time (5 s after the deadline), or when its connection ends, is owed, also by a scheduler that ends in a series of signals. Only a process that is gone (killed by another trouble before SIGKILL may come) and a rig that came late itself still excuse.

--- a/lab/src/rig/client.rs
+++ b/lab/src/rig/client.rs
@@ -289,12 +289,12 @@
         self.connections.iter().map(|connection| connection.open.len()).sum()
     }
 
-    /// Reads and writes all that can be. `away` says whether a scheduler was killed, stopped or away at some time
-    /// between two moments.
+    /// Reads and writes all that can be. `excused` says whether a scheduler rightly owes no answer now to a call of that
+    /// time.
     pub fn turn(
         &mut self,
         now: Moment,
-        away: impl Fn(usize, Moment, Moment) -> bool,
+        excused: impl Fn(usize, Moment, Moment) -> bool,
         place: impl Fn(usize) -> SocketAddr,
     ) {
         let mut again = vec![];
@@ -313,7 +313,7 @@
                 .collect();
             for stream in given_up {
                 let Some(call) = connection.open.remove(&stream) else { continue };
-                let end = if away(scheduler, call.sent, now) { End::Lost } else { End::Owed };
+                let end = if excused(scheduler, call.sent, now) { End::Lost } else { End::Owed };
                 self.end(now, scheduler, call, end);
                 // Nobody waits any more.
                 connection.given_up.insert(stream);
@@ -326,7 +326,7 @@
             }
             for (_, call) in std::mem::take(&mut connection.open) {
                 let crossed = call.sent + CROSSED > now && !call.again;
-                match away(scheduler, call.sent, now) {
+                match excused(scheduler, call.sent, now) {
                     // It is made again at another scheduler.
                     false if crossed && persists => self.end(now, scheduler, call, End::Lost),
                     false if crossed => again.push((scheduler, Call { again: true, ..call })),
--- a/lab/src/rig/environment.rs
+++ b/lab/src/rig/environment.rs
@@ -432,15 +432,12 @@
         }
         // Its end is no excuse for a scheduler that was asked to end.
         let persistent = self.clients.persistent.clone();
-        let away = |n, from: Moment, to| {
-            if persistent.contains(&n) {
-                self.absence.was_stopped(n, from, to)
-            } else {
-                self.absence.was_away(n, from, to)
-            }
+        let excused = |n, sent, now| {
+            let unable = self.absence.is_unable(n, sent, now);
+            unable || !persistent.contains(&n) && self.absence.was_gone(n, sent, now)
         };
         let place = |n: usize| self.schedulers[n].at;
-        self.clients.turn(now, away, place);
+        self.clients.turn(now, excused, place);
         for odd in self.clients.odd.drain(..) {
             self.audit.report("an answer that is not the one", odd);
         }
--- a/lab/src/rig/environment/absence.rs
+++ b/lab/src/rig/environment/absence.rs
@@ -4,9 +4,9 @@
 
 /// When something may rightly have been left undone.
 pub(super) struct Absence {
-    /// From when to when each scheduler was gone, stopped or on its way.
+    /// From when to when each scheduler was gone, or on its way.
     pub(super) away: Vec<Vec<(Moment, Option<Moment>)>>,
-    /// From when to when each was stopped: a part of the former.
+    /// From when to when each was stopped, and the time after that in which it catches up.
     pub(super) stopped: Vec<Vec<(Moment, Option<Moment>)>>,
     /// When a round last came late.
     pub(super) stalled: Moment,
@@ -15,12 +15,23 @@
 impl Absence {
     /// Whether a scheduler was gone or stopped at some time, or may have been kept waiting for a processor.
     pub(super) fn was_away(&self, n: usize, from: Moment, to: Moment) -> bool {
-        self.was_stopped(n, from, to) || overlap(&self.away[n], from, to)
+        self.stalled >= from.max(1) || overlap(&self.stopped[n], from, to) || overlap(&self.away[n], from, to)
     }
 
-    /// Whether it was stopped then, or may have been kept waiting for a processor.
-    pub(super) fn was_stopped(&self, n: usize, from: Moment, to: Moment) -> bool {
-        self.stalled >= from.max(1) || overlap(&self.stopped[n], from, to)
+    /// Whether it was gone at some time.
+    pub(super) fn was_gone(&self, n: usize, from: Moment, to: Moment) -> bool {
+        overlap(&self.away[n], from, to)
+    }
+
+    /// Whether it cannot have acted by now on what came then: it is stopped, or has just been continued. A stop that was over
+    /// before is no excuse.
+    pub(super) fn is_unable(&self, n: usize, from: Moment, now: Moment) -> bool {
+        self.stalled >= from.max(1) || overlap(&self.stopped[n], now, now)
+    }
+
+    /// Whether it is gone.
+    pub(super) fn is_away(&self, n: usize) -> bool {
+        self.away[n].iter().any(|(_, until)| until.is_none())
     }
 }
 
@@ -28,3 +39,6 @@
 fn overlap(spans: &[(Moment, Option<Moment>)], from: Moment, to: Moment) -> bool {
     spans.iter().any(|(since, until)| *since <= to && until.is_none_or(|until| until >= from))
 }
+
+#[cfg(test)]
+mod tests;
--- a/lab/src/rig/environment/faults.rs
+++ b/lab/src/rig/environment/faults.rs
@@ -20,7 +20,8 @@
                     self.schedulers[n].processes.clear();
                 }
                 What::Stop => {
-                    self.leave(n, NOTICE.0);
+                    self.end_holds(n);
+                    self.shunned[n].get_or_insert(self.now + NOTICE.0);
                     self.absence.stopped[n].push((self.now, None));
                     for process in &mut self.schedulers[n].processes {
                         process.stopped = true;
@@ -86,7 +87,9 @@
                             process.stopped = false;
                             process.signal("CONT");
                         }
-                        self.back(*n);
+                        if !self.absence.is_away(*n) {
+                            self.shunned[*n] = None;
+                        }
                     }
                     What::WorkerDies => self.worker_returns(*n, false)?,
                     What::WorkerDrains => self.worker_returns(*n, true)?,
--- a/lab/src/rig/environment/schedulers.rs
+++ b/lab/src/rig/environment/schedulers.rs
@@ -12,7 +12,7 @@
 const LEASE_LOST: [&str; 2] = ["fleet lease lost", "fleet lost"];
 
 impl Environment {
-    /// A scheduler is gone, or stopped: clients notice after a while.
+    /// A scheduler is gone: clients notice after a while.
     pub(super) fn leave(&mut self, n: usize, notice: u64) {
         self.end_holds(n);
         self.absence.away[n].push((self.now, None));
