--- a/lab/src/rig/environment/faults.rs
+++ b/lab/src/rig/environment/faults.rs
@@ -53,7 +53,12 @@
                 What::Reload => self.reload(n)?,
                 What::Hang => self.workers[n].process.hangs = true,
                 What::Hasty => drop(self.troubles.hasty.insert(n)),
-                What::WallClock | What::SystemCalls | What::Folder => self.begin_inside(n, &drawn)?,
+                What::WallClock | What::SystemCalls => self.begin_inside(n, &drawn)?,
+                What::Folder => {
+                    self.begin_inside(n, &drawn)?;
+                    // A process writes to it when it has read a new configuration.
+                    self.reload(n)?;
+                }
                 What::BusSilent => drop(self.troubles.bus_silent.insert(n)),
                 What::BusCloses => drop(self.troubles.bus_closes.insert(n)),
                 What::Spoilt => drop(self.troubles.spoilt.insert(n)),
