--- a/src/policy/readiness.rs
+++ b/src/policy/readiness.rs
@@ -99,8 +99,9 @@
     if settings.limits.may_probe { share } else { Duration(share.0 + RECEIVED_AT_THE_LATEST.0) }
 }
 
-/// How long the list is valid by itself, from when its source was heard. Workers are asked only once a heartbeat is overdue;
-/// where they cannot be, what the source would have told next counts as received with no more delay than this.
+/// How long the list is valid by itself, from when its source was heard. Workers are asked only once a
+/// heartbeat is overdue; where they cannot be, what the source would have told next counts as received with
+/// no more delay than this.
 fn list_lifetime(settings: &Settings) -> Duration {
     let lifetime = confirmation_lifetime(settings);
     if settings.limits.may_probe { Duration(lifetime.0 + DISCOVERY_HEARTBEAT_ALLOWANCE.0) } else { lifetime }
