Say three things once: a poll's events, a domain's word, a late rig

Reactor::poll_once went through its events once to count them and once to collect them; ListValidity had two arms for ListSource::Confirmed that differed in one figure; Absence repeated its check of a rig that came late, and was_gone within was_away.

--- a/lab/src/rig/environment/absence.rs
+++ b/lab/src/rig/environment/absence.rs
@@ -15,7 +15,7 @@
 impl Absence {
     /// Whether a scheduler was gone or stopped at some time, or may have been kept waiting for a processor.
     pub(super) fn was_away(&self, n: usize, from: Moment, to: Moment) -> bool {
-        self.stalled >= from.max(1) || overlap(&self.stopped[n], from, to) || overlap(&self.away[n], from, to)
+        self.came_late(from) || overlap(&self.stopped[n], from, to) || self.was_gone(n, from, to)
     }
 
     /// Whether it was gone at some time.
@@ -26,7 +26,12 @@
     /// Whether it cannot have acted by now on what came then: it is stopped, or has just been continued. A stop that was over
     /// before is no excuse.
     pub(super) fn is_unable(&self, n: usize, from: Moment, now: Moment) -> bool {
-        self.stalled >= from.max(1) || overlap(&self.stopped[n], now, now)
+        self.came_late(from) || overlap(&self.stopped[n], now, now)
+    }
+
+    /// Whether the rig itself came late since then.
+    fn came_late(&self, since: Moment) -> bool {
+        self.stalled >= since.max(1)
     }
 
     /// Whether it is gone.
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -397,16 +397,16 @@
             Err(e) if e.kind() == io::ErrorKind::Interrupted => return Ok(vec![]),
             other => other?,
         }
-        self.told_since = self.polled_at;
-        if self.events.iter().count() < EVENTS {
-            self.polled_at = begun;
-        }
         let mut signals = Vec::new();
         let ready: Vec<_> = self
             .events
             .iter()
             .map(|e| (e.token(), e.is_readable() || e.is_error(), e.is_read_closed()))
             .collect();
+        self.told_since = self.polled_at;
+        if ready.len() < EVENTS {
+            self.polled_at = begun;
+        }
         self.quiet = ready.is_empty();
         for (token, readable, ended) in ready {
             match token.0 {
--- a/src/policy/readiness.rs
+++ b/src/policy/readiness.rs
@@ -129,14 +129,11 @@
             }
             ListSource::Fixed => *self = ListValidity::default(),
             ListSource::Heard { at } => self.extend(at + list_lifetime(settings)),
-            ListSource::Confirmed { at } if settings.limits.may_probe => {
-                self.extend(at + list_lifetime(settings));
-            }
-            // Discovery itself may have been silent for longer, by as much as its heartbeat is allowed.
             ListSource::Confirmed { at } => {
-                self.extend(
-                    Timestamp(at.0.saturating_sub(DISCOVERY_HEARTBEAT_ALLOWANCE.0)) + list_lifetime(settings),
-                );
+                // Discovery itself may have been silent for longer, by as much as its heartbeat is allowed.
+                let earliest = Timestamp(at.0.saturating_sub(DISCOVERY_HEARTBEAT_ALLOWANCE.0));
+                let counts_from = if settings.limits.may_probe { at } else { earliest };
+                self.extend(counts_from + list_lifetime(settings));
             }
             // What it would have told counts as received as soon as it is asked.
             ListSource::Asked => {
