Review case 1: a chain is refused after its fragile step has run

A chain of two steps over the JSON-RPC front, the first of a class with the effect `fragile`. The checker store runs seven times slower, so the second step's cold load outlasts the chain. The chain is answered 'refused' with a cooldown although its first step was served; the client's repeat runs that step a second time.

--- /dev/null
+++ b/review/standins/src/main.rs
@@ -0,0 +1,30 @@
+//! Plays one case: `standins CASE RECORD`. Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+
+mod bus;
+mod chain_refusal;
+mod rpc;
+mod run_box;
+mod settings;
+mod util;
+
+use std::path::Path;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, case, record] = arguments.as_slice() else {
+        eprintln!("standins CASE RECORD");
+        std::process::exit(2);
+    };
+    util::begin(Path::new(record));
+    util::note(&format!("{case}, {} its disruption", if util::trouble() { "with" } else { "without" }));
+    let play: fn() -> bool = match case.as_str() {
+        "chain-refusal" => chain_refusal::play,
+        _ => panic!("no such case"),
+    };
+    let code = match std::panic::catch_unwind(play) {
+        Ok(broken) => i32::from(broken),
+        Err(_) => 2,
+    };
+    util::note(["the rule held", "the rule was broken", "the case could not run"][code as usize]);
+    util::end(code)
+}
