--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -2,6 +2,8 @@
 
 mod bus;
 mod chain_refusal;
+mod paused_master;
+mod unread_cancel;
 mod rpc;
 mod run_box;
 mod settings;
@@ -19,6 +21,8 @@
     util::note(&format!("{case}, {} its disruption", if util::trouble() { "with" } else { "without" }));
     let play: fn() -> bool = match case.as_str() {
         "chain-refusal" => chain_refusal::play,
+        "paused-master" => paused_master::play,
+        "unread-cancel" => unread_cancel::play,
         _ => panic!("no such case"),
     };
     let code = match std::panic::catch_unwind(play) {
--- a/review/standins/src/run_box.rs
+++ b/review/standins/src/run_box.rs
@@ -16,7 +16,6 @@
     pub rid: String,
     pub function: String,
     pub content: String,
-    pub key: String,
 }
 
 /// How a call is to be treated, by what it carries.
@@ -24,8 +23,6 @@
 pub enum Treat {
     /// Load if needed, run, answer 200.
     Serve,
-    /// Answer this status at once: it did not run.
-    Reject(&'static str),
     /// Reset the connection after this many milliseconds; the call has run if `ran`.
     Reset { after_ms: u64, ran: bool },
 }
@@ -81,11 +78,6 @@
         *self.draining.lock().unwrap() = true;
     }
 
-    /// Whether a checker stands.
-    pub fn stands(&self, function: &str) -> bool {
-        self.loaded.lock().unwrap().get(function).is_some_and(|at| *at <= Instant::now())
-    }
-
     fn serve(self: &Arc<RunBox>, stream: &TcpStream) {
         let _ = stream.set_nodelay(true);
         let write = Arc::new(Mutex::new(stream.try_clone().expect("a handle")));
@@ -99,7 +91,6 @@
                 rid: get("rid"),
                 function: get("name"),
                 content: get("content"),
-                key: get("dedupe"),
             };
             let short = if line.len() > 300 { &line[..300] } else { &line };
             if seen.what != "ping" && seen.what != "stat" {
@@ -136,7 +127,6 @@
         }
         let treat = if seen.what == "go" { (self.rules.treat)(seen) } else { Treat::Serve };
         match treat {
-            Treat::Reject(status) => return self.answer(write, &seen.rid, status, "", None),
             Treat::Reset { after_ms, ran } => {
                 if ran {
                     self.ran(seen);
--- a/review/standins/src/util.rs
+++ b/review/standins/src/util.rs
@@ -6,7 +6,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::{Mutex, OnceLock};
 use std::thread;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 static RECORD: OnceLock<(Mutex<File>, Instant)> = OnceLock::new();
 static CHILDREN: Mutex<Vec<Child>> = Mutex::new(Vec::new());
@@ -60,10 +60,6 @@
     }
 }
 
-pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
-}
-
 pub fn sleep_ms(ms: u64) {
     thread::sleep(Duration::from_millis(ms));
 }
@@ -152,13 +148,6 @@
         }
     }
 
-    /// The value of a word `NAME=VALUE` of its log.
-    pub fn logged(&self, name: &str) -> String {
-        let (log, name) = (self.log(), format!("{name}="));
-        let value = log.split_whitespace().find_map(|word| word.strip_prefix(&name));
-        value.unwrap_or_default().to_owned()
-    }
-
     /// Sends a signal to this process.
     pub fn signal(&self, signal: &str) {
         note(&format!("scheduler {}: SIG{signal}", self.name));
