Review case 1: slow readers' connections are closed while calls are open there

17 clients of the JSON-RPC front read 1 MB a second, at most 32 open calls each, one answer in sixteen of 230,000 bytes, under 950 calls a second in all, a scheduler with 32 MB. It closes connections as clogged with calls open that get no answer.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -3,6 +3,7 @@
 mod bus;
 mod chain_refusal;
 mod paused_master;
+mod slow_readers;
 mod unread_cancel;
 mod rpc;
 mod run_box;
@@ -19,13 +20,14 @@
     };
     util::begin(Path::new(record));
     util::note(&format!("{case}, {} its disruption", if util::trouble() { "with" } else { "without" }));
-    let play: fn() -> bool = match case.as_str() {
-        "chain-refusal" => chain_refusal::play,
-        "paused-master" => paused_master::play,
-        "unread-cancel" => unread_cancel::play,
+    let play = || match case.as_str() {
+        "chain-refusal" => chain_refusal::play(),
+        "paused-master" => paused_master::play(),
+        "unread-cancel" => unread_cancel::play(),
+        "slow-readers" => slow_readers::play(),
         _ => panic!("no such case"),
     };
-    let code = match std::panic::catch_unwind(play) {
+    let code = match std::panic::catch_unwind(std::panic::AssertUnwindSafe(play)) {
         Ok(broken) => i32::from(broken),
         Err(_) => 2,
     };
