Review case 1: withdrawn requests for many functions take a scheduler over its memory

Eight bad clients of the platform's front send 32 requests at a time, each for another function, and withdraw them at once, at full speed, beside three usual clients. The scheduler's own memory passes its 64 MB within 3 s; the platform's stand-in kills it, and the usual clients' open calls are never answered.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
 sh review/build.sh >/dev/null 2>&1 || exit 2
-target/review/release/standins slow-readers "$here/record.txt"
+target/review/release/standins withdrawn-flood "$here/record.txt"
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -9,6 +9,7 @@
 mod run_box;
 mod settings;
 mod util;
+mod withdrawn_flood;
 
 use std::path::Path;
 
@@ -25,6 +26,7 @@
         "paused-master" => paused_master::play(),
         "unread-cancel" => unread_cancel::play(),
         "slow-readers" => slow_readers::play(),
+        "withdrawn-flood" => withdrawn_flood::play(),
         _ => panic!("no such case"),
     };
     let code = match std::panic::catch_unwind(std::panic::AssertUnwindSafe(play)) {
--- a/review/standins/src/util.rs
+++ b/review/standins/src/util.rs
@@ -136,6 +136,13 @@
         text
     }
 
+    /// The value of a word `NAME=VALUE` of its log.
+    pub fn logged(&self, name: &str) -> String {
+        let (log, name) = (self.log(), format!("{name}="));
+        let value = log.split_whitespace().find_map(|word| word.strip_prefix(&name));
+        value.unwrap_or_default().to_owned()
+    }
+
     /// Waits until a text is in its log.
     pub fn wait_log(&self, text: &str) {
         let start = Instant::now();
