--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -21,6 +21,7 @@
 mod outcomes;
 mod overload;
 mod state_transfer;
+mod table_sizes;
 mod timers;
 pub mod transferred_state;
 mod worker_list;
@@ -31,6 +32,7 @@
 pub use command::Command;
 pub use counters::Counters;
 pub use invariants::{Violation, Violations};
+pub use table_sizes::TableSizes;
 
 use crate::chain::Classes;
 use crate::interface::*;
--- a/src/core/timers.rs
+++ b/src/core/timers.rs
@@ -39,6 +39,11 @@
         self.0.remove(&Entry { at, timer });
     }
 
+    /// Number of timers that are set.
+    pub(super) fn len(&self) -> usize {
+        self.0.len()
+    }
+
     /// The expiry of the next timer.
     pub(super) fn next(&self) -> Option<Timestamp> {
         self.0.first().map(|entry| entry.at)
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -405,11 +405,12 @@
         }
     }
 
-    /// Logs the figures, the counters and the violations.
+    /// Logs the figures, the counters, the violations and the sizes of the tables.
     fn log_counters(&mut self) {
         info!("figures {}", self.core.figures().to_string().trim_end().replace('\n', " "));
         info!("{}", self.core.counters());
         info!("violations{}", self.core.violations());
+        info!("tables{}", self.core.table_sizes());
     }
 }
 
--- a/src/policy/popularity.rs
+++ b/src/policy/popularity.rs
@@ -92,6 +92,16 @@
         self.functions.entry(id).or_default()
     }
 
+    /// Number of known functions.
+    pub fn len(&self) -> usize {
+        self.functions.len()
+    }
+
+    /// Entries of the cached worker orders of all functions.
+    pub fn ranked_workers(&self) -> usize {
+        self.functions.values().map(|function| function.ranked_workers.len()).sum()
+    }
+
     /// The gold functions, by id.
     pub fn gold(&self) -> Vec<FunctionId> {
         self.functions.iter().filter(|(_, function)| function.gold).map(|(id, _)| *id).collect()
--- a/src/policy/recent.rs
+++ b/src/policy/recent.rs
@@ -36,6 +36,11 @@
 }
 
 impl RecentEvents {
+    /// Number of entries that the counts take.
+    pub fn entries(&self) -> usize {
+        [&self.loads, &self.arrivals, &self.served].into_iter().map(|times| times.0.len()).sum()
+    }
+
     /// Forgets events older than `span`.
     pub fn forget(&mut self, now: Timestamp, span: Duration) {
         for times in [&mut self.loads, &mut self.arrivals, &mut self.served] {
--- a/src/policy/timer_queue.rs
+++ b/src/policy/timer_queue.rs
@@ -29,6 +29,11 @@
         self.entries.insert(Entry { at, timer });
     }
 
+    /// Number of queued timers.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
     /// Returns whether no timer is queued.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
