Bound what one turn of the event loop reads and writes

Cause: before each attempt the connection of its client is read, and what that brings makes further attempts, so Daemon::execute_commands need not come to an end; and a poll read 256 KB from each of any number of connections, whose commands all wait in memory. Evidence: the line 'tables' on SIGUSR1 came up to 0.7 s late beside two bad clients and showed 7,644 commands. Change: attempts are written for 20 ms, then the loop polls without waiting and goes on with the next connection in a round (WritePeriod, Reactor::next_writable, poll_timeout); all connections together are read up to 512 KB, then 16 KB each (ReadBudget). The plug-in has the same loop and bounds. Why it works: each turn ends, so timers run and usual clients are read; what a turn holds is bounded by its bytes.

--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -9,6 +9,6 @@
 pub use crate::request::Job;
 pub use codec::{Codec, ParseError, WorkerReply};
 pub use connection::{BUFFER_LIMITS, ConnectionLimits, MAX_LINE_BYTES, WorkerConnection};
-pub use pool::{Endpoint, Pool};
+pub use pool::{Endpoint, Pool, WritePeriod};
 
 use codec::left_ms;
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -20,6 +20,24 @@
 /// cannot be decoded, or one reset, fails everything that is open on its connection.
 const REQUESTS_PER_CONNECTION: usize = 1;
 
+/// How long attempts are written before the event loop polls again. What is read from the client of each attempt may bring
+/// further attempts, so that writing them may never come to an end.
+const MAX_WRITE_TIME: Duration = Duration::millis(20);
+
+/// The time in which attempts are written in one turn of the event loop; it begins with the first one.
+#[derive(Default)]
+pub struct WritePeriod {
+    end: Option<Timestamp>,
+}
+
+impl WritePeriod {
+    /// Whether the event loop is to poll before it writes the next attempt.
+    pub fn is_over(&mut self, reactor: &Reactor) -> bool {
+        let end = *self.end.get_or_insert_with(|| reactor.after(MAX_WRITE_TIME));
+        reactor.now() >= end
+    }
+}
+
 /// The address at which a worker listens.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Endpoint {
--- a/src/client.rs
+++ b/src/client.rs
@@ -59,7 +59,7 @@
 //! # Ok::<(), std::io::Error>(())
 //! ```
 
-use crate::backend::{ConnectionLimits, Endpoint, Pool};
+use crate::backend::{ConnectionLimits, Endpoint, Pool, WritePeriod};
 use crate::chain::{Chain, End, Step};
 use crate::core::{Answer, Command, Core, Counters, IncomingRequest, Owner};
 use crate::interface::{Duration, FunctionId, ListKind, Member, State, Timestamp};
@@ -235,9 +235,10 @@
         self.core.counters()
     }
 
-    /// Runs expired timers and executes the core's commands until none are left.
+    /// Runs expired timers, executes the core's commands until none are left, and writes attempts.
     fn execute_commands(&mut self) {
         self.core.on_timeout(self.reactor.now());
+        let mut period = WritePeriod::default();
         loop {
             match self.core.next_command() {
                 Some(Command::Answer { owner, answer }) => {
@@ -245,6 +246,7 @@
                 }
                 Some(Command::Chain { owner, end }) => self.ends.push((RequestHandle(owner.stream), end)),
                 Some(command) => self.pool.execute(command, &mut self.reactor, &mut self.core),
+                None if period.is_over(&self.reactor) => return,
                 None if self.pool.write_next_attempt(&mut self.reactor, &mut self.core) => {}
                 None => return,
             }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -9,7 +9,7 @@
 mod shutdown;
 mod upgrade;
 
-use crate::backend::{self, Pool};
+use crate::backend::{self, Pool, WritePeriod};
 use crate::config::{Config, Operator, Sources, Until};
 use crate::core::{Command, Core};
 use crate::discovery::ReceivedEvents;
@@ -357,7 +357,7 @@
         info!(name = %self.config.name, %listen, mgmt = mgmt.map(tracing::field::display), offset, "serving");
     }
 
-    /// Applies discovery's events and executes the core's commands until none are left.
+    /// Applies discovery's events, executes the core's commands until none are left, and writes attempts.
     fn execute_commands(&mut self) {
         let now = self.reactor.now();
         self.advance_discovery(now);
@@ -370,12 +370,15 @@
                 error!("panic timer");
             }
         }
+        let mut period = WritePeriod::default();
         loop {
             let Some(command) = self.core.next_command() else {
-                if self.pool.write_next_attempt(&mut self.reactor, &mut self.core) {
-                    continue;
+                if period.is_over(&self.reactor)
+                    || !self.pool.write_next_attempt(&mut self.reactor, &mut self.core)
+                {
+                    return;
                 }
-                return;
+                continue;
             };
             match command {
                 Command::Answer { owner, answer } => {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -342,21 +342,22 @@
         self.rest_unread = true;
     }
 
-    /// Reads available input up to the buffer's limit; true if the socket is empty.
-    fn fill_input(&mut self, clock: SystemClock) -> io::Result<bool> {
+    /// Reads available input up to the buffer's limit, and no further chunk after `most` bytes; true if the socket is empty.
+    fn fill_input(&mut self, most: usize, clock: SystemClock) -> io::Result<bool> {
         let started = clock.reading();
-        let filled = self.read_chunks(clock);
+        let filled = self.read_chunks(most, clock);
         self.arrivals.note_read_end(started, matches!(filled, Ok(true)));
         filled
     }
 
-    fn read_chunks(&mut self, clock: SystemClock) -> io::Result<bool> {
+    fn read_chunks(&mut self, most: usize, clock: SystemClock) -> io::Result<bool> {
         let mut chunk = [0u8; READ_CHUNK_BYTES];
+        let before = self.input.len();
         loop {
             if self.peer_closed {
                 return Ok(true);
             }
-            if self.is_input_paused() {
+            if self.is_input_paused() || self.input.len() - before >= most {
                 self.rest_unread = true;
                 return Ok(false);
             }
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -72,15 +72,22 @@
 
     /// Reads until the socket is empty, because input is reported only once. The connection processes each part before
     /// the next is read, and a limit per turn keeps other connections from waiting.
-    fn read_all(&mut self, mut flow: ControlFlow, context: &mut Context) -> ControlFlow {
+    fn read_all(
+        &mut self,
+        mut flow: ControlFlow,
+        budget: &mut ReadBudget,
+        context: &mut Context,
+    ) -> ControlFlow {
+        let limit = budget.connection_limit();
         let mut read = 0;
         loop {
             let before = self.link.input.len();
-            let filled = self.link.fill_input(context.clock);
             // Complete messages that arrived before the connection broke are processed, whatever the error is.
+            let filled = self.link.fill_input(limit - read, context.clock);
             self.link.peer_closed |= filled.is_err();
             let added = self.link.input.len() - before;
             read += added;
+            budget.record(added);
             if self.finishing {
                 self.discarded += self.link.input.len();
                 self.link.input.clear();
@@ -98,7 +105,7 @@
             if drained || flow != ControlFlow::Continue || self.link.is_input_paused() {
                 return flow;
             }
-            if read > MAX_BYTES_PER_TURN {
+            if read >= limit {
                 self.link.leave_rest_unread();
                 return flow;
             }
@@ -106,6 +113,25 @@
     }
 }
 
+/// The bytes that may still be read in one turn of the event loop.
+#[derive(Default)]
+struct ReadBudget {
+    /// Bytes read from all connections in this turn.
+    read: usize,
+}
+
+impl ReadBudget {
+    fn record(&mut self, bytes: usize) {
+        self.read += bytes;
+    }
+
+    /// How much may be read from one connection now.
+    fn connection_limit(&self) -> usize {
+        let left = MAX_TOTAL_BYTES_PER_TURN.saturating_sub(self.read);
+        left.clamp(MIN_BYTES_PER_TURN, MAX_BYTES_PER_TURN)
+    }
+}
+
 pub(super) enum Listener {
     Tcp(TcpListener),
     Unix(UnixListener),
@@ -113,6 +139,11 @@
 
 /// Bytes read from one connection in one turn of the event loop, so that a fast sender doesn't keep others waiting.
 const MAX_BYTES_PER_TURN: usize = 256 << 10;
+/// The same once [`MAX_TOTAL_BYTES_PER_TURN`] have been read.
+const MIN_BYTES_PER_TURN: usize = 16 << 10;
+/// Bytes read from all connections in one turn before each gets less. What they cause is processed after the reading
+/// and takes memory until then.
+const MAX_TOTAL_BYTES_PER_TURN: usize = 512 << 10;
 /// Input discarded from a finishing connection before it is closed, so that its sender doesn't keep the processor busy.
 const MAX_DISCARDED_BYTES: usize = 1 << 20;
 /// Longest wait of a poll while there are connections. Input that a poll reports arrived after the previous poll
@@ -141,6 +172,9 @@
     timers: BTreeSet<(Timestamp, Token)>,
     /// Connections on which an attempt may be writable.
     writable: BTreeSet<Token>,
+    /// The connection on which an attempt was written last; the others have their turn before it has another.
+    last_written: Token,
+    read_budget: ReadBudget,
     /// Whether the last poll reported no event.
     last_poll_empty: bool,
     /// Start of the last poll that reported all ready sources: whatever it did not report had not arrived by then.
@@ -181,6 +215,8 @@
             next_token: FIRST_CONNECTION_TOKEN,
             timers: BTreeSet::new(),
             writable: BTreeSet::new(),
+            last_written: Token(0),
+            read_budget: ReadBudget::default(),
             last_poll_empty: true,
             polled_at: now,
             arrival_bound: now,
@@ -277,7 +313,7 @@
             }
             // The peer may have sent something before it closed that is still unread.
             if entry.link.write_failed() {
-                entry.read_all(ControlFlow::Continue, context);
+                entry.read_all(ControlFlow::Continue, &mut ReadBudget::default(), context);
                 flow = ControlFlow::Close;
             }
             flow
@@ -395,15 +431,9 @@
     /// # Errors
     /// The poll failed for a reason other than a signal.
     pub fn poll_once(&mut self, until: Option<Timestamp>, core: &mut Core) -> io::Result<Vec<Wakeup>> {
-        let due = self.timers.first().map(|(at, _)| *at).into_iter().chain(until).min();
         let started = self.clock.reading();
-        // Rounded up, so that the poll doesn't return repeatedly just before a timer expires.
-        let timeout = due.map(|at| Duration((at - started.process_time).0 + 50_000));
-        let timeout = if self.entries.is_empty() {
-            timeout
-        } else {
-            Some(timeout.map_or(MAX_POLL_WAIT, |timeout| timeout.min(MAX_POLL_WAIT)))
-        };
+        let timeout = self.poll_timeout(started.process_time, until);
+        self.read_budget = ReadBudget::default();
         self.last_poll_empty = false;
         let polled = self
             .poll
@@ -461,6 +491,21 @@
         Ok(wakeups)
     }
 
+    /// How long a poll that starts now may wait for an event.
+    fn poll_timeout(&self, now: Timestamp, until: Option<Timestamp>) -> Option<Duration> {
+        // Attempts that the last turn had no time to write.
+        if !self.writable.is_empty() {
+            return Some(Duration(0));
+        }
+        let due = self.timers.first().map(|(at, _)| *at).into_iter().chain(until).min();
+        // Rounded up, so that the poll doesn't return repeatedly just before a timer expires.
+        let timeout = due.map(|at| Duration((at - now).0 + 50_000));
+        if self.entries.is_empty() {
+            return timeout;
+        }
+        Some(timeout.map_or(MAX_POLL_WAIT, |timeout| timeout.min(MAX_POLL_WAIT)))
+    }
+
     /// Lower bound on the arrival of whatever this turn's poll reported: it had not arrived by then.
     pub fn arrival_bound(&self) -> ClockReading {
         self.arrival_bound
@@ -484,7 +529,8 @@
 
     /// The next connection on which an attempt can be written, with the attempt.
     pub fn next_attempt(&mut self) -> Option<(u64, AttemptId)> {
-        while let Some(token) = self.writable.pop_first() {
+        while let Some(token) = self.next_writable() {
+            self.last_written = token;
             let Some(entry) = self.entries.get(&token) else { continue };
             if let Some(attempt) = entry.connection.next_attempt(&entry.link) {
                 return Some((token.0 as u64, attempt));
@@ -493,6 +539,14 @@
         None
     }
 
+    /// Removes and returns the connection after the last one in the round of those that may be writable.
+    fn next_writable(&mut self) -> Option<Token> {
+        let after_last = Token(self.last_written.0 + 1)..;
+        let token = *self.writable.range(after_last).next().or(self.writable.first())?;
+        self.writable.remove(&token);
+        Some(token)
+    }
+
     /// Whether the last poll reported no event.
     pub fn last_poll_was_empty(&self) -> bool {
         self.last_poll_empty
@@ -512,6 +566,7 @@
 
     /// Handles a connection that may be ready, on which no unread input had arrived by `empty_at`.
     fn handle_ready(&mut self, token: Token, readable: bool, empty_at: ClockReading, core: &mut Core) {
+        let mut budget = std::mem::take(&mut self.read_budget);
         self.invoke(token, core, |entry, context| {
             entry.link.arrivals.note_no_event(empty_at);
             let opened = entry.open_if_connected(context);
@@ -519,8 +574,9 @@
                 return opened;
             }
             let Ok(flow) = entry.write_waiting(context) else { return ControlFlow::Close };
-            if readable { entry.read_all(flow, context) } else { flow }
+            if readable { entry.read_all(flow, &mut budget, context) } else { flow }
         });
+        self.read_budget = budget;
     }
 
     /// Closes the connection that has been idle longest, as the least likely to be used again; false if none is idle. A
--- a/src/net/reactor/tests.rs
+++ b/src/net/reactor/tests.rs
@@ -313,3 +313,87 @@
     assert!(second + TIMESTAMP_TOLERANCE.early >= written[1], "{} ns early", (written[1] - second).0);
     drop(reader.join().unwrap());
 }
+
+/// Counts its input and has an attempt that is never written.
+struct Recipient {
+    received: std::rc::Rc<std::cell::Cell<usize>>,
+    has_attempt: bool,
+}
+
+impl Connection for Recipient {
+    fn kind(&self) -> &'static str {
+        "test"
+    }
+
+    fn opened(&mut self, _link: &mut Link, _context: &mut Context) -> ControlFlow {
+        ControlFlow::Continue
+    }
+    fn received(&mut self, link: &mut Link, _context: &mut Context) -> ControlFlow {
+        self.received.set(self.received.get() + link.input.len());
+        link.input.clear();
+        ControlFlow::Continue
+    }
+    fn closed(&mut self, _link: &Link, _context: &mut Context) {}
+    fn next_attempt(&self, _link: &Link) -> Option<AttemptId> {
+        self.has_attempt.then_some(AttemptId { request: crate::interface::RequestId(0), number: 0 })
+    }
+}
+
+/// What many fast senders have written at once is not read in one turn: it would all be in memory as commands.
+#[test]
+fn a_turn_reads_a_bounded_number_of_bytes_from_all_connections() {
+    const SENDERS: usize = 32;
+    const BYTES_OF_EACH: usize = 64 << 10;
+    let (mut core, mut reactor) = core_and_reactor();
+    let received = std::rc::Rc::new(std::cell::Cell::new(0));
+    let mut senders = Vec::new();
+    for _ in 0..SENDERS {
+        let (near, mut far) = StdUnixStream::pair().unwrap();
+        near.set_nonblocking(true).unwrap();
+        let recipient = Recipient { received: received.clone(), has_attempt: false };
+        let stream = Stream::Unix(UnixStream::from_std(near));
+        let limits = BufferLimits { input: usize::MAX, output: usize::MAX };
+        reactor.add(stream, Box::new(recipient), true, limits, &mut core).unwrap();
+        far.write_all(&vec![0; BYTES_OF_EACH]).unwrap();
+        senders.push(far);
+    }
+    let (mut before, mut turns) = (0, 0);
+    while received.get() < SENDERS * BYTES_OF_EACH {
+        reactor.poll_once(None, &mut core).unwrap();
+        let bytes = received.get() - before;
+        // A connection is read to the end of a chunk, whatever is left of the total.
+        let most = MAX_TOTAL_BYTES_PER_TURN + SENDERS * MIN_BYTES_PER_TURN;
+        assert!(bytes <= most, "{bytes} bytes in one turn");
+        before = received.get();
+        turns += 1;
+    }
+    assert!(turns > 1, "{turns} turn");
+}
+
+/// Attempts that a turn had no time to write are written in the next, in a round over their connections, and no event is
+/// waited for.
+#[test]
+fn attempts_left_over_are_written_in_a_round_without_waiting() {
+    let (mut core, mut reactor) = core_and_reactor();
+    let mut peers = Vec::new();
+    let mut ids = Vec::new();
+    for _ in 0..3 {
+        let (near, far) = StdUnixStream::pair().unwrap();
+        near.set_nonblocking(true).unwrap();
+        let recipient = Recipient { received: std::rc::Rc::default(), has_attempt: true };
+        let limits = BufferLimits { input: 100, output: 100 };
+        let stream = Stream::Unix(UnixStream::from_std(near));
+        ids.push(reactor.add(stream, Box::new(recipient), true, limits, &mut core).unwrap());
+        peers.push(far);
+    }
+    let mut written = Vec::new();
+    for _ in 0..6 {
+        assert_eq!(reactor.poll_timeout(reactor.now(), None), Some(Duration(0)));
+        reactor.poll_once(None, &mut core).unwrap();
+        let (id, _) = reactor.next_attempt().unwrap();
+        written.push(id);
+        // The connection still has an attempt.
+        reactor.with_connection(id, &mut core, |_, _, _| ControlFlow::Continue);
+    }
+    assert_eq!(written, [ids.clone(), ids].concat());
+}
--- a/src/net/tests.rs
+++ b/src/net/tests.rs
@@ -15,11 +15,11 @@
     far.write_all(b"x").unwrap();
     poll.poll(&mut events, Some(Duration::from_secs(10))).unwrap();
     link.enqueue(b"y");
-    assert!(!link.fill_input(clock).unwrap() && link.input.is_empty(), "reading is paused");
+    assert!(!link.fill_input(usize::MAX, clock).unwrap() && link.input.is_empty(), "reading is paused");
     assert!(link.flush().unwrap());
     link.register(poll.registry()).unwrap();
     poll.poll(&mut events, Some(Duration::from_secs(10))).unwrap();
     assert!(events.iter().any(mio::event::Event::is_readable));
-    assert!(link.fill_input(clock).unwrap());
+    assert!(link.fill_input(usize::MAX, clock).unwrap());
     assert_eq!(link.input, b"x");
 }
