Forget ended attempts on busy connections to workers

Cause: Pool::attempt_connections kept each attempt until its connection was idle or closed, and looked through all entries at each attempt above 8,192. Change: entries are dropped when their attempt is no longer open on its connection, each time the table has doubled.

--- a/src/backend/connection.rs
+++ b/src/backend/connection.rs
@@ -37,7 +37,6 @@
 
 /// An open command, or the reserved ID of an ended attempt.
 #[derive(Clone, Copy, Debug)]
-/// An open command, or the reserved ID of an ended attempt.
 enum OpenEntry {
     Attempt(AttemptId),
     Load(LoadId),
@@ -566,6 +565,10 @@
         self.attempts
     }
 
+    fn has_attempt(&self, attempt: AttemptId) -> bool {
+        self.rids.contains_key(&attempt)
+    }
+
     fn idle_since(&self) -> Option<Timestamp> {
         let used = self.open.values().any(|open| !matches!(open, OpenEntry::Ended(_)));
         let idle =
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -20,6 +20,9 @@
 /// cannot be decoded, or one reset, fails everything that is open on its connection.
 const REQUESTS_PER_CONNECTION: usize = 1;
 
+/// Entries of attempts below which none is dropped.
+const MIN_FORGOTTEN_ATTEMPTS: usize = 8192;
+
 /// How long attempts are written before the event loop polls again. What is read from the client of each attempt may bring
 /// further attempts, so that writing them may never come to an end.
 const MAX_WRITE_TIME: Duration = Duration::millis(20);
@@ -58,8 +61,10 @@
 /// The addresses of the workers and the connections to them.
 pub struct Pool {
     workers: BTreeMap<WorkerId, PooledWorker>,
-    /// The connection on which each open attempt was queued.
+    /// The connection on which each open attempt was queued. Entries of attempts that have ended are dropped later.
     attempt_connections: HashMap<AttemptId, u64>,
+    /// Number of these entries from which those of ended attempts are dropped.
+    forget_attempts_at: usize,
     json_lines: Rc<dyn Codec>,
     json_rpc: Rc<dyn Codec>,
     limits: ConnectionLimits,
@@ -76,6 +81,7 @@
         Pool {
             workers: BTreeMap::new(),
             attempt_connections: HashMap::new(),
+            forget_attempts_at: MIN_FORGOTTEN_ATTEMPTS,
             json_lines: Rc::new(super::json_lines::JsonLinesCodec),
             json_rpc: Rc::new(super::jsonrpc::CheckerCodec),
             limits,
@@ -131,8 +137,8 @@
                 let Some(connection) = connection else {
                     return core.attempt_not_sent(reactor.now(), attempt);
                 };
-                self.attempt_connections.insert(attempt, connection);
                 self.forget_ended_attempts(reactor);
+                self.attempt_connections.insert(attempt, connection);
                 submit_job(connection, Job::Send { attempt, work, deadline }, reactor, core);
             }
             Command::Cancel { attempt, .. } => {
@@ -229,13 +235,16 @@
         Some(id)
     }
 
-    /// Drops the entries of attempts whose connections are closed or idle.
+    /// Drops the entries of ended attempts, whenever the entries have doubled since the last time.
     fn forget_ended_attempts(&mut self, reactor: &Reactor) {
-        if self.attempt_connections.len() > 8192 {
-            self.attempt_connections.retain(|_, id| {
-                reactor.inspect(*id, |connection| connection.idle_since().is_none()).unwrap_or(false)
-            });
+        if self.attempt_connections.len() < self.forget_attempts_at {
+            return;
         }
+        let is_open = |attempt: &AttemptId, id: u64| {
+            reactor.inspect(id, |connection| connection.has_attempt(*attempt)).unwrap_or(false)
+        };
+        self.attempt_connections.retain(|attempt, id| is_open(attempt, *id));
+        self.forget_attempts_at = (2 * self.attempt_connections.len()).max(MIN_FORGOTTEN_ATTEMPTS);
     }
 }
 
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -109,6 +109,10 @@
     fn open_requests(&self) -> usize {
         0
     }
+    /// Whether this attempt is queued or open on this connection.
+    fn has_attempt(&self, _attempt: AttemptId) -> bool {
+        false
+    }
     /// Asks the client to send no new request on this connection, if its protocol has a message for that.
     fn send_leave(&mut self, _link: &mut Link, _context: &mut Context) -> ControlFlow {
         ControlFlow::Continue
