Bound what withdrawn and unserved requests leave behind in the scheduler

Cause: tables whose entries outlive the request, keyed by what clients name, without a bound: popularity (10 s, with a cached order of workers each), the policy's timers (until the deadline, up to an hour), instances at workers (2 s), and each arrival's time, twice (5 s). Evidence: the line 'tables' at 41 MB: 42,163 functions, 505,956 ranked workers, 41,347 instances, 42,639 timers and 42,581 arrivals for 80 open requests. Change: idle functions are bounded, those never served (4,096) apart from those that were (16,384), the least called go first; timers of ended requests are swept when the queue has doubled; an instance of which nothing is known is dropped; simultaneous events share an entry, and beyond 8,192 entries those within 1 ms do; functions that were served are recorded as called apart from those only named; at most 65,536 arrivals are handed over, for more do not fit the message. Why it works: no table grows with requests that have ended, and made-up names compete with each other only.

--- a/src/core/accepted_requests.rs
+++ b/src/core/accepted_requests.rs
@@ -1,6 +1,6 @@
 //! Requests that were accepted and have no final answer yet, indexed by id, by owner and by the client's reference.
 
-use crate::interface::{Effect, RequestId, Timestamp};
+use crate::interface::{Effect, FunctionId, RequestId, Timestamp};
 use crate::request::{Owner, RequestPayload};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
@@ -131,6 +131,11 @@
         self.references.len()
     }
 
+    /// Whether any of the requests calls this function.
+    pub(super) fn includes_function(&self, function: FunctionId) -> bool {
+        self.by_id.values().any(|accepted| accepted.work.function == function)
+    }
+
     /// Classes of the requests, as indices into the site's settings.
     pub(super) fn classes(&self) -> impl Iterator<Item = usize> + '_ {
         self.by_id.values().map(|accepted| accepted.class)
--- a/src/core/outcomes.rs
+++ b/src/core/outcomes.rs
@@ -53,6 +53,7 @@
     fn serve(&mut self, now: Timestamp, id: AttemptId, body: Vec<u8>) {
         let Some(accepted) = self.remove_request(id.request) else { return };
         self.count_served(now);
+        self.loads.called.record_served(now, accepted.work.function);
         if accepted.owner.connection != chain::STEP_CONNECTION
             && let Some(attempt) = self.attempts.get(&id)
         {
--- a/src/core/state_transfer.rs
+++ b/src/core/state_transfer.rs
@@ -12,8 +12,8 @@
             cordoned: cordons.cordoned().map(|worker| worker.0).collect(),
             uncordoned_at: cordons.uncordoned_at().map(|(worker, at)| (worker.0, at.0)).collect(),
             load_times: self.loads.rate.load_times().map(|at| at.0).collect(),
-            accept_times: self.loads.rate.accept_times().map(|at| at.0).collect(),
-            called_functions: self.loads.called.iter().map(|function| function.0).collect(),
+            accept_times: self.loads.rate.transferred_arrivals().iter().map(|at| at.0).collect(),
+            called_functions: self.loads.called.all().iter().map(|function| function.0).collect(),
             ..TransferredState::default()
         }
     }
--- a/src/core/table_sizes.rs
+++ b/src/core/table_sizes.rs
@@ -32,8 +32,8 @@
             attempts: self.attempts.len(),
             timers: self.timers.len(),
             commands: self.commands.len(),
-            arrivals: self.loads.rate.accept_times().count(),
-            called_functions: self.loads.called.iter().count(),
+            arrivals: self.loads.rate.arrival_entries(),
+            called_functions: self.loads.called.entries(),
         }
     }
 }
--- a/src/core/write_checks.rs
+++ b/src/core/write_checks.rs
@@ -54,6 +54,11 @@
         may
     }
 
+    /// Whether a client has called this function recently, or waits for it.
+    fn is_called(&self, function: FunctionId) -> bool {
+        self.loads.called.contains(function) || self.requests.includes_function(function)
+    }
+
     fn load_allowed(&mut self, now: Timestamp, id: LoadId) -> bool {
         let Some(load) = self.loads.open.get(&id) else { return false };
         if load.instances == 0 {
@@ -62,11 +67,7 @@
         let worker = load.worker;
         let function = load.function;
         let lease_ended = id.lease.is_some_and(|fenced| !self.leases.holds(now, Task::Renew, fenced));
-        if self.loads.yielded
-            || !self.accepts_work(now, worker)
-            || lease_ended
-            || !self.loads.called.contains(function)
-        {
+        if self.loads.yielded || !self.accepts_work(now, worker) || lease_ended || !self.is_called(function) {
             return false;
         }
         if let Some(limit) = self.site.settings.rules.load_rate_limit
--- a/src/policy/confirmation.rs
+++ b/src/policy/confirmation.rs
@@ -30,6 +30,15 @@
     workers: BTreeMap<WorkerId, WaitingWork>,
 }
 
+impl WaitingForConfirmation {
+    /// Removes a request that no longer waits for a worker's health check.
+    pub fn forget_request(&mut self, worker: WorkerId, request: RequestId) {
+        if let Some(waiting) = self.workers.get_mut(&worker) {
+            waiting.requests.remove(&request);
+        }
+    }
+}
+
 impl Policy {
     /// Returns whether a worker may be sent new work, given that drains may not have been received.
     pub fn is_confirmed(&self, id: WorkerId, now: Timestamp) -> bool {
--- a/src/policy/instance.rs
+++ b/src/policy/instance.rs
@@ -73,6 +73,17 @@
         self.load_failures += 1;
     }
 
+    /// Returns whether nothing is known of the function at this worker, so that its entry can be dropped.
+    pub fn is_blank(&self) -> bool {
+        self.in_flight == 0
+            && self.warm_until == Timestamp(0)
+            && self.retry_at == Timestamp(0)
+            && self.load_failures == 0
+            && self.load_requested_at.is_none()
+            && self.scale_up.is_none()
+            && self.missed_at.is_none()
+    }
+
     /// Returns whether a request or load is under way, an instance was warm within a keep-alive, or a retry
     /// is pending.
     pub fn is_relevant(&self, now: Timestamp, keep_alive: Duration) -> bool {
--- a/src/policy/lifecycle.rs
+++ b/src/policy/lifecycle.rs
@@ -17,12 +17,12 @@
     /// Accepts a new request and places it.
     pub(super) fn on_request(&mut self, request: Request, out: &mut Actions) {
         let class = usize::from(request.class.0);
-        self.recent.arrivals.add(self.now);
+        self.recent.arrivals.add_merged(self.now);
         if class >= self.settings.classes.len() {
             out.push(Action::Fail { id: request.id });
             return;
         }
-        self.popularity.entry(request.function).observe_request(request.memory_mb, request.concurrency);
+        self.popularity.observe_request(self.now, &request);
         let deadline = self.now + request.remaining;
         let pending = PendingRequest {
             function: request.function,
@@ -45,9 +45,18 @@
     /// Drops the request of a client that has left. Its attempt in flight is cancelled to free the capacity
     /// for other requests.
     pub(super) fn on_client_gone(&mut self, id: RequestId, out: &mut Actions) {
-        if let Some(request) = self.requests.pending.remove(&id) {
-            self.cancel_in_flight(id, &request, out);
+        let Some(request) = self.remove_pending(id) else { return };
+        self.cancel_in_flight(id, &request, out);
+    }
+
+    /// Removes a request that its client no longer waits for.
+    fn remove_pending(&mut self, id: RequestId) -> Option<PendingRequest> {
+        let request = self.requests.pending.remove(&id)?;
+        self.popularity.request_ended(request.function);
+        if let Some(wait) = request.confirmation_wait {
+            self.waiting_for_confirmation.forget_request(wait.worker, id);
         }
+        Some(request)
     }
 
     fn cancel_in_flight(&self, id: RequestId, request: &PendingRequest, out: &mut Actions) {
@@ -94,7 +103,7 @@
     /// Ends a request that was not served, at its deadline or before: refused if the client may safely retry
     /// it, failed otherwise.
     pub(super) fn reject(&mut self, id: RequestId, out: &mut Actions) {
-        let Some(request) = self.requests.pending.remove(&id) else { return };
+        let Some(request) = self.remove_pending(id) else { return };
         self.cancel_in_flight(id, &request, out);
         let may_have_run = request.first_run.is_some() || request.attempt_in_flight.is_some();
         let effect = self.settings.classes[request.class].effect;
@@ -112,11 +121,14 @@
         let attempt_id = AttemptId { request: outcome.id, number: outcome.attempt };
         let Some(attempt) = self.requests.attempts.remove(&attempt_id) else { return };
         self.observe_outcome(&outcome, &attempt);
+        if outcome.status == Status::Ok {
+            self.popularity.mark_served(attempt.function);
+        }
         if outcome.status == Status::Full {
             self.check_after_rejection(attempt.worker, out);
         }
         if outcome.finished {
-            self.requests.pending.remove(&outcome.id);
+            self.remove_pending(outcome.id);
             return;
         }
         let Some(request) = self.requests.pending.get_mut(&outcome.id) else { return };
@@ -153,7 +165,7 @@
                 instance.mark_warm(now + self.settings.loading.keep_alive);
                 worker.health.mark_served();
                 worker.readiness.confirm(attempt.sent.at);
-                self.recent.served.add(now);
+                self.recent.served.add_merged(now);
                 if attempt.warm {
                     observe_latency(worker, &mut self.class_latencies, outcome, attempt, now);
                 }
@@ -174,6 +186,7 @@
             }
             Status::Error | Status::NotSent => {}
         }
+        worker.forget_blank_instance(attempt.function);
         self.unreachable_zones.record_break(worker, now);
         self.observe_end_with_invalid_list(attempt.worker, outcome.status);
     }
--- a/src/policy/maintenance.rs
+++ b/src/policy/maintenance.rs
@@ -2,7 +2,6 @@
 
 use super::{Actions, Policy, Timer};
 use crate::interface::*;
-use std::collections::BTreeSet;
 
 /// Time between two rounds of maintenance: short compared to any keep-alive.
 pub(super) const MAINTENANCE_INTERVAL: Duration = Duration::millis(200);
@@ -39,10 +38,8 @@
         if !self.popularity.is_ranking_due(self.now) {
             return;
         }
-        let in_use: BTreeSet<FunctionId> =
-            self.requests.pending.values().map(|request| request.function).collect();
         let loading = &self.settings.loading;
-        self.popularity.rank(self.now, &loading.memory_mb, &in_use);
+        self.popularity.rank(self.now, &loading.memory_mb);
         self.workers.forget_idle_instances(self.now, loading.keep_alive);
     }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -39,6 +39,7 @@
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use readiness::ListValidity;
+pub(crate) use recent::EventTimes;
 use recent::RecentEvents;
 use requests::Requests;
 use slow_start::SlowStart;
@@ -148,6 +149,12 @@
 
     /// Runs the expired timers, and requests a wake-up for the next one.
     fn run_timers(&mut self, out: &mut Actions) {
+        let pending = &self.requests.pending;
+        // Timers of requests that have ended stay queued until they are due, which may be an hour away.
+        self.timers.sweep(|timer| match timer {
+            Timer::Maintenance => true,
+            Timer::Deadline(id) | Timer::Place(id) => pending.contains_key(id),
+        });
         while let Some(due) = self.timers.pop_due(self.now) {
             match due {
                 Timer::Maintenance => self.maintain(out),
--- a/src/policy/popularity.rs
+++ b/src/policy/popularity.rs
@@ -17,6 +17,12 @@
 const GOLD_HYSTERESIS_RANKINGS: u8 = 2;
 /// Requests in the window below which a function is bronze (from the design page).
 const MIN_SILVER_REQUESTS: u32 = 2;
+/// Most idle functions of which no request was served: clients may name any number that no worker has.
+const MAX_UNSERVED_FUNCTIONS: usize = 4096;
+/// Most idle functions of which a request was served.
+const MAX_SERVED_FUNCTIONS: usize = 16_384;
+/// Functions that become known between two checks of these bounds.
+const FUNCTIONS_PER_CHECK: usize = MAX_UNSERVED_FUNCTIONS / 2;
 
 /// A function that is called, or was called recently.
 #[derive(Default)]
@@ -29,6 +35,11 @@
     pub ranked_workers: RankedWorkers,
     /// Requests in each bucket of the window, the current one first.
     counts: [u32; WINDOW_BUCKETS],
+    /// Requests that clients wait for.
+    open_requests: u32,
+    /// Whether a request was served since the function became known: a worker has it.
+    is_served: bool,
+    last_request_at: Timestamp,
     gold: bool,
     /// Consecutive rankings that would have moved it into the gold tier, or out of it.
     consecutive_opposite_rankings: u8,
@@ -36,10 +47,17 @@
 
 impl Function {
     /// Counts a request and updates the function's memory and concurrency from it.
-    pub fn observe_request(&mut self, memory_mb: f64, concurrency: f64) {
-        self.memory_mb = memory_mb.clamp(0.0, 1e12);
-        self.concurrency = (concurrency.clamp(1.0, 64.0) as u32).max(1);
+    fn observe_request(&mut self, now: Timestamp, request: &Request) {
+        self.memory_mb = request.memory_mb.clamp(0.0, 1e12);
+        self.concurrency = (request.concurrency.clamp(1.0, 64.0) as u32).max(1);
         self.counts[0] += 1;
+        self.open_requests += 1;
+        self.last_request_at = now;
+    }
+
+    /// Whether nothing but its recent requests keeps the function known.
+    fn is_idle(&self) -> bool {
+        !self.gold && self.open_requests == 0
     }
 
     /// Requests in the window.
@@ -64,13 +82,24 @@
 }
 
 /// The known functions and the window in which their requests are counted.
-#[derive(Default)]
 pub struct Popularity {
     functions: BTreeMap<FunctionId, Function>,
+    /// Number of known functions from which the bounds on idle ones are checked.
+    check_at: usize,
     /// Starts of the window's buckets, the current one first.
     bucket_starts: [Timestamp; WINDOW_BUCKETS],
 }
 
+impl Default for Popularity {
+    fn default() -> Popularity {
+        Popularity {
+            functions: BTreeMap::new(),
+            check_at: FUNCTIONS_PER_CHECK,
+            bucket_starts: [Timestamp(0); WINDOW_BUCKETS],
+        }
+    }
+}
+
 impl Popularity {
     /// Starts an empty window.
     pub fn start_window(&mut self, now: Timestamp) {
@@ -87,9 +116,65 @@
         self.functions.get_mut(&id)
     }
 
-    /// Returns a function, and adds it if it is not known.
-    pub fn entry(&mut self, id: FunctionId) -> &mut Function {
-        self.functions.entry(id).or_default()
+    /// Adds a function if it is not known, and sets its memory.
+    pub fn observe_memory(&mut self, id: FunctionId, memory_mb: f64) {
+        self.bound_idle_functions();
+        self.functions.entry(id).or_default().memory_mb = memory_mb;
+    }
+
+    /// Counts a request that a client waits for.
+    pub fn observe_request(&mut self, now: Timestamp, request: &Request) {
+        self.bound_idle_functions();
+        self.functions.entry(request.function).or_default().observe_request(now, request);
+    }
+
+    /// Records that a client no longer waits for a request.
+    pub fn request_ended(&mut self, id: FunctionId) {
+        if let Some(function) = self.functions.get_mut(&id) {
+            function.open_requests = function.open_requests.saturating_sub(1);
+        }
+    }
+
+    /// Takes back the count of a request that its client withdrew right after it had arrived.
+    pub fn discount_request(&mut self, id: FunctionId, arrived_at: Timestamp) {
+        let bucket = self.bucket_starts.iter().position(|start| *start <= arrived_at);
+        if let (Some(function), Some(bucket)) = (self.functions.get_mut(&id), bucket) {
+            function.counts[bucket] = function.counts[bucket].saturating_sub(1);
+        }
+    }
+
+    /// Records that a request was served.
+    pub fn mark_served(&mut self, id: FunctionId) {
+        if let Some(function) = self.functions.get_mut(&id) {
+            function.is_served = true;
+        }
+    }
+
+    /// Forgets idle functions beyond the bounds: of those that were never served, and of those that were, the least
+    /// called.
+    fn bound_idle_functions(&mut self) {
+        if self.functions.len() < self.check_at {
+            return;
+        }
+        self.forget_least_called(false, MAX_UNSERVED_FUNCTIONS - FUNCTIONS_PER_CHECK);
+        self.forget_least_called(true, MAX_SERVED_FUNCTIONS - FUNCTIONS_PER_CHECK);
+        self.check_at = self.functions.len() + FUNCTIONS_PER_CHECK;
+    }
+
+    /// Forgets the least called idle functions except `kept` of them, those not called for longest first; only served
+    /// functions or only others.
+    fn forget_least_called(&mut self, is_served: bool, kept: usize) {
+        let idle = self
+            .functions
+            .iter()
+            .filter(|(_, function)| function.is_served == is_served && function.is_idle());
+        let mut ranking: Vec<_> =
+            idle.map(|(id, function)| (function.requests(), function.last_request_at, *id)).collect();
+        let excess = ranking.len().saturating_sub(kept);
+        ranking.sort_unstable();
+        for (_, _, id) in &ranking[..excess] {
+            self.functions.remove(id);
+        }
     }
 
     /// Number of known functions.
@@ -129,19 +214,23 @@
 
     /// Ranks the functions by their requests, starts the next bucket and forgets functions that are neither
     /// gold, called nor in use.
-    pub fn rank(&mut self, now: Timestamp, worker_memory_mb: &[f64], in_use: &BTreeSet<FunctionId>) {
+    pub fn rank(&mut self, now: Timestamp, worker_memory_mb: &[f64]) {
         self.bucket_starts.rotate_right(1);
         self.bucket_starts[0] = now;
         let top = self.most_called(worker_memory_mb);
         for (id, function) in &mut self.functions {
             function.finish_ranking(top.contains(id));
         }
-        self.functions.retain(|id, function| function.gold || function.requests() > 0 || in_use.contains(id));
+        self.functions.retain(|_, function| !function.is_idle() || function.requests() > 0);
+        self.check_at = self.check_at.min(self.functions.len() + FUNCTIONS_PER_CHECK);
     }
 
-    /// Returns the most called functions that fit into the memory for gold functions.
+    /// Returns the most called functions that fit into the memory for gold functions. One of which no request was
+    /// served may be a name that no worker knows.
     fn most_called(&self, worker_memory_mb: &[f64]) -> BTreeSet<FunctionId> {
-        let called = self.functions.iter().filter(|(_, function)| function.requests() >= MIN_SILVER_REQUESTS);
+        let is_called =
+            |function: &Function| function.requests() >= MIN_SILVER_REQUESTS;
+        let called = self.functions.iter().filter(|(_, function)| is_called(function));
         let mut ranking: Vec<_> = called.map(|(id, function)| (Reverse(function.requests()), *id)).collect();
         ranking.sort_unstable();
         let smallest_worker_mb = worker_memory_mb.iter().copied().fold(f64::INFINITY, f64::min);
--- a/src/policy/prewarm.rs
+++ b/src/policy/prewarm.rs
@@ -21,7 +21,7 @@
     /// Handles the notice that a function will be called soon: an instance is loaded at its first healthy
     /// worker, if none is warm there.
     pub(super) fn on_wanted(&mut self, function: FunctionId, memory_mb: f64, out: &mut Actions) {
-        self.popularity.entry(function).memory_mb = memory_mb;
+        self.popularity.observe_memory(function, memory_mb);
         let healthy = self.healthy_workers(self.workers.iter());
         let Some(worker) = self.workers.rendezvous().first(function.0, healthy, 1).pop() else { return };
         if !self.workers.is_warm(function, worker, self.now) {
--- a/src/policy/timer_queue.rs
+++ b/src/policy/timer_queue.rs
@@ -3,6 +3,9 @@
 use crate::interface::{Duration, Timestamp};
 use std::collections::BTreeSet;
 
+/// Number of timers below which [`TimerQueue::sweep`] does nothing.
+const MIN_SWEPT_TIMERS: usize = 4096;
+
 /// A queued timer; ordered by time, then by timer.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Entry<T> {
@@ -15,11 +18,13 @@
     entries: BTreeSet<Entry<T>>,
     /// The earliest wake-up that was requested and has not arrived.
     armed: Option<Timestamp>,
+    /// Number of timers from which the next sweep removes those that are of no use any more.
+    sweep_at: usize,
 }
 
 impl<T> Default for TimerQueue<T> {
     fn default() -> TimerQueue<T> {
-        TimerQueue { entries: BTreeSet::new(), armed: None }
+        TimerQueue { entries: BTreeSet::new(), armed: None, sweep_at: MIN_SWEPT_TIMERS }
     }
 }
 
@@ -29,6 +34,16 @@
         self.entries.insert(Entry { at, timer });
     }
 
+    /// Removes the timers that are of no use any more, if the queue has doubled since the last sweep: their
+    /// number stays below that of the useful ones, or [`MIN_SWEPT_TIMERS`], at a constant cost for each timer.
+    pub fn sweep(&mut self, is_useful: impl Fn(&T) -> bool) {
+        if self.entries.len() < self.sweep_at {
+            return;
+        }
+        self.entries.retain(|entry| is_useful(&entry.timer));
+        self.sweep_at = (2 * self.entries.len()).max(MIN_SWEPT_TIMERS);
+    }
+
     /// Number of queued timers.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/src/policy/workers.rs
+++ b/src/policy/workers.rs
@@ -59,6 +59,13 @@
         self.instances.values_mut().for_each(InstanceState::mark_cold);
     }
 
+    /// Drops the entry of a function of which nothing is known here any more.
+    pub fn forget_blank_instance(&mut self, function: FunctionId) {
+        if self.instances.get(&function).is_some_and(InstanceState::is_blank) {
+            self.instances.remove(&function);
+        }
+    }
+
     /// Number of loads under way that are not renewals.
     pub fn pending_loads(&self, now: Timestamp) -> usize {
         self.instances.values().filter(|instance| instance.is_loading(now)).count()
--- /dev/null
+++ b/tests/floods.rs
@@ -0,0 +1,283 @@
+//! Clients that name or withdraw without end: what they leave behind in the scheduler is bounded, and usual clients keep
+//! their answers and their functions' tiers.
+
+#![allow(
+    clippy::unwrap_used,
+    clippy::too_many_lines,
+    clippy::needless_pass_by_value,
+    reason = "a test that cannot go on ends there, and is read from top to bottom"
+)]
+
+mod rig;
+
+use mintgate::chain::{Chain, End, Step};
+use mintgate::core::{Command, Core, IncomingRequest, Owner, Reply, TableSizes};
+use mintgate::{Duration, FunctionId, ListKind, Member, Timestamp, WorkerId};
+use rig::*;
+use serde_json::json;
+
+/// Workers of the core's tests: enough for a full cached order of each function.
+const WORKERS: u64 = 40;
+/// Requests of a flood in the core's tests.
+const FLOOD_REQUESTS: u64 = 100_000;
+/// Most entries of any table after a flood. With the largest entries, of 1 KB, they take half of the smallest memory
+/// limit, which is 32 MB.
+const MAX_ENTRIES: usize = 16_384;
+/// The smallest memory limit of a scheduler, in kB.
+const MEMORY_KB: u64 = 32 << 10;
+
+/// A core in virtual time, with workers that answer at once.
+struct CoreRig {
+    core: Core,
+    now: Timestamp,
+    next_stream: u64,
+    /// Load requests that were allowed to be written, by function.
+    loads: Vec<FunctionId>,
+    chain_ends: Vec<End>,
+}
+
+impl CoreRig {
+    fn new() -> CoreRig {
+        let site = mintgate::settings::read_site(settings().to_string().as_bytes()).unwrap();
+        let now = Timestamp(1_000_000_000_000);
+        let mut core = Core::new(site, 7);
+        let members = (1..=WORKERS).map(|id| Member { worker: WorkerId(id), ..Member::default() }).collect();
+        core.members(now, ListKind::Full, members);
+        CoreRig { core, now, next_stream: 0, loads: vec![], chain_ends: vec![] }
+    }
+
+    fn submit(&mut self, function: u64, allow: Duration) -> Owner {
+        self.next_stream += 1;
+        let owner = Owner { connection: 1, stream: self.next_stream };
+        let request = IncomingRequest {
+            owner,
+            reference: format!("{:016x}", self.next_stream),
+            class: "practice-check".into(),
+            function: FunctionId(function),
+            key: None,
+            memory_mb: 370.0,
+            concurrency: 4.0,
+            load_time: None,
+            deadline: self.now + allow,
+            body: vec![],
+        };
+        self.core.submit(self.now, request);
+        owner
+    }
+
+    /// Carries out all commands; attempts are written and get this answer.
+    fn answer(&mut self, reply: &Reply) {
+        while let Some(command) = self.core.next_command() {
+            match command {
+                Command::Send { attempt, .. } => {
+                    if self.core.may_write(self.now, attempt) {
+                        self.core.written(self.now, attempt);
+                        self.core.attempt_ended(self.now, attempt, Ok(reply.clone()));
+                    } else {
+                        self.core.attempt_not_sent(self.now, attempt);
+                    }
+                }
+                Command::Load { load, function, .. } => {
+                    if self.core.may_write_load(self.now, load) {
+                        self.loads.push(function);
+                    }
+                    self.core.load_not_sent(self.now, load);
+                }
+                Command::Probe { probe, .. } => self.core.probe_ended(self.now, probe, Ok(vec![])),
+                Command::Chain { end, .. } => self.chain_ends.push(end),
+                _ => {}
+            }
+        }
+    }
+
+    fn advance(&mut self, span: Duration) {
+        let end = self.now + span;
+        while let Some(at) = self.core.next_timeout().filter(|at| *at <= end) {
+            self.now = self.now.max(at);
+            self.core.on_timeout(self.now);
+        }
+        self.now = end;
+    }
+}
+
+fn assert_bounded(sizes: &TableSizes) {
+    let policy = &sizes.policy;
+    let tables = [
+        ("requests", sizes.requests),
+        ("attempts", sizes.attempts),
+        ("timers", sizes.timers),
+        ("arrivals", sizes.arrivals),
+        ("pending", policy.pending),
+        ("policy timers", policy.timers),
+        ("functions", policy.functions),
+        ("instances", policy.instances),
+        ("recent events", policy.recent_events),
+    ];
+    for (name, entries) in tables {
+        assert!(entries <= MAX_ENTRIES, "{name}: {entries} entries of {sizes:?}");
+    }
+}
+
+/// Functions of requests that are withdrawn at once, and the requests' timers, do not fill the memory.
+#[test]
+fn requests_withdrawn_at_once_leave_nothing_behind() {
+    let mut rig = CoreRig::new();
+    for number in 0..FLOOD_REQUESTS {
+        let owner = rig.submit(number, Duration::millis(3_600_000));
+        rig.core.withdraw(rig.now, owner);
+        rig.answer(&Reply::Error);
+        rig.now = rig.now + Duration(10_000);
+    }
+    assert_bounded(&rig.core.table_sizes());
+}
+
+/// The same if they are withdrawn after their attempts were written.
+#[test]
+fn requests_withdrawn_later_leave_nothing_behind() {
+    let mut rig = CoreRig::new();
+    let mut open = std::collections::VecDeque::new();
+    for number in 0..FLOOD_REQUESTS {
+        open.push_back(rig.submit(number, Duration::millis(3_600_000)));
+        while let Some(command) = rig.core.next_command() {
+            match command {
+                Command::Send { attempt, .. } if rig.core.may_write(rig.now, attempt) => {
+                    rig.core.written(rig.now, attempt);
+                }
+                _ => {}
+            }
+        }
+        if open.len() > 32 {
+            rig.core.withdraw(rig.now, open.pop_front().unwrap());
+        }
+        rig.now = rig.now + Duration(10_000);
+    }
+    assert_bounded(&rig.core.table_sizes());
+}
+
+/// Functions that no worker knows do not fill the memory either if their requests are answered.
+#[test]
+fn functions_unknown_to_workers_do_not_fill_the_memory() {
+    let mut rig = CoreRig::new();
+    for number in 0..FLOOD_REQUESTS {
+        rig.submit(number, Duration::millis(3_000));
+        rig.answer(&Reply::Error);
+        rig.now = rig.now + Duration(10_000);
+    }
+    assert_bounded(&rig.core.table_sizes());
+}
+
+/// Functions that chains name for later steps do not fill the memory.
+#[test]
+fn functions_of_withdrawn_chains_do_not_fill_the_memory() {
+    let mut rig = CoreRig::new();
+    let step = |function: u64| Step {
+        class: "practice-check".into(),
+        function: FunctionId(function),
+        memory_mb: 370.0,
+        concurrency: 4.0,
+        load_time: Some(Duration::millis(300)),
+        body: Some(vec![]),
+    };
+    for number in 0..FLOOD_REQUESTS / 4 {
+        rig.next_stream += 1;
+        let owner = Owner { connection: 2, stream: rig.next_stream };
+        let steps = (0..4).map(|place| step(number * 4 + place)).collect();
+        let deadline = rig.now + Duration::millis(3_000);
+        rig.core.chain(rig.now, Chain { owner, key: None, deadline, steps });
+        rig.core.withdraw(rig.now, owner);
+        rig.answer(&Reply::Error);
+        rig.now = rig.now + Duration(10_000);
+    }
+    assert_bounded(&rig.core.table_sizes());
+}
+
+/// Kilobytes of a process's memory that it shares with no file.
+fn own_memory_kb(daemon: &Daemon) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", daemon.child.id())).unwrap();
+    let line = status.lines().find(|line| line.starts_with("RssAnon:")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse().unwrap()
+}
+
+/// A usual client beside clients that withdraw requests for ever new functions is answered, and the memory stays below
+/// its limit: binary front.
+#[test]
+fn withdrawn_requests_for_new_functions_keep_the_memory_limit() {
+    const BURST: u64 = 32;
+    let worker = Worker::over_tcp();
+    let daemon = Daemon::with_limits(&[&worker], json!({"sockets": 256, "memory_mb": 32}));
+    worker.serve(echo);
+    let mut usual = FrameClient::connect(daemon.listen);
+    let mut bad = FrameClient::connect(daemon.listen);
+    let mut peak_kb = 0;
+    for round in 0..FLOOD_REQUESTS / BURST {
+        let mut burst = Vec::new();
+        let streams = round * BURST + 1..=(round + 1) * BURST;
+        for stream in streams.clone() {
+            let name = format!("{stream:016x}");
+            let fields = [
+                ("service", "practice-check"),
+                ("ref", name.as_str()),
+                ("allow", "3600000"),
+                ("lookup", name.as_str()),
+                ("spec", "memory_mb:370;lanes:2"),
+            ];
+            burst.extend(frame(0, stream as u32, &request(&fields, b"")));
+        }
+        for stream in streams {
+            burst.extend(frame(2, stream as u32, &[]));
+        }
+        bad.send(&burst);
+        if round % 100 == 0 {
+            let stream = round as u32 + 1;
+            let reference = format!("{:016x}", 0xf000_0000_0000_0000 + round);
+            usual.send(&frame(0, stream, &call("practice-check", &reference, 20_000, b"x")));
+            assert_eq!(usual.next(), Some((1, stream, vec![79, 0, b'x'])));
+            peak_kb = peak_kb.max(own_memory_kb(&daemon));
+        }
+    }
+    peak_kb = peak_kb.max(own_memory_kb(&daemon));
+    assert!(peak_kb < MEMORY_KB, "{peak_kb} kB");
+}
+
+/// The same on the JSON-RPC front, where the answers to cancelled requests are read at once.
+#[test]
+fn cancelled_requests_for_new_functions_keep_the_memory_limit() {
+    const BURST: u64 = 16;
+    let worker = Worker::over_tcp();
+    let folder_of = |folder: &Folder| folder.at("calls.sock");
+    let daemon = Daemon::start_with_limits(
+        &[&worker],
+        settings(),
+        json!({"sockets": 256, "memory_mb": 32}),
+        None,
+        |folder| format!("[jsonrpc]\nsocket = \"{}\"\n", folder_of(folder).display()),
+    );
+    worker.serve(echo);
+    let mut usual = RpcClient::connect(&folder_of(&daemon.folder));
+    let mut bad = RpcClient::connect(&folder_of(&daemon.folder));
+    let mut peak_kb = 0;
+    for round in 0..FLOOD_REQUESTS / BURST {
+        let mut lines = Vec::new();
+        let ids = round * BURST + 1..=(round + 1) * BURST;
+        for id in ids.clone() {
+            let params = json!({"class": "practice-check", "function": format!("{id:016x}"), "allow_ms": 3_600_000,
+                "memory_mb": 370, "lanes": 2});
+            lines.push(json!({"jsonrpc": "2.0", "id": id, "method": "call", "params": params}).to_string());
+        }
+        for id in ids.clone() {
+            lines.push(json!({"jsonrpc": "2.0", "method": "cancel", "params": {"id": id}}).to_string());
+        }
+        bad.send(&lines.join("\n"));
+        for _ in ids {
+            assert_eq!(bad.next()["error"]["code"], -32004);
+        }
+        if round % 100 == 0 {
+            let reference = format!("{:016x}", 0xf000_0000_0000_0000 + round);
+            usual.send(&rpc_call(&json!(1), "practice-check", &reference, 20_000, "eA==").to_string());
+            assert_eq!(usual.next()["result"]["body"], "eA==");
+            peak_kb = peak_kb.max(own_memory_kb(&daemon));
+        }
+    }
+    peak_kb = peak_kb.max(own_memory_kb(&daemon));
+    assert!(peak_kb < MEMORY_KB, "{peak_kb} kB");
+}
