Keep functions that were never served, or only withdrawn, out of the gold tier

Callers saw: beside clients that name one made-up function often, a called function loses its gold tier: cold starts. Cause: Popularity ranks functions by requests that came, whether or not a worker knows the function or its client waited at all; gold has room for a few functions, and one without a memory figure takes no room. Evidence: a_flood_of_names_does_not_cost_a_called_function_its_tier on the code before: 19 loads of the called function in 30 s for 40 workers; without the flood at least 40. Change: gold needs a served request; a request withdrawn within a tenth of its latency objective counts neither for its function nor as an arrival, from which budgets of cold workers are filled. Why it works: only a worker's answer makes a function eligible, and a client holds 32 requests at a time, so requests that it lets grow older are few.

--- a/src/policy/lifecycle.rs
+++ b/src/policy/lifecycle.rs
@@ -10,6 +10,9 @@
 pub(super) const PLACEMENT_RETRY_DELAY: Duration = Duration::millis(40);
 /// Upper bound of the Retry-After given to a client whose request is rejected.
 const MAX_RETRY_AFTER: Duration = Duration::millis(250);
+/// Share of its latency objective within which a withdrawn request does not count as demand for its function: no client
+/// that wants an answer gives up so soon.
+const EARLY_WITHDRAWAL_SHARE: f64 = 0.1;
 /// Lower bound on the latency objective that a latency is divided by, in seconds.
 const MIN_OBJECTIVE_S: f64 = 0.001;
 
@@ -46,6 +49,11 @@
     /// for other requests.
     pub(super) fn on_client_gone(&mut self, id: RequestId, out: &mut Actions) {
         let Some(request) = self.remove_pending(id) else { return };
+        let early = request.latency_objective.times(EARLY_WITHDRAWAL_SHARE);
+        if self.now - request.arrived_at <= early {
+            self.popularity.discount_request(request.function, request.arrived_at);
+            self.recent.arrivals.take_back(request.arrived_at);
+        }
         self.cancel_in_flight(id, &request, out);
     }
 
--- a/src/policy/popularity.rs
+++ b/src/policy/popularity.rs
@@ -229,7 +229,7 @@
     /// served may be a name that no worker knows.
     fn most_called(&self, worker_memory_mb: &[f64]) -> BTreeSet<FunctionId> {
         let is_called =
-            |function: &Function| function.requests() >= MIN_SILVER_REQUESTS;
+            |function: &Function| function.is_served && function.requests() >= MIN_SILVER_REQUESTS;
         let called = self.functions.iter().filter(|(_, function)| is_called(function));
         let mut ranking: Vec<_> = called.map(|(id, function)| (Reverse(function.requests()), *id)).collect();
         ranking.sort_unstable();
--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -191,6 +191,42 @@
     assert_bounded(&rig.core.table_sizes());
 }
 
+/// Made-up functions, however often they are named, push no served one out of the gold tier, and its loads stay allowed.
+#[test]
+fn a_flood_of_names_does_not_cost_a_called_function_its_tier() {
+    const USUAL: u64 = 0xabcd;
+    const NAMED_OFTEN: u64 = 0x5555;
+    let mut rig = CoreRig::new();
+    let mut made_up = 1 << 32;
+    for flooded in [false, true] {
+        rig.loads.clear();
+        for _ in 0..1_500 {
+            rig.submit(USUAL, Duration::millis(3_000));
+            rig.answer(&Reply::Ok(vec![]));
+            for _ in 0..if flooded { 50 } else { 0 } {
+                made_up += 1;
+                let withdrawn = [
+                    rig.submit(made_up, Duration::millis(3_000)),
+                    rig.submit(NAMED_OFTEN, Duration::millis(3_000)),
+                ];
+                for owner in withdrawn {
+                    rig.core.withdraw(rig.now, owner);
+                }
+                rig.submit(NAMED_OFTEN + 1, Duration::millis(3_000));
+                rig.answer(&Reply::Error);
+            }
+            rig.advance(Duration::millis(20));
+            rig.answer(&Reply::Error);
+        }
+        let renewed = rig.loads.iter().filter(|function| function.0 == USUAL).count();
+        let others =
+            rig.loads.iter().filter(|function| (NAMED_OFTEN..NAMED_OFTEN + 2).contains(&function.0)).count();
+        // A keep-alive lasts 8.7 s: in 30 s each worker is due several times.
+        assert!(renewed >= WORKERS as usize, "flooded: {flooded}; {renewed} loads of the usual function");
+        assert_eq!(others, 0, "flooded: {flooded}; a function that was never served is not kept warm");
+    }
+}
+
 /// Kilobytes of a process's memory that it shares with no file.
 fn own_memory_kb(daemon: &Daemon) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{}/status", daemon.child.id())).unwrap();
