Count keys and other texts of open requests as their memory

Callers would see a scheduler over its limit: requests may bring keys of 30 kB each, 32 to a connection, and only bodies counted towards the sixth of the memory for open requests. Change: AcceptedRequests counts all texts and the body. Nothing else changes: usual texts are under 200 bytes.

--- a/src/core/accepted_requests.rs
+++ b/src/core/accepted_requests.rs
@@ -5,8 +5,8 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 
-/// Bodies of open requests may take the memory limit divided by this; beyond that, requests are rejected.
-const BODY_MEMORY_DIVISOR: usize = 6;
+/// Open requests may bring the memory limit divided by this in bodies and texts; beyond that, requests are rejected.
+const PAYLOAD_MEMORY_DIVISOR: usize = 6;
 /// Memory limit in bytes until [`AcceptedRequests::limit_memory`] is called.
 const DEFAULT_MEMORY_LIMIT: usize = 192 << 20;
 
@@ -38,8 +38,8 @@
     by_owner: HashMap<Owner, RequestId>,
     /// The clients' names for the requests.
     references: HashSet<String>,
-    /// Sum of the lengths of all bodies.
-    body_bytes: usize,
+    /// Bytes of all bodies, keys and other texts of the requests.
+    payload_bytes: usize,
     /// Memory that the whole scheduler may use, in bytes.
     memory_limit: usize,
     next_id: u32,
@@ -51,7 +51,7 @@
             by_id: BTreeMap::new(),
             by_owner: HashMap::new(),
             references: HashSet::new(),
-            body_bytes: 0,
+            payload_bytes: 0,
             memory_limit: DEFAULT_MEMORY_LIMIT,
             next_id: 0,
         }
@@ -64,9 +64,9 @@
         self.memory_limit = bytes;
     }
 
-    /// Whether one more body of this length would exceed the memory for bodies.
-    pub(super) fn exceeds_body_memory(&self, body_length: usize) -> bool {
-        self.body_bytes + body_length > self.memory_limit / BODY_MEMORY_DIVISOR
+    /// Whether so many more bytes of bodies and texts would exceed the memory for them.
+    pub(super) fn exceeds_memory(&self, payload_bytes: usize) -> bool {
+        self.payload_bytes + payload_bytes > self.memory_limit / PAYLOAD_MEMORY_DIVISOR
     }
 
     /// A new id, unique until the numbers wrap.
@@ -78,7 +78,7 @@
 
     /// Adds a request under its id.
     pub(super) fn insert(&mut self, id: RequestId, accepted: AcceptedRequest) {
-        self.body_bytes += accepted.work.body.len();
+        self.payload_bytes += accepted.work.byte_count();
         self.references.insert(accepted.work.reference.clone());
         self.by_owner.insert(accepted.owner, id);
         self.by_id.insert(id, accepted);
@@ -87,7 +87,7 @@
     /// Removes a request from the table and all indices.
     pub(super) fn remove(&mut self, id: RequestId) -> Option<AcceptedRequest> {
         let accepted = self.by_id.remove(&id)?;
-        self.body_bytes -= accepted.work.body.len();
+        self.payload_bytes -= accepted.work.byte_count();
         self.references.remove(&accepted.work.reference);
         self.by_owner.remove(&accepted.owner);
         Some(accepted)
@@ -144,9 +144,9 @@
 
 #[cfg(test)]
 impl AcceptedRequests {
-    /// Sum of the lengths of all bodies.
-    pub(super) fn body_bytes(&self) -> usize {
-        self.body_bytes
+    /// Bytes of all bodies and texts.
+    pub(super) fn payload_bytes(&self) -> usize {
+        self.payload_bytes
     }
 
     /// Makes the index by reference inconsistent with the table, which the invariant checks must detect.
--- a/src/core/admission.rs
+++ b/src/core/admission.rs
@@ -107,7 +107,7 @@
             return Some(RejectReason::Ending);
         }
         let full = self.requests.len() >= self.site.max_open
-            || self.requests.exceeds_body_memory(incoming.body.len())
+            || self.requests.exceeds_memory(incoming.byte_count())
             || self.requests.has_owner(incoming.owner);
         full.then_some(RejectReason::Full)
     }
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -284,7 +284,7 @@
         }
         prop_assert_eq!(submitted, answered);
         prop_assert_eq!(core.violations().total(), 0, "{}", core.violations());
-        prop_assert_eq!((core.outstanding(), core.attempts.len(), core.requests.body_bytes(), core.requests.reference_count()), (0, 0, 0, 0));
+        prop_assert_eq!((core.outstanding(), core.attempts.len(), core.requests.payload_bytes(), core.requests.reference_count()), (0, 0, 0, 0));
     }
 }
 
--- a/src/request.rs
+++ b/src/request.rs
@@ -38,6 +38,13 @@
     pub body: Vec<u8>,
 }
 
+impl IncomingRequest {
+    /// Bytes of the body, the key and the other texts.
+    pub fn byte_count(&self) -> usize {
+        payload_bytes(&self.reference, &self.class, self.key.as_deref(), &self.body)
+    }
+}
+
 /// What every attempt of a request carries to a worker.
 #[derive(Debug)]
 pub struct RequestPayload {
@@ -53,6 +60,17 @@
     pub body: Vec<u8>,
 }
 
+impl RequestPayload {
+    /// Bytes of the body, the key and the other texts.
+    pub fn byte_count(&self) -> usize {
+        payload_bytes(&self.reference, &self.class, self.key.as_deref(), &self.body)
+    }
+}
+
+fn payload_bytes(reference: &str, class: &str, key: Option<&str>, body: &[u8]) -> usize {
+    reference.len() + class.len() + key.map_or(0, str::len) + body.len()
+}
+
 /// One attempt of one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct AttemptId {
--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -227,6 +227,31 @@
     }
 }
 
+/// Keys count as memory of the requests that bring them: beyond a sixth of the limit requests are refused.
+#[test]
+fn keys_of_open_requests_are_bounded_like_their_bodies() {
+    let mut rig = CoreRig::new();
+    rig.core.limit_memory(6 << 20);
+    for _ in 0..100 {
+        rig.next_stream += 1;
+        let request = IncomingRequest {
+            owner: Owner { connection: 1, stream: rig.next_stream },
+            reference: format!("{:016x}", rig.next_stream),
+            class: "credit-submit".into(),
+            function: FunctionId(1),
+            key: Some("k".repeat(30_000)),
+            memory_mb: 370.0,
+            concurrency: 4.0,
+            load_time: None,
+            deadline: rig.now + Duration::millis(3_000),
+            body: vec![],
+        };
+        rig.core.submit(rig.now, request);
+    }
+    let open = rig.core.outstanding();
+    assert!((30..=34).contains(&open), "{open} requests with 30 kB each are open within 1 MB");
+}
+
 /// Kilobytes of a process's memory that it shares with no file.
 fn own_memory_kb(daemon: &Daemon) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{}/status", daemon.child.id())).unwrap();
