Bound the bytes of open chains and of the records of their keyed steps

Callers would see a scheduler over its limit on the JSON-RPC front: bodies and keys of open chains counted nowhere, answers kept for repeats counted without their keys and steps, and 4,096 keys of steps that may have run had any length up to a line (64 kB). Change: chain::Machine counts the bytes of its open chains and refuses a new one beyond a sixth of the memory limit, when nothing of it has run; the records (a file of their own, chain/records.rs) hold 4 MB of answers with all that belongs to them and 1 MB of keys. Result: lib chains_with_long_keys_and_bodies_are_bounded_in_bytes; there was no bound to test before. The chain's other tests pass as they were; they read the records' counts by another name.

--- a/src/chain/mod.rs
+++ b/src/chain/mod.rs
@@ -2,24 +2,20 @@
 //! [`Machine`] is a state machine without I/O.
 
 pub mod estimate;
+mod records;
 
 use crate::interface::{DEDUP_WINDOW_MARGIN, Duration, FunctionId, Timestamp};
 use crate::request::{Answer, IncomingRequest, Owner, Verdict};
 use estimate::{Estimates, Need, PlannedStep};
-use std::collections::{BTreeMap, VecDeque};
+use records::StepRecords;
+use std::collections::BTreeMap;
 
 /// Most steps of a chain.
 pub const MAX_STEPS: usize = 8;
 /// The connection number of the requests that steps are submitted as. No front's connection has it.
 pub const STEP_CONNECTION: u64 = u64::MAX;
-/// Most answers of finished steps that are cached for retries of their chain.
-const MAX_CACHED_ANSWERS: usize = 1024;
-/// Most bytes of all cached answers together.
-const MAX_CACHED_BYTES: usize = 4 << 20;
-/// Most keyed steps that are recorded as possibly run.
-const MAX_MAY_HAVE_RUN: usize = 4096;
-/// How long such a record is kept. Clients have given up long before.
-const MAY_HAVE_RUN_RETENTION: Duration = Duration::millis(600_000);
+/// Memory in bytes that open chains may take until [`Machine::limit_memory`] is called.
+const DEFAULT_MEMORY_LIMIT: usize = 32 << 20;
 
 /// A step as the client specifies it.
 #[derive(Clone, Debug, PartialEq)]
@@ -38,6 +34,13 @@
     pub body: Option<Vec<u8>>,
 }
 
+impl Step {
+    /// Bytes of the class's name and the body.
+    fn byte_count(&self) -> usize {
+        self.class.len() + self.body.as_ref().map_or(0, Vec::len)
+    }
+}
+
 /// A chain as a front has parsed it.
 #[derive(Clone, Debug)]
 pub struct Chain {
@@ -51,6 +54,14 @@
     pub steps: Vec<Step>,
 }
 
+impl Chain {
+    /// Bytes of the key and the steps.
+    fn byte_count(&self) -> usize {
+        let step_bytes: usize = self.steps.iter().map(Step::byte_count).sum();
+        self.key.as_ref().map_or(0, String::len) + step_bytes
+    }
+}
+
 /// How a chain ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct End {
@@ -117,17 +128,13 @@
     started: Timestamp,
 }
 
-/// The cached answer of a finished keyed step, used in place of running the step again.
-struct CachedAnswer {
-    key: String,
-    step: Step,
-    body: Vec<u8>,
-    /// When the step's deduplication window ends.
-    until: Timestamp,
+impl OpenChain {
+    fn byte_count(&self) -> usize {
+        self.chain.byte_count() + self.previous_answer.len()
+    }
 }
 
 /// The state machine of all chains of a scheduler.
-#[derive(Default)]
 pub struct Machine {
     /// Makes the references of steps differ from those of other schedulers.
     salt: u64,
@@ -139,14 +146,26 @@
     /// The id of the next chain.
     next_id: u64,
     estimates: Estimates,
-    /// Answers of finished keyed steps, oldest first.
-    cached: VecDeque<CachedAnswer>,
-    /// Bytes of all cached answers.
-    cached_bytes: usize,
-    /// When each keyed step that may have run was first sent, by the step's key.
-    first_sent: BTreeMap<String, Timestamp>,
-    /// The keys of `first_sent` with the time of their recording, in that order.
-    first_sent_order: VecDeque<(Timestamp, String)>,
+    records: StepRecords,
+    /// Bytes of all open chains.
+    open_bytes: usize,
+    /// Bytes of open chains above which new ones are refused.
+    max_open_bytes: usize,
+}
+
+impl Default for Machine {
+    fn default() -> Machine {
+        Machine {
+            salt: 0,
+            until_given_up: false,
+            open: BTreeMap::new(),
+            next_id: 0,
+            estimates: Estimates::default(),
+            records: StepRecords::default(),
+            open_bytes: 0,
+            max_open_bytes: DEFAULT_MEMORY_LIMIT,
+        }
+    }
 }
 
 impl Machine {
@@ -155,6 +174,27 @@
         Machine { salt, ..Machine::default() }
     }
 
+    /// Sets the memory in bytes that open chains may take.
+    pub fn limit_memory(&mut self, bytes: usize) {
+        self.max_open_bytes = bytes;
+    }
+
+    /// Removes a chain that has ended.
+    fn close(&mut self, id: u64) -> Option<OpenChain> {
+        let open = self.open.remove(&id)?;
+        self.open_bytes -= open.byte_count();
+        Some(open)
+    }
+
+    /// Moves a chain to its next step, given the answer of the current one.
+    fn move_on(&mut self, id: u64, answer: Vec<u8>) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        self.open_bytes -= open.byte_count();
+        open.previous_answer = answer;
+        open.step += 1;
+        self.open_bytes += open.byte_count();
+    }
+
     /// Starts a chain. Unless `until_given_up` is set, its deadline is at most the latency objective of its last step's
     /// class from now. A chain with too many steps or an unknown last class fails.
     pub fn begin(&mut self, now: Timestamp, mut chain: Chain, classes: &impl Classes) -> Vec<Action> {
@@ -174,12 +214,19 @@
             let answer = Answer { verdict, expired: false };
             return vec![Action::Finish(chain.owner, End::at(0, answer))];
         }
+        if self.open_bytes + chain.byte_count() > self.max_open_bytes {
+            let verdict = Verdict::Refused { cooldown: classes.cooldown() };
+            let answer = Answer { verdict, expired: false };
+            return vec![Action::Finish(chain.owner, End::at(0, answer))];
+        }
         if !self.until_given_up {
             chain.deadline = chain.deadline.min(now + latency_objective);
         }
         let id = self.next_id;
         self.next_id += 1;
-        self.open.insert(id, OpenChain { chain, step: 0, previous_answer: vec![], started: now });
+        let open = OpenChain { chain, step: 0, previous_answer: vec![], started: now };
+        self.open_bytes += open.byte_count();
+        self.open.insert(id, open);
         self.advance(now, id, classes)
     }
 
@@ -197,7 +244,7 @@
         };
         let Verdict::Served(body) = answer.verdict else {
             let (step, owner) = (open.step, open.chain.owner);
-            self.open.remove(&id);
+            self.close(id);
             return vec![Action::Finish(owner, End::at(step, answer))];
         };
         let step = &open.chain.steps[open.step];
@@ -205,14 +252,13 @@
         let window = classes.class(&step.class).and_then(|(_, window)| window);
         let (started, step) = (open.started, step.clone());
         let key = step_key(&open.chain, open.step);
-        (open.previous_answer, open.step) = (body.clone(), open.step + 1);
         if let (Some(key), Some(window)) = (key, window) {
             self.may_have_run(now, &key, started);
-            let until = self.first_sent.get(&key).copied().unwrap_or(started) + window;
-            self.cached_bytes += body.len();
-            self.cached.push_back(CachedAnswer { key, step, body, until });
+            let until = self.records.first_sent(&key).unwrap_or(started) + window;
+            self.records.add_answer(key, step, body.clone(), until);
         }
-        self.evict_cached(now);
+        self.move_on(id, body);
+        self.records.evict_answers(now);
         self.advance(now, id, classes)
     }
 
@@ -221,7 +267,7 @@
         let Some(id) = self.open.iter().find(|(_, open)| open.chain.owner == owner).map(|(id, _)| *id) else {
             return vec![];
         };
-        let step = self.open.remove(&id).map_or(0, |open| open.step);
+        let step = self.close(id).map_or(0, |open| open.step);
         vec![Action::Withdraw(step_owner(id, step))]
     }
 
@@ -232,15 +278,7 @@
 
     /// Records that the step with this key may have run since then: an attempt was sent, and no answer rules it out.
     pub fn may_have_run(&mut self, now: Timestamp, key: &str, since: Timestamp) {
-        if !self.first_sent.contains_key(key) {
-            self.first_sent.insert(key.to_owned(), since);
-            self.first_sent_order.push_back((now, key.to_owned()));
-        }
-        let expired = |(at, _): &(Timestamp, String)| *at + MAY_HAVE_RUN_RETENTION <= now;
-        while self.first_sent.len() > MAX_MAY_HAVE_RUN || self.first_sent_order.front().is_some_and(expired) {
-            let Some((_, key)) = self.first_sent_order.pop_front() else { return };
-            self.first_sent.remove(&key);
-        }
+        self.records.may_have_run(now, key, since);
     }
 
     /// Records the latency of a request that does not belong to a chain.
@@ -259,22 +297,20 @@
             let Some(open) = self.open.get_mut(&id) else { return vec![] };
             let (chain, at) = (&open.chain, open.step);
             let Some(step) = chain.steps.get(at) else {
-                let (owner, body) = (chain.owner, std::mem::take(&mut open.previous_answer));
-                self.open.remove(&id);
+                let owner = chain.owner;
+                let body = self.close(id).map(|open| open.previous_answer).unwrap_or_default();
                 let answer = Answer { verdict: Verdict::Served(body), expired: false };
                 return vec![Action::Finish(owner, End { ran: at, ..End::at(at - 1, answer) })];
             };
             let key = step_key(chain, at);
-            let cached = self.cached.iter().rfind(|cached| {
-                Some(&cached.key) == key.as_ref() && cached.step == *step && now < cached.until
-            });
-            if let Some(cached) = cached {
-                (open.previous_answer, open.step) = (cached.body.clone(), at + 1);
+            let cached = key.as_ref().and_then(|key| self.records.answer(now, key, step));
+            if let Some(body) = cached.map(<[u8]>::to_vec) {
+                self.move_on(id, body);
                 continue;
             }
             // The window of a step that an earlier try of the chain sent runs from that time.
             let window = classes.class(&step.class).and_then(|(_, window)| window);
-            let first = key.as_ref().and_then(|key| self.first_sent.get(key)).copied();
+            let first = key.as_ref().and_then(|key| self.records.first_sent(key));
             let until = first.and_then(|first| Some(first + window? - DEDUP_WINDOW_MARGIN));
             let needs = needs(&self.estimates, now, &chain.steps[at..], classes);
             let prewarms: Vec<Action> = chain.steps[at..]
@@ -285,7 +321,7 @@
                 .collect();
             if until.is_some_and(|until| until <= now + total_time(&needs[..1])) {
                 let owner = chain.owner;
-                self.open.remove(&id);
+                self.close(id);
                 let answer = Answer { verdict: Verdict::Failed, expired: false };
                 let end = End { unknown: true, ..End::at(at, answer) };
                 return vec![Action::Finish(owner, end)];
@@ -293,7 +329,7 @@
             let (left, need) = (chain.deadline - now, total_time(&needs));
             if left < need {
                 let owner = chain.owner;
-                self.open.remove(&id);
+                self.close(id);
                 // Earlier steps may have run, but their keys are still valid, so a retry is harmless.
                 let verdict = Verdict::Refused { cooldown: classes.cooldown() };
                 let answer = Answer { verdict, expired: left.0 == 0 };
@@ -309,17 +345,6 @@
             return std::iter::once(Action::Start(request)).chain(prewarms.into_iter().skip(own)).collect();
         }
     }
-
-    /// Removes the oldest cached answers while there are too many, or their deduplication windows have ended.
-    fn evict_cached(&mut self, now: Timestamp) {
-        let over_limit = |machine: &Machine| {
-            machine.cached.len() > MAX_CACHED_ANSWERS || machine.cached_bytes > MAX_CACHED_BYTES
-        };
-        while over_limit(self) || self.cached.front().is_some_and(|cached| cached.until <= now) {
-            let Some(cached) = self.cached.pop_front() else { return };
-            self.cached_bytes -= cached.body.len();
-        }
-    }
 }
 
 /// Time that these steps take one after another if the loads of all of them are requested now.
--- a/src/chain/tests.rs
+++ b/src/chain/tests.rs
@@ -1,3 +1,4 @@
+use super::records::{MAX_MAY_HAVE_RUN, MAY_HAVE_RUN_RETENTION};
 use super::*;
 use proptest::prelude::*;
 
@@ -196,12 +197,9 @@
     for n in 0..2 * MAX_MAY_HAVE_RUN {
         machine.may_have_run(NOW, &n.to_string(), NOW);
     }
-    assert_eq!(
-        (machine.first_sent.len(), machine.first_sent_order.len()),
-        (MAX_MAY_HAVE_RUN, MAX_MAY_HAVE_RUN)
-    );
+    assert_eq!(machine.records.may_have_run_counts(), (MAX_MAY_HAVE_RUN, MAX_MAY_HAVE_RUN));
     machine.may_have_run(NOW + MAY_HAVE_RUN_RETENTION, "last", NOW);
-    assert_eq!(machine.first_sent.len(), 1);
+    assert_eq!(machine.records.may_have_run_counts(), (1, 1));
 }
 
 proptest! {
@@ -319,3 +317,37 @@
     let unknown = machine.begin(NOW, chain(vec![step("none", 1, 0, Some(b""))]), &Site);
     assert_eq!(ended(&unknown).answer.verdict, Verdict::Failed);
 }
+
+/// Keys, steps and bodies of chains count as memory, in open chains and in the records of finished steps.
+#[test]
+fn chains_with_long_keys_and_bodies_are_bounded_in_bytes() {
+    const LONG: usize = 30_000;
+    let mut machine = Machine::default();
+    machine.limit_memory(1 << 20);
+    let long_chain = |stream: u64| Chain {
+        owner: Owner { connection: 1, stream },
+        key: Some(format!("{stream}{}", "k".repeat(LONG))),
+        deadline: NOW + Duration::millis(3_000),
+        steps: vec![step("credit", 1, 0, Some(&[0; LONG])), step("check", 2, 0, None)],
+    };
+    for stream in 0..100 {
+        machine.begin(NOW, long_chain(stream), &Site);
+    }
+    assert!(
+        (15..=17).contains(&machine.outstanding()),
+        "{} chains of 60 kB within 1 MB",
+        machine.outstanding()
+    );
+    for stream in 0..100 {
+        machine.withdraw(Owner { connection: 1, stream });
+    }
+    assert_eq!((machine.outstanding(), machine.open_bytes), (0, 0));
+    for stream in 0..1_000 {
+        let first = machine.begin(NOW, long_chain(stream), &Site);
+        let second = machine.step_ended(NOW, started(&first).owner, served(&[0; LONG]), &Site);
+        machine.step_ended(NOW, started(&second).owner, served(b""), &Site);
+    }
+    let (cached_bytes, key_bytes) = machine.records.byte_counts();
+    assert!(cached_bytes <= 4 << 20 && key_bytes <= 1 << 20, "{cached_bytes} and {key_bytes} bytes");
+    assert_eq!(machine.open_bytes, 0);
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -56,6 +56,9 @@
 /// whatever the policy does. Clients allow 50 ms more than their deadline.
 const DEADLINE_GUARD: Duration = Duration::millis(20);
 
+/// Open chains may take the memory limit divided by this.
+const CHAIN_MEMORY_DIVISOR: usize = 6;
+
 /// The scheduler: it owns the policy and the state of all requests, attempts, load requests and probes under way, and
 /// turns events into commands.
 ///
@@ -145,6 +148,7 @@
     /// Sets the memory that the scheduler may use, in bytes.
     pub fn limit_memory(&mut self, bytes: usize) {
         self.requests.limit_memory(bytes);
+        self.chain_steps.machine.limit_memory(bytes / CHAIN_MEMORY_DIVISOR);
     }
 
     /// Whether a log line caused by a client may be written; counts those that may not.
