--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -30,6 +30,9 @@
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 
+/// Most bytes of the ids of all requests that are open on a connection.
+const MAX_OPEN_ID_BYTES: usize = 32 << 10;
+
 struct OpenRequest {
     id: Value,
     /// The batch whose reply includes this request's response.
@@ -191,7 +194,8 @@
             self.send(batch, error(id, codes::INVALID_REQUEST, "id is in use", None), link);
             return None;
         }
-        if self.open.len() >= MAX_OPEN_REQUESTS || !context.active {
+        let has_room = self.open.len() < MAX_OPEN_REQUESTS && self.has_room_for(id);
+        if !has_room || !context.active {
             let verdict = Verdict::Refused { cooldown: context.core.default_cooldown() };
             context.core.count_rejected_by_listener(class, &verdict);
             self.send(batch, response(id, &Answer { verdict, expired: false }), link);
@@ -201,6 +205,13 @@
         Some(Owner { connection: link.id(), stream: self.next_number - 1 })
     }
 
+    /// Whether this id and those of the open requests are within [`MAX_OPEN_ID_BYTES`].
+    fn has_room_for(&self, id: &Value) -> bool {
+        let byte_count = |id: &Value| id.as_str().map_or(0, str::len);
+        let open_bytes: usize = self.open.values().map(|open| byte_count(&open.id)).sum();
+        open_bytes + byte_count(id) <= MAX_OPEN_ID_BYTES
+    }
+
     fn start_call(
         &mut self,
         id: Value,
--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -342,3 +342,21 @@
     peak_kb = peak_kb.max(own_memory_kb(&daemon));
     assert!(peak_kb < MEMORY_KB, "{peak_kb} kB");
 }
+
+/// Long ids of open JSON-RPC requests are refused like too many requests.
+#[test]
+fn long_ids_of_open_requests_are_bounded() {
+    let worker = Worker::over_tcp();
+    let daemon = Daemon::start_with(&[&worker], settings(), None, |folder| {
+        format!("[jsonrpc]\nsocket = \"{}\"\n", folder.at("calls.sock").display())
+    });
+    worker.serve(|_| None);
+    let mut client = RpcClient::connect(&daemon.folder.at("calls.sock"));
+    for number in 0..8 {
+        let id = json!(format!("{number}{}", "i".repeat(20_000)));
+        client.send(&rpc_call(&id, "practice-check", &format!("{number:016x}"), 20_000, "").to_string());
+    }
+    for _ in 1..8 {
+        assert_eq!(client.next()["error"]["code"], -32001, "one request with so long an id is open");
+    }
+}
