Refuse a chain only if the steps of it that ran may run again

Cause: chain::Machine handed the refusal of its last step on as the answer of the whole chain, and refused chains that ran short of time by itself, without a look at the effects of the steps that had been served. Change: Machine::end_unserved words each end of an open chain by policy::may_client_retry over the steps that ran, in this try or may have in an earlier one; a repeat of an open chain is refused by the same rule. A request of a keyed class without a key counts as fragile in the core (Effect::of_request, Core::finish_request), on all fronts. A chain that must not be repeated is not given up early: a refused step is tried again, ten times at most, and the time left has to cover the next step only. Why it works: every end of a chain passes one place, and every end of a request another, and both ask the decision module.

--- a/src/chain/tests.rs
+++ b/src/chain/tests.rs
@@ -1,5 +1,6 @@
 use super::records::{MAX_MAY_HAVE_RUN, MAY_HAVE_RUN_RETENTION};
 use super::*;
+use crate::interface::Group;
 use proptest::prelude::*;
 
 const NOW: Timestamp = Timestamp(1_000_000_000_000);
@@ -8,12 +9,16 @@
 struct Site;
 
 impl Classes for Site {
-    fn class(&self, name: &str) -> Option<(Duration, Option<Duration>)> {
-        match name {
-            "check" => Some((Duration::millis(1_500), None)),
-            "credit" => Some((Duration::millis(1_000), Some(Duration::millis(6_000)))),
-            _ => None,
-        }
+    fn class(&self, name: &str) -> Option<StepClass> {
+        let keyed = |group| Effect::Keyed { group, window: Duration::millis(6_000) };
+        let (objective_ms, effect) = match name {
+            "check" => (1_500, Effect::Safe),
+            "credit" => (1_000, keyed(Group::All)),
+            "seat" => (1_000, keyed(Group::Cell)),
+            "print" => (1_500, Effect::Unsafe),
+            _ => return None,
+        };
+        Some(StepClass { latency_objective: Duration::millis(objective_ms), effect })
     }
     fn keep_alive(&self) -> Duration {
         Duration::millis(9_000)
@@ -279,7 +284,8 @@
                         prop_assert_eq!(served, end.ran == steps.len());
                     }
                     Action::Prewarm(..) => {}
-                    Action::Withdraw(_) => prop_assert!(false, "no client has left"),
+                    Action::Withdraw(_) | Action::CancelRetry(..) => prop_assert!(false, "no client has left"),
+                    Action::RetryAt(..) => prop_assert!(false, "each of these chains may be repeated"),
                 }
             }
             prop_assert_eq!((machine.outstanding(), running.len()), (unanswered.len(), unanswered.len()));
@@ -351,3 +357,154 @@
     assert!(cached_bytes <= 4 << 20 && key_bytes <= 1 << 20, "{cached_bytes} and {key_bytes} bytes");
     assert_eq!(machine.open_bytes, 0);
 }
+
+fn refused(expired: bool) -> Answer {
+    Answer { verdict: Verdict::Refused { cooldown: Duration::millis(250) }, expired }
+}
+
+/// The first step of a chain and whether a refusal is harmless once it has run.
+const FIRST_STEPS: [(&str, bool, bool); 5] = [
+    // Class, whether the chain has a key, whether it may be repeated.
+    ("check", true, true),
+    ("credit", true, true),
+    ("credit", false, false),
+    ("seat", true, false),
+    ("print", true, false),
+];
+
+fn chain_from(class: &str, has_key: bool, later: Step) -> Chain {
+    let chain = chain(vec![step(class, 1, 0, Some(b"a")), later]);
+    Chain { key: chain.key.filter(|_| has_key), ..chain }
+}
+
+/// A chain whose time is over in a later step is refused only if its steps that ran may run again.
+#[test]
+fn a_chain_is_refused_only_if_the_steps_that_ran_may_run_again() {
+    for (class, has_key, may_repeat) in FIRST_STEPS {
+        let later = || step("check", 2, 0, None);
+        let assert_wording = |end: &End, cause: &str| {
+            let is_refused = matches!(end.answer.verdict, Verdict::Refused { .. });
+            assert_eq!(
+                (is_refused, end.step, end.ran),
+                (may_repeat, 1, 1),
+                "{cause}, {class}, key: {has_key}"
+            );
+        };
+        let mut machine = Machine::default();
+        let first = machine.begin(NOW, chain_from(class, has_key, later()), &Site);
+        let second = machine.step_ended(NOW, started(&first).owner, served(b"1"), &Site);
+        let end = machine.step_ended(NOW, started(&second).owner, refused(true), &Site);
+        assert_wording(ended(&end), "refused at the deadline");
+        // The first step took so long that no time is left for the second.
+        let mut machine = Machine::default();
+        record(&mut machine, "check", 2, 200);
+        let first = machine.begin(NOW, chain_from(class, has_key, later()), &Site);
+        let end =
+            machine.step_ended(NOW + Duration::millis(1_400), started(&first).owner, served(b"1"), &Site);
+        assert_wording(ended(&end), "the time left does not cover the step");
+        assert_eq!(ended(&end).short.map(|short| short.left), Some(Duration::millis(100)));
+    }
+}
+
+/// A chain that its client must not repeat is not given up while it can be served: a refused step is tried again.
+#[test]
+fn a_refused_step_is_tried_again_if_the_chain_must_not_be_repeated() {
+    for (class, has_key, may_repeat) in FIRST_STEPS {
+        let mut machine = Machine::default();
+        let first = machine.begin(NOW, chain_from(class, has_key, step("check", 2, 0, None)), &Site);
+        let second = machine.step_ended(NOW, started(&first).owner, served(b"1"), &Site);
+        let (owner, reference) = (started(&second).owner, started(&second).reference.clone());
+        let actions = machine.step_ended(NOW, owner, refused(false), &Site);
+        if may_repeat {
+            assert!(matches!(ended(&actions).answer.verdict, Verdict::Refused { .. }), "{class}");
+            continue;
+        }
+        let [Action::RetryAt(at, id)] = actions[..] else { panic!("{class}: {actions:?}") };
+        assert_eq!((at, machine.waiting_for_retry()), (NOW + Duration::millis(250), 1));
+        assert!(machine.retry_step(NOW, id, &Site).is_empty(), "too early");
+        let again = machine.retry_step(at, id, &Site);
+        assert_eq!((started(&again).owner, started(&again).body.as_slice()), (owner, &b"1"[..]));
+        assert_ne!(started(&again).reference, reference);
+        let end = machine.step_ended(at, owner, served(b"2"), &Site);
+        assert_eq!((&ended(&end).answer, ended(&end).ran), (&served(b"2"), 2));
+        assert!(machine.retry_step(at, id, &Site).is_empty() && machine.waiting_for_retry() == 0);
+    }
+}
+
+/// The retries of a step end: at the deadline, after a number of them, and when the client leaves.
+#[test]
+fn the_retries_of_a_step_end() {
+    for until_given_up in [false, true] {
+        let mut machine = Machine { until_given_up, ..Machine::default() };
+        let long = Chain {
+            deadline: NOW + Duration::millis(3_600_000),
+            ..chain_from("print", true, step("check", 2, 0, None))
+        };
+        let first = machine.begin(NOW, long, &Site);
+        let second = machine.step_ended(NOW, started(&first).owner, served(b"1"), &Site);
+        let owner = started(&second).owner;
+        let mut now = NOW;
+        let mut retries = 0;
+        let end = loop {
+            let actions = machine.step_ended(now, owner, refused(false), &Site);
+            let [Action::RetryAt(at, id)] = actions[..] else { break actions };
+            now = at;
+            retries += 1;
+            started(&machine.retry_step(now, id, &Site));
+        };
+        assert_eq!(ended(&end).answer.verdict, Verdict::Failed);
+        // A pause is 250 ms; the deadline is 1.5 s after the start, unless the chain may take until it is given up.
+        assert_eq!(retries, if until_given_up { MAX_STEP_RETRIES } else { 5 });
+    }
+    let mut machine = Machine::default();
+    let first = machine.begin(NOW, chain_from("print", true, step("check", 2, 0, None)), &Site);
+    let second = machine.step_ended(NOW, started(&first).owner, served(b"1"), &Site);
+    let actions = machine.step_ended(NOW, started(&second).owner, refused(false), &Site);
+    let [Action::RetryAt(at, id)] = actions[..] else { panic!("{actions:?}") };
+    assert!(
+        matches!(machine.withdraw(OWNER)[..], [Action::CancelRetry(cancelled, of)] if (cancelled, of) == (at, id))
+    );
+    assert!(machine.retry_step(at, id, &Site).is_empty());
+}
+
+/// While a chain is in progress, its repeat is refused only if all of its steps may run again.
+#[test]
+fn a_repeat_of_an_open_chain_is_refused_only_if_its_steps_may_run_again() {
+    for (class, has_key, may_repeat) in FIRST_STEPS.into_iter().filter(|(_, has_key, _)| *has_key) {
+        let mut machine = Machine::default();
+        let twice = || chain_from(class, has_key, step("check", 2, 0, None));
+        started(&machine.begin(NOW, twice(), &Site));
+        let repeat = machine.begin(NOW, twice(), &Site);
+        let is_refused = matches!(ended(&repeat).answer.verdict, Verdict::Refused { .. });
+        assert_eq!(is_refused, may_repeat, "{class}");
+    }
+}
+
+/// A step that may have run in an earlier try counts in the next try as well.
+#[test]
+fn a_step_that_may_have_run_earlier_decides_whether_a_repeat_is_refused() {
+    for (class, may_repeat) in [("credit", true), ("seat", false)] {
+        let mut machine = Machine::default();
+        let steps = vec![step("check", 1, 0, Some(b"a")), step(class, 2, 0, None)];
+        machine.may_have_run(NOW, "k.1", NOW);
+        let first = machine.begin(NOW, chain(steps), &Site);
+        let end = machine.step_ended(NOW, started(&first).owner, refused(true), &Site);
+        let is_refused = matches!(ended(&end).answer.verdict, Verdict::Refused { .. });
+        assert_eq!(is_refused, may_repeat, "{class}");
+    }
+}
+
+/// A chain that must not be repeated goes on while the time covers its next step, though not all steps after it.
+#[test]
+fn a_chain_that_must_not_be_repeated_goes_on_while_the_next_step_is_covered() {
+    for (class, goes_on) in [("check", false), ("print", true)] {
+        let mut machine = Machine::default();
+        for function in [2, 3] {
+            record(&mut machine, "check", function, 500);
+        }
+        let steps = vec![step(class, 1, 0, Some(b"")), step("check", 2, 0, None), step("check", 3, 0, None)];
+        let first = machine.begin(NOW, chain(steps), &Site);
+        let all = machine.step_ended(NOW + Duration::millis(700), started(&first).owner, served(b""), &Site);
+        assert_eq!(matches!(all[0], Action::Start(_)), goes_on, "{class}: {all:?}");
+    }
+}
--- a/src/core/accepted_requests.rs
+++ b/src/core/accepted_requests.rs
@@ -1,6 +1,7 @@
 //! Requests that were accepted and have no final answer yet, indexed by id, by owner and by the client's reference.
 
 use crate::interface::{Effect, FunctionId, RequestId, Timestamp};
+use crate::policy::may_client_retry;
 use crate::request::{Owner, RequestPayload};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
@@ -24,6 +25,13 @@
     pub(super) first_written: Option<WrittenAttempt>,
 }
 
+impl AcceptedRequest {
+    /// Whether its client may safely repeat it, given the attempts so far.
+    pub(super) fn may_client_retry(&self) -> bool {
+        may_client_retry(self.effect, self.first_written.is_some())
+    }
+}
+
 /// An attempt that was completely written to its worker, so that it may have run.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct WrittenAttempt {
--- a/src/core/chain_steps.rs
+++ b/src/core/chain_steps.rs
@@ -1,8 +1,9 @@
 //! Chains, whose steps are submitted as requests of the core.
 
 use super::accepted_requests::AcceptedRequest;
+use super::timers::Timer;
 use super::{Answer, Command, Core, Owner, Verdict};
-use crate::chain::{self, Chain, Classes};
+use crate::chain::{self, Chain, ChainId, Classes, StepClass};
 use crate::interface::*;
 use crate::settings::Site;
 use std::collections::VecDeque;
@@ -72,6 +73,10 @@
                 self.loads.called.record(now, function);
                 self.process_event(now, Event::Wanted(function, memory_mb));
             }
+            chain::Action::RetryAt(at, id) => self.timers.set(at, Timer::ChainStep(id)),
+            chain::Action::CancelRetry(at, id) => {
+                self.timers.cancel(at, Timer::ChainStep(id));
+            }
             chain::Action::Finish(owner, end) => {
                 match (&end.answer.verdict, end.short) {
                     (Verdict::Served(_), _) => self.counters.chains_served += 1,
@@ -83,6 +88,12 @@
         }
     }
 
+    /// Tries a step of a chain again that was refused.
+    pub(super) fn retry_chain_step(&mut self, now: Timestamp, id: ChainId) {
+        let actions = self.chain_steps.machine.retry_step(now, id, &self.site);
+        self.run_chains(now, actions);
+    }
+
     /// Records in its chain that a step which ended unserved may have run, if it may have.
     pub(super) fn record_unserved_step(&mut self, now: Timestamp, accepted: Option<&AcceptedRequest>) {
         let Some(accepted) = accepted.filter(|accepted| accepted.owner.connection == chain::STEP_CONNECTION)
@@ -98,13 +109,9 @@
 }
 
 impl Classes for Site {
-    fn class(&self, name: &str) -> Option<(Duration, Option<Duration>)> {
+    fn class(&self, name: &str) -> Option<StepClass> {
         let class = &self.settings.classes[Site::class(self, name)?];
-        let window = match class.effect {
-            Effect::Keyed { window, .. } => Some(window),
-            _ => None,
-        };
-        Some((class.latency_objective, window))
+        Some(StepClass { latency_objective: class.latency_objective, effect: class.effect })
     }
 
     fn keep_alive(&self) -> Duration {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -178,7 +178,7 @@
 
     /// Requests that have no final answer yet.
     pub fn outstanding(&self) -> usize {
-        self.requests.len()
+        self.requests.len() + self.chain_steps.machine.waiting_for_retry()
     }
 
     /// Removes and returns the next command.
@@ -232,6 +232,7 @@
                 Timer::Request(id) => self.fail_overdue(now, id),
                 Timer::Attempt(id) => self.time_out_attempt(now, id),
                 Timer::Probe(id) => self.end_probe(id, Status::Timeout, vec![]),
+                Timer::ChainStep(id) => self.retry_chain_step(now, id),
                 Timer::Load(id) => {
                     self.end_load(now, id, LoadResult { status: Status::Timeout, instances: 0 });
                 }
--- a/src/core/timers.rs
+++ b/src/core/timers.rs
@@ -1,5 +1,6 @@
 //! The core's timers, ordered by expiry.
 
+use crate::chain::ChainId;
 use crate::interface::{RequestId, Timestamp};
 use crate::request::{AttemptId, LoadId, ProbeId};
 use std::collections::BTreeSet;
@@ -17,6 +18,8 @@
     Load(LoadId),
     /// A probe's deadline.
     Probe(ProbeId),
+    /// The time at which a refused step of a chain is tried again.
+    ChainStep(ChainId),
 }
 
 /// A timer with its expiry; ordered by expiry, then by purpose.
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -164,7 +164,7 @@
         let invalid =
             params.steps.iter().enumerate().find_map(|(n, step)| match classes.class(&step.class) {
                 None => Some(format!("steps[{n}]: the class is not known")),
-                Some((_, Some(_))) if params.key.is_none() => {
+                Some(class) if class.window().is_some() && params.key.is_none() => {
                     Some(format!("steps[{n}]: its class needs a key"))
                 }
                 Some(_) => None,
--- a/src/front/jsonrpc/codec.rs
+++ b/src/front/jsonrpc/codec.rs
@@ -246,11 +246,10 @@
 
 /// The response with a chain's result.
 pub fn chain_response(id: &Value, end: &End) -> Value {
+    let ms = |span: Duration| span.0.div_ceil(1_000_000);
     let mut reply = match (&end.answer.verdict, end.short) {
-        (Verdict::Refused { cooldown }, Some(short)) => {
-            let ms = |span: Duration| span.0.div_ceil(1_000_000);
-            let data =
-                json!({"cooldown_ms": ms(*cooldown), "left_ms": ms(short.left), "need_ms": ms(short.need)});
+        (Verdict::Refused { cooldown }, Some(_)) => {
+            let data = json!({"cooldown_ms": ms(*cooldown)});
             error(id, codes::STOPPED, "the time left does not cover the steps left", Some(data))
         }
         _ if end.unknown => {
@@ -259,6 +258,10 @@
         _ => response(id, &end.answer),
     };
     if let Some(error) = reply.get_mut("error") {
+        if let Some(short) = end.short {
+            error["data"]["left_ms"] = json!(ms(short.left));
+            error["data"]["need_ms"] = json!(ms(short.need));
+        }
         error["data"]["step"] = json!(end.step);
         error["data"]["ran"] = json!(end.ran);
     }
--- a/src/interface/settings.rs
+++ b/src/interface/settings.rs
@@ -26,6 +26,16 @@
     Unsafe,
 }
 
+impl Effect {
+    /// The effect of a request of the class: without its key, workers cannot recognize a repeat.
+    pub fn of_request(self, has_key: bool) -> Effect {
+        match self {
+            Effect::Keyed { .. } if !has_key => Effect::Unsafe,
+            effect => effect,
+        }
+    }
+}
+
 /// Workers that drop duplicates of each other's keyed requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Group {
--- a/src/policy/lifecycle.rs
+++ b/src/policy/lifecycle.rs
@@ -10,8 +10,8 @@
 pub(super) const PLACEMENT_RETRY_DELAY: Duration = Duration::millis(40);
 /// Upper bound of the Retry-After given to a client whose request is rejected.
 const MAX_RETRY_AFTER: Duration = Duration::millis(250);
-/// Share of its latency objective within which a withdrawn request does not count as demand for its function: no client
-/// that wants an answer gives up so soon.
+/// Share of its latency objective within which a withdrawn request does not count as demand for its function:
+/// no client that wants an answer gives up so soon.
 const EARLY_WITHDRAWAL_SHARE: f64 = 0.1;
 /// Lower bound on the latency objective that a latency is divided by, in seconds.
 const MIN_OBJECTIVE_S: f64 = 0.001;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -42,6 +42,7 @@
 pub(crate) use recent::EventTimes;
 use recent::RecentEvents;
 use requests::Requests;
+pub use retry::may_client_retry;
 use slow_start::SlowStart;
 pub use table_sizes::PolicyTableSizes;
 use timer_queue::TimerQueue;
--- a/src/policy/popularity.rs
+++ b/src/policy/popularity.rs
@@ -150,8 +150,8 @@
         }
     }
 
-    /// Forgets idle functions beyond the bounds: of those that were never served, and of those that were, the least
-    /// called.
+    /// Forgets idle functions beyond the bounds: of those that were never served, and of those that were, the
+    /// least called.
     fn bound_idle_functions(&mut self) {
         if self.functions.len() < self.check_at {
             return;
@@ -161,8 +161,8 @@
         self.check_at = self.functions.len() + FUNCTIONS_PER_CHECK;
     }
 
-    /// Forgets the least called idle functions except `kept` of them, those not called for longest first; only served
-    /// functions or only others.
+    /// Forgets the least called idle functions until `kept` are left, those not called for longest first;
+    /// either only served functions, or only others.
     fn forget_least_called(&mut self, is_served: bool, kept: usize) {
         let idle = self
             .functions
@@ -225,8 +225,8 @@
         self.check_at = self.check_at.min(self.functions.len() + FUNCTIONS_PER_CHECK);
     }
 
-    /// Returns the most called functions that fit into the memory for gold functions. One of which no request was
-    /// served may be a name that no worker knows.
+    /// Returns the most called functions that fit into the memory for gold functions. One of which no request
+    /// was served may be a name that no worker knows.
     fn most_called(&self, worker_memory_mb: &[f64]) -> BTreeSet<FunctionId> {
         let is_called =
             |function: &Function| function.is_served && function.requests() >= MIN_SILVER_REQUESTS;
--- a/src/policy/recent.rs
+++ b/src/policy/recent.rs
@@ -25,8 +25,8 @@
         self.add_within(at, Duration(0));
     }
 
-    /// Adds an event of a kind of which peers may cause any number. Once [`MAX_EXACT_TIMES`] are remembered, it
-    /// may count as up to [`MERGE_INTERVAL`] earlier than it was.
+    /// Adds an event of a kind of which peers may cause any number. Once [`MAX_EXACT_TIMES`] are remembered,
+    /// it may count as up to [`MERGE_INTERVAL`] earlier than it was.
     pub fn add_merged(&mut self, at: Timestamp) {
         let is_crowded = self.0.len() >= MAX_EXACT_TIMES;
         self.add_within(at, if is_crowded { MERGE_INTERVAL } else { Duration(0) });
--- a/src/policy/timer_queue.rs
+++ b/src/policy/timer_queue.rs
@@ -35,7 +35,7 @@
     }
 
     /// Removes the timers that are of no use any more, if the queue has doubled since the last sweep: their
-    /// number stays below that of the useful ones, or [`MIN_SWEPT_TIMERS`], at a constant cost for each timer.
+    /// number stays below that of the useful ones, or [`MIN_SWEPT_TIMERS`], at a constant cost each.
     pub fn sweep(&mut self, is_useful: impl Fn(&T) -> bool) {
         if self.entries.len() < self.sweep_at {
             return;
--- a/src/request.rs
+++ b/src/request.rs
@@ -223,6 +223,11 @@
     pub expired: bool,
 }
 
+impl Answer {
+    /// Failed before the deadline.
+    pub const FAILED: Answer = Answer { verdict: Verdict::Failed, expired: false };
+}
+
 /// Why a connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CloseCause {
--- a/tests/chain.rs
+++ b/tests/chain.rs
@@ -223,3 +223,100 @@
     assert_eq!(client.next()["result"]["body"], "Yg==");
     assert!(workers[home].received_nothing());
 }
+
+/// Settings with a further class that must never run twice.
+fn settings_with_fragile_class() -> Value {
+    let mut settings = settings();
+    let mut fragile = settings["classes"][0].clone();
+    fragile["name"] = json!("certificate-print");
+    fragile["effect"] = json!("fragile");
+    settings["classes"].as_array_mut().unwrap().push(fragile);
+    settings
+}
+
+/// A chain whose time is up after its fragile step has run is told 'failed': a client that is told 'refused' comes again,
+/// and the step runs twice.
+#[test]
+fn a_chain_is_not_refused_after_its_fragile_step_has_run() {
+    let worker = Worker::over_tcp();
+    let daemon = Daemon::start_with(&[&worker], settings_with_fragile_class(), None, |folder| {
+        format!("[jsonrpc]\nsocket = \"{}\"\n", folder.at("calls.sock").display())
+    });
+    // The second step's checker never comes up.
+    let lines = worker.serve(|heard| {
+        let is_print = heard.line["attrs"]["name"] == "00000000000000a1";
+        (heard.verb() == "go" && is_print).then(|| ("200", "YQ==".to_owned()))
+    });
+    let mut client = RpcClient::connect(&daemon.folder.at("calls.sock"));
+    let steps = vec![
+        step("certificate-print", "00000000000000a1", json!({"body": "YQ=="})),
+        step("practice-check", "00000000000000a2", json!({"previous": true})),
+    ];
+    client.send(&chain(1, steps).to_string());
+    let error = client.next()["error"].clone();
+    assert_eq!((&error["code"], &error["data"]["outcome"]), (&json!(-32003), &json!("failed")), "{error}");
+    assert_eq!((&error["data"]["step"], &error["data"]["ran"]), (&json!(1), &json!(1)), "{error}");
+    let prints =
+        lines.0.lock().unwrap().iter().filter(|line| line["attrs"]["name"] == "00000000000000a1").count();
+    assert_eq!(prints, 1);
+}
+
+/// A momentary refusal of a later step does not end a chain whose fragile step has run: the step is tried again.
+#[test]
+fn a_chain_with_a_fragile_step_survives_rejections_of_a_later_step() {
+    let worker = Worker::over_tcp();
+    let mut settings = settings_with_fragile_class();
+    for class in settings["classes"].as_array_mut().unwrap() {
+        class["objectiveNs"] = json!(20_000_000_000u64);
+        class["deadlineNs"] = json!(30_000_000_000u64);
+    }
+    let daemon = Daemon::start_with(&[&worker], settings, None, |folder| {
+        format!("[jsonrpc]\nsocket = \"{}\"\n", folder.at("calls.sock").display())
+    });
+    let most_tries = 3;
+    let count = std::sync::atomic::AtomicUsize::new(0);
+    worker.serve(move |heard| {
+        let is_later = heard.line["attrs"]["name"] == "00000000000000a2";
+        match heard.verb() {
+            "go" if is_later && count.fetch_add(1, std::sync::atomic::Ordering::Relaxed) < most_tries => {
+                Some(("500", String::new()))
+            }
+            "go" | "stage" => Some(("200", "YQ==".to_owned())),
+            _ => None,
+        }
+    });
+    let mut client = RpcClient::connect(&daemon.folder.at("calls.sock"));
+    let steps = vec![
+        step("certificate-print", "00000000000000a1", json!({"body": "YQ=="})),
+        step("practice-check", "00000000000000a2", json!({"previous": true})),
+    ];
+    client.send(&chain(1, steps).to_string());
+    let answer = client.next();
+    assert_eq!(answer["result"]["body"], "YQ==", "{answer}");
+    assert_eq!((daemon.counter("chains_served"), daemon.counter("chains_failed")), (1, 0));
+}
+
+/// A request of a keyed class without its key may not run twice, and is not told that a repeat is harmless after it may
+/// have run: JSON-RPC and binary front.
+#[test]
+fn a_keyed_request_without_a_key_is_not_refused_after_it_may_have_run() {
+    let worker = Worker::over_tcp();
+    let (daemon, mut client) = daemon(&worker);
+    let mut call = rpc_call(&json!(1), "credit-submit", "00000000000000c1", 3_000, "YQ==");
+    call["params"].as_object_mut().unwrap().remove("key");
+    client.send(&call.to_string());
+    let first = worker.next();
+    assert_eq!(first.verb(), "go");
+    first.end();
+    let answer = client.next();
+    assert_eq!(answer["error"]["code"], -32002, "{answer}");
+    let mut client = FrameClient::connect(daemon.listen);
+    let fields =
+        [("service", "credit-submit"), ("ref", "00000000000000c2"), ("allow", "3000"), ("lookup", FUNCTION)];
+    client.send(&frame(0, 1, &request(&fields, b"x")));
+    let second = worker.next();
+    assert_eq!((second.verb(), second.request_id().as_str()), ("go", "00000000000000c2"));
+    second.end();
+    assert_eq!(client.next(), Some((1, 1, vec![69, 0])));
+    assert!(worker.received_nothing(), "no second attempt");
+}
