Do not place requests that are withdrawn in the input that brought them

Cause: each request was placed as it was read, so it took a worker's capacity until the withdrawal a few frames further on was read; with 32 requests on each of 60 connections all workers were full for usual calls. Each cost a placement and its undoing as well. Change: the fronts enqueue what they read, and Reactor::invoke submits it when the connection's input has been read (Core::submit_enqueued); a withdrawal removes what is still enqueued. Requests withdrawn so count as taken and withdrawn as before. Why it works: what nobody waits for any more when the input ends never reaches the policy.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -12,6 +12,7 @@
 mod command;
 pub mod cordons;
 mod counters;
+mod enqueued;
 pub mod figures;
 mod fleet_leases;
 mod invariants;
@@ -41,6 +42,7 @@
 use accepted_requests::AcceptedRequests;
 use chain_steps::ChainSteps;
 use command::{Attempt, Probe};
+use enqueued::EnqueuedWork;
 use figures::Figures;
 use fleet_leases::FleetLeases;
 use invariants::InvariantChecks;
@@ -93,6 +95,8 @@
     /// Commands that the adapter has not fetched yet.
     commands: VecDeque<Command>,
     timers: Timers,
+    /// What the current callback of a front has read.
+    enqueued: Vec<EnqueuedWork>,
     requests: AcceptedRequests,
     attempts: BTreeMap<AttemptId, Attempt>,
     loads: LoadRequests,
@@ -123,6 +127,7 @@
             backlog: VecDeque::new(),
             commands: VecDeque::new(),
             timers: Timers::default(),
+            enqueued: Vec::new(),
             requests: AcceptedRequests::default(),
             attempts: BTreeMap::new(),
             loads: LoadRequests::default(),
@@ -211,6 +216,9 @@
 
     /// The client of this request or chain has withdrawn it or disconnected.
     pub fn withdraw(&mut self, now: Timestamp, owner: Owner) {
+        if self.withdraw_enqueued(owner) {
+            return;
+        }
         let Some(id) = self.requests.id_of(owner) else {
             let actions = self.chain_steps.machine.withdraw(owner);
             return self.run_chains(now, actions);
--- a/src/front/frames.rs
+++ b/src/front/frames.rs
@@ -298,7 +298,7 @@
                     }
                     Ok(call) => {
                         self.open.insert(frame.stream);
-                        context.core.submit(context.now, call);
+                        context.core.enqueue(call);
                         return Ok(());
                     }
                     Err(_) => (None, Verdict::Failed),
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -175,9 +175,8 @@
         }
         self.open.insert(owner.stream, OpenRequest { id, batch });
         let ChainParams { steps, allow_ms, key } = params;
-        context
-            .core
-            .chain(context.now, Chain { owner, key, deadline: deadline(arrived(link), allow_ms), steps });
+        let deadline = deadline(arrived(link), allow_ms);
+        context.core.enqueue_chain(Chain { owner, key, deadline, steps });
     }
 
     /// Reserves a stream number for a request or a chain. If it cannot be accepted, sends the error response.
@@ -224,21 +223,18 @@
         self.open.insert(owner.stream, OpenRequest { id, batch });
         let generated = || format!("{:08x}{:08x}", owner.connection as u32, owner.stream as u32);
         let Step { class, function, memory_mb, concurrency, load_time, body } = params.step;
-        context.core.submit(
-            context.now,
-            IncomingRequest {
-                owner,
-                reference: params.reference.unwrap_or_else(generated),
-                class,
-                function,
-                key: params.key,
-                memory_mb,
-                concurrency,
-                load_time,
-                deadline: deadline(arrived(link), params.allow_ms),
-                body: body.unwrap_or_default(),
-            },
-        );
+        context.core.enqueue(IncomingRequest {
+            owner,
+            reference: params.reference.unwrap_or_else(generated),
+            class,
+            function,
+            key: params.key,
+            memory_mb,
+            concurrency,
+            load_time,
+            deadline: deadline(arrived(link), params.allow_ms),
+            body: body.unwrap_or_default(),
+        });
     }
 
     /// Sends the response of a request or a chain that has ended, unless it was withdrawn.
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -316,6 +316,7 @@
                 entry.read_all(ControlFlow::Continue, &mut ReadBudget::default(), context);
                 flow = ControlFlow::Close;
             }
+            context.core.submit_enqueued(context.now);
             flow
         }));
         let flow = flow.unwrap_or_else(|_| {
--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -360,3 +360,27 @@
         assert_eq!(client.next()["error"]["code"], -32001, "one request with so long an id is open");
     }
 }
+
+/// A request that is withdrawn in the input that brought it is never placed: hundreds of them would take the workers'
+/// capacity from usual clients. Binary and JSON-RPC front.
+#[test]
+fn requests_withdrawn_in_the_same_input_are_not_placed() {
+    let worker = Worker::over_tcp();
+    let daemon = Daemon::start_with(&[&worker], settings(), None, |folder| {
+        format!("[jsonrpc]\nsocket = \"{}\"\n", folder.at("calls.sock").display())
+    });
+    let mut frames = FrameClient::connect(daemon.listen);
+    let withdrawn = frame(0, 1, &call("practice-check", "00000000000000a1", 2_000, b"x"));
+    let kept = frame(0, 2, &call("practice-check", "00000000000000a2", 2_000, b"y"));
+    frames.send(&[withdrawn, kept, frame(2, 1, &[])].concat());
+    let mut lines = RpcClient::connect(&daemon.folder.at("calls.sock"));
+    let withdrawn = rpc_call(&json!(1), "practice-check", "00000000000000b1", 2_000, "");
+    let kept = rpc_call(&json!(2), "practice-check", "00000000000000b2", 2_000, "eQ==");
+    let cancel = json!({"jsonrpc": "2.0", "method": "cancel", "params": {"id": 1}});
+    lines.send(&format!("{withdrawn}\n{kept}\n{cancel}"));
+    worker.serve(echo);
+    assert_eq!(frames.next(), Some((1, 2, vec![79, 0, b'y'])));
+    assert_eq!(lines.next()["error"]["code"], -32004);
+    assert_eq!(lines.next()["result"]["body"], "eQ==");
+    assert_eq!((daemon.counter("taken"), daemon.counter("withdrawn"), daemon.counter("attempts")), (4, 2, 2));
+}
