Bound the reserved IDs of ended attempts over all connections

Callers would see a scheduler over its limit: an ended attempt's ID stays reserved on its connection for 10 s, 1,024 of them on each, some 100 bytes each; with 660 connections 67 MB, for a limit of 32 to 192. Change: the pool divides 65,536 IDs among the connections that workers may have, at least 128 and at most 1,024 each. Result: pool::tests::reserved_ids_are_divided_among_the_connections.

--- a/src/backend/connection.rs
+++ b/src/backend/connection.rs
@@ -24,8 +24,8 @@
 /// How long the ID of an ended attempt stays reserved on its connection, because a late answer may still arrive.
 /// Clients may withdraw hundreds of requests, so the number of reserved IDs is limited as well.
 const ENDED_RID_RETENTION: Duration = Duration::millis(10_000);
-/// Most IDs of ended attempts that stay reserved on one connection.
-const MAX_ENDED_RIDS: usize = 1024;
+/// Most IDs of ended attempts that stay reserved on one connection, unless the pool sets a lower limit.
+pub(super) const MAX_ENDED_RIDS: usize = 1024;
 /// A request whose line has not been written completely after this time is withdrawn. The line carries the time that
 /// was left when it was made, which may exceed the actual time left by 150 ms at most.
 const WRITE_TIMEOUT: Duration = Duration::millis(100);
@@ -91,6 +91,7 @@
     last_used: Timestamp,
     /// Reserved IDs of ended attempts, oldest first.
     ended_rids: VecDeque<(Timestamp, String)>,
+    max_ended_rids: usize,
     /// The outstanding probe and the time at which it fails.
     probe_deadline: Option<(Timestamp, ProbeId)>,
     /// When the first byte of the incomplete input line was read.
@@ -124,6 +125,7 @@
             connect_deadline: Some(connect_deadline),
             last_used: connect_deadline,
             ended_rids: VecDeque::new(),
+            max_ended_rids: MAX_ENDED_RIDS,
             probe_deadline: None,
             line_started: None,
             searched_bytes: 0,
@@ -132,6 +134,11 @@
         }
     }
 
+    /// Limits the IDs of ended attempts that stay reserved.
+    pub fn limit_ended_rids(&mut self, max_ended_rids: usize) {
+        self.max_ended_rids = max_ended_rids;
+    }
+
     fn load_rid(load: LoadId) -> String {
         format!("load-{}{}", load.number, Fenced::suffix(load.lease))
     }
@@ -340,7 +347,7 @@
     }
 
     fn drop_ended_rids(&mut self, now: Timestamp) {
-        let excess = self.ended_rids.len().saturating_sub(MAX_ENDED_RIDS);
+        let excess = self.ended_rids.len().saturating_sub(self.max_ended_rids);
         let mut expired =
             self.ended_rids.iter().position(|(at, _)| *at + ENDED_RID_RETENTION >= now).unwrap_or(usize::MAX);
         expired = expired.min(self.ended_rids.len()).max(excess);
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -1,5 +1,6 @@
 //! The pool of connections to workers.
 
+use super::connection::MAX_ENDED_RIDS;
 use super::{Codec, ConnectionLimits, Job, WorkerConnection};
 use crate::core::{Command, Core};
 use crate::interface::{Duration, Timestamp, WorkerId};
@@ -20,6 +21,10 @@
 /// cannot be decoded, or one reset, fails everything that is open on its connection.
 const REQUESTS_PER_CONNECTION: usize = 1;
 
+/// IDs of ended attempts that may stay reserved on all connections together.
+const MAX_TOTAL_ENDED_RIDS: usize = 1 << 16;
+/// The same on each connection, however many connections there may be.
+const MIN_ENDED_RIDS: usize = 128;
 /// Entries of attempts below which none is dropped.
 const MIN_FORGOTTEN_ATTEMPTS: usize = 8192;
 
@@ -96,6 +101,17 @@
         (FLEET_CONNECTIONS_PER_WORKER / fleet_size.max(1) as usize).clamp(1, MAX_CONNECTIONS_PER_WORKER)
     }
 
+    /// Descriptors for connections to workers; clients may hold a third of all.
+    fn worker_descriptors(max_descriptors: usize) -> usize {
+        max_descriptors * 2 / 3
+    }
+
+    /// IDs of ended attempts that may stay reserved on each connection.
+    fn ended_rids_per_connection(max_descriptors: usize) -> usize {
+        let connections = Pool::worker_descriptors(max_descriptors).max(1);
+        (MAX_TOTAL_ENDED_RIDS / connections).clamp(MIN_ENDED_RIDS, MAX_ENDED_RIDS)
+    }
+
     /// Sets new limits. Existing connections keep those with which they were opened.
     pub fn configure(&mut self, limits: ConnectionLimits, connect_timeout: Duration, max_descriptors: usize) {
         (self.limits, self.connect_timeout, self.max_descriptors) =
@@ -200,9 +216,10 @@
         reactor: &mut Reactor,
         core: &mut Core,
     ) -> Option<u64> {
-        // Clients may hold a third of the descriptors; the rest is shared equally by the workers.
-        self.target_connections =
-            (self.max_descriptors * 2 / 3 / self.workers.len().max(1)).clamp(1, self.limits.max_connections);
+        // The descriptors of workers are shared equally by them.
+        self.target_connections = (Pool::worker_descriptors(self.max_descriptors)
+            / self.workers.len().max(1))
+        .clamp(1, self.limits.max_connections);
         let pooled = self.workers.get_mut(&worker)?;
         pooled.connections.retain(|id| reactor.inspect(*id, |_| ()).is_some());
         let load = |id: &u64| {
@@ -229,8 +246,9 @@
             Endpoint::Unix(path) => (reactor.connect_unix(path), &self.json_rpc),
         };
         let connect_deadline = reactor.after(self.connect_timeout);
-        let connection = Box::new(WorkerConnection::new(codec.clone(), self.limits, connect_deadline));
-        let id = reactor.add(stream.ok()?, connection, false, super::BUFFER_LIMITS, core)?;
+        let mut connection = WorkerConnection::new(codec.clone(), self.limits, connect_deadline);
+        connection.limit_ended_rids(Pool::ended_rids_per_connection(self.max_descriptors));
+        let id = reactor.add(stream.ok()?, Box::new(connection), false, super::BUFFER_LIMITS, core)?;
         pooled.connections.push(id);
         Some(id)
     }
--- a/src/backend/pool/tests.rs
+++ b/src/backend/pool/tests.rs
@@ -67,3 +67,10 @@
     std::thread::sleep(std::time::Duration::from_nanos(MAX_WRITE_TIME.0));
     assert!(period.is_over(&reactor));
 }
+
+/// Whatever the limit on descriptors, the IDs reserved on all connections to workers are bounded.
+#[test]
+fn reserved_ids_are_divided_among_the_connections() {
+    let shares = [16, 96, 224, 992, 100_000].map(Pool::ended_rids_per_connection);
+    assert_eq!(shares, [1024, 1024, 439, 128, 128]);
+}
