Word the answer of a keyless request by its key alone, and send it as before

Change: AcceptedRequest keeps the effect of its class; only may_client_retry, which words the answer, takes the key into account.

--- a/src/core/accepted_requests.rs
+++ b/src/core/accepted_requests.rs
@@ -28,7 +28,8 @@
 impl AcceptedRequest {
     /// Whether its client may safely repeat it, given the attempts so far.
     pub(super) fn may_client_retry(&self) -> bool {
-        may_client_retry(self.effect, self.first_written.is_some())
+        let effect = self.effect.of_request(self.work.key.is_some());
+        may_client_retry(effect, self.first_written.is_some())
     }
 }
 
--- a/src/core/admission.rs
+++ b/src/core/admission.rs
@@ -82,7 +82,7 @@
         let accepted = AcceptedRequest {
             owner: incoming.owner,
             class,
-            effect: self.site.settings.classes[class].effect.of_request(incoming.key.is_some()),
+            effect: self.site.settings.classes[class].effect,
             deadline: incoming.deadline,
             attempts: 0,
             first_written: None,
