Split the chain's types and the reactor's connection entries into files of their own

Change: chain/types.rs holds what goes into the machine and comes out, net/reactor/entry.rs a connection as the reactor keeps it with the budget of what is read. No behaviour changes.

--- a/src/chain/mod.rs
+++ b/src/chain/mod.rs
@@ -3,6 +3,9 @@
 
 pub mod estimate;
 mod records;
+mod types;
+
+pub use types::{Action, Chain, ChainId, Classes, End, Short, Step, StepClass};
 
 use crate::interface::{DEDUP_WINDOW_MARGIN, Duration, Effect, FunctionId, Timestamp};
 use crate::policy::may_client_retry;
@@ -15,142 +18,14 @@
 pub const MAX_STEPS: usize = 8;
 /// The connection number of the requests that steps are submitted as. No front's connection has it.
 pub const STEP_CONNECTION: u64 = u64::MAX;
-/// Position of the number of a step's try in the number that its reference is made from, above all owners' numbers.
-const STEP_TRY_SHIFT: u32 = 48;
-/// Memory in bytes that open chains may take until [`Machine::limit_memory`] is called.
-const DEFAULT_MEMORY_LIMIT: usize = 32 << 20;
-
-/// A step as the client specifies it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Step {
-    /// Name of the class.
-    pub class: String,
-    /// The function called.
-    pub function: FunctionId,
-    /// Memory of one instance, in MB.
-    pub memory_mb: f64,
-    /// Requests that one instance runs at a time.
-    pub concurrency: f64,
-    /// Usual time of a load, if the client gave one.
-    pub load_time: Option<Duration>,
-    /// The body; `None` if the previous step's answer is the body.
-    pub body: Option<Vec<u8>>,
-}
-
-impl Step {
-    /// Bytes of the class's name and the body.
-    fn byte_count(&self) -> usize {
-        self.class.len() + self.body.as_ref().map_or(0, Vec::len)
-    }
-}
-
-/// A chain as a front has parsed it.
-#[derive(Clone, Debug)]
-pub struct Chain {
-    /// The client's request that the final answer belongs to.
-    pub owner: Owner,
-    /// Idempotency key, the same for all retries of the chain.
-    pub key: Option<String>,
-    /// When the client gives up.
-    pub deadline: Timestamp,
-    /// The steps, at least one.
-    pub steps: Vec<Step>,
-}
-
-impl Chain {
-    /// Bytes of the key and the steps.
-    fn byte_count(&self) -> usize {
-        let step_bytes: usize = self.steps.iter().map(Step::byte_count).sum();
-        self.key.as_ref().map_or(0, String::len) + step_bytes
-    }
-}
-
-/// How a chain ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct End {
-    /// The answer of the last step that was started, or the reason why no further step was started.
-    pub answer: Answer,
-    /// The index of the step that the chain ended at.
-    pub step: usize,
-    /// Number of steps that were served.
-    pub ran: usize,
-    /// Whether that step was not sent because it may have run in an earlier try and its key no longer prevents a
-    /// second run.
-    pub unknown: bool,
-    /// Set if that step was not started because the time left does not cover it and all steps after it.
-    pub short: Option<Short>,
-}
-
-impl End {
-    /// The end of a chain at this step, which was not served.
-    fn at(step: usize, answer: Answer) -> End {
-        End { answer, step, ran: step, unknown: false, short: None }
-    }
-}
-
-/// The time that was left, and the time that was needed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Short {
-    /// Time until the deadline.
-    pub left: Duration,
-    /// Estimated time of the step and all steps after it.
-    pub need: Duration,
-}
-
 /// Most times that a refused step is tried again.
 const MAX_STEP_RETRIES: u64 = 10;
 /// Shortest pause before a refused step is tried again.
 const MIN_STEP_RETRY_PAUSE: Duration = Duration::millis(50);
-
-/// A chain in progress.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct ChainId(u64);
-
-/// What the machine needs to know of a class.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct StepClass {
-    /// The latency objective.
-    pub latency_objective: Duration,
-    /// Whether its requests may be repeated.
-    pub effect: Effect,
-}
-
-impl StepClass {
-    /// The deduplication window, if the class is keyed.
-    pub fn window(&self) -> Option<Duration> {
-        match self.effect {
-            Effect::Keyed { window, .. } => Some(window),
-            Effect::Safe | Effect::Unsafe => None,
-        }
-    }
-}
-
-/// An action that the caller carries out for a chain.
-#[derive(Debug)]
-pub enum Action {
-    /// Submit a step as this request; its answer goes to [`Machine::step_ended`].
-    Start(IncomingRequest),
-    /// Withdraw a step's request.
-    Withdraw(Owner),
-    /// Prewarm an instance of a later step's function, which takes this much memory in MB.
-    Prewarm(FunctionId, f64),
-    /// Call [`Machine::retry_step`] for this chain at that time.
-    RetryAt(Timestamp, ChainId),
-    /// Such a call is no longer needed.
-    CancelRetry(Timestamp, ChainId),
-    /// Report the end of the chain to its client; happens exactly once.
-    Finish(Owner, End),
-}
-
-/// The settings of the site that the machine needs.
-pub trait Classes {
-    /// A class that new requests may name.
-    fn class(&self, name: &str) -> Option<StepClass>;
-    /// How long an idle instance stays loaded.
-    fn keep_alive(&self) -> Duration;
-    /// How long a refused client should wait before it retries.
-    fn cooldown(&self) -> Duration;
-}
+/// Position of the number of a step's try in the number that its reference is made from, above all owners' numbers.
+const STEP_TRY_SHIFT: u32 = 48;
+/// Memory in bytes that open chains may take until [`Machine::limit_memory`] is called.
+const DEFAULT_MEMORY_LIMIT: usize = 32 << 20;
 
 /// The state of a chain in progress.
 struct OpenChain {
--- a/src/chain/records.rs
+++ b/src/chain/records.rs
@@ -1,7 +1,7 @@
 //! What is remembered of keyed steps for repeats of their chain: answers, and when a step that may have run was first
 //! sent. Both are bounded in number and in bytes.
 
-use super::Step;
+use super::types::Step;
 use crate::interface::{Duration, Timestamp};
 use std::collections::{BTreeMap, VecDeque};
 
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -1,5 +1,7 @@
 //! The reactor: one poll that drives all connections and their timers through callbacks.
 
+mod entry;
+
 use super::connection::{Connection, Context, ControlFlow};
 use super::{BufferLimits, ClockReading, Link, Stream, SystemClock};
 use crate::core::Core;
@@ -7,6 +9,7 @@
 use crate::fleet::distribution::DistributionNode;
 use crate::interface::{Duration, Timestamp};
 use crate::request::{AttemptId, CloseCause};
+use entry::{Entry, ReadBudget};
 use mio::net::{TcpListener, UnixListener};
 use mio::{Events, Poll, Token};
 use std::cell::RefCell;
@@ -26,126 +29,11 @@
     Datagram(usize),
 }
 
-/// A connection with what the reactor keeps about it.
-struct Entry {
-    link: Link,
-    connection: Box<dyn Connection>,
-    /// Time at which the connection is registered in the reactor's timers.
-    timer: Option<Timestamp>,
-    /// The connection closes once its output is written and its peer has closed.
-    finishing: bool,
-    /// The write half has been shut down.
-    write_shut: bool,
-    /// Input bytes discarded since the connection started to finish.
-    discarded: usize,
-}
-
-impl Entry {
-    /// Writes as much output as the socket takes; true once none is left.
-    fn flush(&mut self, context: &mut Context) -> io::Result<bool> {
-        if self.link.none_written() {
-            self.connection.before_first_byte(&mut self.link, context);
-        }
-        self.link.flush()
-    }
-
-    /// Notifies the connection once its connect has succeeded.
-    fn open_if_connected(&mut self, context: &mut Context) -> ControlFlow {
-        if self.link.connected {
-            return ControlFlow::Continue;
-        }
-        match self.link.stream.is_connected() {
-            Ok(true) => self.link.connected = true,
-            Ok(false) => return ControlFlow::Continue,
-            Err(_) => return ControlFlow::Close,
-        }
-        self.connection.opened(&mut self.link, context)
-    }
-
-    /// Writes pending output; the connection may queue more once all of it has been written.
-    fn write_waiting(&mut self, context: &mut Context) -> io::Result<ControlFlow> {
-        if self.link.unwritten_bytes() == 0 || !self.flush(context)? {
-            return Ok(ControlFlow::Continue);
-        }
-        Ok(self.connection.flushed(&mut self.link, context))
-    }
-
-    /// Reads until the socket is empty, because input is reported only once. The connection processes each part before
-    /// the next is read, and a limit per turn keeps other connections from waiting.
-    fn read_all(
-        &mut self,
-        mut flow: ControlFlow,
-        budget: &mut ReadBudget,
-        context: &mut Context,
-    ) -> ControlFlow {
-        let limit = budget.connection_limit();
-        let mut read = 0;
-        loop {
-            let before = self.link.input.len();
-            // Complete messages that arrived before the connection broke are processed, whatever the error is.
-            let filled = self.link.fill_input(limit - read, context.clock);
-            self.link.peer_closed |= filled.is_err();
-            let added = self.link.input.len() - before;
-            read += added;
-            budget.record(added);
-            if self.finishing {
-                self.discarded += self.link.input.len();
-                self.link.input.clear();
-                if self.discarded > MAX_DISCARDED_BYTES {
-                    self.link.set_close_cause(CloseCause::Unreadable);
-                    return ControlFlow::Close;
-                }
-            } else if added > 0 || self.link.peer_closed {
-                flow = flow.and(self.connection.received(&mut self.link, context));
-            }
-            let Ok(drained) = filled else {
-                self.link.set_close_cause(CloseCause::Broken);
-                return ControlFlow::Close;
-            };
-            if drained || flow != ControlFlow::Continue || self.link.is_input_paused() {
-                return flow;
-            }
-            if read >= limit {
-                self.link.leave_rest_unread();
-                return flow;
-            }
-        }
-    }
-}
-
-/// The bytes that may still be read in one turn of the event loop.
-#[derive(Default)]
-struct ReadBudget {
-    /// Bytes read from all connections in this turn.
-    read: usize,
-}
-
-impl ReadBudget {
-    fn record(&mut self, bytes: usize) {
-        self.read += bytes;
-    }
-
-    /// How much may be read from one connection now.
-    fn connection_limit(&self) -> usize {
-        let left = MAX_TOTAL_BYTES_PER_TURN.saturating_sub(self.read);
-        left.clamp(MIN_BYTES_PER_TURN, MAX_BYTES_PER_TURN)
-    }
-}
-
 pub(super) enum Listener {
     Tcp(TcpListener),
     Unix(UnixListener),
 }
 
-/// Bytes read from one connection in one turn of the event loop, so that a fast sender doesn't keep others waiting.
-const MAX_BYTES_PER_TURN: usize = 256 << 10;
-/// The same once [`MAX_TOTAL_BYTES_PER_TURN`] have been read.
-const MIN_BYTES_PER_TURN: usize = 16 << 10;
-/// Bytes read from all connections in one turn before each gets less. What they cause is processed after the reading
-/// and takes memory until then.
-const MAX_TOTAL_BYTES_PER_TURN: usize = 512 << 10;
-/// Input discarded from a finishing connection before it is closed, so that its sender doesn't keep the processor busy.
-const MAX_DISCARDED_BYTES: usize = 1 << 20;
 /// Longest wait of a poll while there are connections. Input that a poll reports arrived after the previous poll
 /// started; without a kernel timestamp, nothing more precise is known.
 const MAX_POLL_WAIT: Duration = Duration::millis(30);
@@ -258,10 +146,7 @@
         self.next_token += 1;
         // A client may have been waiting to be accepted, and sending, since before its listener was reported.
         let link = Link::new(stream, token, connected, limits, self.arrival_bound);
-        self.entries.insert(
-            token,
-            Entry { link, connection, timer: None, finishing: false, write_shut: false, discarded: 0 },
-        );
+        self.entries.insert(token, Entry::new(link, connection));
         self.invoke(token, core, |entry, context| {
             if entry.link.connected {
                 entry.connection.opened(&mut entry.link, context)
--- a/src/net/reactor/tests.rs
+++ b/src/net/reactor/tests.rs
@@ -1,3 +1,4 @@
+use super::entry::{MAX_TOTAL_BYTES_PER_TURN, MIN_BYTES_PER_TURN};
 use super::*;
 use mio::net::UnixStream;
 use std::io::{Read, Write};
--- a/tests/chain.rs
+++ b/tests/chain.rs
@@ -322,3 +322,36 @@
     break_all_attempts();
     assert_eq!(client.next(), Some((1, 1, vec![69, 0])));
 }
+
+/// The plug-in words the end of a chain by the same rule as the daemon's fronts.
+#[test]
+fn a_chain_of_the_plug_in_is_not_refused_after_its_fragile_step_has_run() {
+    let worker = Worker::over_tcp();
+    let site = mintgate::settings::read_site(settings_with_fragile_class().to_string().as_bytes()).unwrap();
+    let mut client = mintgate::client::Client::new(site, 7).unwrap();
+    let member = mintgate::Member { worker: mintgate::WorkerId(1), weight: 1.0, ..Default::default() };
+    client.workers(vec![(member, mintgate::backend::Endpoint::Tcp(worker.address()))]);
+    worker.serve(|heard| {
+        let is_print = heard.line["attrs"]["name"] == "00000000000000a1";
+        (heard.verb() == "go" && is_print).then(|| ("200", "YQ==".to_owned()))
+    });
+    let step = |class: &str, function| mintgate::chain::Step {
+        class: class.to_owned(),
+        function: mintgate::FunctionId(function),
+        memory_mb: 100.0,
+        concurrency: 2.0,
+        load_time: None,
+        body: None,
+    };
+    let steps = vec![step("certificate-print", 0xa1), step("practice-check", 0xa2)];
+    let deadline = client.now() + mintgate::Duration::millis(3_000);
+    let handle = client.chain(None, deadline, steps);
+    let end = loop {
+        client.poll_once(deadline).unwrap();
+        if let Some((ended, end)) = client.chain_ends().pop() {
+            assert_eq!(ended, handle);
+            break end;
+        }
+    };
+    assert_eq!((end.answer.verdict, end.ran), (mintgate::core::Verdict::Failed, 1));
+}
