Do not submit what came together with its client's close

Cause: what a connection had read was submitted before its close was handled, so an attempt could be queued and written in between. Change: Reactor::invoke submits nothing if the callback asks for a close; the connection then withdraws what is enqueued.

--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -201,7 +201,10 @@
                 entry.read_all(ControlFlow::Continue, &mut ReadBudget::default(), context);
                 flow = ControlFlow::Close;
             }
-            context.core.submit_enqueued(context.now);
+            // Before a close, the connection withdraws what it has read.
+            if flow != ControlFlow::Close {
+                context.core.submit_enqueued(context.now);
+            }
             flow
         }));
         let flow = flow.unwrap_or_else(|_| {
