--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -543,3 +543,12 @@
         self.0.lock().unwrap().get(name).copied().unwrap_or(0)
     }
 }
+
+/// Sets the size of a socket's receive buffer (SO_RCVBUF), so that the system does not read ahead of its client.
+pub fn set_receive_buffer(socket: &impl std::os::fd::AsRawFd, bytes: i32) {
+    unsafe extern "C" {
+        fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+    }
+    // SOL_SOCKET and SO_RCVBUF of Linux.
+    let _ = unsafe { setsockopt(socket.as_raw_fd(), 1, 8, &bytes, 4) };
+}
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,11 +1,16 @@
 //! The cases of the second review: `trial NAME` plays one. Built by `review/build-2.sh`.
 #![allow(dead_code)]
 
+mod cancelled;
+mod clogged;
 mod common;
+mod fleet;
 mod keyless;
 
 fn main() {
     match std::env::args().nth(1).as_deref() {
+        Some("cancelled") => cancelled::play(),
+        Some("clogged") => clogged::play(),
         Some("keyless") => keyless::play(),
         _ => {
             eprintln!("usage: trial NAME");
