--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -6,11 +6,13 @@
 mod common;
 mod fleet;
 mod keyless;
+mod shallow;
 
 fn main() {
     match std::env::args().nth(1).as_deref() {
         Some("cancelled") => cancelled::play(),
         Some("clogged") => clogged::play(),
+        Some("shallow") => shallow::play(),
         Some("keyless") => keyless::play(),
         _ => {
             eprintln!("usage: trial NAME");
