--- a/review/standins-2/clogged.rs
+++ b/review/standins-2/clogged.rs
@@ -1,119 +1,171 @@
-//! Several clients read slowly; each has calls open when long answers are on their way to all of them.
+//! Callers on the second front read slowly, and one answer in sixteen is long.
 
 use crate::common::*;
-use crate::fleet::*;
 use std::collections::BTreeMap;
-use std::io::Write;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::fs;
+use std::io::Read;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
 
-/// Clients that read slowly, and the calls with long answers of each; at most 32 are open on a connection.
-const SLOW_CLIENTS: u64 = 4;
-const LONG_CALLS: u32 = 30;
-/// "Some clients read at most 1 MB a second".
-const READ_RATE: u64 = 1_000_000;
+const CALLERS: u64 = 32;
+/// Those of them that read slowly.
+const SLOW_CALLERS: u64 = 20;
+/// Calls that a caller has open at a time: a connection carries 32 at most.
+const OPEN: u64 = 32;
+/// "One answer in sixteen is long, as much as 230,000 bytes."
+const LONG_ONE_IN: u64 = 16;
+const LONG_BYTES: usize = 225_000;
+/// "Some clients read at most 1 MB a second": a quarter of it.
+const READ_RATE: u64 = 250_000;
 /// "32 to 192 MB depending on language and day".
 const MEMORY_MB: u32 = 32;
-/// For how long the ordinary callers go on before and after, so that at most one answer in sixteen is long.
-const BEFORE_MS: u64 = 8_000;
-const AFTER_MS: u64 = 14_000;
+/// Calls of each slow caller and of each other one in a second: 560 in all at most; "two of them receive up to 950".
+const SLOW_CALLS_PER_S: u64 = 25;
+const CALLS_PER_S: u64 = 5;
+const ALLOW_MS: u64 = 3_000;
+const ROUNDS: u64 = 4;
+const ROUND_MS: u64 = 8_000;
 
-/// What a client knows of its calls: whether each was answered, by stream.
-#[derive(Default)]
-struct Calls {
-    open: BTreeMap<u32, String>,
-    ended: Option<u64>,
+/// The calls of one caller that have no answer yet: when each was sent, by its id.
+type Open = Arc<Mutex<BTreeMap<u64, u64>>>;
+
+fn number(line: &str) -> Option<u64> {
+    let from = line.find("\"id\":")? + 5;
+    let digits: String = line[from..].chars().take_while(char::is_ascii_digit).collect();
+    digits.parse().ok()
 }
 
 pub fn play() -> ! {
     let (record, folder) = (Record::new(), Folder::new());
-    let seen: Arc<Mutex<Vec<Go>>> = Arc::default();
-    let modules: Vec<u64> = (1..=6).map(|n| 0x11_0000 + n).collect();
-    let mut warm = modules.clone();
-    warm.push(LONG_MODULE);
-    let agents: Vec<Agent> =
-        (1..=8).map(|uid| agent(uid, record.clone(), seen.clone(), warm.clone())).collect();
+    let (count, long) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
+    let ran: Arc<Mutex<BTreeMap<String, u64>>> = Arc::default();
+    let body = Arc::new((base64(&vec![0x5a; LONG_BYTES]), base64(b"ok")));
+    let agents: Vec<Agent> = (1..=12)
+        .map(|uid| {
+            let (count, long, ran, body, record) = (count.clone(), long.clone(), ran.clone(), body.clone(), record.clone());
+            Agent::start(uid, move |line| match line.verb.as_str() {
+                "go" => {
+                    let is_long = count.fetch_add(1, Ordering::SeqCst) % LONG_ONE_IN == 7;
+                    long.fetch_add(u64::from(is_long), Ordering::SeqCst);
+                    ran.lock().unwrap().insert(line.rid.clone(), record.now());
+                    let body = body.clone();
+                    thread::spawn(move || {
+                        sleep(150);
+                        line.answer("200", "", if is_long { &body.0 } else { &body.1 });
+                    });
+                }
+                "stage" => line.answer("200", "\"replicas\":1", ""),
+                "stat" | "ping" => line.answer("alive", "\"rep\":\"cpu_share:0.3;x0:0.1;x1:0\"", ""),
+                _ => {}
+            })
+        })
+        .collect();
     let bus = Bus::start();
-    let site = spojnica(1, 0);
-    let known: Vec<String> = agents.iter().map(|agent| agent.known(site.zone, site.kind, 0, 3)).collect();
+    let site = tyww(1, 0);
+    let known: Vec<String> = agents.iter().map(|agent| agent.known(site.zone, site.kind, 0, 4)).collect();
     let listen = free_address();
+    let (socket, operator) = (folder.at("calls.sock"), folder.at("jsonrpc.toml"));
+    let _ = fs::write(&operator, format!("[jsonrpc]\nsocket = {socket:?}\nmode = \"660\"\nmax_clients = 64\nmax_line = 65536\n"));
     let text = config("n1", listen, MEMORY_MB, 384, bus.address, &known, &site);
-    let mut schedulers = match Scheduler::start(&folder, "n1", listen, &text, "") {
+    let started = Scheduler::start(&folder, "n1", listen, &text, &format!("--operator {}", operator.display()));
+    let mut schedulers: Vec<Scheduler> = match started {
         Ok(scheduler) => vec![scheduler],
         Err(why) => finish(&record, &folder, &mut [], Err(why)),
     };
     if let Err(why) = schedulers[0].wait_ready() {
         finish(&record, &folder, &mut schedulers, Err(why));
     }
-    let (counts, stop) = (Counts::default(), Arc::new(AtomicBool::new(false)));
-    let callers = short_callers(16, listen, &modules, counts.clone(), stop.clone());
-    sleep(BEFORE_MS);
-    let mut clients = vec![];
-    for number in 0..SLOW_CLIENTS {
-        let Ok(client) = Frames::connect(listen) else { continue };
-        set_receive_buffer(&client.stream, 64 << 10);
-        let calls = Arc::new(Mutex::new(Calls::default()));
-        let (own, kept, other) = (calls.clone(), record.clone(), calls.clone());
-        let late = record.clone();
-        let counts = counts.clone();
-        if let Ok(reader) = client.stream.try_clone() {
-            read_paced(
-                reader,
-                trouble().then_some(READ_RATE),
-                move |kind, stream, payload| {
-                    if kind == 1 && own.lock().unwrap().open.remove(&stream).is_some() {
-                        counts.add(if payload.first() == Some(&79) { "slow served" } else { "slow unserved" });
-                        kept.add(format!("client {number} has read the answer on stream {stream}, {} bytes", payload.len()));
+    let counts = Counts::default();
+    let lost: Arc<Mutex<Vec<String>>> = Arc::default();
+    for round in 0..ROUNDS {
+        let mut callers = vec![];
+        for caller in 0..CALLERS {
+            let Ok(mut rpc) = Rpc::connect(&socket) else { continue };
+            let Ok(mut reader) = rpc.stream.get_ref().try_clone() else { continue };
+            let _ = reader.set_read_timeout(Some(ms(200)));
+            let open: Open = Arc::default();
+            let (own, counted, lost, kept) = (open.clone(), counts.clone(), lost.clone(), record.clone());
+            let until: Instant = Instant::now() + ms(ROUND_MS - 500);
+            let reads = thread::spawn(move || {
+                let (mut buffer, mut chunk) = (Vec::<u8>::new(), vec![0; 16_384]);
+                while Instant::now() < until {
+                    let begun = Instant::now();
+                    match reader.read(&mut chunk) {
+                        Ok(0) => {
+                            let at = kept.add(format!("round {round} caller {caller}: the scheduler has closed the connection"));
+                            let open = own.lock().unwrap();
+                            // A line that was cut off belongs to one call, whose client can tell.
+                            let cut = usize::from(!buffer.is_empty());
+                            for (id, sent) in open.iter().take(open.len().saturating_sub(cut)) {
+                                lost.lock().unwrap().push(format!(
+                                    "LOST round {round} caller {caller} id {id}: taken at {sent}, its connection was closed at {at} without an answer"
+                                ));
+                            }
+                            return;
+                        }
+                        Ok(n) => {
+                            buffer.extend_from_slice(&chunk[..n]);
+                            while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
+                                let line: Vec<u8> = buffer.drain(..=end).collect();
+                                let head = String::from_utf8_lossy(&line[line.len().saturating_sub(200)..]).into_owned()
+                                    + &String::from_utf8_lossy(&line[..line.len().min(200)]);
+                                let Some(id) = number(&head) else { continue };
+                                if own.lock().unwrap().remove(&id).is_some() {
+                                    counted.add(if head.contains("\"result\"") { "served" } else { "unserved" });
+                                }
+                            }
+                            if trouble() && caller < SLOW_CALLERS {
+                                let least = Duration::from_secs_f64(n as f64 / READ_RATE as f64);
+                                thread::sleep(least.saturating_sub(begun.elapsed()));
+                            }
+                        }
+                        Err(_) => {}
+                    }
+                }
+            });
+            let (opened, record, counts) = (open.clone(), record.clone(), counts.clone());
+            let sends = thread::spawn(move || {
+                sleep(caller * 5);
+                let mut id = 0;
+                while Instant::now() + ms(2_500) < until {
+                    sleep(1_000 / if caller < SLOW_CALLERS { SLOW_CALLS_PER_S } else { CALLS_PER_S });
+                    if opened.lock().unwrap().len() as u64 >= OPEN {
+                        continue;
                     }
-                },
-                move || {
-                    let at = late.add(format!("client {number}: its connection has ended"));
-                    other.lock().unwrap().ended = Some(at);
-                },
-            );
+                    let (name, function) = (reference(), 0x44_0000 + (caller + id) % 12);
+                    opened.lock().unwrap().insert(id, record.now());
+                    counts.add("calls");
+                    let sent = rpc.send(&format!(
+                        r#"{{"jsonrpc":"2.0","id":{id},"method":"call","params":{{"class":"credit-submit","function":"{function:016x}","allow_ms":{ALLOW_MS},"ref":"{name}","key":"{name}","memory_mb":500,"lanes":4,"load_ms":600,"body":"aGk="}}}}"#
+                    ));
+                    if !sent {
+                        // The connection had ended: nobody has taken this call.
+                        opened.lock().unwrap().remove(&id);
+                        return rpc;
+                    }
+                    id += 1;
+                }
+                rpc
+            });
+            callers.push((sends, reads));
         }
-        clients.push((client, calls));
-    }
-    let mut long = 0;
-    for (number, (client, calls)) in clients.iter_mut().enumerate() {
-        // The last two are of a module that has to be loaded first: they are open while the long answers arrive.
-        let mut bytes = vec![];
-        for stream in 1..=LONG_CALLS + 2 {
-            let module = if stream <= LONG_CALLS { LONG_MODULE } else { 0x22_0000 + u64::from(stream) };
-            let name = reference();
-            bytes.extend(frame(0, stream, &query(&name, module, 3_000)));
-            calls.lock().unwrap().open.insert(stream, name);
-            long += u64::from(stream <= LONG_CALLS);
+        for (sends, reads) in callers {
+            let _ = reads.join();
+            drop(sends.join());
         }
-        let _ = client.stream.write_all(&bytes);
-        record.add(format!("client {number} sends {LONG_CALLS} calls with long answers and 2 others"));
+        sleep(500);
     }
-    sleep(AFTER_MS);
-    stop.store(true, Ordering::SeqCst);
-    for caller in callers {
-        let _ = caller.join();
+    let lost = lost.lock().unwrap().clone();
+    for line in &lost {
+        record.add(line.clone());
     }
-    let mut lost = 0;
-    for (number, (_, calls)) in clients.iter().enumerate() {
-        let calls = calls.lock().unwrap();
-        if let Some(at) = calls.ended {
-            // The first one without an answer may have been cut off in the middle, which the client can tell.
-            for (stream, name) in calls.open.iter().skip(1) {
-                lost += 1;
-                record.add(format!("LOST client {number} stream {stream} {name}: taken, and its connection ended at {at} without an answer"));
-            }
-        }
-    }
-    let all = counts.of("short") + long + 2 * SLOW_CLIENTS;
+    record.add(format!("the scheduler's own counter: {}", schedulers[0].counter(&folder, "n1", "closed_clogged")));
     record.add(format!(
-        "calls {all}, of them with long answers {long} (one in {:.1}); slow clients: served {}, unserved {}, lost {lost}; short served {}, unserved {}, lost {}",
-        all as f64 / long as f64,
-        counts.of("slow served"), counts.of("slow unserved"), counts.of("short served"), counts.of("short unserved"), counts.of("short lost"),
+        "calls {}, served {}, unserved {}, lost {}; attempts that ran {}, with long answers {}",
+        counts.of("calls"), counts.of("served"), counts.of("unserved"), lost.len(), count.load(Ordering::SeqCst), long.load(Ordering::SeqCst)
     ));
-    let verdict = if clients.len() < SLOW_CLIENTS as usize || all < long * 16 {
-        Err(format!("{} slow clients, long answers {long} of {all}", clients.len()))
-    } else {
-        Ok(lost > 0)
-    };
+    let verdict = if counts.of("calls") < ROUNDS * SLOW_CALLERS * OPEN { Err("too few calls".to_owned()) } else { Ok(!lost.is_empty()) };
     finish(&record, &folder, &mut schedulers, verdict)
 }
--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -191,6 +191,16 @@
         let _ = Command::new("/bin/kill").arg(format!("-{name}")).arg(self.pid.to_string()).status();
     }
 
+    /// A counter of its own that it prints on SIGUSR1, for the record only.
+    pub fn counter(&self, folder: &Folder, name: &str, counter: &str) -> String {
+        self.signal("USR1");
+        sleep(400);
+        let text = fs::read_to_string(folder.at(&format!("{name}.log"))).unwrap_or_default();
+        let mark = format!(" {counter}=");
+        let from = text.rfind(&mark).map(|at| at + 1);
+        from.map(|at| text[at..].split_whitespace().next().unwrap_or("").to_owned()).unwrap_or_default()
+    }
+
     pub fn ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
     }
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -12,8 +12,8 @@
     match std::env::args().nth(1).as_deref() {
         Some("cancelled") => cancelled::play(),
         Some("clogged") => clogged::play(),
-        Some("shallow") => shallow::play(),
         Some("keyless") => keyless::play(),
+        Some("shallow") => shallow::play(),
         _ => {
             eprintln!("usage: trial NAME");
             std::process::exit(2)
