--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -6,6 +6,7 @@
 mod common;
 mod fleet;
 mod keyless;
+mod pieces;
 mod shallow;
 
 fn main() {
@@ -13,6 +14,7 @@
         Some("cancelled") => cancelled::play(),
         Some("clogged") => clogged::play(),
         Some("keyless") => keyless::play(),
+        Some("pieces") => pieces::play(),
         Some("shallow") => shallow::play(),
         _ => {
             eprintln!("usage: trial NAME");
