--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,17 +5,17 @@
 mod clogged;
 mod common;
 mod fleet;
+mod idle;
 mod keyless;
 mod pieces;
-mod shallow;
 
 fn main() {
     match std::env::args().nth(1).as_deref() {
         Some("cancelled") => cancelled::play(),
         Some("clogged") => clogged::play(),
+        Some("idle") => idle::play(),
         Some("keyless") => keyless::play(),
         Some("pieces") => pieces::play(),
-        Some("shallow") => shallow::play(),
         _ => {
             eprintln!("usage: trial NAME");
             std::process::exit(2)
