--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -2,19 +2,19 @@
 #![allow(dead_code)]
 
 mod cancelled;
-mod clogged;
 mod common;
 mod fleet;
 mod idle;
 mod keyless;
 mod pieces;
+mod shallow;
 
 fn main() {
     match std::env::args().nth(1).as_deref() {
         Some("cancelled") => cancelled::play(),
-        Some("clogged") => clogged::play(),
         Some("idle") => idle::play(),
         Some("keyless") => keyless::play(),
+        Some("shallow") => shallow::play(),
         Some("pieces") => pieces::play(),
         _ => {
             eprintln!("usage: trial NAME");
