--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -6,15 +6,15 @@
 mod fleet;
 mod idle;
 mod keyless;
+mod lines;
 mod pieces;
-mod shallow;
 
 fn main() {
     match std::env::args().nth(1).as_deref() {
         Some("cancelled") => cancelled::play(),
         Some("idle") => idle::play(),
         Some("keyless") => keyless::play(),
-        Some("shallow") => shallow::play(),
+        Some("lines") => lines::play(),
         Some("pieces") => pieces::play(),
         _ => {
             eprintln!("usage: trial NAME");
