--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -418,11 +418,12 @@
 }
 
 /// Limits the memory of one of `process_count` processes that share the configured amount: the bodies of open requests
-/// may take a sixth of it, and unwritten output another sixth.
+/// may take a sixth of it. Unwritten output may take another sixth before new requests and long answers to clients that do
+/// not read are rejected, and a quarter at most.
 fn limit_memory(config: &Config, process_count: usize, core: &mut Core, reactor: &mut Reactor) {
     let memory = (config.memory_mb << 20) / process_count;
     core.limit_memory(memory);
-    reactor.max_unwritten_bytes = memory / 6;
+    reactor.max_unwritten_bytes = memory / 4;
 }
 
 /// Descriptors that connections may use when no other process shares them.
--- a/src/daemon/accept.rs
+++ b/src/daemon/accept.rs
@@ -176,8 +176,8 @@
         let reactor = &mut self.reactor;
         self.rpc_clients.retain(|id| reactor.inspect(*id, |_| ()).is_some());
         if self.rpc_clients.len() >= front.max_clients {
-            // Closes the connection that has been idle longest, if any has no open request.
-            let idle = |id: &u64| Some((reactor.inspect(*id, |connection| connection.idle_since())??, *id));
+            // Closes the connection that has been idle longest, if any has no open request and no unread answer.
+            let idle = |id: &u64| Some((reactor.idle_since(*id)?, *id));
             if let Some((_, id)) = self.rpc_clients.iter().filter_map(idle).min() {
                 reactor.close_replaced(id, &mut self.core);
                 self.rpc_clients.remove(&id);
--- a/src/daemon/shutdown.rs
+++ b/src/daemon/shutdown.rs
@@ -15,7 +15,8 @@
 /// When connections opened after SIGTERM are asked to leave, and new requests are refused at once: SIGKILL may come a
 /// longest deadline after this, and requests that are unanswered then are lost.
 const REJECT_AFTER: Duration = Duration::millis(700);
-/// How long after [`DRAIN_TIME`] answers may remain unread: SIGKILL comes 3.7 s after SIGTERM, or later.
+/// How long after [`DRAIN_TIME`], and after clients last read a part of their answers, answers may remain unread: SIGKILL
+/// comes 3.7 s after SIGTERM, or later.
 const UNREAD_ANSWER_TIMEOUT: Duration = Duration::millis(2_200);
 /// How long after SIGTERM the rest of a partly received request is waited for, if a newer process accepts the clients.
 const PARTIAL_REQUEST_TIMEOUT: Duration = Duration::millis(3_000);
@@ -34,7 +35,7 @@
     reject_at: Timestamp,
     /// From this time the process exits as soon as nothing is outstanding.
     end_at: Timestamp,
-    /// The process stops waiting for clients to read their answers at this time.
+    /// The process stops waiting at this time for clients that do not read their answers.
     give_up_at: Timestamp,
 }
 
@@ -94,7 +95,10 @@
 
     /// Whether the process no longer waits for outstanding input and output.
     pub(super) fn shutdown_overdue(&self) -> bool {
-        self.shutdown.is_some_and(|times| self.reactor.now() >= times.give_up_at)
+        let Some(times) = self.shutdown else { return false };
+        let last_read = self.reactor.last_output_progress();
+        let reading_until = last_read.map(|at| at + UNREAD_ANSWER_TIMEOUT);
+        reading_until.into_iter().fold(times.give_up_at, Timestamp::max) <= self.reactor.now()
     }
 
     /// Whether a newer process accepts the clients.
@@ -109,6 +113,9 @@
             self.notified_late_clients = true;
             self.send_leave_to_all();
         }
+        if self.reactor.now() >= times.give_up_at {
+            self.reactor.write_waiting_output(&mut self.core);
+        }
         self.core.rejecting_new = self.notified_late_clients && !self.newer_process_accepts();
     }
 
--- a/src/front/frames.rs
+++ b/src/front/frames.rs
@@ -1,8 +1,9 @@
 //! The platform's front: binary frames over TCP. A codec without state, and the connection that uses it.
 
+use super::client_timers::{ClientTimers, Lateness};
 use super::{
-    ANSWER_TRANSIT_TIME, LINGER_TIMEOUT, MAX_BODY_BYTES, MAX_OPEN_REQUESTS, MAX_UNREAD_OUTPUT_BYTES,
-    MESSAGE_TIMEOUT, read_function,
+    ANSWER_TRANSIT_TIME, MAX_BODY_BYTES, MAX_OPEN_REQUESTS, MAX_UNREAD_OUTPUT_BYTES, has_room_for_request,
+    read_function,
 };
 use crate::core::{Answer, IncomingRequest, Owner, Verdict};
 use crate::interface::{Duration, FunctionId, Timestamp};
@@ -242,8 +243,7 @@
     /// Streams of open requests.
     open: BTreeSet<u32>,
     used_streams: UsedStreams,
-    /// When the last complete frame was received or the last answer queued.
-    last_activity: Timestamp,
+    timers: ClientTimers,
     /// When input was last received, so that a connection on which a request arrives slowly does not count as idle.
     last_received: Timestamp,
     leave_sent: bool,
@@ -251,10 +251,6 @@
     received_frame: bool,
     /// Bytes of an oversized frame that are still to be skipped.
     skip_bytes: usize,
-    /// Time by which the incomplete frame must be complete.
-    message_deadline: Option<Timestamp>,
-    /// Time at which a finishing connection is closed even if the client has not read the output.
-    finish_deadline: Option<Timestamp>,
 }
 
 impl FrameConnection {
@@ -264,13 +260,11 @@
         FrameConnection {
             open,
             used_streams,
-            last_activity: now,
+            timers: ClientTimers::new(now),
             last_received: now,
             leave_sent: false,
             received_frame: false,
             skip_bytes: 0,
-            message_deadline: None,
-            finish_deadline: None,
         }
     }
 
@@ -293,7 +287,7 @@
                     other => other,
                 };
                 let (class, verdict) = match call {
-                    Ok(call) if self.open.len() >= MAX_OPEN_REQUESTS => {
+                    Ok(call) if !has_room_for_request(self.open.len(), link) => {
                         (Some(call.class), Verdict::Refused { cooldown: context.core.default_cooldown() })
                     }
                     Ok(call) => {
@@ -357,12 +351,10 @@
         }
     }
 
-    /// When the connection is closed as idle; `None` while requests are open or a frame is incomplete.
-    fn idle_deadline(&self) -> Option<Timestamp> {
-        let idle = self.open.is_empty() && self.message_deadline.is_none();
-        idle.then_some(
-            self.last_activity + if self.received_frame { IDLE_TIMEOUT } else { FIRST_FRAME_TIMEOUT },
-        )
+    /// The time that the client has for its next request; `None` while requests are open.
+    fn idle_timeout(&self) -> Option<Duration> {
+        let timeout = if self.received_frame { IDLE_TIMEOUT } else { FIRST_FRAME_TIMEOUT };
+        self.open.is_empty().then_some(timeout)
     }
 
     /// Sends the answer for malformed input on stream 0; the connection finishes once it has been written.
@@ -376,7 +368,7 @@
         link.enqueue(&bytes);
         self.withdraw_all(link, context);
         link.set_close_cause(CloseCause::Unreadable);
-        self.finish_deadline = Some(context.now + LINGER_TIMEOUT);
+        self.timers.begin_finish(context.now);
         ControlFlow::Finish
     }
 }
@@ -386,7 +378,8 @@
         "client"
     }
 
-    fn opened(&mut self, _link: &mut Link, context: &mut Context) -> ControlFlow {
+    fn opened(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
+        link.allow_unwritten_messages(MAX_OPEN_REQUESTS);
         context.core.counters().accepted += 1;
         ControlFlow::Continue
     }
@@ -413,7 +406,8 @@
                 Ok(Some((frame, size))) => {
                     from += size;
                     frame_started = true;
-                    (self.received_frame, self.last_activity) = (true, context.now);
+                    self.received_frame = true;
+                    self.timers.last_activity = context.now;
                     let arrived = link.arrival_time(bytes.len() - from);
                     if let Err(why) = self.handle_frame(&frame, arrived, link, context) {
                         break Some(why);
@@ -424,12 +418,8 @@
         };
         link.input = bytes;
         link.consume(from);
-        self.message_deadline = if link.input.is_empty() && self.skip_bytes == 0 {
-            None
-        } else {
-            // What follows a complete frame has only just started to arrive.
-            self.message_deadline.filter(|_| !frame_started).or(Some(context.now + MESSAGE_TIMEOUT))
-        };
+        let incomplete = !link.input.is_empty() || self.skip_bytes > 0;
+        self.timers.record_input(context.now, incomplete, frame_started);
         match error {
             Some(why) => self.close_malformed(why, link, context),
             // A client that closes its half waits for no more answers.
@@ -439,21 +429,20 @@
     }
 
     fn on_timeout(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
-        if self.finish_deadline.is_none() && self.message_deadline.is_some_and(|by| by <= context.now) {
+        let Some(lateness) = self.timers.lateness(context.now, self.idle_timeout(), link) else {
+            return ControlFlow::Continue;
+        };
+        if lateness == Lateness::Message {
             return self.close_malformed("frame not completed in time", link, context);
         }
-        let idle = self.idle_deadline().is_some_and(|by| by <= context.now);
-        let expired = self.finish_deadline.is_some_and(|by| by <= context.now);
-        if idle {
-            link.set_close_cause(CloseCause::Idle);
+        if let Some(cause) = lateness.close_cause() {
+            link.set_close_cause(cause);
         }
-        if idle || expired { ControlFlow::Close } else { ControlFlow::Continue }
+        ControlFlow::Close
     }
 
-    fn deadline(&self) -> Option<Timestamp> {
-        let idle = self.idle_deadline();
-        let message = self.message_deadline.filter(|_| self.finish_deadline.is_none());
-        self.finish_deadline.into_iter().chain(message).chain(idle).min()
+    fn peer_deadline(&self, link: &Link) -> Option<Timestamp> {
+        self.timers.next(self.idle_timeout(), link).map(|(at, _)| at)
     }
 
     fn closed(&mut self, link: &Link, context: &mut Context) {
@@ -470,10 +459,14 @@
         let stream = stream as u32;
         // A withdrawn request gets no answer.
         if self.open.remove(&stream) {
+            let verdict = match &answer.verdict {
+                Verdict::Served(body) if !link.has_output_room(body.len()) => &Verdict::Failed,
+                verdict => verdict,
+            };
             let mut bytes = Vec::new();
-            put_answer(stream, &answer.verdict, &mut bytes);
+            put_answer(stream, verdict, &mut bytes);
             link.enqueue(&bytes);
-            self.last_activity = context.now;
+            self.timers.last_activity = context.now;
         }
         ControlFlow::Continue
     }
@@ -489,16 +482,16 @@
     }
 
     fn has_partial_request(&self) -> bool {
-        self.message_deadline.is_some()
+        self.timers.message_started.is_some()
     }
 
     fn may_receive_request(&self) -> bool {
-        self.finish_deadline.is_none() && (self.message_deadline.is_some() || !self.received_frame)
+        !self.timers.is_finishing() && (self.has_partial_request() || !self.received_frame)
     }
 
     fn idle_since(&self) -> Option<Timestamp> {
-        (self.open.is_empty() && self.finish_deadline.is_none())
-            .then_some(self.last_activity.max(self.last_received))
+        (self.open.is_empty() && !self.timers.is_finishing())
+            .then_some(self.timers.last_activity.max(self.last_received))
     }
 }
 
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -17,9 +17,9 @@
     codes, read_line, response,
 };
 
+use super::client_timers::{ClientTimers, Lateness};
 use super::{
-    ANSWER_TRANSIT_TIME, LINGER_TIMEOUT, MAX_OPEN_REQUESTS, MAX_UNREAD_OUTPUT_BYTES, MESSAGE_TIMEOUT,
-    RPC_IDLE_TIMEOUT,
+    ANSWER_TRANSIT_TIME, MAX_OPEN_REQUESTS, MAX_UNREAD_OUTPUT_BYTES, RPC_IDLE_TIMEOUT, has_room_for_request,
 };
 use crate::chain::{Chain, Classes, End, Step};
 use crate::core::{Answer, IncomingRequest, Owner, Verdict};
@@ -54,10 +54,7 @@
     max_line_bytes: usize,
     /// The rest of an oversized line is being skipped.
     skipping: bool,
-    last_activity: Timestamp,
-    /// Time by which the incomplete line must end.
-    message_deadline: Option<Timestamp>,
-    finish_deadline: Option<Timestamp>,
+    timers: ClientTimers,
 }
 
 impl RpcConnection {
@@ -69,9 +66,7 @@
             next_number: 1,
             max_line_bytes,
             skipping: false,
-            last_activity: now,
-            message_deadline: None,
-            finish_deadline: None,
+            timers: ClientTimers::new(now),
         }
     }
 
@@ -193,7 +188,7 @@
             self.send(batch, error(id, codes::INVALID_REQUEST, "id is in use", None), link);
             return None;
         }
-        let has_room = self.open.len() < MAX_OPEN_REQUESTS && self.has_room_for(id);
+        let has_room = has_room_for_request(self.open.len(), link) && self.has_room_for(id);
         if !has_room || !context.active {
             let verdict = Verdict::Refused { cooldown: context.core.default_cooldown() };
             context.core.count_rejected_by_listener(class, &verdict);
@@ -246,17 +241,20 @@
         context: &Context,
     ) -> ControlFlow {
         if let Some(open) = self.open.remove(&stream) {
-            self.last_activity = context.now;
-            self.send(open.batch, reply(&open.id), link);
+            self.timers.last_activity = context.now;
+            self.send(open.batch, reply_within_room(reply(&open.id), link), link);
         }
         ControlFlow::Continue
     }
 
+    /// Handles the complete lines of the input, and notes whether an incomplete one follows.
     fn read_lines(&mut self, link: &mut Link, context: &mut Context) {
+        let mut completed = false;
         // Reading pauses while the client does not read its answers, and resumes in `flushed`.
-        while link.unwritten_bytes() <= MAX_UNREAD_OUTPUT_BYTES {
+        while !link.is_output_unread() {
             let Some(end) = link.input.iter().position(|b| *b == b'\n') else { break };
             let line: Vec<u8> = link.input.drain(..=end).collect();
+            completed = true;
             if std::mem::take(&mut self.skipping) {
                 continue;
             }
@@ -272,12 +270,14 @@
                 self.reject_oversized(link, context);
             }
         }
+        // A line that only waits until the client reads its answers is complete.
+        let incomplete = self.skipping || !link.input.is_empty() && !link.input.contains(&b'\n');
+        self.timers.record_input(context.now, incomplete, completed);
     }
 
-    /// When the connection is closed as idle; `None` while requests are open or a line is incomplete.
-    fn idle_deadline(&self) -> Option<Timestamp> {
-        (self.open.is_empty() && self.message_deadline.is_none())
-            .then_some(self.last_activity + RPC_IDLE_TIMEOUT)
+    /// The time that the client has for its next request; `None` while requests are open.
+    fn idle_timeout(&self) -> Option<Duration> {
+        self.open.is_empty().then_some(RPC_IDLE_TIMEOUT)
     }
 
     /// Withdraws all open requests of the connection.
@@ -294,7 +294,7 @@
         write_line(link, &error(&Value::Null, codes::PARSE, "the line has no end", None));
         self.withdraw_all(link, context);
         link.set_close_cause(CloseCause::Unreadable);
-        self.finish_deadline = Some(context.now + LINGER_TIMEOUT);
+        self.timers.begin_finish(context.now);
         ControlFlow::Finish
     }
 
@@ -324,31 +324,30 @@
     link.enqueue(&bytes);
 }
 
+/// The reply to a request that has ended; a failure without the body if there is no memory for it.
+fn reply_within_room(reply: Value, link: &Link) -> Value {
+    let has_room = |body: &Value| body.as_str().is_none_or(|body| link.has_output_room(body.len()));
+    if reply.pointer("/result/body").is_none_or(has_room) {
+        return reply;
+    }
+    error(&reply["id"], codes::FAILED, "failed", None)
+}
+
 impl Connection for RpcConnection {
     fn kind(&self) -> &'static str {
         "caller"
     }
 
-    fn opened(&mut self, _link: &mut Link, context: &mut Context) -> ControlFlow {
+    fn opened(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
+        link.allow_unwritten_messages(MAX_OPEN_REQUESTS);
         context.core.counters().accepted += 1;
         ControlFlow::Continue
     }
 
     fn received(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
-        self.last_activity = context.now;
-        let input_before = link.input.len();
+        self.timers.last_activity = context.now;
         self.read_lines(link, context);
         if !link.peer_closed {
-            // An incomplete line must end in time. One that only waits until the client reads its answers is complete.
-            let incomplete = self.skipping || !link.input.is_empty() && !link.input.contains(&b'\n');
-            self.message_deadline = if !incomplete {
-                None
-            } else {
-                // What follows a complete line has only just started to arrive.
-                self.message_deadline
-                    .filter(|_| link.input.len() >= input_before)
-                    .or(Some(context.now + MESSAGE_TIMEOUT))
-            };
             return ControlFlow::Continue;
         }
         if link.input.iter().all(u8::is_ascii_whitespace) || link.input.contains(&b'\n') {
@@ -364,21 +363,20 @@
     }
 
     fn on_timeout(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
-        if self.finish_deadline.is_none() && self.message_deadline.is_some_and(|by| by <= context.now) {
+        let Some(lateness) = self.timers.lateness(context.now, self.idle_timeout(), link) else {
+            return ControlFlow::Continue;
+        };
+        if lateness == Lateness::Message {
             return self.close_incomplete(link, context);
         }
-        let idle = self.idle_deadline().is_some_and(|by| by <= context.now);
-        let expired = self.finish_deadline.is_some_and(|by| by <= context.now);
-        if idle {
-            link.set_close_cause(CloseCause::Idle);
+        if let Some(cause) = lateness.close_cause() {
+            link.set_close_cause(cause);
         }
-        if idle || expired { ControlFlow::Close } else { ControlFlow::Continue }
+        ControlFlow::Close
     }
 
-    fn deadline(&self) -> Option<Timestamp> {
-        let idle = self.idle_deadline();
-        let message = self.message_deadline.filter(|_| self.finish_deadline.is_none());
-        self.finish_deadline.into_iter().chain(message).chain(idle).min()
+    fn peer_deadline(&self, link: &Link) -> Option<Timestamp> {
+        self.timers.next(self.idle_timeout(), link).map(|(at, _)| at)
     }
 
     fn closed(&mut self, link: &Link, context: &mut Context) {
@@ -400,11 +398,11 @@
     }
 
     fn has_partial_request(&self) -> bool {
-        self.message_deadline.is_some()
+        self.timers.message_started.is_some()
     }
 
     fn idle_since(&self) -> Option<Timestamp> {
-        (self.open.is_empty() && self.finish_deadline.is_none()).then_some(self.last_activity)
+        (self.open.is_empty() && !self.timers.is_finishing()).then_some(self.timers.last_activity)
     }
 }
 
--- a/src/net/arrivals.rs
+++ b/src/net/arrivals.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Whether the last read emptied the socket.
+    pub fn is_drained(&self) -> bool {
+        self.drained
+    }
+
     fn note_empty(&mut self, at: ClockReading) {
         if at.process_time > self.empty_at.process_time {
             self.empty_at = at;
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -71,6 +71,11 @@
     fn on_timeout(&mut self, _link: &mut Link, _context: &mut Context) -> ControlFlow {
         ControlFlow::Continue
     }
+    /// When the time ends that the peer has for its next step; [`Connection::on_timeout`] is called then as well. Queried
+    /// after every callback, so it may follow from the progress that the link has made.
+    fn peer_deadline(&self, _link: &Link) -> Option<Timestamp> {
+        None
+    }
     /// When to call [`Connection::on_timeout`]; queried after every callback.
     fn deadline(&self) -> Option<Timestamp> {
         None
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 mod connection;
 pub mod inherit;
 mod momentary;
+mod output;
 mod reactor;
 mod receive;
 mod sockets;
@@ -19,6 +20,7 @@
 use mio::event::Source;
 use mio::net::{TcpStream, UnixStream};
 use mio::{Interest, Registry, Token};
+use output::OutputQueue;
 use std::io::{self, Read, Write};
 use std::net::Shutdown;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
@@ -177,7 +179,28 @@
     pub output: usize,
 }
 
+/// Unwritten output that a connection may have at any time, however much all connections together have.
+const MIN_OUTPUT_BYTES: usize = 64 << 10;
+/// Longest message that counts as short: an answer without a body.
+const MAX_SHORT_MESSAGE_BYTES: usize = 1 << 10;
+
+/// How much unwritten output all connections together have, compared with the memory for it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum OutputPressure {
+    /// There is memory left.
+    #[default]
+    None,
+    /// The memory is used up: only connections with little unwritten output may add to it.
+    High,
+    /// The reserve beyond it is used up as well: only short messages may be added.
+    Critical,
+}
+
 /// A stream with an input and an output buffer. Reading pauses while either buffer is over its limit.
+///
+/// The peer has time limits for its next step, for example to complete a message. They count from
+/// [`Link::accountable_since`], because a peer that this process does not read, or that is still reading what was sent
+/// to it, is not late.
 #[derive(Debug)]
 pub struct Link {
     stream: Stream,
@@ -185,9 +208,7 @@
     interest: Option<Interest>,
     /// Bytes read and not yet consumed.
     pub input: Vec<u8>,
-    /// Output, of which the first `written` bytes have been written to the socket.
-    output: Vec<u8>,
-    written: usize,
+    output: OutputQueue,
     connected: bool,
     /// The peer has closed its write half.
     pub peer_closed: bool,
@@ -199,6 +220,16 @@
     /// Why the connection is to be closed; the first cause set is kept.
     cause: Option<CloseCause>,
     arrivals: Arrivals,
+    /// Messages that may be unwritten without a pause in reading, whatever their size.
+    allowed_messages: usize,
+    /// Whether the peer has taken output since [`Link::note_progress`] was last called.
+    output_taken: bool,
+    /// When the peer last took output, or the connection was created.
+    last_output_progress: Timestamp,
+    /// When the input had last been read to its end after some had been left unread.
+    caught_up_at: Timestamp,
+    /// How much unwritten output all connections together have.
+    output_pressure: OutputPressure,
 }
 
 impl Link {
@@ -213,23 +244,24 @@
         if let Stream::Tcp(stream) = &stream {
             receive::enable_timestamps(stream);
         }
-        let (input, output) = (Vec::new(), Vec::new());
-        let (interest, written, peer_closed) = (None, 0, false);
-        let (rest_unread, write_failed) = (false, false);
         Link {
             stream,
             token,
-            interest,
-            input,
-            output,
-            written,
+            interest: None,
+            input: Vec::new(),
+            output: OutputQueue::default(),
             connected,
-            peer_closed,
+            peer_closed: false,
             limits,
-            rest_unread,
-            write_failed,
+            rest_unread: false,
+            write_failed: false,
             cause: None,
             arrivals: Arrivals::new(empty_at),
+            allowed_messages: 0,
+            output_taken: false,
+            last_output_progress: empty_at.process_time,
+            caught_up_at: empty_at.process_time,
+            output_pressure: OutputPressure::None,
         }
     }
 
@@ -261,25 +293,66 @@
 
     /// Bytes waiting to be written.
     pub fn unwritten_bytes(&self) -> usize {
-        self.output.len() - self.written
+        self.output.len()
+    }
+
+    /// Messages of which some bytes wait to be written.
+    pub fn unwritten_messages(&self) -> usize {
+        self.output.message_count()
     }
 
-    /// Appends bytes to the output buffer.
-    pub fn enqueue(&mut self, bytes: &[u8]) {
-        self.output.extend_from_slice(bytes);
+    /// Lets the peer leave so many messages unread, whatever their size, before reading pauses. A peer whose protocol
+    /// limits its open requests to this number then never has its input left unread.
+    pub fn allow_unwritten_messages(&mut self, count: usize) {
+        self.allowed_messages = count;
+    }
+
+    /// Appends a message to the output buffer.
+    pub fn enqueue(&mut self, message: &[u8]) {
+        self.output.push(message);
+    }
+
+    /// Whether a message of this size may be added to the output, given what all connections together have.
+    pub fn has_output_room(&self, message_bytes: usize) -> bool {
+        match self.output_pressure {
+            OutputPressure::None => true,
+            OutputPressure::High => self.unwritten_bytes() + message_bytes <= MIN_OUTPUT_BYTES,
+            OutputPressure::Critical => message_bytes <= MAX_SHORT_MESSAGE_BYTES,
+        }
     }
 
     /// Whether there is output of which no byte has been written to the socket.
     pub fn none_written(&self) -> bool {
-        self.written == 0 && !self.output.is_empty()
+        self.output.none_written()
     }
 
     /// Discards the unwritten output. Returns false if a part of it was already written: the peer then has half a
     /// message, and nothing more may be written.
     pub fn discard_output(&mut self) -> bool {
-        let complete = self.written == 0;
-        (self.output, self.written) = (Vec::new(), 0);
-        complete
+        self.output.discard()
+    }
+
+    /// When the peer last took output that had been waiting, or the connection was created.
+    pub fn last_output_progress(&self) -> Timestamp {
+        self.last_output_progress
+    }
+
+    /// The time from which the time limits for the peer's next input count: it has taken output and its input has been
+    /// read to the end. `None` while input may be unread.
+    pub fn accountable_since(&self) -> Option<Timestamp> {
+        self.is_drained().then(|| self.caught_up_at.max(self.last_output_progress))
+    }
+
+    /// Whether the last read found the end of the input.
+    fn is_drained(&self) -> bool {
+        self.arrivals.is_drained()
+    }
+
+    /// Records that the peer has taken output since the last call, if it has.
+    fn note_progress(&mut self, now: Timestamp) {
+        if std::mem::take(&mut self.output_taken) {
+            self.last_output_progress = now;
+        }
     }
 
     /// When the input byte that is followed by `unused` others arrived. Deadlines relative to a message's arrival count
@@ -299,7 +372,12 @@
 
     /// Whether reading is paused, because the peer does not read its output or the input buffer is full.
     pub fn is_input_paused(&self) -> bool {
-        self.unwritten_bytes() > self.limits.output || self.input.len() > self.limits.input
+        self.is_output_unread() || self.input.len() > self.limits.input
+    }
+
+    /// Whether the peer leaves more output unread than it may.
+    pub fn is_output_unread(&self) -> bool {
+        self.unwritten_bytes() > self.limits.output && self.unwritten_messages() > self.allowed_messages
     }
 
     /// Whether a write has failed.
@@ -318,23 +396,13 @@
     }
 
     fn write_out(&mut self) -> io::Result<bool> {
-        while self.connected && self.written < self.output.len() {
-            match self.stream.write(&self.output[self.written..]) {
-                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-                Ok(n) => self.written += n,
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) => return Err(e),
-            }
+        if !self.connected {
+            return Ok(false);
         }
-        if self.written == self.output.len() {
-            self.output.clear();
-            self.written = 0;
-            if self.output.capacity() > READ_CHUNK_BYTES {
-                self.output.shrink_to(4096);
-            }
-        }
-        Ok(self.unwritten_bytes() == 0 && self.connected)
+        let stream = &mut self.stream;
+        let written = self.output.write_to(|bytes| stream.write(bytes))?;
+        self.output_taken |= written > 0;
+        Ok(self.unwritten_bytes() == 0)
     }
 
     /// Leaves the remaining input in the socket; registering again has the poll report it.
@@ -345,8 +413,12 @@
     /// Reads available input up to the buffer's limit, and no further chunk after `most` bytes; true if the socket is empty.
     fn fill_input(&mut self, most: usize, clock: SystemClock) -> io::Result<bool> {
         let started = clock.reading();
+        let was_drained = self.is_drained();
         let filled = self.read_chunks(most, clock);
         self.arrivals.note_read_end(started, matches!(filled, Ok(true)));
+        if self.is_drained() && !was_drained {
+            self.caught_up_at = clock.now();
+        }
         filled
     }
 
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -3,7 +3,7 @@
 mod entry;
 
 use super::connection::{Connection, Context, ControlFlow};
-use super::{BufferLimits, ClockReading, Link, Stream, SystemClock};
+use super::{BufferLimits, ClockReading, Link, MIN_OUTPUT_BYTES, OutputPressure, Stream, SystemClock};
 use crate::core::Core;
 use crate::fleet::FleetNode;
 use crate::fleet::distribution::DistributionNode;
@@ -39,8 +39,10 @@
 const MAX_POLL_WAIT: Duration = Duration::millis(30);
 /// Events that one poll reports.
 const MAX_EVENTS_PER_POLL: usize = 1024;
-/// Unwritten output that a connection may have at any time without being closed as clogged.
-const MIN_CLOGGED_BYTES: usize = 64 << 10;
+/// The unwritten output of all connections is under [`OutputPressure::High`] above this fraction of its limit, and under
+/// [`OutputPressure::Critical`] above the other one.
+const HIGH_PRESSURE: f64 = 2.0 / 3.0;
+const CRITICAL_PRESSURE: f64 = 5.0 / 6.0;
 
 /// Poll tokens: listeners start at 0, pipes, datagram sockets and connections at these.
 pub(super) const FIRST_PIPE_TOKEN: usize = 1 << 8;
@@ -184,8 +186,10 @@
         callback: impl FnOnce(&mut Entry, &mut Context) -> ControlFlow,
     ) {
         let context = &mut self.context(core);
+        let pressure = self.output_pressure();
         let Some(entry) = self.entries.get_mut(&token) else { return };
         let before = entry.link.unwritten_bytes();
+        entry.link.output_pressure = pressure;
         let flow = catch_unwind(AssertUnwindSafe(|| {
             let mut flow = callback(entry, context);
             // Output is written at once; the connection may queue more whenever all of it has been written.
@@ -213,11 +217,12 @@
             entry.link.set_close_cause(CloseCause::Fault);
             ControlFlow::Close
         });
+        entry.link.note_progress(self.clock.now());
         let after = entry.link.unwritten_bytes();
         self.unwritten_total = (self.unwritten_total + after).saturating_sub(before);
         // Bounds the memory held by output to peers that do not read.
         let clogged =
-            self.unwritten_total > self.max_unwritten_bytes && after > before && after > MIN_CLOGGED_BYTES;
+            self.unwritten_total > self.max_unwritten_bytes && after > before && after > MIN_OUTPUT_BYTES;
         let flow = if clogged { ControlFlow::Close } else { flow };
         if clogged {
             entry.link.set_close_cause(CloseCause::Clogged);
@@ -238,15 +243,33 @@
         if entry.connection.next_attempt(&entry.link).is_some() {
             self.writable.insert(token);
         }
-        let due = entry.connection.deadline();
-        if due != entry.timer {
-            if let Some(at) = entry.timer.take() {
-                self.timers.remove(&(at, token));
-            }
-            if let Some(at) = due {
-                self.timers.insert((at, token));
-            }
-            entry.timer = due;
+        self.update_timer(token);
+    }
+
+    /// Registers the connection's next deadline.
+    fn update_timer(&mut self, token: Token) {
+        let Some(entry) = self.entries.get_mut(&token) else { return };
+        let due = entry.deadline();
+        if due == entry.timer {
+            return;
+        }
+        if let Some(at) = std::mem::replace(&mut entry.timer, due) {
+            self.timers.remove(&(at, token));
+        }
+        if let Some(at) = due {
+            self.timers.insert((at, token));
+        }
+    }
+
+    /// How much unwritten output there is, compared with the limit.
+    fn output_pressure(&self) -> OutputPressure {
+        let used = self.unwritten_total as f64 / self.max_unwritten_bytes as f64;
+        if used > CRITICAL_PRESSURE {
+            OutputPressure::Critical
+        } else if used > HIGH_PRESSURE {
+            OutputPressure::High
+        } else {
+            OutputPressure::None
         }
     }
 
@@ -258,7 +281,8 @@
         }
         let (cause, kind, connection) = (entry.link.close_cause(), entry.connection.kind(), token.0);
         core.counters().close(cause);
-        tracing::debug!(connection, kind, ?cause, "closed");
+        let (unwritten, paused) = (entry.link.unwritten_bytes(), entry.link.is_input_paused());
+        tracing::debug!(connection, kind, ?cause, unwritten, paused, "closed");
         let context = &mut self.context(core);
         let closed = catch_unwind(AssertUnwindSafe(|| entry.connection.closed(&entry.link, context)));
         if closed.is_err() {
@@ -299,6 +323,27 @@
         self.entries.get(&Token(id as usize)).map(|entry| look(entry.connection.as_ref()))
     }
 
+    /// Since when nothing has been open on a connection, nor unread by its peer; `None` while something is.
+    pub fn idle_since(&self, id: u64) -> Option<Timestamp> {
+        self.entries.get(&Token(id as usize))?.idle_since()
+    }
+
+    /// Writes as much waiting output as the sockets take. The poll reports room only once there is much of it.
+    pub fn write_waiting_output(&mut self, core: &mut Core) {
+        let waiting = |entry: &Entry| entry.link.connected && entry.link.unwritten_bytes() > 0;
+        let tokens: Vec<Token> =
+            self.entries.iter().filter(|(_, entry)| waiting(entry)).map(|(token, _)| *token).collect();
+        for token in tokens {
+            self.invoke(token, core, |_, _| ControlFlow::Continue);
+        }
+    }
+
+    /// When the peer of any connection last took output that had been waiting for it.
+    pub fn last_output_progress(&self) -> Option<Timestamp> {
+        let waiting = self.entries.values().filter(|entry| entry.link.unwritten_bytes() > 0);
+        waiting.map(|entry| entry.link.last_output_progress()).max()
+    }
+
     /// IDs of all connections.
     pub fn ids(&self) -> Vec<u64> {
         self.entries.keys().map(|token| token.0 as u64).collect()
@@ -371,7 +416,7 @@
             }
             // Input that arrived before the timer expired counts, even if the event loop is late to read it.
             self.catch_up(token.0 as u64, core);
-            let due = |entry: &mut Entry, context: &mut Context| match entry.connection.deadline() {
+            let due = |entry: &mut Entry, context: &mut Context| match entry.deadline() {
                 Some(at) if at <= context.now => entry.connection.on_timeout(&mut entry.link, context),
                 _ => ControlFlow::Continue,
             };
@@ -472,9 +517,7 @@
     /// connection with unread input is not idle, and one with a part of a request is closed only after all others.
     pub fn close_longest_idle(&mut self, core: &mut Core) -> bool {
         for _ in 0..self.entries.len() {
-            let rank = |entry: &Entry| {
-                Some((entry.connection.has_partial_request(), entry.connection.idle_since()?))
-            };
+            let rank = |entry: &Entry| Some((entry.connection.has_partial_request(), entry.idle_since()?));
             let idle = self.entries.iter().filter_map(|(token, entry)| Some((rank(entry)?, *token)));
             let Some((before, token)) = idle.min() else { return false };
             self.catch_up(token.0 as u64, core);
--- a/src/net/reactor/entry.rs
+++ b/src/net/reactor/entry.rs
@@ -36,6 +36,17 @@
         Entry { link, connection, timer: None, finishing: false, write_shut: false, discarded: 0 }
     }
 
+    /// When the connection is to be called back.
+    pub(super) fn deadline(&self) -> Option<Timestamp> {
+        self.connection.deadline().into_iter().chain(self.connection.peer_deadline(&self.link)).min()
+    }
+
+    /// Since when nothing is open on this connection and its peer has left no output unread; `None` while something is.
+    pub(super) fn idle_since(&self) -> Option<Timestamp> {
+        let since = self.connection.idle_since().filter(|_| self.link.unwritten_bytes() == 0)?;
+        Some(since.max(self.link.last_output_progress()))
+    }
+
     /// Writes as much output as the socket takes; true once none is left.
     pub(super) fn flush(&mut self, context: &mut Context) -> io::Result<bool> {
         if self.link.none_written() {
