Bound the unfinished input of all clients together, and held answers of batches

Cause: input was bounded for each connection only, grew by doubling, and kept its capacity once it was empty.

Change: the reactor counts the memory of partly received requests and gives up the largest ones, of connections with nothing open first, above a sixth of the memory: a frame is refused under its stream and its rest skipped, a line ends with -32001. Answers that a batch holds back count as unwritten output. A line of over 16,384 separators is not decoded.

Why it works: the sum is kept after each read, so no number of clients passes it.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -419,11 +419,12 @@
 
 /// Limits the memory of one of `process_count` processes that share the configured amount: the bodies of open requests
 /// may take a sixth of it. Unwritten output may take another sixth before new requests and long answers to clients that do
-/// not read are rejected, and a quarter at most.
+/// not read are rejected, and a quarter at most. Requests of which a part has been received may take a sixth.
 fn limit_memory(config: &Config, process_count: usize, core: &mut Core, reactor: &mut Reactor) {
     let memory = (config.memory_mb << 20) / process_count;
     core.limit_memory(memory);
     reactor.max_unwritten_bytes = memory / 4;
+    reactor.max_partial_input_bytes = memory / 6;
 }
 
 /// Descriptors that connections may use when no other process shares them.
--- a/src/front/frames.rs
+++ b/src/front/frames.rs
@@ -77,6 +77,24 @@
     Ok(Some((Frame { kind: rest[0], stream, payload: &rest[5..] }, 4 + length)))
 }
 
+/// Bytes of a frame before its payload.
+const HEAD_BYTES: usize = 9;
+
+/// The length field and the stream number of the request whose frame starts here.
+///
+/// # Errors
+/// The frame's head is incomplete, or it is no request.
+fn request_head(bytes: &[u8]) -> Result<(usize, u32), &'static str> {
+    let head: &[u8; HEAD_BYTES] = bytes.first_chunk().ok_or("frame without a head")?;
+    let length = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
+    let stream = u32::from_be_bytes([head[5], head[6], head[7], head[8]]);
+    if head[4] == kinds::REQUEST && stream != 0 {
+        Ok((length, stream))
+    } else {
+        Err("frame is not a request")
+    }
+}
+
 /// Appends a frame.
 pub fn put_frame(kind: u8, stream: u32, payload: &[&[u8]], out: &mut Vec<u8>) {
     let length = 5 + payload.iter().map(|part| part.len()).sum::<usize>();
@@ -320,6 +338,22 @@
         Ok(())
     }
 
+    /// Gives up the request whose frame has been received in part: it is refused, and the rest of the frame is skipped.
+    fn refuse_partial(&mut self, link: &mut Link, context: &mut Context) -> Result<(), &'static str> {
+        let (length, stream) = request_head(&link.input)?;
+        if !self.used_streams.mark_used(stream) {
+            return Err("stream number already used");
+        }
+        self.skip_bytes = (4 + length).saturating_sub(link.input.len());
+        link.drop_input();
+        let verdict = Verdict::Refused { cooldown: context.core.default_cooldown() };
+        context.core.count_rejected_by_listener(None, &verdict);
+        let mut bytes = Vec::new();
+        put_answer(stream, &verdict, &mut bytes);
+        link.enqueue(&bytes);
+        Ok(())
+    }
+
     /// If the frame that starts here is oversized and its header has been received, answers it and returns its size;
     /// otherwise 0.
     fn reject_oversized(
@@ -328,14 +362,13 @@
         link: &mut Link,
         context: &mut Context,
     ) -> Result<usize, &'static str> {
-        let Some(header) = bytes.first_chunk::<9>() else { return Ok(0) };
-        let length = u32::from_be_bytes([header[0], header[1], header[2], header[3]]) as usize;
-        if length <= MAX_USABLE_FRAME_LENGTH {
+        let long = |header: &[u8; 4]| u32::from_be_bytes(*header) as usize > MAX_USABLE_FRAME_LENGTH;
+        if bytes.len() < HEAD_BYTES || !bytes.first_chunk().is_some_and(long) {
             return Ok(0);
         }
-        let stream = u32::from_be_bytes([header[5], header[6], header[7], header[8]]);
-        if header[4] != kinds::REQUEST || stream == 0 || !self.used_streams.mark_used(stream) {
-            return Err("oversized frame is not a request");
+        let (length, stream) = request_head(bytes)?;
+        if !self.used_streams.mark_used(stream) {
+            return Err("stream number already used");
         }
         context.core.count_rejected_by_listener(None, &Verdict::Failed);
         let mut bytes = Vec::new();
@@ -485,6 +518,17 @@
         self.timers.message_started.is_some()
     }
 
+    fn drop_partial_request(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
+        match self.refuse_partial(link, context) {
+            Ok(()) => ControlFlow::Continue,
+            Err(why) => self.close_malformed(why, link, context),
+        }
+    }
+
+    fn open_requests(&self) -> usize {
+        self.open.len()
+    }
+
     fn may_receive_request(&self) -> bool {
         !self.timers.is_finishing() && (self.has_partial_request() || !self.received_frame)
     }
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -43,7 +43,14 @@
 struct Batch {
     /// Responses that are still missing.
     outstanding: usize,
-    replies: Vec<Value>,
+    /// The responses that are there, as text.
+    replies: Vec<String>,
+}
+
+impl Batch {
+    fn byte_count(&self) -> usize {
+        self.replies.iter().map(String::len).sum()
+    }
 }
 
 /// A client's connection to the JSON-RPC front.
@@ -54,6 +61,8 @@
     max_line_bytes: usize,
     /// The rest of an oversized line is being skipped.
     skipping: bool,
+    /// When the line that is being handled arrived.
+    line_arrived: Timestamp,
     timers: ClientTimers,
 }
 
@@ -66,6 +75,7 @@
             next_number: 1,
             max_line_bytes,
             skipping: false,
+            line_arrived: now,
             timers: ClientTimers::new(now),
         }
     }
@@ -75,9 +85,11 @@
         BufferLimits { input: max_line_bytes + 1, output: MAX_UNREAD_OUTPUT_BYTES }
     }
 
-    fn send(&mut self, batch: Option<u64>, reply: Value, link: &mut Link) {
-        let Some(number) = batch else { return write_line(link, &reply) };
+    fn send(&mut self, batch: Option<u64>, reply: &Value, link: &mut Link) {
+        let Some(number) = batch else { return write_line(link, reply.to_string()) };
         let Some(entry) = self.batches.get_mut(&number) else { return };
+        let reply = reply.to_string();
+        link.hold_output(reply.len());
         entry.replies.push(reply);
         self.count_reply(number, link);
     }
@@ -90,7 +102,8 @@
             && let Some(batch) = self.batches.remove(&number)
             && !batch.replies.is_empty()
         {
-            write_line(link, &Value::Array(batch.replies));
+            link.release_output(batch.byte_count());
+            write_line(link, format!("[{}]", batch.replies.join(",")));
         }
     }
 
@@ -125,11 +138,11 @@
             Request::Nothing => {}
             Request::Reply(reply) => {
                 context.core.counters().malformed += 1;
-                self.send(batch, reply, link);
+                self.send(batch, &reply, link);
             }
             Request::Ready(id) => {
                 let ready = context.ready && context.active;
-                self.send(batch, result(&id, &json!({"ready": ready})), link);
+                self.send(batch, &result(&id, &json!({"ready": ready})), link);
             }
             Request::Cancel(id) => {
                 let Some(stream) = self.open.iter().find(|(_, open)| open.id == id).map(|(s, _)| *s) else {
@@ -137,7 +150,7 @@
                 };
                 context.core.withdraw(context.now, Owner { connection: link.id(), stream });
                 if let Some(open) = self.open.remove(&stream) {
-                    self.send(open.batch, error(&open.id, codes::CANCELLED, "cancelled", None), link);
+                    self.send(open.batch, &error(&open.id, codes::CANCELLED, "cancelled", None), link);
                 }
             }
             Request::Call(id, params) => self.start_call(id, *params, batch, link, context),
@@ -166,11 +179,11 @@
             });
         if let Some(why) = invalid {
             context.core.counters().malformed += 1;
-            return self.send(batch, error(&id, codes::INVALID_PARAMS, &why, None), link);
+            return self.send(batch, &error(&id, codes::INVALID_PARAMS, &why, None), link);
         }
         self.open.insert(owner.stream, OpenRequest { id, batch });
         let ChainParams { steps, allow_ms, key } = params;
-        let deadline = deadline(arrived(link), allow_ms);
+        let deadline = deadline(self.line_arrived, allow_ms);
         context.core.enqueue_chain(Chain { owner, key, deadline, steps });
     }
 
@@ -185,14 +198,14 @@
     ) -> Option<Owner> {
         // Two open requests with one id could not be told apart by the client or by a `cancel`.
         if self.open.values().any(|open| open.id == *id) {
-            self.send(batch, error(id, codes::INVALID_REQUEST, "id is in use", None), link);
+            self.send(batch, &error(id, codes::INVALID_REQUEST, "id is in use", None), link);
             return None;
         }
         let has_room = has_room_for_request(self.open.len(), link) && self.has_room_for(id);
         if !has_room || !context.active {
             let verdict = Verdict::Refused { cooldown: context.core.default_cooldown() };
             context.core.count_rejected_by_listener(class, &verdict);
-            self.send(batch, response(id, &Answer { verdict, expired: false }), link);
+            self.send(batch, &response(id, &Answer { verdict, expired: false }), link);
             return None;
         }
         self.next_number += 1;
@@ -227,7 +240,7 @@
             memory_mb,
             concurrency,
             load_time,
-            deadline: deadline(arrived(link), params.allow_ms),
+            deadline: deadline(self.line_arrived, params.allow_ms),
             body: body.unwrap_or_default(),
         });
     }
@@ -242,7 +255,7 @@
     ) -> ControlFlow {
         if let Some(open) = self.open.remove(&stream) {
             self.timers.last_activity = context.now;
-            self.send(open.batch, reply_within_room(reply(&open.id), link), link);
+            self.send(open.batch, &reply_within_room(reply(&open.id), link), link);
         }
         ControlFlow::Continue
     }
@@ -250,22 +263,28 @@
     /// Handles the complete lines of the input, and notes whether an incomplete one follows.
     fn read_lines(&mut self, link: &mut Link, context: &mut Context) {
         let mut completed = false;
+        let mut consumed = 0;
+        let input = std::mem::take(&mut link.input);
         // Reading pauses while the client does not read its answers, and resumes in `flushed`.
         while !link.is_output_unread() {
-            let Some(end) = link.input.iter().position(|b| *b == b'\n') else { break };
-            let line: Vec<u8> = link.input.drain(..=end).collect();
+            let Some(length) = input[consumed..].iter().position(|b| *b == b'\n') else { break };
+            let line = &input[consumed..consumed + length];
+            consumed += length + 1;
             completed = true;
             if std::mem::take(&mut self.skipping) {
                 continue;
             }
-            if end <= self.max_line_bytes {
-                self.handle_line(&line[..end], link, context);
+            if length <= self.max_line_bytes {
+                self.line_arrived = link.arrival_time(input.len() - consumed);
+                self.handle_line(line, link, context);
             } else {
                 self.reject_oversized(link, context);
             }
         }
+        link.input = input;
+        link.consume(consumed);
         if link.input.len() > self.max_line_bytes && !link.input.contains(&b'\n') {
-            link.input.clear();
+            link.drop_input();
             if !std::mem::replace(&mut self.skipping, true) {
                 self.reject_oversized(link, context);
             }
@@ -291,7 +310,8 @@
     /// Sends the error for a line without an end; the connection finishes once it has been written.
     fn close_incomplete(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
         context.core.counters().malformed += 1;
-        write_line(link, &error(&Value::Null, codes::PARSE, "the line has no end", None));
+        link.release_output(self.batches.values().map(Batch::byte_count).sum());
+        write_line(link, error(&Value::Null, codes::PARSE, "the line has no end", None).to_string());
         self.withdraw_all(link, context);
         link.set_close_cause(CloseCause::Unreadable);
         self.timers.begin_finish(context.now);
@@ -300,15 +320,10 @@
 
     fn reject_oversized(&mut self, link: &mut Link, context: &mut Context) {
         context.core.counters().malformed += 1;
-        write_line(link, &error(&Value::Null, codes::INVALID_REQUEST, "line too long", None));
+        write_line(link, error(&Value::Null, codes::INVALID_REQUEST, "line too long", None).to_string());
     }
 }
 
-/// When the line that has just been taken from the input arrived.
-fn arrived(link: &Link) -> Timestamp {
-    link.arrival_time(link.input.len())
-}
-
 /// The deadline of a request whose client waits `allow_ms` from the arrival of its line, at most an hour.
 fn deadline(arrived: Timestamp, allow_ms: u64) -> Timestamp {
     arrived + Duration((allow_ms.min(3_600_000) * 1_000_000).saturating_sub(ANSWER_TRANSIT_TIME.0))
@@ -318,10 +333,9 @@
     !matches!(request, Request::Nothing | Request::Cancel(_))
 }
 
-fn write_line(link: &mut Link, reply: &Value) {
-    let mut bytes = reply.to_string().into_bytes();
-    bytes.push(b'\n');
-    link.enqueue(&bytes);
+fn write_line(link: &mut Link, mut reply: String) {
+    reply.push('\n');
+    link.enqueue(reply.as_bytes());
 }
 
 /// The reply to a request that has ended; a failure without the body if there is no memory for it.
@@ -401,6 +415,20 @@
         self.timers.message_started.is_some()
     }
 
+    fn drop_partial_request(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
+        link.drop_input();
+        self.skipping = true;
+        context.core.counters().malformed += 1;
+        let data = json!({"cooldown_ms": context.core.default_cooldown().0.div_ceil(1_000_000)});
+        let why = "no memory for the rest of the line";
+        write_line(link, error(&Value::Null, codes::REFUSED, why, Some(data)).to_string());
+        ControlFlow::Continue
+    }
+
+    fn open_requests(&self) -> usize {
+        self.open.len()
+    }
+
     fn idle_since(&self) -> Option<Timestamp> {
         (self.open.is_empty() && !self.timers.is_finishing()).then_some(self.timers.last_activity)
     }
--- a/src/front/jsonrpc/codec.rs
+++ b/src/front/jsonrpc/codec.rs
@@ -34,6 +34,9 @@
 
 /// Most requests in one batch.
 pub const MAX_BATCH_REQUESTS: usize = 64;
+/// Most commas, colons and opening brackets in a line. Each value of a decoded line takes up to 100 bytes, and a full batch
+/// of full chains has some 11,000.
+const MAX_LINE_SEPARATORS: usize = 16 << 10;
 /// Longest line, unless the operator sets another limit.
 pub const DEFAULT_MAX_LINE_BYTES: usize = 64 << 10;
 
@@ -96,6 +99,10 @@
 pub fn read_line(line: &[u8]) -> ParsedLine {
     let invalid =
         |why| ParsedLine::One(Request::Reply(error(&Value::Null, codes::INVALID_REQUEST, why, None)));
+    let separators = line.iter().filter(|byte| matches!(byte, b',' | b':' | b'[' | b'{'));
+    if separators.count() > MAX_LINE_SEPARATORS {
+        return invalid("too many values");
+    }
     match serde_json::from_slice(line) {
         Err(_) => ParsedLine::One(Request::Reply(error(&Value::Null, codes::PARSE, "not JSON", None))),
         Ok(Value::Array(list)) if list.is_empty() => invalid("an empty batch"),
--- a/src/front/jsonrpc/tests.rs
+++ b/src/front/jsonrpc/tests.rs
@@ -59,6 +59,22 @@
     }
 }
 
+/// A decoded line must take little more memory than its bytes; a full batch of full chains is still decoded.
+#[test]
+fn lines_of_very_many_values_are_rejected_undecoded() {
+    let many = format!("[{}1]", "1,".repeat(20_000));
+    let ParsedLine::One(Request::Reply(reply)) = read_line(many.as_bytes()) else { panic!("not rejected") };
+    assert_eq!(reply["error"]["message"], "too many values");
+    let step = json!({"class": "c", "function": "7f3a9c21e0b4d655", "memory_mb": 1, "lanes": 1, "load_ms": 1,
+        "body": "", "previous": false});
+    let params = json!({"allow_ms": 1, "key": "k", "steps": vec![step; crate::chain::MAX_STEPS]});
+    let chain = json!({"jsonrpc": "2.0", "id": 1, "method": "chain", "params": params});
+    let batch = Value::Array(vec![chain; MAX_BATCH_REQUESTS]).to_string();
+    assert!(
+        matches!(read_line(batch.as_bytes()), ParsedLine::Batch(list) if list.len() == MAX_BATCH_REQUESTS)
+    );
+}
+
 #[test]
 fn valid_lines_are_decoded() {
     let text = r#"{"jsonrpc":"2.0","id":"a","method":"call","params":{"class":"c","function":"7f3a9c21e0b4d655","allow_ms":1500,"key":"k","lanes":2,"body":"aGk="}}"#;
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -126,6 +126,11 @@
     fn has_partial_request(&self) -> bool {
         false
     }
+    /// Gives up the request of which a part has been received, because the memory for such parts is used up, and frees its
+    /// input.
+    fn drop_partial_request(&mut self, _link: &mut Link, _context: &mut Context) -> ControlFlow {
+        ControlFlow::Close
+    }
     /// Whether a part of a request has been received, or a first request may still arrive.
     fn may_receive_request(&self) -> bool {
         false
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -169,6 +169,11 @@
 
 /// Bytes read from a socket in one call.
 const READ_CHUNK_BYTES: usize = 16 << 10;
+/// Memory for input that a connection keeps while it has no input.
+const KEPT_INPUT_BYTES: usize = 1 << 10;
+/// Input up to this size takes no more memory than its bytes. Longer input grows by doubling, so that it is not copied for
+/// each read.
+const MAX_EXACT_INPUT_BYTES: usize = 128 << 10;
 
 /// Limits in bytes on the two buffers of a connection.
 #[derive(Clone, Copy, Debug)]
@@ -230,6 +235,8 @@
     caught_up_at: Timestamp,
     /// How much unwritten output all connections together have.
     output_pressure: OutputPressure,
+    /// Bytes of answers that the connection holds back until others are there.
+    held_output: usize,
 }
 
 impl Link {
@@ -262,6 +269,7 @@
             last_output_progress: empty_at.process_time,
             caught_up_at: empty_at.process_time,
             output_pressure: OutputPressure::None,
+            held_output: 0,
         }
     }
 
@@ -296,6 +304,21 @@
         self.output.len()
     }
 
+    /// Notes that the connection holds back this many more bytes of answers, which count as output.
+    pub fn hold_output(&mut self, bytes: usize) {
+        self.held_output += bytes;
+    }
+
+    /// Notes that the connection no longer holds back so many bytes of answers.
+    pub fn release_output(&mut self, bytes: usize) {
+        self.held_output -= bytes;
+    }
+
+    /// Bytes waiting to be written, with those that the connection holds back.
+    fn buffered_output(&self) -> usize {
+        self.unwritten_bytes() + self.held_output
+    }
+
     /// Messages of which some bytes wait to be written.
     pub fn unwritten_messages(&self) -> usize {
         self.output.message_count()
@@ -314,11 +337,12 @@
 
     /// Whether a message of this size may be added to the output, given what all connections together have.
     pub fn has_output_room(&self, message_bytes: usize) -> bool {
-        match self.output_pressure {
-            OutputPressure::None => true,
-            OutputPressure::High => self.unwritten_bytes() + message_bytes <= MIN_OUTPUT_BYTES,
-            OutputPressure::Critical => message_bytes <= MAX_SHORT_MESSAGE_BYTES,
-        }
+        let limit = match self.output_pressure {
+            OutputPressure::None => return true,
+            OutputPressure::High => MIN_OUTPUT_BYTES,
+            OutputPressure::Critical => MAX_SHORT_MESSAGE_BYTES,
+        };
+        self.buffered_output() + message_bytes <= limit
     }
 
     /// Whether there is output of which no byte has been written to the socket.
@@ -365,9 +389,24 @@
     pub fn consume(&mut self, count: usize) {
         self.input.drain(..count);
         // Hundreds of connections must not each keep the capacity of their largest message.
-        if self.input.capacity() > READ_CHUNK_BYTES + 2 * self.input.len() {
-            self.input.shrink_to(self.input.len());
+        if self.input.capacity() > KEPT_INPUT_BYTES + 2 * self.input.len() {
+            self.input.shrink_to_fit();
+        }
+    }
+
+    /// Drops the whole input with its memory.
+    pub fn drop_input(&mut self) {
+        self.input = Vec::new();
+    }
+
+    /// Appends to the input, without the spare memory that a growing vector would take: a connection may wait long for the
+    /// rest of a message.
+    fn append_input(&mut self, bytes: &[u8]) {
+        let new_length = self.input.len() + bytes.len();
+        if new_length <= MAX_EXACT_INPUT_BYTES {
+            self.input.reserve_exact(bytes.len());
         }
+        self.input.extend_from_slice(bytes);
     }
 
     /// Whether reading is paused, because the peer does not read its output or the input buffer is full.
@@ -437,7 +476,7 @@
                 Ok((0, _)) => self.peer_closed = true,
                 Ok((count, timestamp)) => {
                     self.arrivals.note_bytes(count, timestamp, clock.reading(), self.input.len());
-                    self.input.extend_from_slice(&chunk[..count]);
+                    self.append_input(&chunk[..count]);
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(true),
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -75,6 +75,10 @@
     unwritten_total: usize,
     /// Above this number of unwritten bytes, a connection that adds to them is closed if its peer does not read.
     pub max_unwritten_bytes: usize,
+    /// Memory of the partly received requests of all connections.
+    partial_input_total: usize,
+    /// Above this number of bytes, partly received requests are given up.
+    pub max_partial_input_bytes: usize,
     /// Passed to callbacks as [`Context::ready`]; false while the scheduler is not ready.
     pub ready: bool,
     /// Passed to callbacks as [`Context::active`]; false while another daemon is the active one.
@@ -112,6 +116,8 @@
             arrival_bound: now,
             unwritten_total: 0,
             max_unwritten_bytes: usize::MAX,
+            partial_input_total: 0,
+            max_partial_input_bytes: usize::MAX,
             ready: false,
             active: true,
             accepting: true,
@@ -188,7 +194,7 @@
         let context = &mut self.context(core);
         let pressure = self.output_pressure();
         let Some(entry) = self.entries.get_mut(&token) else { return };
-        let before = entry.link.unwritten_bytes();
+        let before = entry.link.buffered_output();
         entry.link.output_pressure = pressure;
         let flow = catch_unwind(AssertUnwindSafe(|| {
             let mut flow = callback(entry, context);
@@ -218,7 +224,7 @@
             ControlFlow::Close
         });
         entry.link.note_progress(self.clock.now());
-        let after = entry.link.unwritten_bytes();
+        let after = entry.link.buffered_output();
         self.unwritten_total = (self.unwritten_total + after).saturating_sub(before);
         // Bounds the memory held by output to peers that do not read.
         let clogged =
@@ -243,9 +249,29 @@
         if entry.connection.next_attempt(&entry.link).is_some() {
             self.writable.insert(token);
         }
+        let partial_input = entry.partial_input();
+        self.partial_input_total -= std::mem::replace(&mut entry.partial_input_bytes, partial_input);
+        self.partial_input_total += partial_input;
         self.update_timer(token);
     }
 
+    /// Gives up partly received requests until they keep to the memory for them: first of connections without open
+    /// requests, the largest first.
+    fn drop_partial_requests(&mut self, core: &mut Core) {
+        while self.partial_input_total > self.max_partial_input_bytes {
+            let rank = |entry: &Entry| (entry.connection.open_requests() == 0, entry.partial_input_bytes);
+            let partial = self.entries.iter().filter(|(_, entry)| entry.partial_input_bytes > 0);
+            let Some((_, token)) = partial.map(|(token, entry)| (rank(entry), *token)).max() else { return };
+            let before = self.partial_input_total;
+            self.invoke(token, core, |entry, context| {
+                entry.connection.drop_partial_request(&mut entry.link, context)
+            });
+            if self.partial_input_total >= before {
+                self.close_for(token, CloseCause::MadeRoom, core);
+            }
+        }
+    }
+
     /// Registers the connection's next deadline.
     fn update_timer(&mut self, token: Token) {
         let Some(entry) = self.entries.get_mut(&token) else { return };
@@ -275,7 +301,8 @@
 
     fn close(&mut self, token: Token, core: &mut Core) {
         let Some(mut entry) = self.entries.remove(&token) else { return };
-        self.unwritten_total = self.unwritten_total.saturating_sub(entry.link.unwritten_bytes());
+        self.unwritten_total = self.unwritten_total.saturating_sub(entry.link.buffered_output());
+        self.partial_input_total -= entry.partial_input_bytes;
         if let Some(at) = entry.timer {
             self.timers.remove(&(at, token));
         }
@@ -511,6 +538,7 @@
             if readable { entry.read_all(flow, &mut budget, context) } else { flow }
         });
         self.read_budget = budget;
+        self.drop_partial_requests(core);
     }
 
     /// Closes the connection that has been idle longest, as the least likely to be used again; false if none is idle. A
--- a/src/net/reactor/entry.rs
+++ b/src/net/reactor/entry.rs
@@ -28,12 +28,22 @@
     pub(super) write_shut: bool,
     /// Input bytes discarded since the connection started to finish.
     discarded: usize,
+    /// Memory of a partly received request, as included in the reactor's total.
+    pub(super) partial_input_bytes: usize,
 }
 
 impl Entry {
     /// The state of a connection that has just been added.
     pub(super) fn new(link: Link, connection: Box<dyn Connection>) -> Entry {
-        Entry { link, connection, timer: None, finishing: false, write_shut: false, discarded: 0 }
+        Entry {
+            link,
+            connection,
+            timer: None,
+            finishing: false,
+            write_shut: false,
+            discarded: 0,
+            partial_input_bytes: 0,
+        }
     }
 
     /// When the connection is to be called back.
@@ -47,6 +57,11 @@
         Some(since.max(self.link.last_output_progress()))
     }
 
+    /// Memory taken by a request of which a part has been received.
+    pub(super) fn partial_input(&self) -> usize {
+        if self.connection.has_partial_request() { self.link.input.capacity() } else { 0 }
+    }
+
     /// Writes as much output as the socket takes; true once none is left.
     pub(super) fn flush(&mut self, context: &mut Context) -> io::Result<bool> {
         if self.link.none_written() {
