Handle a bounded number of one connection's messages in a turn of the event loop

Change: a connection has 64 messages a turn, entries of a batch counted; the rest stays in its input and no more is read before. Remembered gaps of stream numbers: 512, not 4,096.

Why it works: what one client causes between two turns no longer depends on how small its messages are.

--- a/src/front/frames.rs
+++ b/src/front/frames.rs
@@ -2,8 +2,8 @@
 
 use super::client_timers::{ClientTimers, Lateness};
 use super::{
-    ANSWER_TRANSIT_TIME, MAX_BODY_BYTES, MAX_OPEN_REQUESTS, MAX_UNREAD_OUTPUT_BYTES, has_room_for_request,
-    read_function,
+    ANSWER_TRANSIT_TIME, MAX_BODY_BYTES, MAX_MESSAGES_PER_TURN, MAX_OPEN_REQUESTS, MAX_UNREAD_OUTPUT_BYTES,
+    has_room_for_request, read_function,
 };
 use crate::core::{Answer, IncomingRequest, Owner, Verdict};
 use crate::interface::{Duration, FunctionId, Timestamp};
@@ -151,6 +151,12 @@
     Unusable(&'static str),
 }
 
+fn has_duplicate_names(list: &[(&str, &str)]) -> bool {
+    let mut names: Vec<&str> = list.iter().map(|(name, _)| *name).collect();
+    names.sort_unstable();
+    names.windows(2).any(|pair| pair[0] == pair[1])
+}
+
 /// Decodes a request. Its deadline counts from its arrival.
 ///
 /// # Errors
@@ -161,8 +167,7 @@
     arrived: Timestamp,
 ) -> Result<IncomingRequest, RequestError> {
     let (list, body) = read_fields(payload).map_err(RequestError::Malformed)?;
-    let duplicate = |n: usize| list[..n].iter().any(|(name, _)| *name == list[n].0);
-    if (1..list.len()).any(duplicate) {
+    if has_duplicate_names(&list) {
         return Err(RequestError::Unusable("a field stands twice"));
     }
     let field = |name: &str| list.iter().find(|(n, _)| *n == name).map(|(_, value)| *value);
@@ -230,6 +235,9 @@
     }
 }
 
+/// Most used stream numbers above one that has not been used. Each client may fill this table.
+const MAX_STREAM_GAPS: usize = 512;
+
 /// The stream numbers that have been used: all up to `floor`, and those in `above`.
 #[derive(Default)]
 struct UsedStreams {
@@ -247,7 +255,7 @@
             self.floor += 1;
         }
         // Numbers need not arrive in order, but the number of remembered gaps is limited.
-        if self.above.len() > 4096
+        if self.above.len() > MAX_STREAM_GAPS
             && let Some(first) = self.above.pop_first()
         {
             self.floor = first;
@@ -424,9 +432,15 @@
         self.skip_bytes -= from;
         // What is still being skipped belongs to a frame that started earlier.
         let mut frame_started = self.skip_bytes == 0 && from > 0;
+        let mut handled = 0;
+        let mut left = false;
         let error = loop {
             match read_frame(&bytes[from..]) {
                 _ if self.skip_bytes > 0 => break None,
+                Ok(Some(_)) if handled == MAX_MESSAGES_PER_TURN || link.is_output_unread() => {
+                    left = true;
+                    break None;
+                }
                 Ok(None) => match self.reject_oversized(&bytes[from..], link, context) {
                     Ok(0) => break None,
                     Ok(size) => {
@@ -437,6 +451,7 @@
                     Err(why) => break Some(why),
                 },
                 Ok(Some((frame, size))) => {
+                    handled += 1;
                     from += size;
                     frame_started = true;
                     self.received_frame = true;
@@ -451,7 +466,8 @@
         };
         link.input = bytes;
         link.consume(from);
-        let incomplete = !link.input.is_empty() || self.skip_bytes > 0;
+        link.leave_messages(left);
+        let incomplete = !left && !link.input.is_empty() || self.skip_bytes > 0;
         self.timers.record_input(context.now, incomplete, frame_started);
         match error {
             Some(why) => self.close_malformed(why, link, context),
@@ -529,6 +545,10 @@
         self.open.len()
     }
 
+    fn ends_at_peer_close(&self) -> bool {
+        true
+    }
+
     fn may_receive_request(&self) -> bool {
         !self.timers.is_finishing() && (self.has_partial_request() || !self.received_frame)
     }
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -19,7 +19,8 @@
 
 use super::client_timers::{ClientTimers, Lateness};
 use super::{
-    ANSWER_TRANSIT_TIME, MAX_OPEN_REQUESTS, MAX_UNREAD_OUTPUT_BYTES, RPC_IDLE_TIMEOUT, has_room_for_request,
+    ANSWER_TRANSIT_TIME, MAX_MESSAGES_PER_TURN, MAX_OPEN_REQUESTS, MAX_UNREAD_OUTPUT_BYTES, RPC_IDLE_TIMEOUT,
+    has_room_for_request,
 };
 use crate::chain::{Chain, Classes, End, Step};
 use crate::core::{Answer, IncomingRequest, Owner, Verdict};
@@ -107,13 +108,18 @@
         }
     }
 
-    fn handle_line(&mut self, line: &[u8], link: &mut Link, context: &mut Context) {
+    /// Handles a line, and returns the number of messages in it.
+    fn handle_line(&mut self, line: &[u8], link: &mut Link, context: &mut Context) -> usize {
         if line.iter().all(u8::is_ascii_whitespace) {
-            return;
+            return 1;
         }
         match read_line(line) {
-            ParsedLine::One(request) => self.handle_request(request, None, link, context),
+            ParsedLine::One(request) => {
+                self.handle_request(request, None, link, context);
+                1
+            }
             ParsedLine::Batch(requests) => {
+                let count = requests.len();
                 let number = self.next_number;
                 self.next_number += 1;
                 // One more than the requests, so that answers that arrive while they are read don't complete the batch.
@@ -123,6 +129,7 @@
                     self.handle_request(request, Some(number), link, context);
                 }
                 self.count_reply(number, link);
+                count
             }
         }
     }
@@ -262,36 +269,39 @@
 
     /// Handles the complete lines of the input, and notes whether an incomplete one follows.
     fn read_lines(&mut self, link: &mut Link, context: &mut Context) {
-        let mut completed = false;
         let mut consumed = 0;
         let input = std::mem::take(&mut link.input);
-        // Reading pauses while the client does not read its answers, and resumes in `flushed`.
-        while !link.is_output_unread() {
-            let Some(length) = input[consumed..].iter().position(|b| *b == b'\n') else { break };
+        let mut handled = 0;
+        let mut left = false;
+        while let Some(length) = input[consumed..].iter().position(|b| *b == b'\n') {
+            left = handled >= MAX_MESSAGES_PER_TURN || link.is_output_unread();
+            if left {
+                break;
+            }
             let line = &input[consumed..consumed + length];
             consumed += length + 1;
-            completed = true;
+            handled += 1;
             if std::mem::take(&mut self.skipping) {
                 continue;
             }
             if length <= self.max_line_bytes {
                 self.line_arrived = link.arrival_time(input.len() - consumed);
-                self.handle_line(line, link, context);
+                handled += self.handle_line(line, link, context) - 1;
             } else {
                 self.reject_oversized(link, context);
             }
         }
         link.input = input;
         link.consume(consumed);
-        if link.input.len() > self.max_line_bytes && !link.input.contains(&b'\n') {
+        link.leave_messages(left);
+        if link.input.len() > self.max_line_bytes && !left {
             link.drop_input();
             if !std::mem::replace(&mut self.skipping, true) {
                 self.reject_oversized(link, context);
             }
         }
-        // A line that only waits until the client reads its answers is complete.
-        let incomplete = self.skipping || !link.input.is_empty() && !link.input.contains(&b'\n');
-        self.timers.record_input(context.now, incomplete, completed);
+        let incomplete = !left && (self.skipping || !link.input.is_empty());
+        self.timers.record_input(context.now, incomplete, handled > 0);
     }
 
     /// The time that the client has for its next request; `None` while requests are open.
@@ -364,18 +374,13 @@
         if !link.peer_closed {
             return ControlFlow::Continue;
         }
-        if link.input.iter().all(u8::is_ascii_whitespace) || link.input.contains(&b'\n') {
+        if link.input.iter().all(u8::is_ascii_whitespace) || link.has_messages_left() {
             return ControlFlow::Close;
         }
         // The client closed its half within a line: answered with an error, as it may still be reading.
         self.close_incomplete(link, context)
     }
 
-    fn flushed(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
-        self.read_lines(link, context);
-        ControlFlow::Continue
-    }
-
     fn on_timeout(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
         let Some(lateness) = self.timers.lateness(context.now, self.idle_timeout(), link) else {
             return ControlFlow::Continue;
@@ -429,6 +434,10 @@
         self.open.len()
     }
 
+    fn ends_at_peer_close(&self) -> bool {
+        true
+    }
+
     fn idle_since(&self) -> Option<Timestamp> {
         (self.open.is_empty() && !self.timers.is_finishing()).then_some(self.timers.last_activity)
     }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -36,8 +36,15 @@
     open + unread < MAX_OPEN_REQUESTS && link.has_output_room(0)
 }
 
+/// Most messages of one connection that are handled before others have their turn. A client that keeps to its limit of open
+/// requests rarely sends more at once.
+const MAX_MESSAGES_PER_TURN: usize = 64;
+
 /// Parses a function's ID of 16 hex digits.
 pub fn read_function(text: &str) -> Option<u64> {
     let hex = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
     hex.then(|| u64::from_str_radix(text, 16).ok()).flatten()
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/net/arrivals.rs
+++ b/src/net/arrivals.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Bytes that have not been read arrived after this moment.
+    pub fn empty_at(&self) -> Timestamp {
+        self.empty_at.process_time
+    }
+
     /// Whether the last read emptied the socket.
     pub fn is_drained(&self) -> bool {
         self.drained
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -110,6 +110,11 @@
     fn can_accept(&self, _reference: Option<&str>) -> bool {
         false
     }
+    /// Whether a peer that has closed its write half waits for nothing more, so that what it had sent before and has not been
+    /// read may be dropped.
+    fn ends_at_peer_close(&self) -> bool {
+        false
+    }
     /// Number of requests open on this connection.
     fn open_requests(&self) -> usize {
         0
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -237,6 +237,8 @@
     output_pressure: OutputPressure,
     /// Bytes of answers that the connection holds back until others are there.
     held_output: usize,
+    /// Whether complete messages are left in the input for a later turn.
+    messages_left: bool,
 }
 
 impl Link {
@@ -270,6 +272,7 @@
             caught_up_at: empty_at.process_time,
             output_pressure: OutputPressure::None,
             held_output: 0,
+            messages_left: false,
         }
     }
 
@@ -367,9 +370,28 @@
         self.is_drained().then(|| self.caught_up_at.max(self.last_output_progress))
     }
 
-    /// Whether the last read found the end of the input.
+    /// Whether the last read found the end of the input, and its complete messages have been handled.
     fn is_drained(&self) -> bool {
-        self.arrivals.is_drained()
+        self.arrivals.is_drained() && !self.messages_left
+    }
+
+    /// Sets whether complete messages are left in the input. They are handled in a later turn, once the peer does not leave
+    /// too much output unread; nothing more is read before.
+    pub fn leave_messages(&mut self, left: bool) {
+        self.messages_left = left;
+    }
+
+    /// The earliest time at which a message that has not been handled may have arrived; `None` if there is none.
+    fn unhandled_since(&self) -> Option<Timestamp> {
+        if self.messages_left {
+            return Some(self.arrival_time(self.input.len() - 1));
+        }
+        (!self.arrivals.is_drained()).then(|| self.arrivals.empty_at())
+    }
+
+    /// Whether complete messages are left in the input.
+    pub fn has_messages_left(&self) -> bool {
+        self.messages_left
     }
 
     /// Records that the peer has taken output since the last call, if it has.
@@ -409,9 +431,10 @@
         self.input.extend_from_slice(bytes);
     }
 
-    /// Whether reading is paused, because the peer does not read its output or the input buffer is full.
+    /// Whether reading is paused, because the peer does not read its output, or the input buffer is full or has messages
+    /// that are to be handled first.
     pub fn is_input_paused(&self) -> bool {
-        self.is_output_unread() || self.input.len() > self.limits.input
+        self.is_output_unread() || self.messages_left || self.input.len() > self.limits.input
     }
 
     /// Whether the peer leaves more output unread than it may.
@@ -452,10 +475,10 @@
     /// Reads available input up to the buffer's limit, and no further chunk after `most` bytes; true if the socket is empty.
     fn fill_input(&mut self, most: usize, clock: SystemClock) -> io::Result<bool> {
         let started = clock.reading();
-        let was_drained = self.is_drained();
+        let was_drained = self.arrivals.is_drained();
         let filled = self.read_chunks(most, clock);
         self.arrivals.note_read_end(started, matches!(filled, Ok(true)));
-        if self.is_drained() && !was_drained {
+        if self.arrivals.is_drained() && !was_drained {
             self.caught_up_at = clock.now();
         }
         filled
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -37,6 +37,11 @@
 /// Longest wait of a poll while there are connections. Input that a poll reports arrived after the previous poll
 /// started; without a kernel timestamp, nothing more precise is known.
 const MAX_POLL_WAIT: Duration = Duration::millis(30);
+/// How often a client's input is read before an attempt for it is written, if there is more each time.
+const MAX_READS_BEFORE_ATTEMPT: usize = 4;
+/// No attempt is written if a message of its client may have been unhandled for longer. Clients allow an attempt to begin
+/// 100 ms after they have left.
+const MAX_UNHANDLED_TIME: Duration = Duration::millis(50);
 /// Events that one poll reports.
 const MAX_EVENTS_PER_POLL: usize = 1024;
 /// The unwritten output of all connections is under [`OutputPressure::High`] above this fraction of its limit, and under
@@ -60,6 +65,8 @@
     entries: HashMap<Token, Entry>,
     next_token: usize,
     timers: BTreeSet<(Timestamp, Token)>,
+    /// Connections with messages left from an earlier turn.
+    unhandled: BTreeSet<Token>,
     /// Connections on which an attempt may be writable.
     writable: BTreeSet<Token>,
     /// The connection on which an attempt was written last; the others have their turn before it has another.
@@ -108,6 +115,7 @@
             entries: HashMap::new(),
             next_token: FIRST_CONNECTION_TOKEN,
             timers: BTreeSet::new(),
+            unhandled: BTreeSet::new(),
             writable: BTreeSet::new(),
             last_written: Token(0),
             read_budget: ReadBudget::default(),
@@ -233,7 +241,7 @@
         if clogged {
             entry.link.set_close_cause(CloseCause::Clogged);
         }
-        entry.finishing |= flow == ControlFlow::Finish;
+        entry.finish_if(flow == ControlFlow::Finish);
         // If a socket is closed with unread input, the system discards output that the peer has not read yet. So only
         // the write half is shut down, and the close waits for the peer's close or the connection's deadline.
         if entry.finishing
@@ -249,10 +257,19 @@
         if entry.connection.next_attempt(&entry.link).is_some() {
             self.writable.insert(token);
         }
+        self.update_input(token);
+        self.update_timer(token);
+    }
+
+    /// Notes messages that are left for the next turn, and the memory of a partly received one.
+    fn update_input(&mut self, token: Token) {
+        let Some(entry) = self.entries.get_mut(&token) else { return };
+        if entry.link.has_messages_left() && !entry.link.is_output_unread() {
+            self.unhandled.insert(token);
+        }
         let partial_input = entry.partial_input();
         self.partial_input_total -= std::mem::replace(&mut entry.partial_input_bytes, partial_input);
         self.partial_input_total += partial_input;
-        self.update_timer(token);
     }
 
     /// Gives up partly received requests until they keep to the memory for them: first of connections without open
@@ -415,6 +432,7 @@
             self.polled_at = started;
         }
         self.last_poll_empty = ready.is_empty();
+        let unhandled = std::mem::take(&mut self.unhandled);
         for (token, readable, peer_closed) in ready {
             match token.0 {
                 number if number < FIRST_PIPE_TOKEN => wakeups.push(Wakeup::Client(number)),
@@ -425,16 +443,12 @@
                     self.drain_pipe(number - FIRST_PIPE_TOKEN);
                     wakeups.push(Wakeup::Pipe(number - FIRST_PIPE_TOKEN));
                 }
-                // With input paused, the close would not be read from the stream. A peer that neither reads nor writes
-                // any more has gone.
-                _ if peer_closed
-                    && self.entries.get(&token).is_some_and(|entry| entry.link.is_input_paused()) =>
-                {
-                    self.close_for(token, CloseCause::Ended, core);
-                }
-                _ => self.handle_ready(token, readable || peer_closed, self.arrival_bound, core),
+                _ => self.handle_connection_event(token, readable, peer_closed, core),
             }
         }
+        for token in unhandled {
+            self.handle_ready(token, true, self.arrival_bound, core);
+        }
         let now = self.clock.now();
         while let Some(&(at, token)) = self.timers.first().filter(|(at, _)| *at <= now) {
             self.timers.remove(&(at, token));
@@ -452,10 +466,22 @@
         Ok(wakeups)
     }
 
+    fn handle_connection_event(&mut self, token: Token, readable: bool, peer_closed: bool, core: &mut Core) {
+        // With input paused, the close would not be read from the stream. A peer that neither reads nor writes any more has
+        // gone.
+        if peer_closed && self.entries.get(&token).is_some_and(|entry| entry.link.is_input_paused()) {
+            return self.close_for(token, CloseCause::Ended, core);
+        }
+        self.handle_ready(token, readable || peer_closed, self.arrival_bound, core);
+        if self.entries.get(&token).is_some_and(|entry| entry.is_left(peer_closed)) {
+            self.close_for(token, CloseCause::Ended, core);
+        }
+    }
+
     /// How long a poll that starts now may wait for an event.
     fn poll_timeout(&self, now: Timestamp, until: Option<Timestamp>) -> Option<Duration> {
-        // Attempts that the last turn had no time to write.
-        if !self.writable.is_empty() {
+        // Attempts that the last turn had no time to write, and messages that it left.
+        if !self.writable.is_empty() || !self.unhandled.is_empty() {
             return Some(Duration(0));
         }
         let due = self.timers.first().map(|(at, _)| *at).into_iter().chain(until).min();
@@ -488,6 +514,23 @@
         }
     }
 
+    /// Reads a client's input before an attempt for it is written, as its close or cancellation may be unread. False if a
+    /// message may remain that arrived too long ago: the client sends faster than it is read, or does not read its answers.
+    pub fn hear_client(&mut self, id: u64, core: &mut Core) -> bool {
+        let token = Token(id as usize);
+        let turn_budget = std::mem::take(&mut self.read_budget);
+        for _ in 0..MAX_READS_BEFORE_ATTEMPT {
+            self.read_budget = ReadBudget::default();
+            self.catch_up(id, core);
+            if self.entries.get(&token).is_none_or(|entry| entry.link.unhandled_since().is_none()) {
+                break;
+            }
+        }
+        self.read_budget = turn_budget;
+        let unhandled_since = self.entries.get(&token).and_then(|entry| entry.link.unhandled_since());
+        unhandled_since.is_none_or(|since| self.now() - since <= MAX_UNHANDLED_TIME)
+    }
+
     /// The next connection on which an attempt can be written, with the attempt.
     pub fn next_attempt(&mut self) -> Option<(u64, AttemptId)> {
         while let Some(token) = self.next_writable() {
--- a/src/net/reactor/entry.rs
+++ b/src/net/reactor/entry.rs
@@ -53,10 +53,24 @@
 
     /// Since when nothing is open on this connection and its peer has left no output unread; `None` while something is.
     pub(super) fn idle_since(&self) -> Option<Timestamp> {
-        let since = self.connection.idle_since().filter(|_| self.link.unwritten_bytes() == 0)?;
+        let nothing_left = self.link.unwritten_bytes() == 0 && !self.link.has_messages_left();
+        let since = self.connection.idle_since().filter(|_| nothing_left)?;
         Some(since.max(self.link.last_output_progress()))
     }
 
+    /// Begins to finish the connection if `finish`: no more input is processed.
+    pub(super) fn finish_if(&mut self, finish: bool) {
+        self.finishing |= finish;
+        if self.finishing {
+            self.link.leave_messages(false);
+        }
+    }
+
+    /// Whether the peer waits for nothing more: it has closed its write half, and the rest of its input does not matter.
+    pub(super) fn is_left(&self, peer_closed: bool) -> bool {
+        peer_closed && !self.finishing && self.connection.ends_at_peer_close() && !self.link.is_drained()
+    }
+
     /// Memory taken by a request of which a part has been received.
     pub(super) fn partial_input(&self) -> usize {
         if self.connection.has_partial_request() { self.link.input.capacity() } else { 0 }
@@ -99,6 +113,12 @@
         budget: &mut ReadBudget,
         context: &mut Context,
     ) -> ControlFlow {
+        if self.link.has_messages_left() && !self.finishing {
+            flow = flow.and(self.connection.received(&mut self.link, context));
+            if flow != ControlFlow::Continue || self.link.has_messages_left() {
+                return flow;
+            }
+        }
         let limit = budget.connection_limit();
         let mut read = 0;
         loop {
@@ -110,6 +130,7 @@
             read += added;
             budget.record(added);
             if self.finishing {
+                self.link.leave_messages(false);
                 self.discarded += self.link.input.len();
                 self.link.input.clear();
                 if self.discarded > MAX_DISCARDED_BYTES {
