Send no attempt while its client's close or cancellation may lie unread for long

Cause: before an attempt its client's connection was read once, by the turn's bytes, and what lay beyond was taken for nothing; the system's word that the peer has closed was not used unless reading was paused.

Change: the client's input is read until it is empty, four times at most. If a message may then have been unhandled for over 50 ms, the request is refused.

Why it works: what is known of a client when its attempt begins is at most 50 ms old, or nothing is sent.

--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -198,8 +198,10 @@
     /// first, because unread input may hold the client's close or cancellation, however late the event loop is.
     pub fn write_next_attempt(&mut self, reactor: &mut Reactor, core: &mut Core) -> bool {
         let Some((connection, attempt)) = reactor.next_attempt() else { return false };
-        if let Some(owner) = core.owner(attempt) {
-            reactor.catch_up(owner.connection, core);
+        if let Some(owner) = core.owner(attempt)
+            && !reactor.hear_client(owner.connection, core)
+        {
+            core.reject_unheard(reactor.now(), attempt);
         }
         reactor.with_connection(connection, core, |target, link, context| {
             target.write_next_attempt(link, context)
--- a/src/core/write_checks.rs
+++ b/src/core/write_checks.rs
@@ -1,6 +1,6 @@
 //! Checks made just before bytes are written, because a queued message may no longer be allowed.
 
-use super::{AttemptId, Core, LoadId, Owner, ProbeId};
+use super::{AttemptId, Core, LoadId, Owner, ProbeId, Verdict};
 use crate::chain;
 use crate::interface::*;
 
@@ -15,6 +15,14 @@
         }
     }
 
+    /// Rejects the request of an attempt that is about to be written, because its client's input could not be read lately
+    /// enough to know whether it still waits.
+    pub fn reject_unheard(&mut self, now: Timestamp, id: AttemptId) {
+        let cooldown = self.default_cooldown();
+        self.finish_request(now, id.request, Verdict::Refused { cooldown });
+        self.process_event(now, Event::ClientGone(id.request));
+    }
+
     /// Whether an attempt may still be written. While it was queued for its connection, its request may have ended, its
     /// worker may have begun to drain, or its deduplication window may have passed.
     pub fn may_write(&mut self, now: Timestamp, id: AttemptId) -> bool {
