Write to a worker's process only what was meant for it, by its id and start

Played in src/core/tests.rs: an attempt, a load request and a probe wait for their connections while the list names a new start for their worker.

Cause: the checks before a write, and the ends of load requests and probes, knew the worker by its id alone. A refused dial of the old process could make the new one count as lost, and a load of the old one as warm.

Change: attempts, load requests and probes keep the start with which their worker was listed. They are not written once another start is listed, and then end as not sent, which says nothing about the process that is listed now.

Why it works: every message passes the check right before its first byte.

--- a/src/core/actions.rs
+++ b/src/core/actions.rs
@@ -74,7 +74,16 @@
             worker = worker.0,
             "attempt"
         );
-        let entry = Attempt { worker, class, decided_at: now, deadline, written: None, allowed: false };
+        let worker_started = self.workers.started(worker);
+        let entry = Attempt {
+            worker,
+            worker_started,
+            class,
+            decided_at: now,
+            deadline,
+            written: None,
+            allowed: false,
+        };
         self.attempts.insert(attempt, entry);
         self.timers.set(deadline, Timer::Attempt(attempt));
         self.commands.push_back(Command::Send { attempt, worker, work, deadline });
@@ -98,7 +107,9 @@
     ) {
         let load = LoadId { number: self.next_number(), lease: self.leases.fenced(Task::Renew, part) };
         self.counters.orders_begun += 1;
-        let entry = LoadRequest { worker, function, instances, decided_at: now, allowed: false };
+        let worker_started = self.workers.started(worker);
+        let entry =
+            LoadRequest { worker, worker_started, function, instances, decided_at: now, allowed: false };
         self.loads.open.insert(load, entry);
         self.timers.set(now + self.site.load_wait, Timer::Load(load));
         self.commands.push_back(Command::Load { load, worker, function, instances });
@@ -107,7 +118,7 @@
     fn start_probe(&mut self, now: Timestamp, worker: WorkerId, part: Option<u16>) {
         let probe = ProbeId { number: self.next_number(), lease: self.leases.fenced(Task::Probe, part) };
         let deadline = now + PROBE_TIMEOUT;
-        self.probes.insert(probe, Probe { worker, deadline });
+        self.probes.insert(probe, Probe { worker, worker_started: self.workers.started(worker), deadline });
         self.timers.set(deadline, Timer::Probe(probe));
         self.counters.probes += 1;
         self.commands.push_back(Command::Probe { probe, worker, deadline });
--- a/src/core/command.rs
+++ b/src/core/command.rs
@@ -91,6 +91,8 @@
 /// An attempt that has not ended.
 pub(super) struct Attempt {
     pub(super) worker: WorkerId,
+    /// When the worker's process started, as listed when the attempt was decided on.
+    pub(super) worker_started: Option<Timestamp>,
     /// Index of its class in the site's settings.
     pub(super) class: usize,
     /// When the policy decided to send it; its latency counts from here.
@@ -105,5 +107,7 @@
 /// A probe that has not ended.
 pub(super) struct Probe {
     pub(super) worker: WorkerId,
+    /// When the worker's process started, as listed when the probe was decided on.
+    pub(super) worker_started: Option<Timestamp>,
     pub(super) deadline: Timestamp,
 }
--- a/src/core/invariants/tests.rs
+++ b/src/core/invariants/tests.rs
@@ -126,6 +126,7 @@
     core.written(at(1), first);
     let copy = core.attempts.get(&first).map(|attempt| crate::core::command::Attempt {
         worker: attempt.worker,
+        worker_started: attempt.worker_started,
         class: attempt.class,
         decided_at: attempt.decided_at,
         deadline: attempt.deadline,
--- a/src/core/load_requests.rs
+++ b/src/core/load_requests.rs
@@ -15,6 +15,8 @@
 /// A load request that has not ended.
 pub(super) struct LoadRequest {
     pub(super) worker: WorkerId,
+    /// When the worker's process started, as listed when the load request was decided on.
+    pub(super) worker_started: Option<Timestamp>,
     pub(super) function: FunctionId,
     pub(super) instances: u8,
     /// When the policy decided to send it; its latency and its timeout count from here.
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -90,6 +90,41 @@
     assert!(!core.may_write(AT_MS(13), attempt), "a worker absent from the complete list is gone");
 }
 
+/// Guards against picture (d) of issue 52: what was meant for a process was written to the one that came up after it under
+/// its id, often at its address, and ends of its load requests and probes counted for the new one.
+#[test]
+fn what_was_meant_for_a_replaced_process_is_not_written_to_its_successor() {
+    let mut core = following_core();
+    core.discovery_received(AT_MS(0), AT_MS(0));
+    let (attempt, worker) = first_send(&submit_request(&mut core, 1, "safe"));
+    core.carry_out(AT_MS(1), &Action::Load { worker, function: CALLED_FUNCTION, instances: 1, part: None });
+    core.carry_out(AT_MS(1), &Action::Probe { worker, part: None });
+    let commands: Vec<Command> = std::iter::from_fn(|| core.next_command()).collect();
+    let load = commands.iter().rev().find_map(|command| match command {
+        Command::Load { load, instances: 1, .. } => Some(*load),
+        _ => None,
+    });
+    let probe = commands.iter().find_map(|command| match command {
+        Command::Probe { probe, .. } => Some(*probe),
+        _ => None,
+    });
+    let (load, probe) = (load.unwrap(), probe.unwrap());
+    assert!(core.may_write(AT_MS(1), attempt));
+    assert!(core.may_write_load(AT_MS(1), load));
+    assert!(core.may_write_probe(AT_MS(1), probe));
+    let successor = Member { worker, weight: 1.0, started: Some(AT_MS(2)), ..Member::default() };
+    core.members(AT_MS(3), ListKind::Delta, vec![successor]);
+    assert!(!core.may_write(AT_MS(3), attempt));
+    assert!(!core.may_write_load(AT_MS(3), load) && !core.load_still_allowed(AT_MS(3), load));
+    assert!(!core.may_write_probe(AT_MS(3), probe));
+    // The refused dials of the replaced process do not make its successor count as lost, and its loads are not there.
+    let refused = || Broken { progress: AttemptProgress::NotSent, cause: "connect failed" };
+    core.probe_ended(AT_MS(4), probe, Err(refused()));
+    assert_eq!((core.counters().probes_held, core.counters().probes_unanswered), (1, 0));
+    core.load_ended(AT_MS(4), load, Err(refused()));
+    assert_eq!(core.policy.avoided(), 0);
+}
+
 /// A core whose list follows discovery, from which nothing has been received yet.
 fn following_core() -> Core {
     let text = SITE_SETTINGS.replace(r#""mayCancel": true"#, r#""mayCancel": true, "probes": true"#);
--- a/src/core/worker_list.rs
+++ b/src/core/worker_list.rs
@@ -1,7 +1,7 @@
 //! The workers that discovery lists, with the operators' cordons applied.
 
 use super::cordons::Cordons;
-use crate::interface::{ListKind, Member, State, WorkerId};
+use crate::interface::{ListKind, Member, State, Timestamp, WorkerId};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The listed workers and the cordons.
@@ -57,6 +57,16 @@
         self.listed.get(&worker).map(|member| self.cordons.applied_to(*member))
     }
 
+    /// When the process that is listed under this id started, or was uncordoned later; `None` if that is long ago.
+    pub(super) fn started(&self, worker: WorkerId) -> Option<Timestamp> {
+        self.effective_of(worker).and_then(|member| member.started)
+    }
+
+    /// Whether the process that started then is still the one that is listed under this id.
+    pub(super) fn is_process(&self, worker: WorkerId, started: Option<Timestamp>) -> bool {
+        self.effective_of(worker).is_some_and(|member| member.started == started)
+    }
+
     /// Listed workers that are cordoned.
     pub(super) fn cordoned_count(&self) -> usize {
         self.cordons.cordoned().filter(|worker| self.listed.contains_key(worker)).count()
--- a/src/core/write_checks.rs
+++ b/src/core/write_checks.rs
@@ -43,7 +43,9 @@
             (Effect::Unsafe, Some(_)) => false,
             (Effect::Keyed { window, .. }, Some(first)) => now + DEDUP_WINDOW_MARGIN < first.at + window,
         };
-        in_window && self.accepts_work(now, attempt.worker)
+        in_window
+            && self.workers.is_process(attempt.worker, attempt.worker_started)
+            && self.accepts_work(now, attempt.worker)
     }
 
     /// Whether a worker may be sent new work: it is listed as ready and confirmed not to have begun to drain since.
@@ -69,6 +71,9 @@
 
     fn load_allowed(&mut self, now: Timestamp, id: LoadId) -> bool {
         let Some(load) = self.loads.open.get(&id) else { return false };
+        if !self.workers.is_process(load.worker, load.worker_started) {
+            return false;
+        }
         if load.instances == 0 {
             return true;
         }
@@ -91,16 +96,16 @@
 
     /// Whether a load request that was allowed, and has been in an output buffer since, may still be written.
     pub fn load_still_allowed(&self, now: Timestamp, id: LoadId) -> bool {
-        self.loads
-            .open
-            .get(&id)
-            .is_some_and(|load| load.instances == 0 || self.accepts_work(now, load.worker))
+        self.loads.open.get(&id).is_some_and(|load| {
+            self.workers.is_process(load.worker, load.worker_started)
+                && (load.instances == 0 || self.accepts_work(now, load.worker))
+        })
     }
 
     /// Whether a probe may still be written; one for the whole fleet only under its lease. `now` must have been read
     /// just for this check.
     pub fn may_write_probe(&self, now: Timestamp, id: ProbeId) -> bool {
-        self.probes.contains_key(&id)
+        self.probes.get(&id).is_some_and(|probe| self.workers.is_process(probe.worker, probe.worker_started))
             && id.lease.is_none_or(|fenced| self.leases.holds(now, Task::Probe, fenced))
     }
 }
