--- a/src/core/outcomes.rs
+++ b/src/core/outcomes.rs
@@ -143,8 +143,8 @@
     pub(super) fn end_probe(&mut self, id: ProbeId, status: Status, report: Vec<f32>) {
         let Some(probe) = self.probes.remove(&id) else { return };
         // The end of a probe of a process that has been replaced says nothing about the process that is listed now.
-        let current = self.workers.is_process(probe.worker, probe.worker_started);
-        let status = if current { status } else { Status::NotSent };
+        let replaced = self.workers.was_replaced(probe.worker, probe.worker_started);
+        let status = if replaced { Status::NotSent } else { status };
         if id.lease.is_some() && status != Status::NotSent {
             let answers = status == Status::Ok;
             self.commands.push_back(Command::PublishHealth { worker: probe.worker, answers });
@@ -173,7 +173,7 @@
         self.counters.orders_ended += 1;
         self.timers.cancel(load.decided_at + self.site.load_wait, Timer::Load(id));
         // What a process that has been replaced loaded is not at the process that is listed now.
-        let replaced = !self.workers.is_process(load.worker, load.worker_started);
+        let replaced = self.workers.was_replaced(load.worker, load.worker_started);
         let result = if replaced { LoadResult { status: Status::NotSent, instances: 0 } } else { result };
         self.backlog.push_back(Event::Loaded(Loaded {
             worker: load.worker,
--- a/src/core/worker_list.rs
+++ b/src/core/worker_list.rs
@@ -67,6 +67,11 @@
         self.effective_of(worker).is_some_and(|member| member.started == started)
     }
 
+    /// Whether the process that started then has been replaced: another one is listed under this id.
+    pub(super) fn was_replaced(&self, worker: WorkerId, started: Option<Timestamp>) -> bool {
+        self.effective_of(worker).is_some_and(|member| member.started != started)
+    }
+
     /// Listed workers that are cordoned.
     pub(super) fn cordoned_count(&self) -> usize {
         self.cordons.cordoned().filter(|worker| self.listed.contains_key(worker)).count()
