Do not run a client's request again under a reference that may have run

Played with tests/departed_clients.rs and a fragile class: on both tests failed, two attempts each were written where one and none were due.

Cause: references were known only while their request was open, and only at its own process.

References that the JSON-RPC front makes up now differ between the processes of an upgrade; both made the same ones before.

Why it works: the check stands where a reference in use was checked before. What the old process takes on after it has sent its state is not covered.

--- a/src/core/accepted_requests.rs
+++ b/src/core/accepted_requests.rs
@@ -110,6 +110,10 @@
         self.by_id.get_mut(&id)
     }
 
+    pub(super) fn iter(&self) -> impl Iterator<Item = &AcceptedRequest> + '_ {
+        self.by_id.values()
+    }
+
     pub(super) fn contains(&self, id: RequestId) -> bool {
         self.by_id.contains_key(&id)
     }
--- a/src/core/actions.rs
+++ b/src/core/actions.rs
@@ -134,6 +134,7 @@
     /// Ends an accepted request with a final answer other than a worker's.
     pub(super) fn finish_request(&mut self, now: Timestamp, id: RequestId, verdict: Verdict) {
         let Some(accepted) = self.remove_request(id) else { return };
+        self.used_references.record_end(now, &accepted);
         let verdict = if accepted.may_client_retry() { verdict } else { Verdict::Failed };
         let expired = now + self.site.settings.tick >= accepted.deadline;
         if let Verdict::Refused { .. } = verdict {
--- a/src/core/admission.rs
+++ b/src/core/admission.rs
@@ -34,7 +34,10 @@
             return;
         };
         // With two open requests of the same reference, a worker could not tell their attempts apart.
-        if self.requests.has_reference(&incoming.reference) {
+        // One that may have run under this reference must not run again.
+        if self.requests.has_reference(&incoming.reference)
+            || self.used_references.contains(now, &incoming.reference)
+        {
             return self.answer(incoming.owner, Some(&incoming.class), Verdict::Failed, false);
         }
         if let Some(reason) = self.reject_reason(now, &incoming) {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -25,6 +25,7 @@
 mod table_sizes;
 mod timers;
 pub mod transferred_state;
+mod used_references;
 mod worker_list;
 mod worker_updates;
 mod write_checks;
@@ -52,6 +53,7 @@
 use overload::Overload;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use timers::{Timer, Timers};
+use used_references::UsedReferences;
 use worker_list::WorkerList;
 
 /// The core fails a request that the policy has not ended this long after its deadline, so that it has one final answer
@@ -98,6 +100,8 @@
     /// What the current callback of a front has read.
     enqueued: Vec<EnqueuedWork>,
     requests: AcceptedRequests,
+    /// References of ended requests that must not run again.
+    used_references: UsedReferences,
     attempts: BTreeMap<AttemptId, Attempt>,
     loads: LoadRequests,
     probes: BTreeMap<ProbeId, Probe>,
@@ -129,6 +133,7 @@
             timers: Timers::default(),
             enqueued: Vec::new(),
             requests: AcceptedRequests::default(),
+            used_references: UsedReferences::default(),
             attempts: BTreeMap::new(),
             loads: LoadRequests::default(),
             probes: BTreeMap::new(),
@@ -226,6 +231,7 @@
         self.counters.withdrawn += 1;
         let accepted = self.remove_request(id);
         if let Some(accepted) = &accepted {
+            self.used_references.record_end(now, accepted);
             tracing::debug!(reference = %accepted.work.reference, "withdrawn");
         }
         self.record_unserved_step(now, accepted.as_ref());
--- a/src/core/outcomes.rs
+++ b/src/core/outcomes.rs
@@ -52,6 +52,7 @@
     /// Answers a request with the body received for one of its attempts, unless it has already been answered.
     fn serve(&mut self, now: Timestamp, id: AttemptId, body: Vec<u8>) {
         let Some(accepted) = self.remove_request(id.request) else { return };
+        self.used_references.record_end(now, &accepted);
         self.count_served(now);
         self.loads.called.record_served(now, accepted.work.function);
         if accepted.owner.connection != chain::STEP_CONNECTION
--- a/src/core/transferred_state.rs
+++ b/src/core/transferred_state.rs
@@ -39,6 +39,9 @@
     /// Functions that clients have recently called.
     #[serde(rename = "called")]
     pub called_functions: Vec<u64>,
+    /// References of requests that must not run again, and when these requests ended, or their deadlines while they are open.
+    #[serde(default, rename = "used", skip_serializing_if = "Vec::is_empty")]
+    pub used_references: Vec<(u64, u64)>,
     /// File descriptors that it keeps open.
     pub descriptors: usize,
 }
@@ -67,7 +70,8 @@
         let converted = |at: u64| (now - (sent_at - Timestamp(at))).0;
         let mut state = self.clone();
         state.load_times.iter_mut().chain(&mut state.accept_times).for_each(|at| *at = converted(*at));
-        state.uncordoned_at.iter_mut().for_each(|(_, at)| *at = converted(*at));
+        let pairs = state.uncordoned_at.iter_mut().chain(&mut state.used_references);
+        pairs.for_each(|(_, at)| *at = converted(*at));
         state.now = Some(now.0);
         state
     }
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -34,6 +34,9 @@
 /// Most bytes of the ids of all requests that are open on a connection.
 const MAX_OPEN_ID_BYTES: usize = 32 << 10;
 
+/// An odd number by which the references of connections accepted one after another are spread over all numbers.
+const REFERENCE_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
+
 struct OpenRequest {
     id: Value,
     /// The batch whose reply includes this request's response.
@@ -65,6 +68,7 @@
     /// When the line that is being handled arrived.
     line_arrived: Timestamp,
     timers: ClientTimers,
+    accepted_at: Timestamp,
 }
 
 impl RpcConnection {
@@ -78,6 +82,7 @@
             skipping: false,
             line_arrived: now,
             timers: ClientTimers::new(now),
+            accepted_at: now,
         }
     }
 
@@ -236,7 +241,7 @@
     ) {
         let Some(owner) = self.reserve(&id, Some(&params.step.class), batch, link, context) else { return };
         self.open.insert(owner.stream, OpenRequest { id, batch });
-        let generated = || format!("{:08x}{:08x}", owner.connection as u32, owner.stream as u32);
+        let generated = || self.generated_reference(owner.stream);
         let Step { class, function, memory_mb, concurrency, load_time, body } = params.step;
         context.core.enqueue(IncomingRequest {
             owner,
@@ -252,6 +257,12 @@
         });
     }
 
+    /// A reference for a request without one of its own. It differs from those of the other process of an upgrade, which
+    /// numbers its connections in the same way.
+    fn generated_reference(&self, stream: u64) -> String {
+        format!("{:016x}", self.accepted_at.0.wrapping_mul(REFERENCE_MULTIPLIER).wrapping_add(stream))
+    }
+
     /// Sends the response of a request or a chain that has ended, unless it was withdrawn.
     fn finish_request(
         &mut self,
--- a/tests/departed_clients.rs
+++ b/tests/departed_clients.rs
@@ -13,6 +13,7 @@
 use rig::*;
 use serde_json::json;
 use std::io::Write;
+use std::net::TcpListener;
 use std::time::Duration;
 
 /// Calls of a client that leaves.
@@ -125,3 +126,63 @@
     });
     assert_eq!(sent, 0);
 }
+
+/// Settings whose second class must never run twice.
+fn settings_with_a_fragile_class() -> serde_json::Value {
+    let mut settings = settings();
+    settings["classes"][1]["effect"] = json!("fragile");
+    settings
+}
+
+/// Guards against picture (c) of issue 52: a request whose client had left was run again when its id came again.
+#[test]
+fn an_id_that_comes_again_after_its_client_left_does_not_run_twice() {
+    let worker = Worker::over_tcp();
+    let daemon = Daemon::start_with(&[&worker], settings_with_a_fragile_class(), None, |folder| {
+        format!("[jsonrpc]\nsocket = {:?}\n", folder.at("calls.sock"))
+    });
+    let request = frame(0, 1, &call("credit-submit", "00000000000000a1", 20_000, b"x"));
+    let mut left = FrameClient::connect(daemon.listen);
+    left.send(&request);
+    assert_eq!(worker.next().verb(), "go");
+    drop(left);
+    daemon.wait_counter("withdrawn", 1);
+    let mut again = FrameClient::connect(daemon.listen);
+    again.send(&request);
+    assert_eq!(again.next(), Some((1, 1, vec![69, 0])), "failed, as it may have run");
+    let mut lines = RpcClient::connect(&daemon.folder.at("calls.sock"));
+    lines.send(&rpc_call(&json!(1), "credit-submit", "00000000000000a1", 20_000, "eA==").to_string());
+    assert_eq!(lines.next()["error"]["code"], -32002);
+    assert_eq!(daemon.counter("sent"), 1);
+}
+
+/// The same if it comes again at the other process of an upgrade, while it is open at the first one or after it has ended
+/// there.
+#[test]
+fn an_id_that_comes_again_at_the_other_process_of_an_upgrade_does_not_run_twice() {
+    let worker = Worker::over_tcp();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let first = Daemon::start_with(&[&worker], settings_with_a_fragile_class(), None, |_| String::new());
+    let mut old = first.spawn_beside(&listener);
+    old.serves();
+    drop(first);
+    let request = |id: &str| frame(0, 1, &call("credit-submit", id, 20_000, b"x"));
+    let mut waiting = FrameClient::connect(old.listen);
+    waiting.send(&request("00000000000000b1"));
+    let mut ended = FrameClient::connect(old.listen);
+    ended.send(&request("00000000000000b2"));
+    for _ in 0..2 {
+        assert_eq!(worker.next().verb(), "go");
+    }
+    drop(ended);
+    old.wait_counter("withdrawn", 1);
+    let mut new = old.spawn_beside(&listener);
+    new.serves();
+    old.wait_log("listener=closed");
+    for id in ["00000000000000b1", "00000000000000b2"] {
+        let mut again = FrameClient::connect(new.listen);
+        again.send(&request(id));
+        assert_eq!(again.next(), Some((1, 1, vec![69, 0])), "{id} may have run");
+    }
+    assert_eq!((new.counter("taken"), new.counter("sent")), (2, 0));
+}
--- a/tests/stored_forms/handover.rs
+++ b/tests/stored_forms/handover.rs
@@ -65,6 +65,7 @@
         load_times: vec![8100, 8200],
         accept_times: vec![8300],
         called_functions: vec![170, 171],
+        used_references: vec![],
         descriptors: 57,
     }))
 }
--- a/tests/wire_forms/handover.rs
+++ b/tests/wire_forms/handover.rs
@@ -29,6 +29,7 @@
         load_times: vec![3],
         accept_times: vec![4],
         called_functions: vec![0x7f],
+        used_references: vec![],
         descriptors: 12,
     }
 }
@@ -46,6 +47,13 @@
             Message::State(Box::new(untimed)),
             r#"{"state":{"version":1,"name":"","offset":0,"list":[],"events":[],"out":[],"back":[],"orders":[],"taken":[],"called":[],"descriptors":0}}"#,
         ),
+        (
+            Message::State(Box::new(TransferredState {
+                used_references: vec![(0x9b1f, 8)],
+                ..TransferredState::default()
+            })),
+            r#"{"state":{"version":0,"name":"","offset":0,"list":[],"events":[],"out":[],"back":[],"orders":[],"taken":[],"called":[],"used":[[39711,8]],"descriptors":0}}"#,
+        ),
         (Message::Serving, r#""serving""#),
         (
             Message::CordonChanged { worker: 900, cordoned: true, at: 7 },
