Give up the oldest unfinished requests first; split the frames' codec, clock and input

A usual client's large frame could itself be given up while it was being read, one of several of the same size: seen once in three runs of tests/unfinished_input.rs (answered 'refused').

A process that ends waits for messages left from earlier turns.

No other behaviour changes: codec, clock and the reactor's input code move to files of their own.

--- a/src/core/used_references.rs
+++ b/src/core/used_references.rs
@@ -76,3 +76,6 @@
 pub(super) fn number_of(reference: &str) -> Option<u64> {
     u64::from_str_radix(reference, 16).ok()
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/front/frames/tests.rs
+++ b/src/front/frames/tests.rs
@@ -1,4 +1,6 @@
+use super::super::MAX_BODY_BYTES;
 use super::*;
+use crate::interface::FunctionId;
 
 const OWNER: Owner = Owner { connection: 1, stream: 1 };
 
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -19,8 +19,8 @@
 
 use super::client_timers::{ClientTimers, Lateness};
 use super::{
-    ANSWER_TRANSIT_TIME, MAX_MESSAGES_PER_TURN, MAX_OPEN_REQUESTS, MAX_UNREAD_OUTPUT_BYTES, RPC_IDLE_TIMEOUT,
-    has_room_for_request,
+    ANSWER_TRANSIT_TIME, MAX_MESSAGES_PER_TURN, MAX_UNREAD_MESSAGES, MAX_UNREAD_OUTPUT_BYTES,
+    RPC_IDLE_TIMEOUT, has_room_for_request,
 };
 use crate::chain::{Chain, Classes, End, Step};
 use crate::core::{Answer, IncomingRequest, Owner, Verdict};
@@ -374,7 +374,7 @@
     }
 
     fn opened(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
-        link.allow_unwritten_messages(MAX_OPEN_REQUESTS);
+        link.allow_unwritten_messages(MAX_UNREAD_MESSAGES);
         context.core.counters().accepted += 1;
         ControlFlow::Continue
     }
@@ -431,6 +431,10 @@
         self.timers.message_started.is_some()
     }
 
+    fn partial_request_since(&self) -> Option<Timestamp> {
+        self.timers.message_started
+    }
+
     fn drop_partial_request(&mut self, link: &mut Link, context: &mut Context) -> ControlFlow {
         link.drop_input();
         self.skipping = true;
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -36,6 +36,9 @@
     open + unread < MAX_OPEN_REQUESTS && link.has_output_room(0)
 }
 
+/// Unread messages up to which reading from a client continues, whatever their size: the answers to as many requests as it
+/// may have open, and others such as those about its readiness.
+const MAX_UNREAD_MESSAGES: usize = 2 * MAX_OPEN_REQUESTS;
 /// Most messages of one connection that are handled before others have their turn. A client that keeps to its limit of open
 /// requests rarely sends more at once.
 const MAX_MESSAGES_PER_TURN: usize = 64;
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -131,6 +131,10 @@
     fn has_partial_request(&self) -> bool {
         false
     }
+    /// When the request of which a part has been received began to arrive.
+    fn partial_request_since(&self) -> Option<Timestamp> {
+        None
+    }
     /// Gives up the request of which a part has been received, because the memory for such parts is used up, and frees its
     /// input.
     fn drop_partial_request(&mut self, _link: &mut Link, _context: &mut Context) -> ControlFlow {
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -1,6 +1,7 @@
 //! The reactor: one poll that drives all connections and their timers through callbacks.
 
 mod entry;
+mod input;
 
 use super::connection::{Connection, Context, ControlFlow};
 use super::{BufferLimits, ClockReading, Link, MIN_OUTPUT_BYTES, OutputPressure, Stream, SystemClock};
@@ -37,11 +38,6 @@
 /// Longest wait of a poll while there are connections. Input that a poll reports arrived after the previous poll
 /// started; without a kernel timestamp, nothing more precise is known.
 const MAX_POLL_WAIT: Duration = Duration::millis(30);
-/// How often a client's input is read before an attempt for it is written, if there is more each time.
-const MAX_READS_BEFORE_ATTEMPT: usize = 4;
-/// No attempt is written if a message of its client may have been unhandled for longer. Clients allow an attempt to begin
-/// 100 ms after they have left.
-const MAX_UNHANDLED_TIME: Duration = Duration::millis(50);
 /// Events that one poll reports.
 const MAX_EVENTS_PER_POLL: usize = 1024;
 /// The unwritten output of all connections is under [`OutputPressure::High`] above this fraction of its limit, and under
@@ -72,7 +68,7 @@
     /// The connection on which an attempt was written last; the others have their turn before it has another.
     last_written: Token,
     read_budget: ReadBudget,
-    /// Whether the last poll reported no event.
+    /// Whether the last poll reported no event and no message was left from earlier turns.
     last_poll_empty: bool,
     /// Start of the last poll that reported all ready sources: whatever it did not report had not arrived by then.
     polled_at: ClockReading,
@@ -261,34 +257,6 @@
         self.update_timer(token);
     }
 
-    /// Notes messages that are left for the next turn, and the memory of a partly received one.
-    fn update_input(&mut self, token: Token) {
-        let Some(entry) = self.entries.get_mut(&token) else { return };
-        if entry.link.has_messages_left() && !entry.link.is_output_unread() {
-            self.unhandled.insert(token);
-        }
-        let partial_input = entry.partial_input();
-        self.partial_input_total -= std::mem::replace(&mut entry.partial_input_bytes, partial_input);
-        self.partial_input_total += partial_input;
-    }
-
-    /// Gives up partly received requests until they keep to the memory for them: first of connections without open
-    /// requests, the largest first.
-    fn drop_partial_requests(&mut self, core: &mut Core) {
-        while self.partial_input_total > self.max_partial_input_bytes {
-            let rank = |entry: &Entry| (entry.connection.open_requests() == 0, entry.partial_input_bytes);
-            let partial = self.entries.iter().filter(|(_, entry)| entry.partial_input_bytes > 0);
-            let Some((_, token)) = partial.map(|(token, entry)| (rank(entry), *token)).max() else { return };
-            let before = self.partial_input_total;
-            self.invoke(token, core, |entry, context| {
-                entry.connection.drop_partial_request(&mut entry.link, context)
-            });
-            if self.partial_input_total >= before {
-                self.close_for(token, CloseCause::MadeRoom, core);
-            }
-        }
-    }
-
     /// Registers the connection's next deadline.
     fn update_timer(&mut self, token: Token) {
         let Some(entry) = self.entries.get_mut(&token) else { return };
@@ -431,8 +399,8 @@
         if ready.len() < MAX_EVENTS_PER_POLL {
             self.polled_at = started;
         }
-        self.last_poll_empty = ready.is_empty();
         let unhandled = std::mem::take(&mut self.unhandled);
+        self.last_poll_empty = ready.is_empty() && unhandled.is_empty();
         for (token, readable, peer_closed) in ready {
             match token.0 {
                 number if number < FIRST_PIPE_TOKEN => wakeups.push(Wakeup::Client(number)),
@@ -506,31 +474,6 @@
         }
     }
 
-    /// Reads a connection's input without waiting for the poll to report it.
-    pub fn catch_up(&mut self, id: u64, core: &mut Core) {
-        let token = Token(id as usize);
-        if self.entries.get(&token).is_some_and(|entry| entry.link.connected) {
-            self.handle_ready(token, true, self.polled_at, core);
-        }
-    }
-
-    /// Reads a client's input before an attempt for it is written, as its close or cancellation may be unread. False if a
-    /// message may remain that arrived too long ago: the client sends faster than it is read, or does not read its answers.
-    pub fn hear_client(&mut self, id: u64, core: &mut Core) -> bool {
-        let token = Token(id as usize);
-        let turn_budget = std::mem::take(&mut self.read_budget);
-        for _ in 0..MAX_READS_BEFORE_ATTEMPT {
-            self.read_budget = ReadBudget::default();
-            self.catch_up(id, core);
-            if self.entries.get(&token).is_none_or(|entry| entry.link.unhandled_since().is_none()) {
-                break;
-            }
-        }
-        self.read_budget = turn_budget;
-        let unhandled_since = self.entries.get(&token).and_then(|entry| entry.link.unhandled_since());
-        unhandled_since.is_none_or(|since| self.now() - since <= MAX_UNHANDLED_TIME)
-    }
-
     /// The next connection on which an attempt can be written, with the attempt.
     pub fn next_attempt(&mut self) -> Option<(u64, AttemptId)> {
         while let Some(token) = self.next_writable() {
@@ -551,7 +494,7 @@
         Some(token)
     }
 
-    /// Whether the last poll reported no event.
+    /// Whether the last poll reported no event and no message was left from earlier turns.
     pub fn last_poll_was_empty(&self) -> bool {
         self.last_poll_empty
     }
@@ -584,25 +527,6 @@
         self.drop_partial_requests(core);
     }
 
-    /// Closes the connection that has been idle longest, as the least likely to be used again; false if none is idle. A
-    /// connection with unread input is not idle, and one with a part of a request is closed only after all others.
-    pub fn close_longest_idle(&mut self, core: &mut Core) -> bool {
-        for _ in 0..self.entries.len() {
-            let rank = |entry: &Entry| Some((entry.connection.has_partial_request(), entry.idle_since()?));
-            let idle = self.entries.iter().filter_map(|(token, entry)| Some((rank(entry)?, *token)));
-            let Some((before, token)) = idle.min() else { return false };
-            self.catch_up(token.0 as u64, core);
-            if self.entries.get(&token).and_then(rank) == Some(before) {
-                self.close_for(token, CloseCause::MadeRoom, core);
-            }
-            // A connection that closed by itself frees a descriptor as well.
-            if !self.entries.contains_key(&token) {
-                return true;
-            }
-        }
-        false
-    }
-
     /// The time that is `span` from now.
     pub fn after(&self, span: Duration) -> Timestamp {
         self.now() + span
