Let a finishing connection hold no part of a request

A connection that ends with an error kept the memory of its unfinished message counted, and could be chosen again as one to give up. Found by reading; no test shows it. The files that touch it passed: slow_readers, unfinished_input, departed_clients, jsonrpc, sockets, crossings, stops.

--- a/src/front/client_timers.rs
+++ b/src/front/client_timers.rs
@@ -58,6 +58,7 @@
     /// The connection begins to finish: no more input is processed.
     pub(super) fn begin_finish(&mut self, now: Timestamp) {
         self.finish_started = Some(now);
+        self.message_started = None;
     }
 
     /// Whether the connection is finishing.
--- a/src/net/reactor/entry.rs
+++ b/src/net/reactor/entry.rs
@@ -132,7 +132,7 @@
             if self.finishing {
                 self.link.leave_messages(false);
                 self.discarded += self.link.input.len();
-                self.link.input.clear();
+                self.link.drop_input();
                 if self.discarded > MAX_DISCARDED_BYTES {
                     self.link.set_close_cause(CloseCause::Unreadable);
                     return ControlFlow::Close;
